Lay out the workspace: ids, units, clock, schemas, module borders

The schema files give the messages of every protocol; the generated code names the crate's own newtypes. Module borders are traits, so that each part can be built and tested alone.

--- /dev/null
+++ b/src/ids.rs
@@ -0,0 +1,168 @@
+//! Identifiers.
+//!
+//! Every identifier is a newtype, so that a model cannot be passed where an adapter is meant. Text
+//! identifiers hold 1 to 128 characters out of `A-Z a-z 0-9 . _ : / -`; numeric ones are ordered
+//! counters. Both kinds print with `Display`, parse with `FromStr` and serialise as their plain value.
+
+use std::fmt;
+use std::str::FromStr;
+
+use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Greatest length of a text identifier, in bytes.
+pub const MAX_ID_BYTES: usize = 128;
+
+/// Why a text is not an identifier.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum IdError {
+    /// The text is empty.
+    #[error("an identifier must not be empty")]
+    Empty,
+    /// The text is longer than [`MAX_ID_BYTES`].
+    #[error("an identifier holds at most {MAX_ID_BYTES} bytes, this one has {0}")]
+    TooLong(usize),
+    /// The text holds a character outside the allowed set.
+    #[error("character {0:?} is not allowed in an identifier")]
+    Character(char),
+    /// The text is not a number.
+    #[error("expected a whole number")]
+    Number,
+}
+
+fn check_text(text: &str) -> Result<(), IdError> {
+    if text.is_empty() {
+        return Err(IdError::Empty);
+    }
+    if text.len() > MAX_ID_BYTES {
+        return Err(IdError::TooLong(text.len()));
+    }
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "._:/-".contains(c);
+    match text.chars().find(|&c| !allowed(c)) {
+        Some(c) => Err(IdError::Character(c)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! text_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "CompactString", into = "CompactString")]
+        pub struct $name(CompactString);
+
+        impl $name {
+            /// The identifier as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                check_text(text)?;
+                Ok(Self(CompactString::new(text)))
+            }
+        }
+
+        impl TryFrom<CompactString> for $name {
+            type Error = IdError;
+
+            fn try_from(text: CompactString) -> Result<Self, IdError> {
+                check_text(&text)?;
+                Ok(Self(text))
+            }
+        }
+
+        impl From<$name> for CompactString {
+            fn from(id: $name) -> Self {
+                id.0
+            }
+        }
+    };
+}
+
+macro_rules! counter_id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The value that follows this one.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.fmt(f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<Self, IdError> {
+                text.parse().map(Self).or(Err(IdError::Number))
+            }
+        }
+    };
+}
+
+text_id!(/// A VM that runs basilgw.
+    VmId);
+text_id!(/// A data centre.
+    DataCentre);
+text_id!(/// A client account.
+    ClientAccount);
+text_id!(/// A caller within a client account.
+    CallerId);
+text_id!(/// A key's public name; never the key itself.
+    KeyId);
+text_id!(/// A model engine or a plain service instance.
+    UpstreamId);
+text_id!(/// A group of upstreams that answer the same plain routes.
+    ServiceId);
+text_id!(/// A model.
+    ModelId);
+text_id!(/// An adapter of a model.
+    AdapterId);
+text_id!(/// A version of a model or an adapter.
+    VersionId);
+text_id!(/// A plain service route.
+    RouteId);
+text_id!(/// One request, as named by its caller or by the edge.
+    RequestId);
+text_id!(/// One replica of a model on one engine.
+    ReplicaId);
+text_id!(/// One submitted change of configuration.
+    ChangeId);
+text_id!(/// A key in the platform's object store.
+    ObjectKey);
+
+counter_id!(/// Number of an accepted configuration; only ever grows.
+    Revision);
+counter_id!(/// Version of an object in the platform's store; 0 stands for absent.
+    Version);
+counter_id!(/// Fencing number carried by orders and held shares.
+    Epoch);
+counter_id!(/// Incarnation of a VM or an upstream; grows with each start.
+    Generation);
+
+/// Free text in messages.
+pub type Text = compact_str::CompactString;
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,21 @@
+//! A serving gateway for rarely used models.
+//!
+//! The binary only wires what is here; tests and experiments drive the same code. Decisions are
+//! pure state machines, (state, event, now) to (state, actions); thin asynchronous shells carry
+//! them out. docs/DESIGN.md says which module carries which promise.
+
+// Generated code names this crate's types by its public path.
+extern crate self as basilgw;
+
+pub mod clock;
+pub mod declare;
+pub mod engine;
+pub mod ids;
+pub mod limit;
+pub mod model;
+pub mod once;
+pub mod outcome;
+pub mod platform;
+pub mod route;
+pub mod schema;
+pub mod units;
--- /dev/null
+++ b/src/limit/mod.rs
@@ -0,0 +1,46 @@
+//! Rates and bursts of client accounts and their callers, over all VMs.
+//!
+//! A request reserves its greatest cost on admission and settles its real cost at its end.
+//! [`Limiter`] is the border towards the edge.
+
+use std::fmt::Debug;
+use std::time::Instant;
+
+use futures_util::future::BoxFuture;
+
+use crate::ids::{CallerId, ClientAccount};
+use crate::outcome::Refusal;
+use crate::units::Tokens;
+
+/// A request for tokens.
+#[derive(Clone, Debug)]
+pub struct Reserve {
+    /// The account that pays.
+    pub account: ClientAccount,
+    /// The caller within it.
+    pub caller: CallerId,
+    /// Greatest cost of the request.
+    pub tokens: Tokens,
+    /// When the request must be answered.
+    pub deadline: Instant,
+}
+
+/// Reserved tokens, to be settled once.
+#[derive(Debug)]
+pub struct Grant {
+    /// The account that pays.
+    pub account: ClientAccount,
+    /// The caller within it.
+    pub caller: CallerId,
+    /// What was reserved.
+    pub tokens: Tokens,
+}
+
+/// Decides whether a request is within its account's and caller's share.
+pub trait Limiter: Send + Sync + Debug {
+    /// Reserves tokens, or refuses with the time after which enough will be there.
+    fn reserve(&self, ask: Reserve) -> BoxFuture<'_, Result<Grant, Refusal>>;
+
+    /// Charges what a request really used; the rest of its grant returns.
+    fn settle(&self, grant: Grant, used: Tokens);
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! The basilgw binary.
+fn main() {}
--- /dev/null
+++ b/src/schema/mod.rs
@@ -0,0 +1,21 @@
+//! Messages and settings, generated from the JSON schemas under `schema/`.
+//!
+//! `make schema` writes these files; see CONTRIBUTING.md. They are committed so that a build needs
+//! no generator, and CI checks by hash that neither side was edited alone.
+
+#![allow(
+    missing_docs,
+    clippy::allow_attributes_without_reason,
+    clippy::pedantic,
+    clippy::style,
+    clippy::complexity,
+    clippy::restriction,
+    reason = "generated code"
+)]
+
+pub mod caller;
+pub mod declaration;
+pub mod engine;
+pub mod peer;
+pub mod platform;
+pub mod settings;
--- /dev/null
+++ b/standin/src/main.rs
@@ -0,0 +1,2 @@
+//! Stand-ins.
+fn main() {}
