--- /dev/null
+++ b/src/declare/board.rs
@@ -0,0 +1,202 @@
+//! The configuration in force on this VM.
+//!
+//! Readers take an [`InForce`] by one atomic load. The revision only grows: an older one is refused
+//! wherever it comes from, and so is a newer one that is not valid.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use arc_swap::ArcSwap;
+use thiserror::Error;
+use tokio::sync::watch;
+
+use super::chunk::Chunk;
+use super::key::KeyHash;
+use super::validate::{DeclarationFault, validate};
+use crate::ids::{AdapterId, CallerId, ClientAccount, KeyId, ModelId, Revision, RouteId};
+use crate::schema::declaration::{Declaration, Head, Priority, Route};
+
+/// Who holds a key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Holder {
+    /// The account.
+    pub account: ClientAccount,
+    /// The caller.
+    pub caller: CallerId,
+    /// The key's public name.
+    pub key: KeyId,
+    /// The caller's priority.
+    pub priority: Priority,
+}
+
+/// What an account may reach.
+#[derive(Clone, Debug, Default)]
+pub struct Reach {
+    /// Models.
+    pub models: BTreeSet<ModelId>,
+    /// Adapters.
+    pub adapters: BTreeSet<AdapterId>,
+    /// Plain routes.
+    pub routes: BTreeSet<RouteId>,
+}
+
+/// One accepted configuration, indexed for the request path.
+#[derive(Debug, Default)]
+pub struct InForce {
+    /// Its revision; 0 where there is none yet.
+    pub revision: Revision,
+    /// Its head as stored.
+    pub head: Option<Head>,
+    /// Its parts as stored.
+    pub chunks: Vec<Chunk>,
+    /// The whole.
+    pub declaration: Declaration,
+    keys: BTreeMap<KeyHash, Holder>,
+    names: BTreeMap<KeyId, KeyHash>,
+    reach: BTreeMap<ClientAccount, Reach>,
+}
+
+impl InForce {
+    fn index(head: Head, chunks: Vec<Chunk>, declaration: Declaration) -> Self {
+        let mut keys = BTreeMap::new();
+        let mut names = BTreeMap::new();
+        let mut reach = BTreeMap::new();
+        for (account, entry) in &declaration.accounts {
+            let allowed = Reach {
+                models: entry.models.iter().cloned().collect(),
+                adapters: entry.adapters.iter().cloned().collect(),
+                routes: entry.routes.iter().cloned().collect(),
+            };
+            reach.insert(account.clone(), allowed);
+            for (caller, spec) in &entry.callers {
+                for (key, hash) in &spec.keys {
+                    let holder = Holder {
+                        account: account.clone(),
+                        caller: caller.clone(),
+                        key: key.clone(),
+                        priority: spec.priority,
+                    };
+                    keys.insert(*hash, holder);
+                    names.insert(key.clone(), *hash);
+                }
+            }
+        }
+        Self {
+            revision: head.revision,
+            head: Some(head),
+            chunks,
+            declaration,
+            keys,
+            names,
+            reach,
+        }
+    }
+
+    /// The holder of a key, by the key's hash.
+    pub fn holder(&self, hash: &KeyHash) -> Option<&Holder> {
+        self.keys.get(hash)
+    }
+
+    /// Whether a key is still in force.
+    pub fn holds(&self, hash: &KeyHash) -> bool {
+        self.keys.contains_key(hash)
+    }
+
+    /// The hash of a key, by the key's public name.
+    pub fn key_hash(&self, key: &KeyId) -> Option<&KeyHash> {
+        self.names.get(key)
+    }
+
+    /// What an account may reach.
+    pub fn reach(&self, account: &ClientAccount) -> Option<&Reach> {
+        self.reach.get(account)
+    }
+
+    /// The route with the longest prefix of `path`.
+    pub fn route(&self, path: &str) -> Option<(&RouteId, &Route)> {
+        let fits = |prefix: &str| {
+            path.strip_prefix(prefix).is_some_and(|rest| {
+                rest.is_empty() || prefix.ends_with('/') || rest.starts_with('/')
+            })
+        };
+        let found = self
+            .declaration
+            .routes
+            .iter()
+            .filter(|(_, route)| fits(&route.prefix));
+        found.max_by_key(|(_, route)| route.prefix.len())
+    }
+}
+
+/// Why a configuration was not taken over.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum OfferError {
+    /// It is not newer than the one in force.
+    #[error("revision {0} is in force already")]
+    Old(Revision),
+    /// It is not valid.
+    #[error("{} fault(s) in the declaration", .0.len())]
+    Invalid(Vec<DeclarationFault>),
+}
+
+/// Holds the configuration in force.
+#[derive(Debug)]
+pub struct Board {
+    current: ArcSwap<InForce>,
+    turn: Mutex<()>,
+    news: watch::Sender<Revision>,
+}
+
+impl Board {
+    /// Opens a board with no configuration.
+    pub fn open() -> Arc<Self> {
+        let (news, _) = watch::channel(Revision::default());
+        Arc::new(Self {
+            current: ArcSwap::default(),
+            turn: Mutex::new(()),
+            news,
+        })
+    }
+
+    /// The configuration in force.
+    pub fn current(&self) -> Arc<InForce> {
+        self.current.load_full()
+    }
+
+    /// The revision in force.
+    pub fn revision(&self) -> Revision {
+        self.current.load().revision
+    }
+
+    /// Tells of each new revision.
+    pub fn subscribe(&self) -> watch::Receiver<Revision> {
+        self.news.subscribe()
+    }
+
+    /// Takes over a newer, valid configuration.
+    ///
+    /// # Errors
+    ///
+    /// [`OfferError`] where it is not newer or not valid; what is in force stays.
+    pub fn offer(
+        &self,
+        head: Head,
+        chunks: Vec<Chunk>,
+        declaration: Declaration,
+    ) -> Result<Revision, OfferError> {
+        let faults = validate(&declaration);
+        if !faults.is_empty() {
+            return Err(OfferError::Invalid(faults));
+        }
+        let revision = head.revision;
+        let next = InForce::index(head, chunks, declaration);
+        let _turn = self.turn.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = self.revision();
+        if revision <= known {
+            return Err(OfferError::Old(known));
+        }
+        self.current.store(Arc::new(next));
+        self.news.send_replace(revision);
+        Ok(revision)
+    }
+}
--- /dev/null
+++ b/src/edge/answer.rs
@@ -0,0 +1,74 @@
+//! Answers of the system's own.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::ToCompactString;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, StatusCode};
+use serde::Serialize;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use crate::ids::RequestId;
+use crate::outcome::Refusal;
+use crate::schema::caller::{ErrorAnswer, ErrorBody};
+
+/// Header that names a request, in requests and answers.
+pub const REQUEST_ID: &str = "x-request-id";
+
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+
+/// The JSON form of a refusal.
+pub fn error_answer(refusal: &Refusal, request: Option<&RequestId>) -> ErrorAnswer {
+    ErrorAnswer {
+        error: ErrorBody {
+            code: refusal.reason.code(),
+            message: refusal.reason.to_compact_string(),
+            ran: refusal.ran,
+            retry: refusal.retry.map(|wait| wait.as_millis() as u64),
+            request: request.cloned(),
+        },
+    }
+}
+
+/// Answers with a refusal.
+pub fn refuse(refusal: &Refusal, request: Option<&RequestId>) -> Response {
+    let mut response = json(status(refusal), &error_answer(refusal, request));
+    if let Some(wait) = refusal.retry {
+        let seconds = whole_seconds(wait);
+        response
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    name(&mut response, request);
+    response
+}
+
+/// Answers with a value as JSON.
+pub fn json<T>(status: StatusCode, value: &T) -> Response
+where
+    T: Serialize,
+{
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(Body::from(Bytes::from(body)));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, JSON);
+    response
+}
+
+/// Adds the request's id to an answer.
+pub fn name(response: &mut Response, request: Option<&RequestId>) {
+    let value = request.and_then(|id| HeaderValue::from_str(id.as_str()).ok());
+    if let Some(value) = value {
+        response.headers_mut().insert(REQUEST_ID, value);
+    }
+}
+
+fn status(refusal: &Refusal) -> StatusCode {
+    StatusCode::from_u16(refusal.reason.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR)
+}
+
+fn whole_seconds(wait: Duration) -> u64 {
+    wait.as_millis().div_ceil(1000).max(1) as u64
+}
--- /dev/null
+++ b/src/edge/auth.rs
@@ -0,0 +1,94 @@
+//! Who a request runs for.
+//!
+//! The key chooses the account here, once; from then on the account travels as a typed value and
+//! is never read from the request again.
+
+use std::fmt::Debug;
+use std::sync::Arc;
+
+use http::HeaderMap;
+use http::header::AUTHORIZATION;
+
+use crate::declare::{Board, Holder, Key, KeyHash};
+use crate::outcome::{Reason, Refusal};
+
+const SCHEME: &str = "Bearer ";
+
+/// Says whether this VM may still trust the keys it knows.
+pub trait Standing: Send + Sync + Debug {
+    /// False once this VM has been cut off alone for longer than the bound.
+    fn keys_trusted(&self) -> bool;
+}
+
+/// A VM that always trusts its keys; for a fleet of one.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Steady;
+
+impl Standing for Steady {
+    fn keys_trusted(&self) -> bool {
+        true
+    }
+}
+
+/// The authenticated holder of a key.
+#[derive(Clone, Debug)]
+pub struct Principal {
+    /// Who holds the key.
+    pub holder: Holder,
+    hash: KeyHash,
+    board: Arc<Board>,
+    standing: Arc<dyn Standing>,
+}
+
+impl Principal {
+    /// Whether the key is still in force.
+    pub fn in_force(&self) -> bool {
+        self.standing.keys_trusted() && self.board.current().holds(&self.hash)
+    }
+
+    /// Completes once the key is no longer in force.
+    pub async fn withdrawn(&self) {
+        const RECHECK: std::time::Duration = std::time::Duration::from_secs(1);
+        let mut news = self.board.subscribe();
+        while self.in_force() {
+            // The timer covers a VM that is cut off, which no news reaches.
+            let changed = tokio::time::timeout(RECHECK, news.changed()).await;
+            if matches!(changed, Ok(Err(_))) {
+                return;
+            }
+        }
+    }
+}
+
+/// Finds the holder of the key that a request carries.
+///
+/// # Errors
+///
+/// [`Reason::Unauthorized`] without a key in force; [`Reason::NotReady`] without a configuration
+/// or where this VM no longer trusts its keys.
+pub fn authenticate(
+    headers: &HeaderMap,
+    board: &Arc<Board>,
+    standing: &Arc<dyn Standing>,
+) -> Result<Principal, Refusal> {
+    let current = board.current();
+    if current.head.is_none() || !standing.keys_trusted() {
+        return Err(Refusal::not_run(Reason::NotReady));
+    }
+    let unauthorized = || Refusal::not_run(Reason::Unauthorized);
+    let key = bearer(headers).ok_or_else(unauthorized)?;
+    let hash = key.hash();
+    let holder = current.holder(&hash).ok_or_else(unauthorized)?;
+    Ok(Principal {
+        holder: holder.clone(),
+        hash,
+        board: Arc::clone(board),
+        standing: Arc::clone(standing),
+    })
+}
+
+/// The key that a request carries, if it carries one.
+pub fn bearer(headers: &HeaderMap) -> Option<Key> {
+    let text = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    text.strip_prefix(SCHEME)?.trim().parse().ok()
+}
--- /dev/null
+++ b/src/edge/models.rs
@@ -0,0 +1,367 @@
+//! Calls to models.
+//!
+//! Cost is reserved first, then a replica and a turn are waited for, then the call is dispatched. A
+//! stream is answered once its first chunk is there; a whole answer once it has arrived in full.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use http::header::CONTENT_TYPE;
+use http::{HeaderName, HeaderValue, Method, StatusCode};
+use slog::info;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use super::auth::Principal;
+use super::parse::{self, Completion};
+use super::relay::{self, Pump};
+use super::running::Token;
+use super::serve::{Arrived, EdgeParts};
+use crate::declare::InForce;
+use crate::ids::{AdapterId, ModelId, UpstreamId};
+use crate::limit::{Grant, Limiter, Reserve};
+use crate::model::{Placer, Replica, Want};
+use crate::outcome::{Reason, Refusal};
+use crate::platform::Instance;
+use crate::route::dispatch::{Job, Served};
+use crate::route::{Answer, headers};
+use crate::schema::declaration::Priority;
+use crate::units::Tokens;
+
+const PRIORITY: HeaderName = HeaderName::from_static("x-priority");
+const ADAPTER: HeaderName = HeaderName::from_static("x-adapter");
+/// Names the upstream that answered.
+pub const SERVED_BY: HeaderName = HeaderName::from_static("x-served-by");
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// Reserved cost; settles what was used when dropped.
+#[derive(Debug)]
+pub(super) struct Cost {
+    limiter: Arc<dyn Limiter>,
+    grant: Option<Grant>,
+    /// Tokens used so far.
+    pub used: Tokens,
+}
+
+impl Cost {
+    /// Reserves the greatest cost of a request.
+    pub async fn reserve(
+        parts: &EdgeParts,
+        principal: &Principal,
+        arrived: &Arrived,
+        tokens: Tokens,
+    ) -> Result<Self, Refusal> {
+        let ask = Reserve {
+            account: principal.holder.account.clone(),
+            caller: principal.holder.caller.clone(),
+            tokens,
+            deadline: arrived.deadline,
+        };
+        let limiter = Arc::clone(&parts.limiter);
+        let grant = Some(limiter.reserve(ask).await?);
+        Ok(Self {
+            limiter,
+            grant,
+            used: Tokens::ZERO,
+        })
+    }
+}
+
+impl Drop for Cost {
+    fn drop(&mut self) {
+        if let Some(grant) = self.grant.take() {
+            self.limiter.settle(grant, self.used);
+        }
+    }
+}
+
+/// A turn at a replica; released when dropped.
+#[derive(Debug)]
+struct Turn {
+    placer: Arc<dyn Placer>,
+    want: Want,
+    replicas: Vec<Replica>,
+}
+
+impl Turn {
+    async fn acquire(parts: &EdgeParts, want: Want) -> Result<Self, Refusal> {
+        let placer = Arc::clone(&parts.placer);
+        let replicas = placer.acquire(want.clone()).await?;
+        Ok(Self {
+            placer,
+            want,
+            replicas,
+        })
+    }
+
+    fn ids(&self) -> BTreeMap<UpstreamId, crate::ids::ReplicaId> {
+        self.replicas
+            .iter()
+            .map(|r| (r.upstream.clone(), r.id.clone()))
+            .collect()
+    }
+
+    fn instances(&self, parts: &EdgeParts) -> Vec<Instance> {
+        let has = |i: &Instance| {
+            self.replicas
+                .iter()
+                .any(|r| r.upstream.as_str() == i.vm.as_str())
+        };
+        parts
+            .directory
+            .listing()
+            .engines()
+            .into_iter()
+            .filter(|i| has(i))
+            .collect()
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.placer.release(&self.want);
+    }
+}
+
+/// Everything a dispatched call holds until it is over.
+#[derive(Debug)]
+struct Held {
+    _token: Token,
+    cost: Cost,
+    _turn: Turn,
+}
+
+/// Serves a call to a model.
+pub(super) async fn serve(
+    parts: &Arc<EdgeParts>,
+    arrived: Arrived,
+    token: Token,
+    body: Body,
+) -> Result<Response, Refusal> {
+    let principal = parts.authenticate(&arrived)?;
+    let body = parse::read_body(body, &parts.callers).await?;
+    let call = parse::parse_completion(&body, &parts.callers)?;
+    check_reach(&parts.board.current(), &principal, &call)?;
+    let job = prepare(&arrived, &principal, &call, body)?;
+    let served = tokio::select! {
+        biased;
+        () = principal.withdrawn() => return Err(Refusal::not_run(Reason::Withdrawn)),
+        admitted = admit(parts, &principal, &arrived, &call, token) => {
+            let (held, among) = admitted?;
+            dispatch(parts, &principal, job, held, &among).await?
+        }
+    };
+    let (held, served) = served;
+    info!(parts.log, "request_dispatched";
+        "request" => %arrived.request, "account" => %principal.holder.account,
+        "model" => %call.model, "upstream" => %served.upstream);
+    if call.stream && served.answer.status == StatusCode::OK {
+        return Ok(stream(parts, arrived, principal, &call, held, served));
+    }
+    whole(&principal, &arrived, &call, held, served).await
+}
+
+async fn admit(
+    parts: &Arc<EdgeParts>,
+    principal: &Principal,
+    arrived: &Arrived,
+    call: &Completion,
+    token: Token,
+) -> Result<(Held, Vec<Instance>), Refusal> {
+    let greatest = call.prompt + call.output;
+    let cost = Cost::reserve(parts, principal, arrived, greatest).await?;
+    let want = Want {
+        request: arrived.request.clone(),
+        account: principal.holder.account.clone(),
+        priority: principal.holder.priority,
+        model: call.model.clone(),
+        adapter: call.adapter.clone(),
+        work: greatest,
+        deadline: arrived.deadline,
+    };
+    let turn = Turn::acquire(parts, want).await?;
+    let among = turn.instances(parts);
+    Ok((
+        Held {
+            _token: token,
+            cost,
+            _turn: turn,
+        },
+        among,
+    ))
+}
+
+async fn dispatch(
+    parts: &Arc<EdgeParts>,
+    principal: &Principal,
+    mut job: Job,
+    mut held: Held,
+    among: &[Instance],
+) -> Result<(Held, Served), Refusal> {
+    job.replicas = held._turn.ids();
+    // From here on the prompt may have been worked on, whatever comes back.
+    held.cost.used = held._turn.want.work;
+    let dispatched = tokio::select! {
+        biased;
+        () = principal.withdrawn() => Err(Refusal::unknown(Reason::Withdrawn)),
+        outcome = parts.dispatcher.dispatch(among, &job) => outcome,
+    };
+    match dispatched {
+        Ok(served) => Ok((held, served)),
+        Err(refusal) => {
+            if refusal.ran == crate::outcome::Ran::No {
+                held.cost.used = Tokens::ZERO;
+            }
+            Err(refusal)
+        }
+    }
+}
+
+fn stream(
+    parts: &Arc<EdgeParts>,
+    arrived: Arrived,
+    principal: Principal,
+    call: &Completion,
+    mut held: Held,
+    served: Served,
+) -> Response {
+    let (inlet, outlet) = relay::channel(parts.buffer);
+    let mut response = answer_head(&served);
+    let pump = Pump {
+        principal,
+        request: arrived.request,
+        deadline: arrived.deadline,
+        prompt: call.prompt,
+    };
+    let body = served.answer.body;
+    tokio::spawn(async move {
+        let pumped = pump.run(body, &inlet).await;
+        held.cost.used = pumped.used;
+        drop(held);
+    });
+    *response.body_mut() = Body::from_stream(outlet);
+    response
+}
+
+async fn whole(
+    principal: &Principal,
+    arrived: &Arrived,
+    call: &Completion,
+    mut held: Held,
+    served: Served,
+) -> Result<Response, Refusal> {
+    let mut response = answer_head(&served);
+    let collected = tokio::select! {
+        biased;
+        () = principal.withdrawn() => Err(Refusal::ran(Reason::Withdrawn)),
+        () = tokio::time::sleep_until(arrived.deadline.into()) => {
+            Err(Refusal::ran(Reason::Deadline))
+        }
+        body = collect(served.answer) => body,
+    };
+    let body = collected?;
+    let used = relay::usage_of(&body).map(Tokens);
+    held.cost.used = used.unwrap_or(call.prompt + call.output);
+    *response.body_mut() = Body::from(body);
+    Ok(response)
+}
+
+/// Reads an answer in full.
+pub(super) async fn collect(answer: Answer) -> Result<Bytes, Refusal> {
+    let mut body = answer.body;
+    let mut whole = BytesMut::new();
+    while let Some(chunk) = body.next().await {
+        whole.extend_from_slice(&chunk?);
+        if whole.len() > MAX_ANSWER_BYTES {
+            return Err(Refusal::ran(Reason::UpstreamFailed));
+        }
+    }
+    Ok(whole.freeze())
+}
+
+/// The head of an upstream's answer as the caller sees it.
+pub(super) fn answer_head(served: &Served) -> Response {
+    let mut response = Response::new(Body::empty());
+    *response.status_mut() = served.answer.status;
+    *response.headers_mut() = headers::returned(&served.answer.headers);
+    if let Ok(value) = HeaderValue::from_str(served.upstream.as_str()) {
+        response.headers_mut().insert(SERVED_BY, value);
+    }
+    response
+}
+
+fn check_reach(current: &InForce, principal: &Principal, call: &Completion) -> Result<(), Refusal> {
+    // A model that the account may not reach is as unknown to it as one that does not exist.
+    let unknown = || Refusal::not_run(Reason::UnknownModel);
+    let reach = current
+        .reach(&principal.holder.account)
+        .ok_or_else(unknown)?;
+    if !reach.models.contains(&call.model) {
+        return Err(unknown());
+    }
+    let Some(adapter) = &call.adapter else {
+        return Ok(());
+    };
+    let spec = current
+        .declaration
+        .adapters
+        .get(adapter)
+        .ok_or_else(unknown)?;
+    if !reach.adapters.contains(adapter) || spec.model != call.model {
+        return Err(unknown());
+    }
+    Ok(())
+}
+
+fn prepare(
+    arrived: &Arrived,
+    principal: &Principal,
+    call: &Completion,
+    body: Bytes,
+) -> Result<Job, Refusal> {
+    let mut request = headers::forward(Method::POST, &arrived.path, &arrived.headers, body)?;
+    let id = HeaderValue::from_str(arrived.request.as_str());
+    request
+        .headers
+        .insert(super::answer::REQUEST_ID, id.or(Err(malformed()))?);
+    request
+        .headers
+        .insert(PRIORITY, rank(principal.holder.priority));
+    if let Some(adapter) = &call.adapter {
+        let value = HeaderValue::from_str(adapter.as_str());
+        request.headers.insert(ADAPTER, value.or(Err(malformed()))?);
+    }
+    request
+        .headers
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    Ok(Job {
+        request,
+        idempotent: true,
+        deadline: arrived.deadline,
+        prefix: Some(prefix(&call.model, call.adapter.as_ref(), call.prefix)),
+        replicas: BTreeMap::new(),
+    })
+}
+
+fn malformed() -> Refusal {
+    Refusal::not_run(Reason::Malformed)
+}
+
+fn prefix(model: &ModelId, adapter: Option<&AdapterId>, prompt: u64) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(model.as_str().as_bytes());
+    hasher.update(adapter.map_or("", AdapterId::as_str).as_bytes());
+    hasher.update(&prompt.to_le_bytes());
+    let [a, b, c, d, e, f, g, h, ..] = *hasher.finalize().as_bytes();
+    u64::from_le_bytes([a, b, c, d, e, f, g, h])
+}
+
+fn rank(priority: Priority) -> HeaderValue {
+    HeaderValue::from_static(match priority {
+        Priority::Interactive => "0",
+        Priority::Review => "1",
+        Priority::Background => "2",
+    })
+}
--- /dev/null
+++ b/src/edge/plain.rs
@@ -0,0 +1,258 @@
+//! Calls to plain services.
+//!
+//! A call that must not run twice is carried through by a task of its own: a caller that leaves
+//! does not cut it, and its outcome is recorded whatever becomes of the caller.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use http::header::CONTENT_TYPE;
+use http::{HeaderMap, HeaderValue, Method, StatusCode};
+use slog::info;
+use volo_http::body::Body;
+use volo_http::response::Response;
+
+use super::models::{Cost, answer_head, collect};
+use super::parse;
+use super::running::Token;
+use super::serve::{Arrived, EdgeParts};
+use crate::ids::{ClientAccount, RouteId};
+use crate::once::{Attempt, Begin, End, OnceKey, Recorded};
+use crate::outcome::{Ran, Reason, Refusal};
+use crate::route::dispatch::Job;
+use crate::route::headers;
+use crate::schema::declaration::Route;
+use crate::units::Tokens;
+
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+const MAX_KEY_BYTES: usize = 255;
+const OPEN_ACCOUNT: &str = "open";
+
+/// Everything a call holds until it is over.
+struct Held {
+    _token: Token,
+    cost: Option<Cost>,
+}
+
+/// Serves a call to a plain service.
+pub(super) async fn serve(
+    parts: &Arc<EdgeParts>,
+    arrived: Arrived,
+    method: Method,
+    token: Token,
+    body: Body,
+) -> Result<Response, Refusal> {
+    let current = parts.board.current();
+    if current.head.is_none() {
+        return Err(Refusal::not_run(Reason::NotReady));
+    }
+    let path = arrived.path.split('?').next().unwrap_or_default();
+    let found = current.route(path);
+    let (id, route) = found.ok_or_else(|| Refusal::not_run(Reason::UnknownRoute))?;
+    let (cost, account) = admit(parts, &arrived, id, route).await?;
+    let body = parse::read_body(body, &parts.callers).await?;
+    let deadline = arrived
+        .deadline
+        .min(Instant::now() + Duration::from_millis(route.timeout));
+    let job = prepare(parts, &arrived, method, body, route, deadline)?;
+    let held = Held {
+        _token: token,
+        cost,
+    };
+    if route.idempotent {
+        return call(parts, &arrived, route, &job, held).await;
+    }
+    let once = once_key(&arrived.headers, account, id, &job)?;
+    let parts = Arc::clone(parts);
+    let route = route.clone();
+    let task =
+        tokio::spawn(async move { call_once(&parts, &arrived, &route, job, once, held).await });
+    task.await
+        .or_else(|_| Err(Refusal::unknown(Reason::Internal)))?
+}
+
+async fn admit(
+    parts: &Arc<EdgeParts>,
+    arrived: &Arrived,
+    id: &RouteId,
+    route: &Route,
+) -> Result<(Option<Cost>, ClientAccount), Refusal> {
+    if route.open {
+        let open = OPEN_ACCOUNT
+            .parse()
+            .or(Err(Refusal::not_run(Reason::Internal)))?;
+        return Ok((None, open));
+    }
+    let principal = parts.authenticate(arrived)?;
+    let account = principal.holder.account.clone();
+    let current = parts.board.current();
+    let reached = current
+        .reach(&account)
+        .is_some_and(|reach| reach.routes.contains(id));
+    if !reached {
+        return Err(Refusal::not_run(Reason::Forbidden));
+    }
+    let cost = Cost::reserve(parts, &principal, arrived, Tokens(route.cost)).await?;
+    Ok((Some(cost), account))
+}
+
+fn prepare(
+    parts: &EdgeParts,
+    arrived: &Arrived,
+    method: Method,
+    body: Bytes,
+    route: &Route,
+    deadline: Instant,
+) -> Result<Job, Refusal> {
+    let mut request = headers::forward(method, &arrived.path, &arrived.headers, body)?;
+    let id = HeaderValue::from_str(arrived.request.as_str());
+    let id = id.or(Err(Refusal::not_run(Reason::Malformed)))?;
+    request.headers.insert(super::answer::REQUEST_ID, id);
+    if parts
+        .directory
+        .listing()
+        .services(&route.service)
+        .is_empty()
+    {
+        let wait = Duration::from_secs(1);
+        return Err(Refusal::not_run(Reason::Capacity).retry_after(wait));
+    }
+    Ok(Job {
+        request,
+        idempotent: route.idempotent,
+        deadline,
+        prefix: None,
+        replicas: BTreeMap::new(),
+    })
+}
+
+async fn call(
+    parts: &EdgeParts,
+    arrived: &Arrived,
+    route: &Route,
+    job: &Job,
+    mut held: Held,
+) -> Result<Response, Refusal> {
+    let among = parts.directory.listing().services(&route.service);
+    let served = match parts.dispatcher.dispatch(&among, job).await {
+        Ok(served) => served,
+        Err(refusal) => {
+            charge(&mut held, route, refusal.ran);
+            return Err(refusal);
+        }
+    };
+    charge(&mut held, route, Ran::Yes);
+    info!(parts.log, "request_dispatched";
+        "request" => %arrived.request, "service" => %route.service, "upstream" => %served.upstream);
+    let mut response = answer_head(&served);
+    let bounded = tokio::time::timeout_at(job.deadline.into(), collect(served.answer)).await;
+    let body = bounded.unwrap_or(Err(Refusal::unknown(Reason::Deadline)))?;
+    *response.body_mut() = Body::from(body);
+    Ok(response)
+}
+
+fn charge(held: &mut Held, route: &Route, ran: Ran) {
+    if let Some(cost) = &mut held.cost {
+        cost.used = if ran == Ran::No {
+            Tokens::ZERO
+        } else {
+            Tokens(route.cost)
+        };
+    }
+}
+
+async fn call_once(
+    parts: &EdgeParts,
+    arrived: &Arrived,
+    route: &Route,
+    job: Job,
+    once: Option<OnceKey>,
+    held: Held,
+) -> Result<Response, Refusal> {
+    let Some(key) = once else {
+        return call(parts, arrived, route, &job, held).await;
+    };
+    match parts.once.begin(key).await? {
+        Begin::Repeat(recorded) => Ok(replay(recorded)),
+        Begin::Run(attempt) => run(parts, arrived, route, &job, attempt, held).await,
+    }
+}
+
+async fn run(
+    parts: &EdgeParts,
+    arrived: &Arrived,
+    route: &Route,
+    job: &Job,
+    attempt: Attempt,
+    held: Held,
+) -> Result<Response, Refusal> {
+    let outcome = call(parts, arrived, route, job, held).await;
+    let (end, outcome) = match outcome {
+        Ok(response) => {
+            let (recorded, response) = record(response).await?;
+            (End::Ran(recorded), Ok(response))
+        }
+        Err(refusal) if refusal.ran == Ran::No => (End::NotRun, Err(refusal)),
+        Err(refusal) => (End::Unknown, Err(refusal)),
+    };
+    parts.once.finish(attempt, end).await;
+    outcome
+}
+
+async fn record(response: Response) -> Result<(Recorded, Response), Refusal> {
+    let (head, body) = response.into_parts();
+    let body = volo_http::body::BodyConversion::into_bytes(body).await;
+    let body = body.or(Err(Refusal::unknown(Reason::Internal)))?;
+    let media = head.headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    let recorded = Recorded {
+        status: head.status.as_u16(),
+        media: CompactString::new(media.unwrap_or_default()),
+        body: body.clone(),
+    };
+    Ok((recorded, Response::from_parts(head, Body::from(body))))
+}
+
+fn replay(recorded: Recorded) -> Response {
+    let mut response = Response::new(Body::from(recorded.body));
+    *response.status_mut() = StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::OK);
+    if let Ok(media) = HeaderValue::from_str(&recorded.media) {
+        response.headers_mut().insert(CONTENT_TYPE, media);
+    }
+    response
+        .headers_mut()
+        .insert("x-repeated", HeaderValue::from_static("1"));
+    response
+}
+
+fn once_key(
+    headers: &HeaderMap,
+    account: ClientAccount,
+    route: &RouteId,
+    job: &Job,
+) -> Result<Option<OnceKey>, Refusal> {
+    let Some(value) = headers.get(IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    let malformed = || Refusal::not_run(Reason::Malformed);
+    let key = value
+        .to_str()
+        .ok()
+        .filter(|k| !k.is_empty() && k.len() <= MAX_KEY_BYTES);
+    let key = key.ok_or_else(malformed)?;
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(job.request.method.as_str().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(job.request.path.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(&job.request.body);
+    let digest = *hasher.finalize().as_bytes();
+    Ok(Some(OnceKey {
+        account,
+        route: route.clone(),
+        key: key.into(),
+        digest,
+    }))
+}
--- /dev/null
+++ b/src/edge/running.rs
@@ -0,0 +1,87 @@
+//! Requests that run now, and the wait for the last of them at shutdown.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use tokio::sync::Notify;
+
+use crate::outcome::{Reason, Refusal};
+
+/// Counts running requests.
+#[derive(Debug, Default)]
+pub struct Running {
+    count: AtomicUsize,
+    leaving: AtomicBool,
+    closed: AtomicBool,
+    idle: Notify,
+}
+
+/// One running request; ends when dropped.
+#[derive(Debug)]
+pub struct Token(Arc<Running>);
+
+impl Running {
+    /// Opens a counter.
+    pub fn open() -> Arc<Self> {
+        Arc::new(Self::default())
+    }
+
+    /// Counts one more request.
+    ///
+    /// # Errors
+    ///
+    /// [`Reason::ShuttingDown`] once no new request is taken, [`Reason::Capacity`] above `most`.
+    pub fn enter(self: &Arc<Self>, most: usize) -> Result<Token, Refusal> {
+        // Counted before the flag is read: a request either sees the flag or is waited for.
+        let before = self.count.fetch_add(1, Ordering::SeqCst);
+        let token = Token(Arc::clone(self));
+        if self.closed.load(Ordering::SeqCst) {
+            return Err(Refusal::not_run(Reason::ShuttingDown));
+        }
+        if before >= most {
+            return Err(Refusal::not_run(Reason::Capacity));
+        }
+        Ok(token)
+    }
+
+    /// Says that this VM leaves; requests are still taken.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether this VM leaves.
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Takes no new request from now on.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Requests that run now.
+    pub fn count(&self) -> usize {
+        self.count.load(Ordering::SeqCst)
+    }
+
+    /// Completes once no request runs.
+    pub async fn drained(&self) {
+        loop {
+            let idle = self.idle.notified();
+            tokio::pin!(idle);
+            idle.as_mut().enable();
+            if self.count() == 0 {
+                return;
+            }
+            idle.await;
+        }
+    }
+}
+
+impl Drop for Token {
+    fn drop(&mut self) {
+        if self.0.count.fetch_sub(1, Ordering::SeqCst) == 1 {
+            self.0.idle.notify_waiters();
+        }
+    }
+}
--- /dev/null
+++ b/src/edge/serve.rs
@@ -0,0 +1,203 @@
+//! The service that answers callers.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Instant;
+
+use http::{HeaderMap, Method, StatusCode};
+use serde::Serialize;
+use slog::{Logger, info};
+use volo::service::Service;
+use volo_http::context::ServerContext;
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use super::answer::{self, json, refuse};
+use super::auth::{Principal, Standing, authenticate};
+use super::parse;
+use super::running::Running;
+use super::{models, plain};
+use crate::clock::Clock;
+use crate::declare::Board;
+use crate::ids::RequestId;
+use crate::limit::Limiter;
+use crate::metrics::EdgeMetrics;
+use crate::model::Placer;
+use crate::once::OnceLog;
+use crate::outcome::{Reason, Refusal};
+use crate::platform::Directory;
+use crate::route::dispatch::Dispatcher;
+use crate::schema::settings::CallerSettings;
+
+/// What the edge is made of.
+#[derive(Debug)]
+pub struct EdgeParts {
+    /// The configuration in force.
+    pub board: Arc<Board>,
+    /// Whether keys may still be trusted.
+    pub standing: Arc<dyn Standing>,
+    /// Rates and bursts.
+    pub limiter: Arc<dyn Limiter>,
+    /// Replicas.
+    pub placer: Arc<dyn Placer>,
+    /// Records of requests that must run once.
+    pub once: Arc<dyn OnceLog>,
+    /// Sends requests to upstreams.
+    pub dispatcher: Dispatcher,
+    /// Upstreams and VMs.
+    pub directory: Arc<Directory>,
+    /// Running requests.
+    pub running: Arc<Running>,
+    /// Bounds on callers.
+    pub callers: CallerSettings,
+    /// Chunks held for a slow reader.
+    pub buffer: usize,
+    /// Counters.
+    pub metrics: EdgeMetrics,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// Log.
+    pub log: Logger,
+}
+
+impl EdgeParts {
+    pub(super) fn authenticate(&self, arrived: &Arrived) -> Result<Principal, Refusal> {
+        authenticate(&arrived.headers, &self.board, &self.standing)
+    }
+}
+
+/// The head of a request, read once.
+#[derive(Clone, Debug)]
+pub(super) struct Arrived {
+    /// Its id.
+    pub request: RequestId,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its path and query.
+    pub path: String,
+    /// When it must be answered.
+    pub deadline: Instant,
+}
+
+/// Answers callers.
+#[derive(Clone, Debug)]
+pub struct Edge(Arc<EdgeParts>);
+
+#[derive(Serialize)]
+struct ModelList<'a> {
+    object: &'static str,
+    data: Vec<ModelEntry<'a>>,
+}
+
+#[derive(Serialize)]
+struct ModelEntry<'a> {
+    id: &'a str,
+    object: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    parent: Option<&'a str>,
+}
+
+impl Edge {
+    /// Opens the service.
+    pub fn open(parts: EdgeParts) -> Self {
+        Self(Arc::new(parts))
+    }
+
+    async fn answer(&self, request: Request) -> Response {
+        let parts = &self.0;
+        let begun = parts.clock.now();
+        let id = parse::request_id(request.headers());
+        let named = id.clone().ok();
+        let outcome = match id {
+            Ok(id) => self.admit(request, id, begun).await,
+            Err(refusal) => Err(refusal),
+        };
+        let spent = parts.clock.now().saturating_duration_since(begun);
+        match outcome {
+            Ok(mut response) => {
+                parts.metrics.answered(response.status(), spent);
+                answer::name(&mut response, named.as_ref());
+                response
+            }
+            Err(refusal) => {
+                parts.metrics.refused(refusal.reason, spent);
+                info!(parts.log, "request_refused";
+                    "request" => named.as_ref().map(ToString::to_string),
+                    "reason" => ?refusal.reason, "ran" => %refusal.ran);
+                refuse(&refusal, named.as_ref())
+            }
+        }
+    }
+
+    async fn admit(
+        &self,
+        request: Request,
+        id: RequestId,
+        begun: Instant,
+    ) -> Result<Response, Refusal> {
+        let parts = &self.0;
+        let token = parts.running.enter(parts.callers.waiting as usize)?;
+        let (head, body) = request.into_parts();
+        let path = head
+            .uri
+            .path_and_query()
+            .map_or("/", |p| p.as_str())
+            .to_owned();
+        parse::check_head(&path, &head.headers, &parts.callers)?;
+        let deadline = parse::deadline(&head.headers, begun, &parts.callers)?;
+        let arrived = Arrived {
+            request: id,
+            headers: head.headers,
+            path,
+            deadline,
+        };
+        match (head.method, arrived.path.as_str()) {
+            (Method::POST, "/v1/chat/completions" | "/v1/completions") => {
+                models::serve(parts, arrived, token, body).await
+            }
+            (Method::GET, "/v1/models") => self.list_models(&arrived),
+            (_, path) if path.starts_with("/v1/") => Err(Refusal::not_run(Reason::UnknownRoute)),
+            (method, _) => plain::serve(parts, arrived, method, token, body).await,
+        }
+    }
+
+    fn list_models(&self, arrived: &Arrived) -> Result<Response, Refusal> {
+        let principal = self.0.authenticate(arrived)?;
+        let current = self.0.board.current();
+        let unauthorized = || Refusal::not_run(Reason::Unauthorized);
+        let reach = current
+            .reach(&principal.holder.account)
+            .ok_or_else(unauthorized)?;
+        let models = reach.models.iter().map(|model| ModelEntry {
+            id: model.as_str(),
+            object: "model",
+            parent: None,
+        });
+        let adapters = reach.adapters.iter().filter_map(|adapter| {
+            let spec = current.declaration.adapters.get(adapter)?;
+            Some(ModelEntry {
+                id: adapter.as_str(),
+                object: "model",
+                parent: Some(spec.model.as_str()),
+            })
+        });
+        let list = ModelList {
+            object: "list",
+            data: models.chain(adapters).collect(),
+        };
+        Ok(json(StatusCode::OK, &list))
+    }
+}
+
+impl Service<ServerContext, Request> for Edge {
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(
+        &self,
+        _cx: &mut ServerContext,
+        request: Request,
+    ) -> Result<Response, Infallible> {
+        Ok(self.answer(request).await)
+    }
+}
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -164,5 +164,15 @@
 counter_id!(/// Incarnation of a VM or an upstream; grows with each start.
     Generation);
 
+impl ChangeId {
+    /// A new name that no other change has.
+    pub fn random() -> Self {
+        Self(compact_str::format_compact!(
+            "{:032x}",
+            rand::random::<u128>()
+        ))
+    }
+}
+
 /// Free text in messages.
 pub type Text = compact_str::CompactString;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,14 +8,19 @@
 extern crate self as basilgw;
 
 pub mod clock;
+pub mod config;
 pub mod declare;
 pub mod engine;
+pub mod exit_codes;
 pub mod ids;
 pub mod limit;
+pub mod log;
+pub mod metrics;
 pub mod model;
 pub mod once;
 pub mod outcome;
 pub mod platform;
 pub mod route;
 pub mod schema;
+pub mod settings;
 pub mod units;
--- /dev/null
+++ b/src/platform/http.rs
@@ -0,0 +1,259 @@
+//! The platform's service over HTTP.
+//!
+//! A call that cannot connect surely had no effect; one that failed after the connection stood may
+//! have had. Every call is counted by kind.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use http::{Method, StatusCode};
+use http_body_util::BodyExt;
+use serde::de::DeserializeOwned;
+use volo_http::body::Body;
+use volo_http::client::Client;
+use volo_http::error::client::ErrorKind;
+use volo_http::response::Response;
+
+use super::{InstanceList, InstanceSource, MAX_VALUE_BYTES, Object, ObjectStore, StoreError};
+use crate::ids::{ObjectKey, Version};
+use crate::schema::platform::{ConflictAnswer, PutAnswer};
+
+const VERSION_HEADER: &str = "x-version";
+const WATCH_GRACE: Duration = Duration::from_secs(2);
+
+/// Calls made to the platform, by kind.
+#[derive(Debug, Default)]
+pub struct CallCounts {
+    /// Reads.
+    pub reads: AtomicU64,
+    /// Writes and deletions.
+    pub writes: AtomicU64,
+    /// Watches.
+    pub watches: AtomicU64,
+    /// Readings of the VM list.
+    pub lists: AtomicU64,
+    /// Calls that failed.
+    pub failures: AtomicU64,
+}
+
+/// A client of the platform's service.
+pub struct PlatformClient {
+    client: Client,
+    address: SocketAddr,
+    timeout: Duration,
+    counts: CallCounts,
+}
+
+impl std::fmt::Debug for PlatformClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PlatformClient")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+struct Reply {
+    status: StatusCode,
+    version: Version,
+    body: Bytes,
+}
+
+impl PlatformClient {
+    /// Opens a client; `timeout` bounds each call but watches, which have their own.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Unavailable`] where the HTTP client cannot be built.
+    pub fn open(address: SocketAddr, timeout: Duration) -> Result<Self, StoreError> {
+        let mut builder = Client::builder();
+        builder.set_connect_timeout(timeout);
+        let client = builder.build().or(Err(StoreError::Unavailable))?;
+        Ok(Self {
+            client,
+            address,
+            timeout,
+            counts: CallCounts::default(),
+        })
+    }
+
+    /// Calls made so far.
+    pub fn counts(&self) -> &CallCounts {
+        &self.counts
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Reply, StoreError> {
+        // The address goes into the URI as an IP number, so that no name is ever resolved.
+        let uri = format!("http://{}{path}", self.address);
+        let exchange = async {
+            let sent = self
+                .client
+                .request(method, uri)
+                .body(Body::from(body))
+                .send();
+            let response: Response = sent.await.map_err(|e| match e.kind() {
+                ErrorKind::Connect | ErrorKind::Builder => StoreError::Unavailable,
+                _ => StoreError::Unknown,
+            })?;
+            read_reply(response).await
+        };
+        let outcome = tokio::time::timeout(timeout, exchange).await;
+        let outcome = outcome.unwrap_or(Err(StoreError::Unknown));
+        if outcome.is_err() {
+            self.counts.failures.fetch_add(1, Ordering::Relaxed);
+        }
+        outcome
+    }
+
+    async fn read(&self, path: &str, timeout: Duration) -> Result<Reply, StoreError> {
+        let outcome = self.call(Method::GET, path, Bytes::new(), timeout).await;
+        // A read has no effect that could be in doubt.
+        outcome.map_err(|e| match e {
+            StoreError::Unknown => StoreError::Unavailable,
+            other => other,
+        })
+    }
+}
+
+async fn read_reply(response: Response) -> Result<Reply, StoreError> {
+    let status = response.status();
+    let header = response.headers().get(VERSION_HEADER);
+    let version = header
+        .and_then(|v| v.to_str().ok())
+        .and_then(|v| v.parse().ok());
+    let body = response
+        .into_body()
+        .collect()
+        .await
+        .or(Err(StoreError::Unknown))?;
+    Ok(Reply {
+        status,
+        version: version.unwrap_or_default(),
+        body: body.to_bytes(),
+    })
+}
+
+fn parse<T>(body: &Bytes) -> Result<T, StoreError>
+where
+    T: DeserializeOwned,
+{
+    serde_json::from_slice(body).or(Err(StoreError::Malformed))
+}
+
+fn refused(status: StatusCode) -> StoreError {
+    if status.is_server_error() {
+        StoreError::Unavailable
+    } else {
+        StoreError::Malformed
+    }
+}
+
+fn found(reply: Reply) -> Object {
+    Object {
+        version: reply.version,
+        value: reply.body,
+    }
+}
+
+impl ObjectStore for PlatformClient {
+    fn get<'a>(&'a self, key: &'a ObjectKey) -> BoxFuture<'a, Result<Option<Object>, StoreError>> {
+        Box::pin(async move {
+            self.counts.reads.fetch_add(1, Ordering::Relaxed);
+            let reply = self
+                .read(&format!("/v1/objects/{key}"), self.timeout)
+                .await?;
+            match reply.status {
+                StatusCode::OK => Ok(Some(found(reply))),
+                StatusCode::NOT_FOUND => Ok(None),
+                other => Err(refused(other)),
+            }
+        })
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        expected: Version,
+        value: Bytes,
+    ) -> BoxFuture<'a, Result<Version, StoreError>> {
+        Box::pin(async move {
+            if value.len() > MAX_VALUE_BYTES {
+                return Err(StoreError::TooLarge(value.len()));
+            }
+            self.counts.writes.fetch_add(1, Ordering::Relaxed);
+            let path = format!("/v1/objects/{key}?if={expected}");
+            let reply = self.call(Method::PUT, &path, value, self.timeout).await?;
+            match reply.status {
+                StatusCode::OK => Ok(parse::<PutAnswer>(&reply.body)?.version),
+                StatusCode::CONFLICT => Err(StoreError::Conflict(
+                    parse::<ConflictAnswer>(&reply.body)?.version,
+                )),
+                // A failing service may have carried the write out before it failed.
+                other if other.is_server_error() && other != StatusCode::SERVICE_UNAVAILABLE => {
+                    Err(StoreError::Unknown)
+                }
+                other => Err(refused(other)),
+            }
+        })
+    }
+
+    fn delete<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        expected: Version,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        Box::pin(async move {
+            self.counts.writes.fetch_add(1, Ordering::Relaxed);
+            let path = format!("/v1/objects/{key}?if={expected}");
+            let reply = self
+                .call(Method::DELETE, &path, Bytes::new(), self.timeout)
+                .await?;
+            match reply.status {
+                StatusCode::NO_CONTENT | StatusCode::NOT_FOUND => Ok(()),
+                StatusCode::CONFLICT => Err(StoreError::Conflict(
+                    parse::<ConflictAnswer>(&reply.body)?.version,
+                )),
+                other => Err(refused(other)),
+            }
+        })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        after: Version,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Option<Object>, StoreError>> {
+        Box::pin(async move {
+            self.counts.watches.fetch_add(1, Ordering::Relaxed);
+            let path = format!("/v1/watch/{key}?after={after}&wait={}", wait.as_millis());
+            let reply = self.read(&path, wait + WATCH_GRACE).await?;
+            match reply.status {
+                StatusCode::OK => Ok(Some(found(reply))),
+                StatusCode::NO_CONTENT => Ok(None),
+                other => Err(refused(other)),
+            }
+        })
+    }
+}
+
+impl InstanceSource for PlatformClient {
+    fn list(&self) -> BoxFuture<'_, Result<InstanceList, StoreError>> {
+        Box::pin(async move {
+            self.counts.lists.fetch_add(1, Ordering::Relaxed);
+            let reply = self.read("/v1/instances", self.timeout).await?;
+            match reply.status {
+                StatusCode::OK => parse(&reply.body),
+                other => Err(refused(other)),
+            }
+        })
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,15 +4,19 @@
 //! docs/PROTOCOLS.md. A write whose answer was lost is [`StoreError::Unknown`]; callers settle it
 //! by reading the object and looking for their own change.
 
+mod directory;
+pub mod http;
+
 use std::fmt::Debug;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
-use std::time::Duration;
 use thiserror::Error;
 
 use crate::ids::{ObjectKey, Version};
 pub use crate::schema::platform::{Instance, InstanceKind, InstanceList, InstanceState};
+pub use directory::{Directory, Listing};
 
 /// Greatest size of an object's value, in bytes.
 pub const MAX_VALUE_BYTES: usize = 1_000_000;
--- /dev/null
+++ b/tests/declare.rs
@@ -0,0 +1,398 @@
+//! Declarations: validation, parts, submission under races and lost answers, the board.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use basilgw::clock::SystemClock;
+use basilgw::declare::{
+    ApplyError, Board, Change, DeclarationFault, Key, OfferError, Submitter, audit, chunk, validate,
+};
+use basilgw::ids::{ObjectKey, Revision, Version};
+use basilgw::platform::{Object, ObjectStore, StoreError};
+use basilgw::schema::declaration::{Account, Adapter, Caller, Declaration, Model, Priority};
+use basilgw::units::{Bytes as Size, TokenRate, Tokens};
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use proptest::prelude::*;
+
+/// A store in memory that can lose answers after their effect.
+#[derive(Debug, Default)]
+struct MemoryStore {
+    objects: Mutex<BTreeMap<ObjectKey, Object>>,
+    lose: AtomicU32,
+    down: AtomicBool,
+}
+
+impl MemoryStore {
+    fn check(&self) -> Result<(), StoreError> {
+        if self.down.load(Ordering::SeqCst) {
+            Err(StoreError::Unavailable)
+        } else {
+            Ok(())
+        }
+    }
+
+    fn find(&self, key: &ObjectKey) -> Result<Option<Object>, StoreError> {
+        self.check()?;
+        Ok(self.objects.lock().unwrap().get(key).cloned())
+    }
+
+    fn write(
+        &self,
+        key: &ObjectKey,
+        expected: Version,
+        value: Bytes,
+    ) -> Result<Version, StoreError> {
+        self.check()?;
+        let mut objects = self.objects.lock().unwrap();
+        let known = objects
+            .get(key)
+            .map(|object| object.version)
+            .unwrap_or_default();
+        if known != expected {
+            return Err(StoreError::Conflict(known));
+        }
+        let version = known.next();
+        objects.insert(key.clone(), Object { version, value });
+        let left = self.lose.load(Ordering::SeqCst);
+        if left > 0 && key.as_str() == "config/head" {
+            self.lose.store(left - 1, Ordering::SeqCst);
+            return Err(StoreError::Unknown);
+        }
+        Ok(version)
+    }
+}
+
+impl ObjectStore for MemoryStore {
+    fn get<'a>(&'a self, key: &'a ObjectKey) -> BoxFuture<'a, Result<Option<Object>, StoreError>> {
+        async move { self.find(key) }.boxed()
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        expected: Version,
+        value: Bytes,
+    ) -> BoxFuture<'a, Result<Version, StoreError>> {
+        async move { self.write(key, expected, value) }.boxed()
+    }
+
+    fn delete<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        _expected: Version,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        async move {
+            self.objects.lock().unwrap().remove(key);
+            Ok(())
+        }
+        .boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        _after: Version,
+        _wait: Duration,
+    ) -> BoxFuture<'a, Result<Option<Object>, StoreError>> {
+        self.get(key)
+    }
+}
+
+fn account(rate: f64, burst: u64) -> Account {
+    Account {
+        rate: TokenRate::new(rate).unwrap(),
+        burst: Tokens(burst),
+        models: Vec::new(),
+        adapters: Vec::new(),
+        routes: Vec::new(),
+        callers: BTreeMap::new(),
+    }
+}
+
+fn declaration(rate: f64) -> Declaration {
+    let mut account = account(rate, 1000);
+    let key = Key::mint();
+    let caller = Caller {
+        priority: Priority::Interactive,
+        rate: None,
+        burst: None,
+        keys: [("portal-1".parse().unwrap(), key.hash())].into(),
+    };
+    account.callers.insert("portal".parse().unwrap(), caller);
+    let mut declaration = Declaration::default();
+    declaration
+        .accounts
+        .insert("teams".parse().unwrap(), account);
+    declaration
+}
+
+fn large(adapters: usize) -> Declaration {
+    let mut declaration = declaration(10.0);
+    let model = Model {
+        version: "1".parse().unwrap(),
+        weights: Size(1),
+        floor: Size(1),
+        minimum: 0,
+        maximum: 1,
+        slots: 1,
+    };
+    declaration.models.insert("base".parse().unwrap(), model);
+    for number in 0..adapters {
+        let id: basilgw::ids::AdapterId = format!("adapter-{number:06}").parse().unwrap();
+        let adapter = Adapter {
+            model: "base".parse().unwrap(),
+            version: "1".parse().unwrap(),
+            weights: Size(number as u64),
+        };
+        declaration.adapters.insert(id.clone(), adapter);
+        let account = declaration
+            .accounts
+            .get_mut(&"teams".parse().unwrap())
+            .unwrap();
+        account.adapters.push(id);
+    }
+    let account = declaration
+        .accounts
+        .get_mut(&"teams".parse().unwrap())
+        .unwrap();
+    account.models.push("base".parse().unwrap());
+    declaration
+}
+
+fn change(id: &str, parent: Option<u64>, declaration: Declaration) -> Change {
+    Change {
+        id: id.parse().unwrap(),
+        actor: "operator".into(),
+        parent: parent.map(Revision),
+        declaration,
+    }
+}
+
+fn submitter(store: &Arc<MemoryStore>) -> (Submitter, Arc<Board>) {
+    let board = Board::open();
+    let store = Arc::clone(store) as Arc<dyn ObjectStore>;
+    (
+        Submitter::open(store, Arc::clone(&board), SystemClock::open()),
+        board,
+    )
+}
+
+#[test]
+fn parts_stay_below_the_bound_and_join_to_the_whole() {
+    let whole = large(41_000);
+    let chunks = chunk::split(&whole).unwrap();
+    assert!(chunks.len() > 1);
+    assert!(
+        chunks
+            .iter()
+            .all(|c| c.value.len() < 1_000_000 && chunk::verify(&c.place, &c.value))
+    );
+    let joined = chunk::join(chunks.iter().map(|c| &c.value)).unwrap();
+    assert_eq!(joined.adapters, whole.adapters);
+    let id = "teams".parse().unwrap();
+    let reached: std::collections::BTreeSet<_> = joined.accounts[&id].adapters.iter().collect();
+    assert_eq!(reached.len(), 41_000);
+}
+
+#[test]
+fn a_small_change_writes_one_new_part() {
+    let before = chunk::split(&large(41_000)).unwrap();
+    let mut changed = large(41_000);
+    changed.accounts = chunk::join(before.iter().map(|c| &c.value))
+        .unwrap()
+        .accounts;
+    let id = "adapter-000007".parse().unwrap();
+    changed.adapters.get_mut(&id).unwrap().version = "2".parse().unwrap();
+    let after = chunk::split(&changed).unwrap();
+    let new = after
+        .iter()
+        .filter(|c| !before.iter().any(|b| b.place == c.place))
+        .count();
+    assert_eq!(new, 1);
+}
+
+#[test]
+fn validation_names_every_fault_at_once() {
+    let mut bad = declaration(10.0);
+    let account = bad.accounts.get_mut(&"teams".parse().unwrap()).unwrap();
+    account.models.push("absent".parse().unwrap());
+    account.routes.push("nowhere".parse().unwrap());
+    account.burst = Tokens(0);
+    let faults = validate(&bad);
+    let teams: basilgw::ids::ClientAccount = "teams".parse().unwrap();
+    assert!(faults.contains(&DeclarationFault::NoBurst(teams.clone())));
+    assert!(faults.contains(&DeclarationFault::NoModel(
+        teams.clone(),
+        "absent".parse().unwrap()
+    )));
+    assert!(faults.contains(&DeclarationFault::NoRoute(
+        teams,
+        "nowhere".parse().unwrap()
+    )));
+}
+
+#[test]
+fn the_board_refuses_older_and_invalid_revisions() {
+    let store = Arc::new(MemoryStore::default());
+    let (submitter, board) = submitter(&store);
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime
+        .block_on(submitter.submit(change("a", None, declaration(1.0))))
+        .unwrap();
+    runtime
+        .block_on(submitter.submit(change("b", None, declaration(2.0))))
+        .unwrap();
+    let held = board.current();
+    let mut old = held.head.clone().unwrap();
+    old.revision = Revision(1);
+    let refused = board.offer(old, Vec::new(), declaration(9.0));
+    assert_eq!(refused, Err(OfferError::Old(Revision(2))));
+    let mut invalid = held.head.clone().unwrap();
+    invalid.revision = Revision(3);
+    let mut bad = declaration(9.0);
+    bad.accounts
+        .get_mut(&"teams".parse().unwrap())
+        .unwrap()
+        .burst = Tokens(0);
+    assert!(matches!(
+        board.offer(invalid, Vec::new(), bad),
+        Err(OfferError::Invalid(_))
+    ));
+    assert_eq!(board.revision(), Revision(2));
+}
+
+#[tokio::test]
+async fn the_loser_of_a_race_sees_both_sides() {
+    let store = Arc::new(MemoryStore::default());
+    let (first, _) = submitter(&store);
+    let (second, _) = submitter(&store);
+    first
+        .submit(change("a", Some(0), declaration(1.0)))
+        .await
+        .unwrap();
+    let lost = second.submit(change("b", Some(0), declaration(2.0))).await;
+    let Err(ApplyError::Conflict {
+        ours,
+        theirs,
+        found,
+        ..
+    }) = lost
+    else {
+        panic!("expected a conflict, got {lost:?}");
+    };
+    assert_eq!(
+        (ours.as_str(), theirs.as_str(), found),
+        ("b", "a", Revision(1))
+    );
+}
+
+#[tokio::test]
+async fn a_lost_answer_is_settled_by_the_change_id() {
+    let store = Arc::new(MemoryStore::default());
+    store.lose.store(1, Ordering::SeqCst);
+    let (submitter, board) = submitter(&store);
+    let accepted = submitter
+        .submit(change("a", Some(0), declaration(1.0)))
+        .await
+        .unwrap();
+    assert_eq!((accepted, board.revision()), (Revision(1), Revision(1)));
+    let again = submitter
+        .submit(change("a", Some(0), declaration(1.0)))
+        .await
+        .unwrap();
+    assert_eq!(again, Revision(1));
+}
+
+#[tokio::test]
+async fn a_withdrawal_survives_a_change_that_came_between() {
+    let store = Arc::new(MemoryStore::default());
+    let (first, board) = submitter(&store);
+    let (second, _) = submitter(&store);
+    first
+        .submit(change("a", None, declaration(1.0)))
+        .await
+        .unwrap();
+    let hash = *board
+        .current()
+        .key_hash(&"portal-1".parse().unwrap())
+        .unwrap();
+    let mut other = board.current().declaration.clone();
+    other
+        .accounts
+        .get_mut(&"teams".parse().unwrap())
+        .unwrap()
+        .burst = Tokens(77);
+    second.submit(change("b", Some(1), other)).await.unwrap();
+    let key = "portal-1".parse().unwrap();
+    let revision = first
+        .withdraw(&key, "c".parse().unwrap(), "operator".into())
+        .await
+        .unwrap();
+    assert_eq!(revision, Revision(3));
+    assert!(!board.current().holds(&hash));
+    let kept = &board.current().declaration.accounts[&"teams".parse().unwrap()];
+    assert_eq!(kept.burst, Tokens(77));
+}
+
+#[tokio::test]
+async fn the_audit_trail_has_every_change_over_pages() {
+    let store = Arc::new(MemoryStore::default());
+    let (submitter, _) = submitter(&store);
+    for number in 0..300_u32 {
+        let id = format!("change-{number}");
+        submitter
+            .submit(change(&id, None, declaration(f64::from(number))))
+            .await
+            .unwrap();
+    }
+    let entries = audit::read(store.as_ref(), 1000).await.unwrap();
+    let revisions: Vec<_> = entries.iter().map(|entry| entry.revision.0).collect();
+    assert_eq!(revisions, (1..=300).rev().collect::<Vec<_>>());
+}
+
+#[tokio::test]
+async fn an_outage_refuses_a_change_and_keeps_what_is_in_force() {
+    let store = Arc::new(MemoryStore::default());
+    let (submitter, board) = submitter(&store);
+    submitter
+        .submit(change("a", None, declaration(1.0)))
+        .await
+        .unwrap();
+    store.down.store(true, Ordering::SeqCst);
+    let refused = submitter.submit(change("b", None, declaration(2.0))).await;
+    assert!(matches!(
+        refused,
+        Err(ApplyError::Store(StoreError::Unavailable))
+    ));
+    assert_eq!(board.revision(), Revision(1));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(64) })]
+
+    #[test]
+    fn any_order_of_offers_only_goes_up(order in proptest::collection::vec(1_u64..20, 1..60)) {
+        let board = Board::open();
+        let mut highest = 0;
+        for revision in order {
+            let head = basilgw::schema::declaration::Head {
+                revision: Revision(revision),
+                parent: Revision(revision - 1),
+                change: format!("change-{revision}").parse().unwrap(),
+                actor: "operator".into(),
+                wall: 0,
+                chunks: Vec::new(),
+                audit: Vec::new(),
+                page: 0,
+            };
+            let taken = board.offer(head, Vec::new(), declaration(1.0)).is_ok();
+            prop_assert_eq!(taken, revision > highest);
+            highest = highest.max(revision);
+            prop_assert_eq!(board.revision(), Revision(highest));
+        }
+    }
+}
