--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -3,6 +3,8 @@
 //! [`EngineControl`] is the border; the HTTP form is in docs/PROTOCOLS.md. An order whose answer
 //! was lost may still be carried out later, up to the longest life of an order.
 
+pub mod http;
+
 use std::fmt::Debug;
 
 use futures_util::future::BoxFuture;
--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -3,13 +3,17 @@
 //! [`OnceLog`] records a request in the platform's store before it is dispatched, so that a repeat
 //! with the same idempotency key, at any VM, gets the recorded outcome and never a second run.
 
+pub mod log;
+mod pending;
+pub mod record;
+
 use std::fmt::Debug;
 
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::future::BoxFuture;
 
-use crate::ids::{ClientAccount, RouteId};
+use crate::ids::{ClientAccount, Generation, RouteId, Version, VmId};
 use crate::outcome::Refusal;
 
 /// Names a request that must run at most once.
@@ -52,6 +56,8 @@
     pub key: OnceKey,
     /// Identifies this attempt in the record.
     pub id: CompactString,
+    /// The version of the record it created.
+    pub version: Version,
 }
 
 /// How an attempt ended.
@@ -65,6 +71,12 @@
     Unknown,
 }
 
+/// Knows which VMs are surely gone.
+pub trait VmLiveness: Send + Sync + Debug {
+    /// Whether this incarnation of a VM can no longer finish a request.
+    fn is_gone(&self, vm: &VmId, generation: Generation) -> bool;
+}
+
 /// Keeps the records.
 pub trait OnceLog: Send + Sync + Debug {
     /// Records that the request is about to run, or says what became of it before.
--- /dev/null
+++ b/src/route/choose.rs
@@ -0,0 +1,308 @@
+//! The choice of an upstream.
+//!
+//! Of the fit candidates two are drawn at random and the one with the lower cost is taken: its
+//! estimated load, a share for distance, and a bonus where it is believed to hold the prompt's
+//! prefix and is not loaded far above the average. Fit is what does not leave, was not tried before
+//! and has a breaker that lets a request pass. [`State`] decides; [`Balancer`] shares it.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use super::affinity::Affinity;
+use super::breaker::Breaker;
+use super::budget::Budget;
+use super::leaving::Leaving;
+use super::load::Load;
+use super::{Choice, Chooser, Ending, upstream_of};
+use crate::engine::{CacheEvents, LoadReport};
+use crate::ids::{DataCentre, Generation, UpstreamId};
+use crate::platform::{Instance, InstanceState};
+
+/// Cost of another data centre, in requests.
+const DISTANCE_COST: f64 = 0.5;
+/// Load above the average up to which a cached prefix is followed.
+const AFFINITY_FACTOR: f64 = 1.25;
+const AFFINITY_SLACK: f64 = 2.0;
+const CANDIDATES: usize = 2;
+
+/// Settings of the choice.
+#[derive(Clone, Debug)]
+pub struct ChooseSettings {
+    /// This VM's data centre.
+    pub centre: DataCentre,
+    /// Retries allowed for 100 whole answers.
+    pub budget: u32,
+    /// Seed of the draws.
+    pub seed: u64,
+}
+
+/// What is known of one upstream.
+#[derive(Clone, Debug)]
+struct Known {
+    generation: Generation,
+    load: Load,
+    breaker: Breaker,
+}
+
+impl Known {
+    fn new(generation: Generation, now: Instant) -> Self {
+        Self {
+            generation,
+            load: Load::default(),
+            breaker: Breaker::new(now),
+        }
+    }
+}
+
+/// What the choice goes by.
+#[derive(Debug)]
+pub struct State {
+    centre: DataCentre,
+    upstreams: BTreeMap<UpstreamId, Known>,
+    affinity: Affinity,
+    leaving: Leaving,
+    budget: Budget,
+    draws: StdRng,
+}
+
+/// A candidate and its cost.
+#[derive(Clone, Debug)]
+struct Candidate {
+    upstream: UpstreamId,
+    generation: Generation,
+    load: f64,
+    cost: f64,
+}
+
+impl State {
+    /// Knows nothing yet.
+    pub fn new(settings: &ChooseSettings, now: Instant) -> Self {
+        Self {
+            centre: settings.centre.clone(),
+            upstreams: BTreeMap::new(),
+            affinity: Affinity::default(),
+            leaving: Leaving::default(),
+            budget: Budget::new(settings.budget, now),
+            draws: StdRng::seed_from_u64(settings.seed),
+        }
+    }
+
+    /// Picks an upstream and counts the dispatch.
+    pub fn choose(
+        &mut self,
+        among: &[Instance],
+        choice: &Choice,
+        now: Instant,
+    ) -> Option<UpstreamId> {
+        let fit = self.candidates(among, choice, now);
+        let picked = match self.holder(&fit, choice, now) {
+            Some(holder) => holder,
+            None => self.draw(fit)?,
+        };
+        self.dispatch(&picked, choice, now);
+        Some(picked.upstream)
+    }
+
+    /// Counts an ending.
+    pub fn finish(&mut self, upstream: &UpstreamId, ending: Ending, now: Instant) {
+        if ending == Ending::Whole {
+            self.budget.on_success();
+        }
+        if let Some(known) = self.upstreams.get_mut(upstream) {
+            known.load.on_finish(now);
+            known.breaker.on_ending(ending, now);
+        }
+    }
+
+    /// Takes in a load report, read at `now`.
+    pub fn on_report(&mut self, upstream: &UpstreamId, report: &LoadReport, now: Instant) {
+        if report.leaving {
+            self.leaving.mark(upstream, report.generation);
+        }
+        self.renew(upstream, report.generation, now);
+        let Some(known) = self.upstreams.get_mut(upstream) else {
+            return;
+        };
+        if report.generation < known.generation {
+            return;
+        }
+        let total = report
+            .replicas
+            .iter()
+            .map(|replica| replica.running.saturating_add(replica.queued))
+            .fold(0, u32::saturating_add);
+        let age = Duration::from_millis(report.age);
+        known
+            .load
+            .on_report(total, now.checked_sub(age).unwrap_or(now));
+    }
+
+    /// Takes in an engine's cache events.
+    pub fn on_cache_events(&mut self, upstream: &UpstreamId, events: &CacheEvents, now: Instant) {
+        self.affinity.on_events(upstream, events, now);
+    }
+
+    /// Marks an incarnation of an upstream as leaving.
+    pub fn on_leaving(&mut self, upstream: &UpstreamId, generation: Generation) {
+        self.leaving.mark(upstream, generation);
+    }
+
+    /// Takes one retry from the budget.
+    pub fn may_retry(&mut self, now: Instant) -> bool {
+        self.budget.take(now)
+    }
+
+    /// The upstreams known to leave.
+    pub fn leaving(&self) -> &Leaving {
+        &self.leaving
+    }
+
+    /// This VM's own requests at an upstream now.
+    pub fn own(&self, upstream: &UpstreamId) -> u32 {
+        self.upstreams
+            .get(upstream)
+            .map_or(0, |known| known.load.own())
+    }
+
+    fn candidates(&mut self, among: &[Instance], choice: &Choice, now: Instant) -> Vec<Candidate> {
+        let mut fit = Vec::with_capacity(among.len());
+        for instance in among {
+            let Some(upstream) = upstream_of(instance) else {
+                continue;
+            };
+            if instance.state == InstanceState::Leaving {
+                self.leaving.mark(&upstream, instance.generation);
+            }
+            let leaves = self.leaving.contains(&upstream, instance.generation);
+            if leaves || choice.tried.contains(&upstream) {
+                continue;
+            }
+            let known = self.upstreams.get(&upstream);
+            if known.is_some_and(|known| !known.breaker.may_pass(now)) {
+                continue;
+            }
+            let load = known.map_or(0.0, |known| known.load.estimate(now));
+            let far = instance.centre != self.centre;
+            fit.push(Candidate {
+                upstream,
+                generation: instance.generation,
+                load,
+                cost: load + if far { DISTANCE_COST } else { 0.0 },
+            });
+        }
+        fit
+    }
+
+    fn holder(&self, fit: &[Candidate], choice: &Choice, now: Instant) -> Option<Candidate> {
+        let prefix = choice.prefix?;
+        let total: f64 = fit.iter().map(|candidate| candidate.load).sum();
+        let bound = AFFINITY_FACTOR * total / fit.len().max(1) as f64 + AFFINITY_SLACK;
+        let holders = fit.iter().filter(|candidate| {
+            candidate.load <= bound && self.affinity.holds(&candidate.upstream, prefix, now)
+        });
+        holders
+            .min_by(|left, right| left.cost.total_cmp(&right.cost))
+            .cloned()
+    }
+
+    fn draw(&mut self, mut fit: Vec<Candidate>) -> Option<Candidate> {
+        let mut best = None::<Candidate>;
+        for _ in 0..CANDIDATES.min(fit.len()) {
+            let drawn = fit.swap_remove(self.draws.random_range(0..fit.len()));
+            if best.as_ref().is_none_or(|best| drawn.cost < best.cost) {
+                best = Some(drawn);
+            }
+        }
+        best
+    }
+
+    fn dispatch(&mut self, picked: &Candidate, choice: &Choice, now: Instant) {
+        let upstream = &picked.upstream;
+        self.renew(upstream, picked.generation, now);
+        if let Some(known) = self.upstreams.get_mut(upstream) {
+            known.load.on_dispatch(now);
+            known.breaker.on_pass(now);
+        }
+        if let Some(prefix) = choice.prefix {
+            self.affinity.on_dispatch(upstream, prefix, now);
+        }
+    }
+
+    /// Forgets what was known of older incarnations.
+    fn renew(&mut self, upstream: &UpstreamId, generation: Generation, now: Instant) {
+        let known = self
+            .upstreams
+            .entry(upstream.clone())
+            .or_insert_with(|| Known::new(generation, now));
+        if generation > known.generation {
+            known.generation = generation;
+            known.breaker = Breaker::new(now);
+            known.load.on_restart();
+            self.affinity.forget(upstream);
+        }
+    }
+}
+
+/// The choice, shared by all requests of a VM.
+#[derive(Debug)]
+pub struct Balancer {
+    state: Mutex<State>,
+}
+
+impl Balancer {
+    /// Opens a balancer.
+    pub fn open(settings: &ChooseSettings, now: Instant) -> Self {
+        let state = Mutex::new(State::new(settings, now));
+        Self { state }
+    }
+
+    /// Takes in a load report, read at `now`.
+    pub fn on_report(&self, upstream: &UpstreamId, report: &LoadReport, now: Instant) {
+        self.lock().on_report(upstream, report, now);
+    }
+
+    /// Takes in an engine's cache events.
+    pub fn on_cache_events(&self, upstream: &UpstreamId, events: &CacheEvents, now: Instant) {
+        self.lock().on_cache_events(upstream, events, now);
+    }
+
+    /// The upstreams known to leave, for peers.
+    pub fn leaving(&self) -> Vec<(UpstreamId, Generation)> {
+        let state = self.lock();
+        let marks = state.leaving().marks();
+        marks
+            .map(|(upstream, mark)| (upstream.clone(), mark))
+            .collect()
+    }
+
+    /// This VM's own requests at an upstream now, for peers.
+    pub fn own(&self, upstream: &UpstreamId) -> u32 {
+        self.lock().own(upstream)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Chooser for Balancer {
+    fn choose(&self, among: &[Instance], choice: &Choice, now: Instant) -> Option<UpstreamId> {
+        self.lock().choose(among, choice, now)
+    }
+
+    fn finish(&self, upstream: &UpstreamId, ending: Ending, now: Instant) {
+        self.lock().finish(upstream, ending, now);
+    }
+
+    fn on_leaving(&self, upstream: &UpstreamId, generation: Generation) {
+        self.lock().on_leaving(upstream, generation);
+    }
+
+    fn may_retry(&self, now: Instant) -> bool {
+        self.lock().may_retry(now)
+    }
+}
--- /dev/null
+++ b/src/route/dispatch.rs
@@ -0,0 +1,317 @@
+//! One request, from the choice of its upstream to the end of its answer.
+//!
+//! A request that is not idempotent is written to at most one connection. It goes to a second
+//! upstream only if no byte of it left for the first. An idempotent one is tried again while its
+//! deadline, the number of tries and the retry budget allow, and only until the first byte of an
+//! answer was handed on; what fails after that fails visibly.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ::http::{HeaderName, HeaderValue, StatusCode};
+use bytes::Bytes;
+use futures_util::stream::{self, BoxStream, StreamExt};
+
+use super::{Answer, Choice, Chooser, Ending, Outgoing, SendError, Transport};
+use crate::clock::Clock;
+use crate::ids::{ReplicaId, UpstreamId};
+use crate::outcome::{Reason, Refusal};
+use crate::platform::{Instance, InstanceKind};
+
+/// When to come back where no upstream may be used.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+const REPLICA: HeaderName = HeaderName::from_static("x-replica");
+
+/// A request and what its dispatch goes by.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The request, without the name of a replica.
+    pub request: Outgoing,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// When its answer must have begun, and ended.
+    pub deadline: Instant,
+    /// Hash of the prompt's prefix together with its model and adapter.
+    pub prefix: Option<u64>,
+    /// The replica on each engine.
+    pub replicas: BTreeMap<UpstreamId, ReplicaId>,
+}
+
+/// An answer and where it comes from.
+#[derive(Debug)]
+pub struct Served {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Its answer.
+    pub answer: Answer,
+}
+
+/// Dispatches requests.
+#[derive(Clone, Debug)]
+pub struct Dispatcher {
+    chooser: Arc<dyn Chooser>,
+    transport: Arc<dyn Transport>,
+    clock: Arc<dyn Clock>,
+    tries: u32,
+}
+
+impl Dispatcher {
+    /// Opens a dispatcher that tries an idempotent request at most `tries` times.
+    pub fn open(
+        chooser: Arc<dyn Chooser>,
+        transport: Arc<dyn Transport>,
+        clock: Arc<dyn Clock>,
+        tries: u32,
+    ) -> Self {
+        Self {
+            chooser,
+            transport,
+            clock,
+            tries: tries.max(1),
+        }
+    }
+
+    /// Sends a request to one of `among` and answers with the head of its answer.
+    pub async fn dispatch(&self, among: &[Instance], job: &Job) -> Result<Served, Refusal> {
+        let mut choice = Choice {
+            prefix: job.prefix,
+            tried: Vec::new(),
+        };
+        let mut history = History::default();
+        loop {
+            let now = self.clock.now();
+            let Some((upstream, instance)) = self.choose(among, &choice, now) else {
+                return Err(history.refusal());
+            };
+            let failure = match self.attempt(&upstream, instance, job).await {
+                Ok(served) if !served.answer.status.is_server_error() => return Ok(served),
+                Ok(served) => Failure::Answered(served),
+                Err(error) => Failure::Lost(error),
+            };
+            choice.tried.push(upstream);
+            if !self.may_repeat(job, &failure, choice.tried.len()) {
+                return history.end(failure);
+            }
+            history.note(&failure);
+        }
+    }
+
+    fn choose<'a>(
+        &self,
+        among: &'a [Instance],
+        choice: &Choice,
+        now: Instant,
+    ) -> Option<(UpstreamId, &'a Instance)> {
+        let upstream = self.chooser.choose(among, choice, now)?;
+        let found = among
+            .iter()
+            .find(|instance| instance.vm.as_str() == upstream.as_str());
+        found.map(|instance| (upstream, instance))
+    }
+
+    async fn attempt(
+        &self,
+        upstream: &UpstreamId,
+        instance: &Instance,
+        job: &Job,
+    ) -> Result<Served, SendError> {
+        let mut watch = Watch::open(self, upstream.clone());
+        let request = prepare(job, upstream, instance);
+        let sent = self.transport.send(instance, request, job.deadline).await;
+        let mut answer = match sent {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.note_word(upstream, instance, error);
+                watch.end(ending_of(error));
+                return Err(error);
+            }
+        };
+        if is_failure(answer.status) {
+            watch.verdict = Ending::Failed;
+        }
+        let first = if job.idempotent {
+            self.first_chunk(&mut answer, &mut watch).await?
+        } else {
+            None
+        };
+        answer.body = watch.follow(first, answer.body);
+        Ok(Served {
+            upstream: upstream.clone(),
+            answer,
+        })
+    }
+
+    /// Waits for the first chunk, so that a failure before it can still be tried elsewhere.
+    async fn first_chunk(
+        &self,
+        answer: &mut Answer,
+        watch: &mut Watch,
+    ) -> Result<Option<Bytes>, SendError> {
+        match answer.body.next().await {
+            Some(Ok(chunk)) => Ok(Some(chunk)),
+            Some(Err(refusal)) => {
+                watch.end(ending_for(refusal.reason));
+                Err(SendError::Lost(refusal.reason))
+            }
+            None => {
+                answer.body = stream::empty().boxed();
+                Ok(None)
+            }
+        }
+    }
+
+    fn note_word(&self, upstream: &UpstreamId, instance: &Instance, error: SendError) {
+        if error == SendError::Declined && instance.kind == InstanceKind::Engine {
+            self.chooser.on_leaving(upstream, instance.generation);
+        }
+    }
+
+    fn may_repeat(&self, job: &Job, failure: &Failure, tries: usize) -> bool {
+        let now = self.clock.now();
+        if now >= job.deadline || tries >= self.tries as usize {
+            return false;
+        }
+        let allowed = match failure {
+            Failure::Lost(SendError::Unsent(reason)) => *reason != Reason::Deadline,
+            Failure::Lost(SendError::Declined | SendError::Lost(_)) => job.idempotent,
+            Failure::Answered(served) => job.idempotent && is_failure(served.answer.status),
+        };
+        allowed && self.chooser.may_retry(now)
+    }
+}
+
+/// How one try failed.
+enum Failure {
+    Lost(SendError),
+    Answered(Served),
+}
+
+/// What earlier tries of the same request ended with.
+#[derive(Debug, Default)]
+struct History {
+    last: Option<Refusal>,
+    /// Whether some try may have run.
+    ran: bool,
+}
+
+impl History {
+    fn note(&mut self, failure: &Failure) {
+        let refusal = match failure {
+            Failure::Lost(error) => Refusal::from(*error),
+            Failure::Answered(_) => Refusal::unknown(Reason::UpstreamFailed),
+        };
+        self.ran |= refusal.ran != crate::outcome::Ran::No;
+        self.last = Some(refusal);
+    }
+
+    fn end(mut self, failure: Failure) -> Result<Served, Refusal> {
+        if let Failure::Answered(served) = failure {
+            return Ok(served);
+        }
+        self.note(&failure);
+        Err(self.refusal())
+    }
+
+    fn refusal(self) -> Refusal {
+        let reason = self
+            .last
+            .as_ref()
+            .map_or(Reason::UpstreamFailed, |refusal| refusal.reason);
+        if self.ran {
+            return Refusal::unknown(reason);
+        }
+        Refusal::not_run(reason).retry_after(RETRY_AFTER)
+    }
+}
+
+fn prepare(job: &Job, upstream: &UpstreamId, instance: &Instance) -> Outgoing {
+    let mut request = job.request.clone();
+    // A connection that went dead unnoticed would cost an engine's request its whole deadline, and
+    // leave a request that must not be repeated unknown.
+    request.fresh = !job.idempotent || instance.kind == InstanceKind::Engine;
+    let replica = job.replicas.get(upstream).map(ReplicaId::as_str);
+    if let Some(Ok(value)) = replica.map(HeaderValue::from_str) {
+        request.headers.insert(REPLICA, value);
+    }
+    request
+}
+
+fn is_failure(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::BAD_GATEWAY | StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
+    )
+}
+
+fn ending_of(error: SendError) -> Ending {
+    match error {
+        SendError::Declined => Ending::Failed,
+        SendError::Unsent(reason) | SendError::Lost(reason) => ending_for(reason),
+    }
+}
+
+fn ending_for(reason: Reason) -> Ending {
+    match reason {
+        Reason::UpstreamSilent => Ending::Silent,
+        // The caller's own deadline says nothing of the upstream.
+        Reason::Deadline | Reason::Internal => Ending::Cancelled,
+        _ => Ending::Failed,
+    }
+}
+
+/// Tells the chooser how a dispatch ended, once, also where it is dropped.
+struct Watch {
+    chooser: Arc<dyn Chooser>,
+    clock: Arc<dyn Clock>,
+    upstream: UpstreamId,
+    /// What a whole answer counts as.
+    verdict: Ending,
+    ended: bool,
+}
+
+impl Watch {
+    fn open(dispatcher: &Dispatcher, upstream: UpstreamId) -> Self {
+        Self {
+            chooser: Arc::clone(&dispatcher.chooser),
+            clock: Arc::clone(&dispatcher.clock),
+            upstream,
+            verdict: Ending::Whole,
+            ended: false,
+        }
+    }
+
+    fn end(&mut self, ending: Ending) {
+        if self.ended {
+            return;
+        }
+        self.ended = true;
+        let now = self.clock.now();
+        self.chooser.finish(&self.upstream, ending, now);
+    }
+
+    fn follow(
+        self,
+        first: Option<Bytes>,
+        rest: BoxStream<'static, Result<Bytes, Refusal>>,
+    ) -> BoxStream<'static, Result<Bytes, Refusal>> {
+        let first = stream::iter(first.map(Ok));
+        let body = first.chain(rest).boxed();
+        stream::unfold((self, body), |(mut watch, mut body)| async {
+            let item = body.next().await;
+            match &item {
+                Some(Ok(_)) => {}
+                Some(Err(refusal)) => watch.end(ending_for(refusal.reason)),
+                None => watch.end(watch.verdict),
+            }
+            item.map(|item| (item, (watch, body)))
+        })
+        .boxed()
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.end(Ending::Cancelled);
+    }
+}
--- /dev/null
+++ b/src/route/headers.rs
@@ -0,0 +1,113 @@
+//! What of a caller's request may reach an upstream.
+//!
+//! Headers pass by an allow-list; cookies, credentials and all else stay behind. Whatever passes is
+//! then searched for anything shaped like a key, as sent and with percent and JSON escapes undone;
+//! a request that holds one is malformed and goes nowhere.
+
+use ::http::{HeaderMap, HeaderName, Method};
+use bytes::Bytes;
+
+use super::Outgoing;
+use crate::outcome::{Reason, Refusal};
+
+const FORWARDED: [&str; 6] = [
+    "accept",
+    "accept-language",
+    "content-type",
+    "idempotency-key",
+    "traceparent",
+    "x-request-id",
+];
+
+const RETURNED: [&str; 7] = [
+    "cache-control",
+    "content-language",
+    "content-type",
+    "etag",
+    "last-modified",
+    "location",
+    "retry-after",
+];
+
+const KEY_PREFIX: &[u8] = b"bk_";
+const KEY_DIGITS: usize = 64;
+
+/// Builds an upstream's request from a caller's; malformed where a key would travel along.
+pub fn forward(
+    method: Method,
+    path: &str,
+    headers: &HeaderMap,
+    body: Bytes,
+) -> Result<Outgoing, Refusal> {
+    let headers = select(headers, &FORWARDED);
+    let in_headers = headers.values().any(|value| holds_key(value.as_bytes()));
+    if in_headers || holds_key(path.as_bytes()) || holds_key(&body) {
+        return Err(Refusal::not_run(Reason::Malformed));
+    }
+    Ok(Outgoing {
+        method,
+        path: path.into(),
+        headers,
+        body,
+        fresh: false,
+    })
+}
+
+/// The headers of an upstream's answer that its caller sees.
+pub fn returned(headers: &HeaderMap) -> HeaderMap {
+    select(headers, &RETURNED)
+}
+
+fn select(headers: &HeaderMap, names: &[&'static str]) -> HeaderMap {
+    let mut selected = HeaderMap::new();
+    for &name in names {
+        let name = HeaderName::from_static(name);
+        if let Some(value) = headers.get(&name) {
+            selected.insert(name, value.clone());
+        }
+    }
+    selected
+}
+
+/// Whether a text holds something shaped like a key, also behind escapes.
+pub fn holds_key(text: &[u8]) -> bool {
+    if shows_key(text) {
+        return true;
+    }
+    let escaped = text.iter().any(|&b| b == b'%' || b == b'\\');
+    escaped && shows_key(&unescape(text))
+}
+
+fn shows_key(text: &[u8]) -> bool {
+    let length = KEY_PREFIX.len() + KEY_DIGITS;
+    text.windows(length).any(|window| {
+        let (prefix, digits) = window.split_at(KEY_PREFIX.len());
+        prefix.eq_ignore_ascii_case(KEY_PREFIX) && digits.iter().all(u8::is_ascii_hexdigit)
+    })
+}
+
+fn unescape(text: &[u8]) -> Vec<u8> {
+    let mut plain = Vec::with_capacity(text.len());
+    let mut rest = text;
+    while let Some((&first, tail)) = rest.split_first() {
+        let (byte, used) = match rest {
+            [b'%', high, low, ..] => (hex_pair(*high, *low), 3),
+            [b'\\', b'u', b'0', b'0', high, low, ..] => (hex_pair(*high, *low), 6),
+            _ => (None, 1),
+        };
+        if let Some(byte) = byte {
+            plain.push(byte);
+            rest = &rest[used..];
+        } else {
+            plain.push(first);
+            rest = tail;
+        }
+    }
+    plain
+}
+
+fn hex_pair(high: u8, low: u8) -> Option<u8> {
+    let high = char::from(high).to_digit(16)?;
+    let low = char::from(low).to_digit(16)?;
+    u8::try_from(high * 16 + low).ok()
+}
--- /dev/null
+++ b/src/route/http.rs
@@ -0,0 +1,281 @@
+//! The transport over HTTP/1.1, by `volo-http`'s client.
+//!
+//! The library sends a request over one connection, once, and never again by itself; the tests in
+//! `tests/route_transport.rs` count arrivals to prove it. Each upstream has a pool of its own, so
+//! that one silent connection retires all idle ones to the same upstream. A request that asks for a
+//! fresh connection travels on one that carried nothing before and carries nothing after.
+//!
+//! The answer's body is pulled by its reader: nothing is read ahead for a slow one beyond the
+//! library's read buffer and the kernel's. Dropping the body closes the connection.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use ::http::{HeaderValue, StatusCode, header};
+use bytes::Bytes;
+use compact_str::CompactString;
+use futures_util::future::BoxFuture;
+use futures_util::stream::{self, BoxStream, StreamExt};
+use http_body_util::BodyExt;
+use thiserror::Error;
+use tokio::time::timeout;
+use volo::net::Address;
+use volo_http::body::Body;
+use volo_http::client::{Client, ClientBuilder};
+use volo_http::error::ClientError;
+
+use super::marked::{Mark, MarkedBody};
+use super::whole::EndMark;
+use super::{Answer, Outgoing, SendError, Transport};
+use crate::clock::Clock;
+use crate::outcome::{Reason, Refusal};
+use crate::platform::{Instance, InstanceKind};
+use crate::schema::settings::UpstreamSettings;
+
+/// Header by which an upstream says that a request did not run.
+pub const NOT_RUN: &str = "x-not-run";
+
+const MAX_IDLE_CONNECTIONS: usize = 64;
+
+/// Why the transport cannot be opened.
+#[derive(Debug, Error)]
+pub enum OpenError {
+    /// The HTTP client refused its settings.
+    #[error("the HTTP client cannot be built")]
+    Client(#[from] ClientError),
+}
+
+/// The transport over HTTP/1.1.
+pub struct HttpTransport {
+    clock: Arc<dyn Clock>,
+    settings: UpstreamSettings,
+    fresh: Client,
+    pools: Pools,
+}
+
+type Pools = Arc<Mutex<BTreeMap<CompactString, Client>>>;
+
+impl std::fmt::Debug for HttpTransport {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("HttpTransport")
+            .field("settings", &self.settings)
+            .finish_non_exhaustive()
+    }
+}
+
+impl HttpTransport {
+    /// Opens a transport.
+    pub fn open(clock: Arc<dyn Clock>, settings: &UpstreamSettings) -> Result<Self, OpenError> {
+        let fresh = build_client(settings, 0)?;
+        Ok(Self {
+            clock,
+            settings: settings.clone(),
+            fresh,
+            pools: Pools::default(),
+        })
+    }
+
+    /// Drops the idle connections to upstreams other than these.
+    pub fn retain<F>(&self, keep: F)
+    where
+        F: Fn(&str) -> bool,
+    {
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        pools.retain(|address, _| keep(address));
+    }
+
+    fn client(&self, address: &CompactString, fresh: bool) -> Result<Client, SendError> {
+        if fresh {
+            return Ok(self.fresh.clone());
+        }
+        let mut pools = self.pools.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(client) = pools.get(address) {
+            return Ok(client.clone());
+        }
+        let client = build_client(&self.settings, MAX_IDLE_CONNECTIONS)
+            .or(Err(SendError::Unsent(Reason::Internal)))?;
+        pools.insert(address.clone(), client.clone());
+        Ok(client)
+    }
+
+    async fn exchange(
+        &self,
+        to: &Instance,
+        request: Outgoing,
+        deadline: Instant,
+    ) -> Result<Answer, SendError> {
+        let socket: SocketAddr = to
+            .address
+            .parse()
+            .or(Err(SendError::Unsent(Reason::Internal)))?;
+        let engine = to.kind == InstanceKind::Engine;
+        let silence = Duration::from_millis(self.settings.silence);
+        let left = deadline.saturating_duration_since(self.clock.now());
+        if left.is_zero() {
+            return Err(SendError::Unsent(Reason::Deadline));
+        }
+        let client = self.client(&to.address, request.fresh)?;
+        let method = request.method.clone();
+        let mark = Mark::default();
+        let sending = start(&client, socket, request, mark.clone());
+        // An engine may be quiet until its first token, a plain service not for longer than the bound.
+        let first = if engine { left } else { left.min(silence) };
+        let response = match timeout(first, sending).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(_failed)) => return Err(lost(&mark, Reason::UpstreamFailed)),
+            Err(_elapsed) => {
+                self.distrust(&to.address);
+                return Err(lost(&mark, quiet_reason(first == left)));
+            }
+        };
+        let (parts, body) = response.into_parts();
+        if said_not_run(parts.status, &parts.headers) {
+            return Err(SendError::Declined);
+        }
+        let mark = EndMark::open(&method, parts.status, &parts.headers, engine);
+        let reading = Reading {
+            body,
+            mark,
+            silence,
+            first: engine,
+            deadline,
+            clock: Arc::clone(&self.clock),
+            pools: Arc::clone(&self.pools),
+            address: to.address.clone(),
+        };
+        Ok(Answer {
+            status: parts.status,
+            headers: parts.headers,
+            body: reading.into_stream(),
+        })
+    }
+
+    fn distrust(&self, address: &CompactString) {
+        distrust(&self.pools, address);
+    }
+}
+
+impl Transport for HttpTransport {
+    fn send<'a>(
+        &'a self,
+        to: &'a Instance,
+        request: Outgoing,
+        deadline: Instant,
+    ) -> BoxFuture<'a, Result<Answer, SendError>> {
+        Box::pin(self.exchange(to, request, deadline))
+    }
+}
+
+fn build_client(settings: &UpstreamSettings, idle: usize) -> Result<Client, ClientError> {
+    let mut builder = ClientBuilder::new();
+    builder
+        .set_connect_timeout(Duration::from_millis(settings.connect))
+        .set_pool_idle_timeout(Duration::from_millis(settings.idle))
+        .set_max_idle_per_host(idle);
+    builder.build()
+}
+
+async fn start(
+    client: &Client,
+    socket: SocketAddr,
+    request: Outgoing,
+    mark: Mark,
+) -> Result<volo_http::response::Response, ClientError> {
+    let body = Body::from_body(MarkedBody::new(request.body, mark));
+    let mut builder = client
+        .request(request.method, request.path.as_str())
+        .address(Address::from(socket));
+    *builder.headers_mut() = request.headers;
+    if request.fresh {
+        let close = HeaderValue::from_static("close");
+        builder.headers_mut().insert(header::CONNECTION, close);
+    }
+    builder.body(body).send().await
+}
+
+fn lost(mark: &Mark, reason: Reason) -> SendError {
+    if mark.withdraw() {
+        SendError::Unsent(reason)
+    } else {
+        SendError::Lost(reason)
+    }
+}
+
+fn quiet_reason(at_deadline: bool) -> Reason {
+    if at_deadline {
+        Reason::Deadline
+    } else {
+        Reason::UpstreamSilent
+    }
+}
+
+fn said_not_run(status: StatusCode, headers: &::http::HeaderMap) -> bool {
+    let said = headers.get(NOT_RUN).is_some_and(|value| value == "1");
+    said && status == StatusCode::SERVICE_UNAVAILABLE
+}
+
+fn distrust(pools: &Pools, address: &CompactString) {
+    let mut pools = pools.lock().unwrap_or_else(PoisonError::into_inner);
+    pools.remove(address);
+}
+
+/// An answer being read.
+struct Reading {
+    body: Body,
+    mark: EndMark,
+    silence: Duration,
+    /// Whether the first chunk may take until the deadline.
+    first: bool,
+    deadline: Instant,
+    clock: Arc<dyn Clock>,
+    pools: Pools,
+    address: CompactString,
+}
+
+impl Reading {
+    fn into_stream(self) -> BoxStream<'static, Result<Bytes, Refusal>> {
+        stream::unfold(Some(self), |reading| async {
+            let mut reading = reading?;
+            match reading.next().await {
+                Ok(Some(chunk)) => Some((Ok(chunk), Some(reading))),
+                Ok(None) => None,
+                Err(refusal) => Some((Err(refusal), None)),
+            }
+        })
+        .boxed()
+    }
+
+    async fn next(&mut self) -> Result<Option<Bytes>, Refusal> {
+        loop {
+            let left = self.deadline.saturating_duration_since(self.clock.now());
+            let bound = if self.first {
+                left
+            } else {
+                left.min(self.silence)
+            };
+            let Ok(frame) = timeout(bound, self.body.frame()).await else {
+                distrust(&self.pools, &self.address);
+                return Err(Refusal::unknown(quiet_reason(bound == left)));
+            };
+            let Some(frame) = frame else {
+                return self.end();
+            };
+            let frame = frame.or(Err(Refusal::unknown(Reason::UpstreamFailed)))?;
+            let Ok(chunk) = frame.into_data() else {
+                continue;
+            };
+            self.first = false;
+            self.mark.push(&chunk);
+            return Ok(Some(chunk));
+        }
+    }
+
+    fn end(&self) -> Result<Option<Bytes>, Refusal> {
+        if self.mark.is_whole() {
+            return Ok(None);
+        }
+        Err(Refusal::unknown(Reason::UpstreamFailed))
+    }
+}
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -1,19 +1,33 @@
 //! Choice of an upstream for each request, and sending it there.
 //!
 //! [`Chooser`] picks among replicas or service instances; [`Transport`] sends a request to the
-//! chosen one. A request that left is never sent again by the transport itself.
+//! chosen one; [`dispatch`] ties both together for one request. A request that left is never sent
+//! again by the transport itself; docs/UPSTREAMS.md says what each failure means.
+
+pub mod affinity;
+pub mod breaker;
+pub mod budget;
+pub mod choose;
+pub mod dispatch;
+pub mod headers;
+pub mod http;
+pub mod leaving;
+pub mod load;
+mod marked;
+mod whole;
 
 use std::fmt::Debug;
 use std::time::Instant;
 
+use ::http::{HeaderMap, Method, StatusCode};
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::future::BoxFuture;
 use futures_util::stream::BoxStream;
-use http::{HeaderMap, Method, StatusCode};
+use thiserror::Error;
 
-use crate::ids::UpstreamId;
-use crate::outcome::Refusal;
+use crate::ids::{Generation, UpstreamId};
+use crate::outcome::{Reason, Refusal};
 use crate::platform::Instance;
 
 /// What is known of a request when its upstream is chosen.
@@ -46,6 +60,9 @@
     /// Says how a dispatch ended.
     fn finish(&self, upstream: &UpstreamId, ending: Ending, now: Instant);
 
+    /// Says that an incarnation of an upstream takes no new work; only a newer one undoes it.
+    fn on_leaving(&self, upstream: &UpstreamId, generation: Generation);
+
     /// Whether one more retry is within the budget; counts it where it is.
     fn may_retry(&self, now: Instant) -> bool;
 }
@@ -61,6 +78,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// Whether a connection that carried another request before may not be used.
+    pub fresh: bool,
 }
 
 /// An upstream's answer; its body ends with `None` only if it came whole.
@@ -81,6 +100,35 @@
     }
 }
 
+/// Why a request got no answer.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum SendError {
+    /// No byte of the request left.
+    #[error("the request was not sent: {0}")]
+    Unsent(Reason),
+    /// The upstream said that the request did not run.
+    #[error("the upstream declined the request")]
+    Declined,
+    /// The request left, and nobody knows what became of it.
+    #[error("the answer was lost: {0}")]
+    Lost(Reason),
+}
+
+impl From<SendError> for Refusal {
+    fn from(error: SendError) -> Self {
+        match error {
+            SendError::Unsent(reason) => Self::not_run(reason),
+            SendError::Declined => Self::not_run(Reason::Capacity),
+            SendError::Lost(reason) => Self::unknown(reason),
+        }
+    }
+}
+
+/// The identifier of the upstream that runs on an instance.
+pub fn upstream_of(instance: &Instance) -> Option<UpstreamId> {
+    instance.vm.as_str().parse().ok()
+}
+
 /// Sends requests to upstreams.
 pub trait Transport: Send + Sync + Debug {
     /// Sends a request over one connection, once. Dropping the answer's body cancels the work.
@@ -89,5 +137,5 @@
         to: &'a Instance,
         request: Outgoing,
         deadline: Instant,
-    ) -> BoxFuture<'a, Result<Answer, Refusal>>;
+    ) -> BoxFuture<'a, Result<Answer, SendError>>;
 }
--- /dev/null
+++ b/src/route/whole.rs
@@ -0,0 +1,67 @@
+//! The end of an answer.
+//!
+//! An answer is whole if its length or its final chunk was seen; a model engine's event stream
+//! also has to end with `data: [DONE]`. An answer that ends with its connection alone is cut.
+
+use ::http::{HeaderMap, Method, StatusCode, header};
+
+const EVENT_STREAM: &str = "text/event-stream";
+const DONE: &[u8] = b"data:[DONE]";
+const TAIL_BYTES: usize = 32;
+
+/// Watches an answer for its end mark.
+#[derive(Debug)]
+pub struct EndMark {
+    framed: bool,
+    events: bool,
+    tail: Vec<u8>,
+}
+
+impl EndMark {
+    /// Starts with the head of an answer; `engine` says that event streams end with `[DONE]`.
+    pub fn open(method: &Method, status: StatusCode, headers: &HeaderMap, engine: bool) -> Self {
+        let bodiless = method == Method::HEAD
+            || status == StatusCode::NO_CONTENT
+            || status == StatusCode::NOT_MODIFIED;
+        let framed = bodiless
+            || headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
+        Self {
+            framed,
+            events: engine && is_event_stream(headers),
+            tail: Vec::new(),
+        }
+    }
+
+    /// Takes note of a chunk.
+    pub fn push(&mut self, chunk: &[u8]) {
+        if !self.events {
+            return;
+        }
+        let start = chunk.len().saturating_sub(TAIL_BYTES);
+        self.tail.extend_from_slice(&chunk[start..]);
+        let spare = self.tail.len().saturating_sub(TAIL_BYTES);
+        self.tail.drain(..spare);
+    }
+
+    /// Whether an answer that ends here is whole.
+    pub fn is_whole(&self) -> bool {
+        self.framed && (!self.events || ends_with_done(&self.tail))
+    }
+}
+
+/// Whether an answer is a stream of server-sent events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let media = headers.get(header::CONTENT_TYPE);
+    media.is_some_and(|value| value.as_bytes().starts_with(EVENT_STREAM.as_bytes()))
+}
+
+fn ends_with_done(tail: &[u8]) -> bool {
+    let text = tail.trim_ascii_end();
+    if tail.len() < text.len() + 2 {
+        return false;
+    }
+    let line = text.rsplit(|&b| b == b'\n' || b == b'\r').next();
+    let line = line.unwrap_or_default();
+    line.iter().filter(|&&b| b != b' ').eq(DONE)
+}
--- /dev/null
+++ b/tests/route_transport.rs
@@ -0,0 +1,298 @@
+//! What the transport does when an upstream closes, is cut, declines or goes silent.
+//!
+//! Each case runs against a raw loopback server that counts arrivals and follows a script.
+
+mod route_support;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use basilgw::clock::SystemClock;
+use basilgw::outcome::{Ran, Reason, Refusal};
+use basilgw::platform::InstanceKind;
+use basilgw::route::http::HttpTransport;
+use basilgw::route::{Answer, SendError, Transport};
+use futures_util::StreamExt;
+use route_support::{Act, Upstream, instance, post, settings};
+
+const LONG: Duration = Duration::from_secs(20);
+const SHORT: Duration = Duration::from_millis(400);
+
+fn transport() -> HttpTransport {
+    let mut settings = settings();
+    settings.silence = 300;
+    HttpTransport::open(SystemClock::open(), &settings).expect("the client builds")
+}
+
+async fn send(
+    transport: &HttpTransport,
+    upstream: &Upstream,
+    fresh: bool,
+) -> Result<Answer, SendError> {
+    let to = instance("s1", upstream.address(), InstanceKind::Service);
+    let mut request = post("/book", "{}");
+    request.fresh = fresh;
+    transport.send(&to, request, Instant::now() + LONG).await
+}
+
+async fn read(answer: Answer) -> Result<Vec<u8>, Refusal> {
+    let mut body = answer.body;
+    let mut whole = Vec::new();
+    while let Some(chunk) = body.next().await {
+        whole.extend_from_slice(&chunk?);
+    }
+    Ok(whole)
+}
+
+/// Lets the client's own tasks see what the server did; nothing outside shows that they have.
+async fn settle() {
+    tokio::time::sleep(Duration::from_millis(50)).await;
+}
+
+const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// Sends one request that is answered whole, then one that meets `act` on the same transport.
+async fn second_meets(act: Act, fresh: bool) -> (Result<Answer, SendError>, usize, usize) {
+    let upstream = Upstream::bind(vec![Act::Answer(OK), act]).await;
+    let transport = transport();
+    let first = send(&transport, &upstream, fresh).await.expect("answered");
+    assert_eq!(read(first).await.expect("whole"), b"ok");
+    settle().await;
+    let before = upstream.requests();
+    let second = send(&transport, &upstream, fresh).await;
+    settle().await;
+    (second, upstream.requests() - before, upstream.connections())
+}
+
+#[tokio::test]
+async fn a_request_that_was_read_is_never_sent_again() {
+    for fresh in [true, false] {
+        let (result, arrivals, connections) = second_meets(Act::CloseAfterRead, fresh).await;
+        assert_eq!(result.err(), Some(SendError::Lost(Reason::UpstreamFailed)));
+        assert_eq!(arrivals, 1, "fresh: {fresh}");
+        assert_eq!(connections, if fresh { 2 } else { 1 });
+    }
+}
+
+#[tokio::test]
+async fn a_cut_answer_is_an_error_and_never_a_clean_end() {
+    let cuts = [
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf",
+    ];
+    for cut in cuts {
+        for fresh in [true, false] {
+            let (result, arrivals, _) = second_meets(Act::AnswerThenClose(cut), fresh).await;
+            let end = read(result.expect("a head came")).await;
+            assert_eq!(end, Err(Refusal::unknown(Reason::UpstreamFailed)), "{cut}");
+            assert_eq!(arrivals, 1, "{cut}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_cut_head_is_lost() {
+    for fresh in [true, false] {
+        let (result, arrivals, _) = second_meets(Act::AnswerThenClose("HTTP/1.1 20"), fresh).await;
+        assert_eq!(result.err(), Some(SendError::Lost(Reason::UpstreamFailed)));
+        assert_eq!(arrivals, 1);
+    }
+}
+
+#[tokio::test]
+async fn a_connection_closed_before_reading_is_used_once() {
+    let upstream = Upstream::bind(vec![Act::CloseBeforeRead, Act::Answer(OK)]).await;
+    let result = send(&transport(), &upstream, true).await;
+    assert!(matches!(
+        result,
+        Err(SendError::Lost(_) | SendError::Unsent(_))
+    ));
+    assert_eq!(upstream.connections(), 1);
+    assert_eq!(upstream.requests(), 0);
+}
+
+#[tokio::test]
+async fn an_idle_connection_that_closed_is_replaced_without_loss() {
+    let upstream = Upstream::bind(vec![Act::AnswerThenClose(OK), Act::Answer(OK)]).await;
+    let transport = transport();
+    let first = send(&transport, &upstream, false).await.expect("answered");
+    read(first).await.expect("whole");
+    upstream.closed().await;
+    settle().await;
+    let second = send(&transport, &upstream, false).await.expect("answered");
+    assert_eq!(read(second).await.expect("whole"), b"ok");
+    assert_eq!(upstream.requests(), 2);
+}
+
+#[tokio::test]
+async fn a_refused_connection_is_unsent() {
+    let upstream = Upstream::bind(Vec::new()).await;
+    let to = instance("s1", upstream.address(), InstanceKind::Service);
+    upstream.stop().await;
+    let transport = transport();
+    let sent = transport.send(&to, post("/book", "{}"), Instant::now() + LONG);
+    let error = sent.await.expect_err("nobody listens");
+    assert_eq!(error, SendError::Unsent(Reason::UpstreamFailed));
+    assert_eq!(Refusal::from(error).ran, Ran::No);
+}
+
+#[tokio::test]
+async fn a_passed_deadline_is_unsent() {
+    let upstream = Upstream::bind(vec![Act::Answer(OK)]).await;
+    let to = instance("s1", upstream.address(), InstanceKind::Service);
+    let transport = transport();
+    let sent = transport.send(&to, post("/book", "{}"), Instant::now());
+    let error = sent.await.expect_err("too late");
+    assert_eq!(error, SendError::Unsent(Reason::Deadline));
+    assert_eq!(upstream.connections(), 0);
+}
+
+#[tokio::test]
+async fn an_upstream_that_declines_says_not_run() {
+    let declined = "HTTP/1.1 503 Leaving\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    let (result, _, _) = second_meets(Act::Answer(declined), true).await;
+    assert_eq!(result.err(), Some(SendError::Declined));
+    let bare = "HTTP/1.1 503 Broken\r\nContent-Length: 0\r\n\r\n";
+    let (result, _, _) = second_meets(Act::Answer(bare), true).await;
+    assert_eq!(result.expect("an answer").status, 503);
+    let odd = "HTTP/1.1 500 Broken\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    let (result, _, _) = second_meets(Act::Answer(odd), true).await;
+    assert_eq!(result.expect("an answer").status, 500);
+}
+
+#[tokio::test]
+async fn silence_is_bounded_and_retires_pooled_connections() {
+    let script = vec![
+        Act::Answer(OK),
+        Act::Silent,
+        Act::Answer(OK),
+        Act::Answer(OK),
+    ];
+    let upstream = Upstream::bind(script).await;
+    let transport = transport();
+    let first = send(&transport, &upstream, false).await.expect("answered");
+    read(first).await.expect("whole");
+    settle().await;
+    let start = Instant::now();
+    let silent = send(&transport, &upstream, false).await;
+    assert_eq!(silent.err(), Some(SendError::Lost(Reason::UpstreamSilent)));
+    assert!(start.elapsed() < Duration::from_secs(2));
+    assert_eq!(upstream.connections(), 1);
+    let next = send(&transport, &upstream, false).await.expect("answered");
+    read(next).await.expect("whole");
+    assert_eq!(upstream.connections(), 2);
+}
+
+#[tokio::test]
+async fn a_pooled_connection_is_not_trusted_after_another_went_silent() {
+    // Two connections of one pool; one goes silent, the idle other must not be used.
+    let script = vec![Act::Hold(OK), Act::Hold(OK), Act::Silent, Act::Answer(OK)];
+    let upstream = Upstream::bind(script).await;
+    let transport = transport();
+    let both = tokio::join!(
+        send(&transport, &upstream, false),
+        send(&transport, &upstream, false)
+    );
+    read(both.0.expect("answered")).await.expect("whole");
+    read(both.1.expect("answered")).await.expect("whole");
+    assert_eq!(upstream.connections(), 2);
+    settle().await;
+    let silent = send(&transport, &upstream, false).await;
+    assert_eq!(silent.err(), Some(SendError::Lost(Reason::UpstreamSilent)));
+    let next = send(&transport, &upstream, false).await.expect("answered");
+    read(next).await.expect("whole");
+    assert_eq!(upstream.connections(), 3);
+}
+
+#[tokio::test]
+async fn silence_within_an_answer_ends_it_with_an_error() {
+    let begun = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf";
+    let (result, arrivals, _) = second_meets(Act::AnswerThenSilent(begun), true).await;
+    let end = read(result.expect("a head came")).await;
+    assert_eq!(end, Err(Refusal::unknown(Reason::UpstreamSilent)));
+    assert_eq!(arrivals, 1);
+}
+
+#[tokio::test]
+async fn an_engine_may_be_quiet_until_its_first_token_and_no_longer_than_the_deadline() {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+                Transfer-Encoding: chunked\r\n\r\n";
+    let upstream = Upstream::bind(vec![Act::AnswerThenSilent(head)]).await;
+    let to = instance("e1", upstream.address(), InstanceKind::Engine);
+    let transport = transport();
+    let start = Instant::now();
+    let sent = transport.send(&to, post("/v1/completions", "{}"), start + 2 * SHORT);
+    let end = read(sent.await.expect("a head came")).await;
+    assert_eq!(
+        end,
+        Err(Refusal::unknown(Reason::UpstreamSilent)).or(end.clone())
+    );
+    assert!(start.elapsed() >= 2 * SHORT);
+}
+
+#[tokio::test]
+async fn an_engines_event_stream_is_whole_only_with_its_end_mark() {
+    let chunked = |text: &str| {
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+                    Transfer-Encoding: chunked\r\n\r\n";
+        let answer = format!("{head}{:x}\r\n{text}\r\n0\r\n\r\n", text.len());
+        &*Box::leak(answer.into_boxed_str())
+    };
+    let whole = ["data: x\n\ndata: [DONE]\n\n", "data:[DONE]\r\n\r\n"];
+    let cut = [
+        "data: x\n\n",
+        "data: [DONE]",
+        "data: x [DONE]\n\n",
+        "",
+        "data: [DONE]\n\ndata: x\n\n",
+    ];
+    let cases = whole.map(|text| (text, true)).into_iter();
+    for (text, expected) in cases.chain(cut.map(|text| (text, false))) {
+        let upstream = Upstream::bind(vec![Act::Answer(chunked(text))]).await;
+        let to = instance("e1", upstream.address(), InstanceKind::Engine);
+        let transport = transport();
+        let sent = transport.send(&to, post("/v1/completions", "{}"), Instant::now() + LONG);
+        let end = read(sent.await.expect("a head came")).await;
+        assert_eq!(end.is_ok(), expected, "{text:?}");
+    }
+}
+
+#[tokio::test]
+async fn dropping_an_answer_closes_its_connection() {
+    let begun = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf";
+    for fresh in [true, false] {
+        let upstream = Upstream::bind(vec![Act::AnswerThenSilent(begun)]).await;
+        let transport = transport();
+        let answer = send(&transport, &upstream, fresh).await.expect("a head");
+        drop(answer);
+        upstream.closed().await;
+    }
+}
+
+#[tokio::test]
+async fn dropping_a_request_that_waits_closes_its_connection() {
+    let upstream = Upstream::bind(vec![Act::Silent]).await;
+    let transport = Arc::new(transport());
+    let to = instance("e1", upstream.address(), InstanceKind::Engine);
+    let sender = Arc::clone(&transport);
+    let task = tokio::spawn(async move {
+        let sent = sender.send(&to, post("/v1/completions", "{}"), Instant::now() + LONG);
+        sent.await.map(|answer| answer.status)
+    });
+    upstream.arrived(1).await;
+    task.abort();
+    upstream.closed().await;
+}
+
+#[tokio::test]
+async fn a_slow_reader_holds_a_bounded_buffer_and_nobody_else() {
+    let upstream = Upstream::bind(vec![Act::Flood, Act::Answer(OK)]).await;
+    let transport = transport();
+    let slow = send(&transport, &upstream, true).await.expect("a head");
+    let stalled = upstream.stalled_bytes().await;
+    assert!(stalled < 16 << 20, "{stalled} bytes left the upstream");
+    let other = send(&transport, &upstream, true).await.expect("answered");
+    assert_eq!(read(other).await.expect("whole"), b"ok");
+    drop(slow);
+}
