--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod model;
 pub mod once;
 pub mod outcome;
+pub mod peer;
 pub mod platform;
 pub mod route;
 pub mod schema;
--- /dev/null
+++ b/src/peer/frame.rs
@@ -0,0 +1,200 @@
+//! Encoding of frames.
+//!
+//! A frame is a CBOR map with one entry, whose key names the kind. Frames are bounded both ways,
+//! and one that cannot be read is a typed error that ends its link.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde::de::IgnoredAny;
+use thiserror::Error;
+
+use crate::schema::peer::{Frame, Hello};
+use crate::units::Bytes;
+
+/// Version of the peer protocol.
+pub const PROTOCOL: u32 = 1;
+
+/// Kind of a frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// First message of a link.
+    Hello,
+    /// Soft state.
+    Digest,
+    /// Ask for a configuration.
+    Fetch,
+    /// Part of a configuration.
+    Config,
+    /// Ask for tokens.
+    Ask,
+    /// Answer with tokens.
+    Grant,
+    /// Ask for a replica.
+    Wake,
+    /// Answer to an ask for a replica.
+    Woken,
+}
+
+impl Kind {
+    /// All kinds of this protocol version.
+    pub const ALL: [Self; 8] = [
+        Self::Hello,
+        Self::Digest,
+        Self::Fetch,
+        Self::Config,
+        Self::Ask,
+        Self::Grant,
+        Self::Wake,
+        Self::Woken,
+    ];
+
+    /// The kind of a frame.
+    pub fn of(frame: &Frame) -> Self {
+        match frame {
+            Frame::Hello(_) => Self::Hello,
+            Frame::Digest(_) => Self::Digest,
+            Frame::Fetch(_) => Self::Fetch,
+            Frame::Config(_) => Self::Config,
+            Frame::Ask(_) => Self::Ask,
+            Frame::Grant(_) => Self::Grant,
+            Frame::Wake(_) => Self::Wake,
+            Frame::Woken(_) => Self::Woken,
+        }
+    }
+
+    /// The key that names the kind on the wire.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Hello => "hello",
+            Self::Digest => "digest",
+            Self::Fetch => "fetch",
+            Self::Config => "config",
+            Self::Ask => "ask",
+            Self::Grant => "grant",
+            Self::Wake => "wake",
+            Self::Woken => "woken",
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Why a frame was refused.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum FrameError {
+    /// The frame exceeds the bound of the settings.
+    #[error("a frame of {size} exceeds the bound of {bound}")]
+    TooLarge {
+        /// Its size.
+        size: Bytes,
+        /// The bound.
+        bound: Bytes,
+    },
+    /// This protocol version has no such kind.
+    #[error("frame kind {0:?} is not known")]
+    UnknownKind(CompactString),
+    /// The bytes are not a frame.
+    #[error("the frame cannot be read")]
+    Malformed,
+    /// Bytes follow the frame.
+    #[error("{0} bytes follow the frame")]
+    Trailing(usize),
+    /// A text message came where only binary ones are sent.
+    #[error("the message is not binary")]
+    Text,
+    /// The peer speaks another version.
+    #[error("protocol version {0} is not spoken here")]
+    Protocol(u32),
+    /// The first frame was no `Hello`, or a later one was.
+    #[error("a {0} frame is out of place")]
+    OutOfPlace(Kind),
+}
+
+/// Encodes a frame.
+pub fn encode(frame: &Frame, bound: Bytes) -> Result<bytes::Bytes, FrameError> {
+    let mut out = Vec::with_capacity(256);
+    ciborium::into_writer(frame, &mut out).or(Err(FrameError::Malformed))?;
+    check_size(out.len(), bound)?;
+    Ok(out.into())
+}
+
+/// Decodes a frame.
+pub fn decode(bytes: &[u8], bound: Bytes) -> Result<Frame, FrameError> {
+    check_size(bytes.len(), bound)?;
+    let mut rest = bytes;
+    let Ok(frame) = ciborium::from_reader(&mut rest) else {
+        return Err(diagnose(bytes));
+    };
+    if !rest.is_empty() {
+        return Err(FrameError::Trailing(rest.len()));
+    }
+    Ok(frame)
+}
+
+/// Decodes the first frame of a link.
+pub fn decode_hello(bytes: &[u8], bound: Bytes) -> Result<Hello, FrameError> {
+    check_size(bytes.len(), bound)?;
+    if let Some(theirs) = protocol_of(bytes)
+        && theirs != PROTOCOL
+    {
+        return Err(FrameError::Protocol(theirs));
+    }
+    match decode(bytes, bound)? {
+        Frame::Hello(hello) => Ok(hello),
+        other => Err(FrameError::OutOfPlace(Kind::of(&other))),
+    }
+}
+
+/// Encoded size of a value.
+pub(crate) fn encoded_size<T>(value: &T) -> usize
+where
+    T: serde::Serialize,
+{
+    let mut out = Vec::with_capacity(64);
+    match ciborium::into_writer(value, &mut out) {
+        Ok(()) => out.len(),
+        Err(_) => usize::MAX,
+    }
+}
+
+fn check_size(size: usize, bound: Bytes) -> Result<(), FrameError> {
+    let size = Bytes(size as u64);
+    if size > bound {
+        return Err(FrameError::TooLarge { size, bound });
+    }
+    Ok(())
+}
+
+fn diagnose(bytes: &[u8]) -> FrameError {
+    let Ok(map) = ciborium::from_reader::<BTreeMap<CompactString, IgnoredAny>, _>(bytes) else {
+        return FrameError::Malformed;
+    };
+    let known = |kind: &CompactString| Kind::ALL.iter().any(|k| k.as_str() == kind);
+    match map.into_keys().find(|kind| !known(kind)) {
+        Some(kind) => FrameError::UnknownKind(kind),
+        None => FrameError::Malformed,
+    }
+}
+
+#[derive(Deserialize)]
+struct AnyHello {
+    hello: AnyProtocol,
+}
+
+#[derive(Deserialize)]
+struct AnyProtocol {
+    protocol: u32,
+}
+
+// Reads the version alone, so that a later one with other fields is named rather than malformed.
+fn protocol_of(bytes: &[u8]) -> Option<u32> {
+    let hello: AnyHello = ciborium::from_reader(bytes).ok()?;
+    Some(hello.hello.protocol)
+}
--- /dev/null
+++ b/src/peer/link.rs
@@ -0,0 +1,388 @@
+//! One link: a WebSocket over TCP.
+//!
+//! A link begins with `Hello` both ways. Each side pings while it hears nothing, and gives the link
+//! up once not a byte came for the silence bound, or a write took as long: such a link may be dead
+//! while new ones work. Frames to send wait in a bounded queue, so that no sender ever blocks.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::{SinkExt, StreamExt};
+use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::{self, Message};
+use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
+
+use crate::clock::Clock;
+use crate::peer::frame::{self, FrameError, Kind};
+use crate::peer::metrics::PeerMetrics;
+use crate::schema::peer::{Frame, Hello};
+use crate::schema::settings::PeerSettings;
+use crate::units;
+
+/// Frames that wait for a link.
+pub const QUEUE_FRAMES: usize = 64;
+/// Time without a frame, either way, after which a link is closed.
+pub const IDLE: Duration = Duration::from_secs(15);
+const BUFFER_BYTES: usize = 4096;
+
+/// Bounds of a link.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Largest frame.
+    pub frame: units::Bytes,
+    /// Pause between two pings.
+    pub ping: Duration,
+    /// Silence after which a link is given up.
+    pub silence: Duration,
+}
+
+impl From<&PeerSettings> for Limits {
+    fn from(settings: &PeerSettings) -> Self {
+        Self {
+            frame: units::Bytes(settings.frame),
+            ping: Duration::from_millis(settings.ping),
+            silence: Duration::from_millis(settings.silence),
+        }
+    }
+}
+
+/// Why a link could not be opened, or ended.
+#[derive(Debug, Error)]
+pub enum LinkError {
+    /// The other side closed it, or the connection broke.
+    #[error("the link was closed")]
+    Closed,
+    /// Not a byte came for the bound.
+    #[error("the link went silent")]
+    Silent,
+    /// A write took longer than the bound.
+    #[error("a write took too long")]
+    Stuck,
+    /// Nothing was sent either way for a while.
+    #[error("the link was not used")]
+    Idle,
+    /// This VM closes its links.
+    #[error("this VM closes its links")]
+    Stopped,
+    /// The other side sent what cannot be read.
+    #[error(transparent)]
+    Frame(#[from] FrameError),
+    /// The other side is not the VM that was meant.
+    #[error("another VM answered")]
+    WrongVm,
+    /// TCP failed.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The other side broke the WebSocket protocol.
+    #[error("the WebSocket protocol was broken")]
+    WebSocket,
+}
+
+impl LinkError {
+    /// Whether the connection itself broke, so that a new one is worth a try at once.
+    pub fn is_break(&self) -> bool {
+        matches!(self, Self::Closed | Self::Silent | Self::Stuck | Self::Io(_))
+    }
+
+    /// Whether the other side said what it must not.
+    pub fn is_rejection(&self) -> bool {
+        matches!(self, Self::Frame(_) | Self::WrongVm | Self::WebSocket)
+    }
+
+    fn from_socket(error: &tungstenite::Error, bound: units::Bytes) -> Self {
+        use tungstenite::error::CapacityError;
+        match error {
+            tungstenite::Error::Capacity(CapacityError::MessageTooLong { size, .. }) => {
+                let size = units::Bytes(*size as u64);
+                Self::Frame(FrameError::TooLarge { size, bound })
+            }
+            tungstenite::Error::Protocol(
+                tungstenite::error::ProtocolError::ResetWithoutClosingHandshake,
+            )
+            | tungstenite::Error::ConnectionClosed
+            | tungstenite::Error::AlreadyClosed
+            | tungstenite::Error::Io(_) => Self::Closed,
+            _ => Self::WebSocket,
+        }
+    }
+}
+
+/// When a link last heard and last carried something, shared by its halves.
+#[derive(Debug)]
+pub struct Gauge {
+    clock: Arc<dyn Clock>,
+    start: Instant,
+    heard_ms: AtomicU64,
+    used_ms: AtomicU64,
+    metrics: PeerMetrics,
+}
+
+impl Gauge {
+    /// Counts from now on.
+    pub fn open(clock: Arc<dyn Clock>, metrics: PeerMetrics) -> Arc<Self> {
+        Arc::new(Self {
+            start: clock.now(),
+            clock,
+            heard_ms: AtomicU64::new(0),
+            used_ms: AtomicU64::new(0),
+            metrics,
+        })
+    }
+
+    fn since_start_ms(&self) -> u64 {
+        let span = self.clock.now().saturating_duration_since(self.start);
+        span.as_millis() as u64
+    }
+
+    fn note(&self, at: &AtomicU64) {
+        at.store(self.since_start_ms(), Ordering::Relaxed);
+    }
+
+    fn since(&self, at: &AtomicU64) -> Duration {
+        let passed = self.since_start_ms().saturating_sub(at.load(Ordering::Relaxed));
+        Duration::from_millis(passed)
+    }
+}
+
+/// A TCP stream that counts its bytes.
+#[derive(Debug)]
+pub struct Metered {
+    stream: TcpStream,
+    gauge: Arc<Gauge>,
+}
+
+impl AsyncRead for Metered {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let read = buf.filled().len() - before;
+        if read > 0 {
+            self.gauge.note(&self.gauge.heard_ms);
+            self.gauge.metrics.bytes_in.inc_by(read as u64);
+        }
+        poll
+    }
+}
+
+impl AsyncWrite for Metered {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(written)) = &poll {
+            self.gauge.metrics.bytes_out.inc_by(*written as u64);
+        }
+        poll
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// A link that greeted.
+#[derive(Debug)]
+pub struct Link {
+    /// What the other side said of itself.
+    pub theirs: Hello,
+    socket: WebSocketStream<Metered>,
+    gauge: Arc<Gauge>,
+    limits: Limits,
+}
+
+impl Link {
+    /// Connects and greets, within the silence bound.
+    pub async fn dial(
+        address: SocketAddr,
+        ours: &Hello,
+        limits: Limits,
+        gauge: Arc<Gauge>,
+    ) -> Result<Self, LinkError> {
+        let work = async {
+            let stream = metered(TcpStream::connect(address).await?, &gauge)?;
+            let url = format!("ws://{address}/");
+            let config = Some(socket_config(limits));
+            let (socket, _) = client_async_with_config(url, stream, config)
+                .await
+                .map_err(|e| LinkError::from_socket(&e, limits.frame))?;
+            Self::greet(socket, ours, limits, Arc::clone(&gauge)).await
+        };
+        timeout(limits.silence, work)
+            .await
+            .unwrap_or(Err(LinkError::Silent))
+    }
+
+    /// Takes a connection and greets, within the silence bound.
+    pub async fn accept(
+        stream: TcpStream,
+        ours: &Hello,
+        limits: Limits,
+        gauge: Arc<Gauge>,
+    ) -> Result<Self, LinkError> {
+        let work = async {
+            let stream = metered(stream, &gauge)?;
+            let socket = accept_async_with_config(stream, Some(socket_config(limits)))
+                .await
+                .map_err(|e| LinkError::from_socket(&e, limits.frame))?;
+            Self::greet(socket, ours, limits, Arc::clone(&gauge)).await
+        };
+        timeout(limits.silence, work)
+            .await
+            .unwrap_or(Err(LinkError::Silent))
+    }
+
+    async fn greet(
+        mut socket: WebSocketStream<Metered>,
+        ours: &Hello,
+        limits: Limits,
+        gauge: Arc<Gauge>,
+    ) -> Result<Self, LinkError> {
+        let hello = frame::encode(&Frame::Hello(ours.clone()), limits.frame)?;
+        socket
+            .send(Message::Binary(hello))
+            .await
+            .map_err(|e| LinkError::from_socket(&e, limits.frame))?;
+        let first = read(&mut socket, limits.frame).await?;
+        let theirs = frame::decode_hello(&first, limits.frame)?;
+        Ok(Self {
+            theirs,
+            socket,
+            gauge,
+            limits,
+        })
+    }
+
+    /// Carries frames both ways until the link ends.
+    pub async fn run<F>(self, queue: mpsc::Receiver<Bytes>, on_frame: F) -> LinkError
+    where
+        F: FnMut(Frame),
+    {
+        let (sink, source) = self.socket.split();
+        let gauge = &*self.gauge;
+        let limits = self.limits;
+        tokio::select! {
+            end = write_all(sink, queue, gauge, limits) => end,
+            end = read_all(source, on_frame, gauge, limits) => end,
+            end = watch(gauge, limits) => end,
+        }
+    }
+}
+
+fn metered(stream: TcpStream, gauge: &Arc<Gauge>) -> io::Result<Metered> {
+    stream.set_nodelay(true)?;
+    let gauge = Arc::clone(gauge);
+    Ok(Metered { stream, gauge })
+}
+
+fn socket_config(limits: Limits) -> WebSocketConfig {
+    let bound = usize::try_from(limits.frame.0).unwrap_or(usize::MAX);
+    WebSocketConfig::default()
+        .read_buffer_size(BUFFER_BYTES)
+        .write_buffer_size(BUFFER_BYTES)
+        .max_message_size(Some(bound))
+        .max_frame_size(Some(bound))
+}
+
+async fn write_all(
+    mut sink: SplitSink<WebSocketStream<Metered>, Message>,
+    mut queue: mpsc::Receiver<Bytes>,
+    gauge: &Gauge,
+    limits: Limits,
+) -> LinkError {
+    let mut ticks = interval(limits.ping);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        let message = tokio::select! {
+            Some(frame) = queue.recv() => Message::Binary(frame),
+            _ = ticks.tick() => Message::Ping(Bytes::new()),
+        };
+        match &message {
+            Message::Ping(_) if gauge.since(&gauge.heard_ms) < limits.ping => continue,
+            Message::Ping(_) => gauge.metrics.pings_out.inc(),
+            _ => {
+                gauge.note(&gauge.used_ms);
+                gauge.metrics.frames_out.inc();
+            }
+        }
+        match timeout(limits.silence, sink.send(message)).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => return LinkError::from_socket(&error, limits.frame),
+            Err(_) => return LinkError::Stuck,
+        }
+    }
+}
+
+async fn read_all<F>(
+    mut source: SplitStream<WebSocketStream<Metered>>,
+    mut on_frame: F,
+    gauge: &Gauge,
+    limits: Limits,
+) -> LinkError
+where
+    F: FnMut(Frame),
+{
+    loop {
+        let bytes = match read(&mut source, limits.frame).await {
+            Ok(bytes) => bytes,
+            Err(error) => return error,
+        };
+        match frame::decode(&bytes, limits.frame) {
+            Ok(Frame::Hello(_)) => return FrameError::OutOfPlace(Kind::Hello).into(),
+            Ok(frame) => {
+                gauge.note(&gauge.used_ms);
+                gauge.metrics.frames_in.inc();
+                on_frame(frame);
+            }
+            Err(error) => return error.into(),
+        }
+    }
+}
+
+async fn read<S>(source: &mut S, bound: units::Bytes) -> Result<Bytes, LinkError>
+where
+    S: StreamExt<Item = Result<Message, tungstenite::Error>> + Unpin,
+{
+    loop {
+        match source.next().await {
+            Some(Ok(Message::Binary(bytes))) => return Ok(bytes),
+            Some(Ok(Message::Text(_))) => return Err(FrameError::Text.into()),
+            Some(Ok(Message::Close(_))) | None => return Err(LinkError::Closed),
+            Some(Ok(_)) => {}
+            Some(Err(error)) => return Err(LinkError::from_socket(&error, bound)),
+        }
+    }
+}
+
+async fn watch(gauge: &Gauge, limits: Limits) -> LinkError {
+    loop {
+        sleep(limits.ping / 2).await;
+        if gauge.since(&gauge.heard_ms) > limits.silence {
+            return LinkError::Silent;
+        }
+        if gauge.since(&gauge.used_ms) > IDLE {
+            return LinkError::Idle;
+        }
+    }
+}
--- /dev/null
+++ b/src/peer/membership.rs
@@ -0,0 +1,455 @@
+//! Which VMs are there, joined from the platform's list and from peers.
+//!
+//! A pure state machine. The list lags, peers' words age, and both may arrive late, twice or out of
+//! order. The join is therefore monotone: of a VM's generation and leaving mark the greater pair
+//! wins, so only a newer generation undoes a leaving word. A VM counts as live only while the list
+//! names it or it was itself heard; what others say can make it silent, never keep it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::ids::{DataCentre, Generation, UpstreamId, VmId};
+use crate::platform::{Instance, InstanceKind, InstanceList, InstanceState};
+use crate::schema::peer::{Digest, MemberDigest};
+
+/// Time that the word on a vanished VM or upstream is kept.
+pub const RETENTION: Duration = Duration::from_hours(1);
+/// Most VMs and most upstreams remembered.
+pub const MAX_RECORDS: usize = 8192;
+/// Peers that must have lost a VM before their word makes it silent here.
+const WITNESSES: usize = 2;
+/// Rounds in which a new leaving word goes first.
+const HOT_ROUNDS: u32 = 10;
+
+/// What a VM is held to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum MemberState {
+    /// Serves.
+    Live,
+    /// Shuts down.
+    Leaving,
+    /// Listed, but its link failed or peers lost it.
+    Silent,
+    /// Neither listed nor heard.
+    Gone,
+}
+
+/// One VM in a snapshot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its newest known generation.
+    pub generation: Generation,
+    /// Its state.
+    pub state: MemberState,
+    /// Where it listens for peers, if known.
+    pub address: Option<SocketAddr>,
+    /// Its data centre, if known.
+    pub centre: Option<DataCentre>,
+}
+
+/// A snapshot of all known VMs but this one, and of the upstreams that leave.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Members {
+    /// VMs that are not gone.
+    pub vms: BTreeMap<VmId, Member>,
+    /// Generations of upstreams that take no new work.
+    pub leaving: BTreeMap<UpstreamId, Generation>,
+}
+
+impl Members {
+    /// The VMs that serve.
+    pub fn live(&self) -> impl Iterator<Item = (&VmId, &Member)> {
+        let live = |m: &Member| m.state == MemberState::Live;
+        self.vms.iter().filter(move |(_, m)| live(m))
+    }
+
+    /// Whether an upstream of this generation takes no new work.
+    pub fn is_leaving(&self, upstream: &UpstreamId, generation: Generation) -> bool {
+        self.leaving.get(upstream).is_some_and(|&g| g >= generation)
+    }
+}
+
+/// A generation with its leaving mark; the greater one wins.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Word {
+    generation: Generation,
+    leaving: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    word: Word,
+    address: Option<SocketAddr>,
+    centre: Option<DataCentre>,
+    listed: bool,
+    touched: Instant,
+    heard: Option<Instant>,
+    lost: Option<Instant>,
+    hearsay: Option<Instant>,
+    witnesses: BTreeSet<VmId>,
+    claimed: Option<Instant>,
+    hot: u32,
+    told: u64,
+}
+
+impl Record {
+    fn open(now: Instant) -> Self {
+        Self {
+            word: Word::default(),
+            address: None,
+            centre: None,
+            listed: false,
+            touched: now,
+            heard: None,
+            lost: None,
+            hearsay: None,
+            witnesses: BTreeSet::new(),
+            claimed: None,
+            hot: 0,
+            told: 0,
+        }
+    }
+
+    // A new generation starts with a clean sheet: what was seen of the old one says nothing of it.
+    fn merge(&mut self, word: Word, now: Instant) -> bool {
+        if word <= self.word {
+            return false;
+        }
+        if word.generation > self.word.generation {
+            self.heard = None;
+            self.lost = None;
+            self.hearsay = None;
+            self.clear_claims();
+        }
+        self.word = word;
+        self.touched = now;
+        self.hot = if word.leaving { HOT_ROUNDS } else { 0 };
+        word.leaving
+    }
+
+    fn clear_claims(&mut self) {
+        self.witnesses.clear();
+        self.claimed = None;
+    }
+
+    fn state(&self, silence: Duration, now: Instant) -> MemberState {
+        let fresh = |at: Instant| now.saturating_duration_since(at) <= silence;
+        let heard = self.heard.is_some_and(fresh);
+        if !self.listed && !heard {
+            return MemberState::Gone;
+        }
+        if self.word.leaving {
+            return MemberState::Leaving;
+        }
+        if self.lost > self.heard || self.lost_by_peers(silence) {
+            return MemberState::Silent;
+        }
+        MemberState::Live
+    }
+
+    fn lost_by_peers(&self, silence: Duration) -> bool {
+        let Some(claimed) = self.claimed else {
+            return false;
+        };
+        let newest = self.heard.max(self.hearsay);
+        let refuted = newest.is_some_and(|at| at + silence >= claimed);
+        self.witnesses.len() >= WITNESSES && !refuted
+    }
+}
+
+#[derive(Clone, Debug)]
+struct UpstreamRecord {
+    word: Word,
+    touched: Instant,
+    hot: u32,
+}
+
+/// What the VMs and the upstreams are held to be.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    me: VmId,
+    silence: Duration,
+    records: BTreeMap<VmId, Record>,
+    upstreams: BTreeMap<UpstreamId, UpstreamRecord>,
+    list_taken: Option<Instant>,
+    round: u64,
+}
+
+impl Membership {
+    /// Knows nobody yet.
+    pub fn open(me: VmId, silence: Duration) -> Self {
+        Self {
+            me,
+            silence,
+            records: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            list_taken: None,
+            round: 0,
+        }
+    }
+
+    /// Joins a list of the platform. A list older than one already seen is refused.
+    ///
+    /// Returns whether a leaving word was news.
+    pub fn list(&mut self, list: &InstanceList, now: Instant) -> bool {
+        let age = Duration::from_millis(list.age);
+        let taken = now.checked_sub(age).unwrap_or(now);
+        if self.list_taken.is_some_and(|known| taken < known) {
+            return false;
+        }
+        self.list_taken = Some(taken);
+        for record in self.records.values_mut() {
+            record.listed = false;
+        }
+        let mut news = false;
+        for instance in &list.instances {
+            news |= match instance.kind {
+                InstanceKind::Gateway => self.list_vm(instance, now),
+                InstanceKind::Engine | InstanceKind::Service => self.list_upstream(instance, now),
+            };
+        }
+        news
+    }
+
+    fn list_vm(&mut self, instance: &Instance, now: Instant) -> bool {
+        if instance.vm == self.me {
+            return false;
+        }
+        let record = self.record(&instance.vm, now);
+        record.listed = true;
+        record.touched = now;
+        record.centre = Some(instance.centre.clone());
+        if instance.generation >= record.word.generation {
+            record.address = instance.address.parse().ok();
+        }
+        record.merge(word_of(instance), now)
+    }
+
+    fn list_upstream(&mut self, instance: &Instance, now: Instant) -> bool {
+        let Ok(upstream) = instance.vm.as_str().parse() else {
+            return false;
+        };
+        self.merge_upstream(&upstream, word_of(instance), now)
+    }
+
+    /// Joins a digest, with all it says of others. Returns whether a leaving word was news.
+    pub fn digest(&mut self, digest: &Digest, now: Instant) -> bool {
+        let word = Word {
+            generation: digest.generation,
+            leaving: digest.leaving,
+        };
+        let mut news = self.hear(&digest.vm, word, now);
+        for member in &digest.members {
+            news |= self.hearsay(&digest.vm, member, now);
+        }
+        for upstream in &digest.upstreams {
+            let word = Word {
+                generation: upstream.generation,
+                leaving: upstream.leaving,
+            };
+            news |= self.merge_upstream(&upstream.upstream, word, now);
+        }
+        news
+    }
+
+    /// Notes that a VM itself was heard.
+    pub fn heard(&mut self, vm: &VmId, generation: Generation, now: Instant) {
+        let word = Word {
+            generation,
+            leaving: false,
+        };
+        self.hear(vm, word, now);
+    }
+
+    /// Notes where a VM is, as it said on its link.
+    pub fn placed(&mut self, vm: &VmId, centre: &DataCentre, now: Instant) {
+        if *vm != self.me {
+            self.record(vm, now).centre = Some(centre.clone());
+        }
+    }
+
+    /// Notes that a VM could not be reached, or went silent on its link.
+    pub fn lost(&mut self, vm: &VmId, now: Instant) {
+        if let Some(record) = self.records.get_mut(vm) {
+            record.lost = Some(now);
+        }
+    }
+
+    /// Notes that an upstream itself said it takes no new work. Returns whether that was news.
+    pub fn upstream_leaves(
+        &mut self,
+        upstream: &UpstreamId,
+        generation: Generation,
+        now: Instant,
+    ) -> bool {
+        let word = Word {
+            generation,
+            leaving: true,
+        };
+        self.merge_upstream(upstream, word, now)
+    }
+
+    fn hear(&mut self, vm: &VmId, word: Word, now: Instant) -> bool {
+        if *vm == self.me {
+            return false;
+        }
+        let record = self.record(vm, now);
+        let news = record.merge(word, now);
+        if word.generation == record.word.generation {
+            record.heard = record.heard.max(Some(now));
+            record.touched = now;
+            record.clear_claims();
+        }
+        news
+    }
+
+    fn hearsay(&mut self, from: &VmId, member: &MemberDigest, now: Instant) -> bool {
+        if member.vm == self.me || member.vm == *from {
+            return false;
+        }
+        let silence = self.silence;
+        let record = self.record(&member.vm, now);
+        let word = Word {
+            generation: member.generation,
+            leaving: member.leaving,
+        };
+        let news = record.merge(word, now);
+        if member.generation != record.word.generation {
+            return news;
+        }
+        let age = Duration::from_millis(member.age);
+        if age > silence {
+            record.witnesses.insert(from.clone());
+            record.claimed = record.claimed.max(Some(now));
+        } else {
+            record.witnesses.remove(from);
+            record.hearsay = record.hearsay.max(now.checked_sub(age));
+        }
+        news
+    }
+
+    fn merge_upstream(&mut self, upstream: &UpstreamId, word: Word, now: Instant) -> bool {
+        let full = self.upstreams.len() >= MAX_RECORDS;
+        if full && !self.upstreams.contains_key(upstream) {
+            return false;
+        }
+        let record = self
+            .upstreams
+            .entry(upstream.clone())
+            .or_insert(UpstreamRecord {
+                word: Word::default(),
+                touched: now,
+                hot: 0,
+            });
+        record.touched = now;
+        if word <= record.word {
+            return false;
+        }
+        record.word = word;
+        record.hot = if word.leaving { HOT_ROUNDS } else { 0 };
+        word.leaving
+    }
+
+    fn record(&mut self, vm: &VmId, now: Instant) -> &mut Record {
+        self.records
+            .entry(vm.clone())
+            .or_insert_with(|| Record::open(now))
+    }
+
+    /// A snapshot.
+    pub fn members(&self, now: Instant) -> Members {
+        let member = |r: &Record| Member {
+            generation: r.word.generation,
+            state: r.state(self.silence, now),
+            address: r.address,
+            centre: r.centre.clone(),
+        };
+        let vms = self.records.iter().map(|(vm, r)| (vm.clone(), member(r)));
+        let leaving = self.upstreams.iter().filter(|(_, u)| u.word.leaving);
+        Members {
+            vms: vms.filter(|(_, m)| m.state != MemberState::Gone).collect(),
+            leaving: leaving
+                .map(|(id, u)| (id.clone(), u.word.generation))
+                .collect(),
+        }
+    }
+
+    /// What is worth telling of other VMs: new leaving words, lost ones, then the least told.
+    pub fn rumours(&self, now: Instant) -> Vec<MemberDigest> {
+        let mut all: Vec<_> = self
+            .records
+            .iter()
+            .filter_map(|(vm, r)| self.rumour(vm, r, now))
+            .collect();
+        all.sort_by_key(|(order, _)| *order);
+        all.into_iter().map(|(_, rumour)| rumour).collect()
+    }
+
+    // Only what this VM saw itself is told, except for leaving words.
+    fn rumour(&self, vm: &VmId, r: &Record, now: Instant) -> Option<(RumourOrder, MemberDigest)> {
+        let lost = r.listed && r.lost > r.heard;
+        let age = now.saturating_duration_since(r.heard.unwrap_or(r.touched));
+        let fresh = r.heard.is_some() && age <= self.silence;
+        if r.hot == 0 && !lost && !fresh {
+            return None;
+        }
+        let age = if lost { age.max(self.silence * 2) } else { age };
+        let rumour = MemberDigest {
+            vm: vm.clone(),
+            generation: r.word.generation,
+            age: age.as_millis() as u64,
+            leaving: r.word.leaving,
+        };
+        let order = RumourOrder {
+            cold: r.hot == 0,
+            kept: !lost,
+            told: r.told,
+        };
+        Some((order, rumour))
+    }
+
+    /// Upstreams whose leaving word is new, with their generations.
+    pub fn upstream_rumours(&self) -> impl Iterator<Item = (&UpstreamId, Generation)> {
+        let hot = self.upstreams.iter().filter(|(_, u)| u.hot > 0);
+        hot.map(|(id, u)| (id, u.word.generation))
+    }
+
+    /// Notes that a round told these VMs and upstreams, and forgets what vanished long ago.
+    pub fn told<'a, V, U>(&mut self, vms: V, upstreams: U, now: Instant)
+    where
+        V: Iterator<Item = &'a VmId>,
+        U: Iterator<Item = &'a UpstreamId>,
+    {
+        self.round += 1;
+        for vm in vms {
+            if let Some(record) = self.records.get_mut(vm) {
+                record.told = self.round;
+                record.hot = record.hot.saturating_sub(1);
+            }
+        }
+        for upstream in upstreams {
+            if let Some(record) = self.upstreams.get_mut(upstream) {
+                record.hot = record.hot.saturating_sub(1);
+            }
+        }
+        let old = |touched: Instant| now.saturating_duration_since(touched) > RETENTION;
+        self.records.retain(|_, r| r.listed || !old(r.touched));
+        self.upstreams.retain(|_, u| !old(u.touched));
+    }
+}
+
+/// Order in which rumours are told, first the least.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct RumourOrder {
+    cold: bool,
+    kept: bool,
+    told: u64,
+}
+
+fn word_of(instance: &Instance) -> Word {
+    Word {
+        generation: instance.generation,
+        leaving: instance.state == InstanceState::Leaving,
+    }
+}
