--- a/src/peer/frame.rs
+++ b/src/peer/frame.rs
@@ -3,12 +3,11 @@
 //! A frame is a CBOR map with one entry, whose key names the kind. Frames are bounded both ways,
 //! and one that cannot be read is a typed error that ends its link.
 
-use std::collections::BTreeMap;
 use std::fmt;
 
 use compact_str::CompactString;
-use serde::Deserialize;
-use serde::de::IgnoredAny;
+use serde::de::{Error, IgnoredAny, MapAccess, Visitor};
+use serde::{Deserialize, Deserializer};
 use thiserror::Error;
 
 use crate::schema::peer::{Frame, Hello};
@@ -173,13 +172,42 @@
 }
 
 fn diagnose(bytes: &[u8]) -> FrameError {
-    let Ok(map) = ciborium::from_reader::<BTreeMap<CompactString, IgnoredAny>, _>(bytes) else {
-        return FrameError::Malformed;
-    };
-    let known = |kind: &CompactString| Kind::ALL.iter().any(|k| k.as_str() == kind);
-    match map.into_keys().find(|kind| !known(kind)) {
-        Some(kind) => FrameError::UnknownKind(kind),
-        None => FrameError::Malformed,
+    match ciborium::from_reader(bytes) {
+        Ok(AnyKind(kind)) if Kind::ALL.iter().all(|k| k.as_str() != kind) => {
+            FrameError::UnknownKind(kind)
+        }
+        _ => FrameError::Malformed,
+    }
+}
+
+/// The kind of any frame, whatever its content.
+struct AnyKind(CompactString);
+
+impl<'de> Deserialize<'de> for AnyKind {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        deserializer.deserialize_map(AnyKindVisitor)
+    }
+}
+
+struct AnyKindVisitor;
+
+impl<'de> Visitor<'de> for AnyKindVisitor {
+    type Value = AnyKind;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a map with one entry")
+    }
+
+    fn visit_map<A>(self, mut map: A) -> Result<AnyKind, A::Error>
+    where
+        A: MapAccess<'de>,
+    {
+        let entry = map.next_entry::<CompactString, IgnoredAny>()?;
+        let (kind, _) = entry.ok_or_else(|| A::Error::invalid_length(0, &self))?;
+        Ok(AnyKind(kind))
     }
 }
 
--- a/src/peer/gossip.rs
+++ b/src/peer/gossip.rs
@@ -106,11 +106,7 @@
             .any(|vm| members.vms.get(vm).is_some_and(far));
         let anywhere = self.rng.random_ratio(1, MIX_ODDS);
         let wanted = |m: &Member| {
-            if has_far {
-                anywhere || !far(m)
-            } else {
-                far(m)
-            }
+            if has_far { anywhere || !far(m) } else { far(m) }
         };
         let free = || members.live().filter(|(vm, _)| !self.partners.contains(vm));
         let best = free().filter(|(_, m)| wanted(m)).map(|(vm, _)| vm);
--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -61,9 +61,12 @@
 /// Why a link could not be opened, or ended.
 #[derive(Debug, Error)]
 pub enum LinkError {
-    /// The other side closed it, or the connection broke.
-    #[error("the link was closed")]
+    /// The connection broke.
+    #[error("the connection broke")]
     Closed,
+    /// The other side closed it in order.
+    #[error("the other side closed the link")]
+    Finished,
     /// Not a byte came for the bound.
     #[error("the link went silent")]
     Silent,
@@ -93,7 +96,10 @@
 impl LinkError {
     /// Whether the connection itself broke, so that a new one is worth a try at once.
     pub fn is_break(&self) -> bool {
-        matches!(self, Self::Closed | Self::Silent | Self::Stuck | Self::Io(_))
+        matches!(
+            self,
+            Self::Closed | Self::Silent | Self::Stuck | Self::Io(_)
+        )
     }
 
     /// Whether the other side said what it must not.
@@ -141,6 +147,16 @@
         })
     }
 
+    /// Time since the link last heard a byte.
+    pub fn silence(&self) -> Duration {
+        self.since(&self.heard_ms)
+    }
+
+    /// Time since the link was dialled or accepted.
+    pub fn life(&self) -> Duration {
+        Duration::from_millis(self.since_start_ms())
+    }
+
     fn since_start_ms(&self) -> u64 {
         let span = self.clock.now().saturating_duration_since(self.start);
         span.as_millis() as u64
@@ -151,7 +167,9 @@
     }
 
     fn since(&self, at: &AtomicU64) -> Duration {
-        let passed = self.since_start_ms().saturating_sub(at.load(Ordering::Relaxed));
+        let passed = self
+            .since_start_ms()
+            .saturating_sub(at.load(Ordering::Relaxed));
         Duration::from_millis(passed)
     }
 }
@@ -207,8 +225,9 @@
 pub struct Link {
     /// What the other side said of itself.
     pub theirs: Hello,
+    /// When it heard and carried something.
+    pub gauge: Arc<Gauge>,
     socket: WebSocketStream<Metered>,
-    gauge: Arc<Gauge>,
     limits: Limits,
 }
 
@@ -268,14 +287,14 @@
         let theirs = frame::decode_hello(&first, limits.frame)?;
         Ok(Self {
             theirs,
-            socket,
             gauge,
+            socket,
             limits,
         })
     }
 
     /// Carries frames both ways until the link ends.
-    pub async fn run<F>(self, queue: mpsc::Receiver<Bytes>, on_frame: F) -> LinkError
+    pub async fn run<F>(self, queue: &mut mpsc::Receiver<Bytes>, on_frame: F) -> LinkError
     where
         F: FnMut(Frame),
     {
@@ -307,19 +326,24 @@
 
 async fn write_all(
     mut sink: SplitSink<WebSocketStream<Metered>, Message>,
-    mut queue: mpsc::Receiver<Bytes>,
+    queue: &mut mpsc::Receiver<Bytes>,
     gauge: &Gauge,
     limits: Limits,
 ) -> LinkError {
     let mut ticks = interval(limits.ping);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
+        if gauge.since(&gauge.used_ms) > IDLE {
+            // The close frame tells the other side that nothing broke; it is gone where this fails.
+            let _ = timeout(limits.silence, sink.close()).await;
+            return LinkError::Idle;
+        }
         let message = tokio::select! {
             Some(frame) = queue.recv() => Message::Binary(frame),
             _ = ticks.tick() => Message::Ping(Bytes::new()),
         };
         match &message {
-            Message::Ping(_) if gauge.since(&gauge.heard_ms) < limits.ping => continue,
+            Message::Ping(_) if gauge.silence() < limits.ping => continue,
             Message::Ping(_) => gauge.metrics.pings_out.inc(),
             _ => {
                 gauge.note(&gauge.used_ms);
@@ -368,7 +392,8 @@
         match source.next().await {
             Some(Ok(Message::Binary(bytes))) => return Ok(bytes),
             Some(Ok(Message::Text(_))) => return Err(FrameError::Text.into()),
-            Some(Ok(Message::Close(_))) | None => return Err(LinkError::Closed),
+            Some(Ok(Message::Close(_))) => return Err(LinkError::Finished),
+            None => return Err(LinkError::Closed),
             Some(Ok(_)) => {}
             Some(Err(error)) => return Err(LinkError::from_socket(&error, bound)),
         }
@@ -378,11 +403,8 @@
 async fn watch(gauge: &Gauge, limits: Limits) -> LinkError {
     loop {
         sleep(limits.ping / 2).await;
-        if gauge.since(&gauge.heard_ms) > limits.silence {
+        if gauge.silence() > limits.silence {
             return LinkError::Silent;
         }
-        if gauge.since(&gauge.used_ms) > IDLE {
-            return LinkError::Idle;
-        }
     }
 }
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -240,8 +240,9 @@
             leaving: digest.leaving,
         };
         let mut news = self.hear(&digest.vm, word, now);
+        let current = self.generation(&digest.vm) == Some(digest.generation);
         for member in &digest.members {
-            news |= self.hearsay(&digest.vm, member, now);
+            news |= self.hearsay(&digest.vm, member, current, now);
         }
         for upstream in &digest.upstreams {
             let word = Word {
@@ -304,8 +305,10 @@
         news
     }
 
-    fn hearsay(&mut self, from: &VmId, member: &MemberDigest, now: Instant) -> bool {
-        if member.vm == self.me || member.vm == *from {
+    // Ages told by an earlier incarnation were measured who knows when; its words still hold.
+    fn hearsay(&mut self, from: &VmId, member: &MemberDigest, current: bool, now: Instant) -> bool {
+        let full = self.records.len() >= MAX_RECORDS && !self.records.contains_key(&member.vm);
+        if member.vm == self.me || member.vm == *from || full {
             return false;
         }
         let silence = self.silence;
@@ -315,7 +318,7 @@
             leaving: member.leaving,
         };
         let news = record.merge(word, now);
-        if member.generation != record.word.generation {
+        if !current || member.generation != record.word.generation {
             return news;
         }
         let age = Duration::from_millis(member.age);
@@ -351,6 +354,11 @@
         word.leaving
     }
 
+    /// The newest known generation of a VM.
+    pub fn generation(&self, vm: &VmId) -> Option<Generation> {
+        self.records.get(vm).map(|r| r.word.generation)
+    }
+
     fn record(&mut self, vm: &VmId, now: Instant) -> &mut Record {
         self.records
             .entry(vm.clone())
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -5,6 +5,7 @@
 //! tell, and both are pure. [`node`] drives them with sockets and a clock. Everything here is soft
 //! state: what must be agreed upon or kept goes through the platform's service.
 
+pub mod contact;
 pub mod digest;
 pub mod frame;
 pub mod gossip;
@@ -14,6 +15,7 @@
 pub mod node;
 mod registry;
 
+pub use contact::Contact;
 pub use frame::{FrameError, Kind, PROTOCOL};
 pub use membership::{Member, MemberState, Members};
 pub use metrics::PeerMetrics;
--- a/src/peer/node.rs
+++ b/src/peer/node.rs
@@ -20,6 +20,7 @@
 
 use crate::clock::Clock;
 use crate::ids::{DataCentre, Generation, Revision, UpstreamId, VmId};
+use crate::peer::contact::{Contact, ContactCell, ContactTracker};
 use crate::peer::digest::{self, MAX_DIGEST_BYTES, Own};
 use crate::peer::frame::{self, FrameError, Kind, PROTOCOL};
 use crate::peer::gossip::Gossip;
@@ -36,7 +37,7 @@
 
 /// Handles frames of one kind. Called on a link's task, so it must not block.
 pub trait FrameHandler: Send + Sync + Debug {
-    /// Handles a frame; an answer goes back over the same link.
+    /// Handles a frame; an answer goes back to the VM it came from.
     fn on_frame(&self, from: &VmId, frame: Frame) -> Option<Frame>;
 }
 
@@ -129,8 +130,13 @@
         self.local
     }
 
-    /// Sets the handler of a kind; a kind without one is counted and dropped.
-    pub fn handle(&self, kind: Kind, handler: Arc<dyn FrameHandler>) {
+    /// Sets the handler of a kind; a frame without one is counted and dropped. The handler of
+    /// `Hello` sees the greeting of each link that opens.
+    pub fn handle<H>(&self, kind: Kind, handler: Arc<H>)
+    where
+        H: FrameHandler + 'static,
+    {
+        let handler: Arc<dyn FrameHandler> = handler;
         self.inner.handlers.rcu(|old| {
             let mut handlers = BTreeMap::clone(old);
             handlers.insert(kind, Arc::clone(&handler));
@@ -174,6 +180,11 @@
         }
     }
 
+    /// Whether this VM is in touch with the store, with peers or with nobody.
+    pub fn contact(&self) -> Contact {
+        self.inner.contact.load()
+    }
+
     /// The other VMs, as held now.
     pub fn live(&self) -> Arc<Members> {
         self.inner.members.load_full()
@@ -184,6 +195,12 @@
         self.inner.tell_news(except);
     }
 
+    /// Tells one peer what [`LocalState`] says now.
+    pub fn hint(&self, to: &VmId) {
+        let digest = self.inner.own().bare();
+        self.inner.tell(std::slice::from_ref(to), digest);
+    }
+
     /// Says, now and from now on, that this VM shuts down.
     pub fn leave(&self) {
         self.inner.leaving.store(true, Ordering::Relaxed);
@@ -221,6 +238,8 @@
     links: Mutex<Links>,
     members: ArcSwap<Members>,
     handlers: ArcSwap<Handlers>,
+    touch: Mutex<ContactTracker>,
+    contact: ContactCell,
     leaving: AtomicBool,
     stopped: watch::Receiver<bool>,
 }
@@ -236,6 +255,8 @@
         let fanout = options.settings.fanout as usize;
         let gossip = Gossip::open(options.centre.clone(), fanout, options.seed);
         let membership = Membership::open(options.vm.clone(), limits.silence);
+        let alone = Duration::from_millis(options.settings.alone);
+        let touch = ContactTracker::open(alone, clock.now());
         Ok(Self {
             options,
             limits,
@@ -247,6 +268,8 @@
             links: Mutex::default(),
             members: ArcSwap::default(),
             handlers: ArcSwap::default(),
+            touch: Mutex::new(touch),
+            contact: ContactCell::default(),
             leaving: AtomicBool::new(false),
             stopped,
         })
@@ -376,31 +399,22 @@
     }
 
     async fn carry(self: &Arc<Self>, vm: &VmId, id: LinkId, mut queue: Queue, link: Link) {
-        self.opened(vm, &link.theirs);
+        self.opened(vm, id, &link);
         let generation = link.theirs.generation;
-        let (frames, pump) = tokio::sync::mpsc::channel(1);
-        let forward = async {
-            while let Some(frame) = queue.recv().await {
-                if frames.send(frame).await.is_err() {
-                    return LinkError::Closed;
-                }
-            }
-            // Another link took this one's place: carry on until it is idle.
-            std::future::pending().await
-        };
-        let on_frame = |frame| self.on_frame(vm, id, generation, frame);
+        let gauge = Arc::clone(&link.gauge);
+        let on_frame = |frame| self.on_frame(vm, generation, frame);
         let end = tokio::select! {
-            end = link.run(pump, on_frame) => end,
-            end = forward => end,
+            end = link.run(&mut queue, on_frame) => end,
             () = self.stop() => LinkError::Stopped,
         };
         self.drop_queue(queue);
-        self.ended(vm, id, &end);
+        self.ended(vm, id, &gauge, &end);
     }
 
-    fn opened(&self, vm: &VmId, theirs: &Hello) {
+    fn opened(self: &Arc<Self>, vm: &VmId, id: LinkId, link: &Link) {
+        let theirs = &link.theirs;
         self.metrics.opened.inc();
-        if lock(&self.links).opened(vm) {
+        if lock(&self.links).opened(vm, id, &link.gauge) {
             self.metrics.replaced.inc();
         }
         self.with_members(|m, now| {
@@ -408,15 +422,20 @@
             m.placed(vm, &theirs.centre, now);
         });
         self.publish();
+        self.dispatch(vm, Frame::Hello(theirs.clone()));
     }
 
-    fn ended(self: &Arc<Self>, vm: &VmId, id: LinkId, end: &LinkError) {
+    fn ended(self: &Arc<Self>, vm: &VmId, id: LinkId, gauge: &Gauge, end: &LinkError) {
         self.count_end(end);
+        let limits = self.limits;
         let mut links = lock(&self.links);
         let in_use = links.remove(vm, id);
         if in_use && end.is_break() {
             links.broke(vm);
         }
+        if in_use && gauge.life() < limits.ping {
+            links.failed(vm, limits.ping, limits.silence, self.clock.now());
+        }
         drop(links);
         if !in_use || !end.is_break() {
             return;
@@ -443,7 +462,10 @@
         }
     }
 
-    fn link_to(self: &Arc<Self>, vm: &VmId) -> Result<tokio::sync::mpsc::Sender<bytes::Bytes>, SendError> {
+    fn link_to(
+        self: &Arc<Self>,
+        vm: &VmId,
+    ) -> Result<tokio::sync::mpsc::Sender<bytes::Bytes>, SendError> {
         let members = self.members.load();
         let address = members.vms.get(vm).and_then(|m| m.address);
         let mut links = lock(&self.links);
@@ -495,35 +517,38 @@
         }
     }
 
-    fn on_frame(self: &Arc<Self>, from: &VmId, id: LinkId, generation: Generation, frame: Frame) {
+    fn on_frame(self: &Arc<Self>, from: &VmId, generation: Generation, frame: Frame) {
         if let Frame::Digest(digest) = &frame {
             self.on_digest(from, digest);
         } else {
             self.with_members(|m, now| m.heard(from, generation, now));
         }
-        let handler = self.handlers.load().get(&Kind::of(&frame)).cloned();
+        self.dispatch(from, frame);
+    }
+
+    fn dispatch(self: &Arc<Self>, from: &VmId, frame: Frame) {
+        let kind = Kind::of(&frame);
+        let handler = self.handlers.load().get(&kind).cloned();
         let Some(handler) = handler else {
-            if !matches!(frame, Frame::Digest(_)) {
+            if !matches!(kind, Kind::Hello | Kind::Digest) {
                 self.metrics.unhandled.inc();
             }
             return;
         };
         if let Some(answer) = handler.on_frame(from, frame) {
-            self.answer(from, id, &answer);
+            // A failure is counted by `send`; the asker repeats its ask.
+            let _ = self.send(from, &answer);
         }
     }
 
-    fn answer(self: &Arc<Self>, to: &VmId, _link: LinkId, frame: &Frame) {
-        // A failure is counted by `send`; the asker repeats its ask.
-        let _ = self.send(to, frame);
-    }
-
     fn on_digest(self: &Arc<Self>, from: &VmId, digest: &Digest) {
         if digest.vm != *from {
             self.metrics.rejected.inc();
             return;
         }
         lock(&self.gossip).follow(from);
+        let heard = Duration::from_millis(digest.heard);
+        lock(&self.touch).store_by_peer(heard, self.clock.now());
         let news = self.with_members(|m, now| m.digest(digest, now));
         if news {
             self.publish();
@@ -550,6 +575,7 @@
     fn tell_round(self: &Arc<Self>, turn: usize) -> usize {
         self.publish();
         let members = self.members.load_full();
+        self.check_contact(&members);
         lock(&self.links).forget(|vm| members.vms.contains_key(vm));
         let targets = lock(&self.gossip).round(&members);
         let digest = self.digest(turn);
@@ -558,6 +584,18 @@
         turn + told
     }
 
+    fn check_contact(&self, members: &Members) {
+        let now = self.clock.now();
+        let silence = lock(&self.links).silence();
+        let mut touch = lock(&self.touch);
+        if let Some(silence) = silence {
+            touch.peer(silence, now);
+        }
+        let has_peers = !members.vms.is_empty();
+        self.contact
+            .store(touch.contact(self.state.heard(), has_peers, now));
+    }
+
     fn tell_news(self: &Arc<Self>, except: Option<&VmId>) {
         let members = self.members.load_full();
         let targets = lock(&self.gossip).news(&members, except);
--- a/src/peer/registry.rs
+++ b/src/peer/registry.rs
@@ -1,13 +1,14 @@
 //! The links in use, one a VM.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use tokio::sync::mpsc;
 
 use crate::ids::VmId;
-use crate::peer::link::QUEUE_FRAMES;
+use crate::peer::link::{Gauge, QUEUE_FRAMES};
 
 /// Tells two links with the same VM apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,6 +21,7 @@
 struct Slot {
     id: LinkId,
     queue: mpsc::Sender<Bytes>,
+    open: Option<Arc<Gauge>>,
 }
 
 #[derive(Debug, Default)]
@@ -48,7 +50,12 @@
         self.last += 1;
         let id = LinkId(self.last);
         let (queue, receiver) = mpsc::channel(QUEUE_FRAMES);
-        self.slots.insert(vm.clone(), Slot { id, queue });
+        let slot = Slot {
+            id,
+            queue,
+            open: None,
+        };
+        self.slots.insert(vm.clone(), slot);
         (id, receiver)
     }
 
@@ -62,7 +69,10 @@
     }
 
     /// Notes that a link opened. Returns whether it replaces one that broke.
-    pub(super) fn opened(&mut self, vm: &VmId) -> bool {
+    pub(super) fn opened(&mut self, vm: &VmId, id: LinkId, gauge: &Arc<Gauge>) -> bool {
+        if let Some(slot) = self.slots.get_mut(vm).filter(|slot| slot.id == id) {
+            slot.open = Some(Arc::clone(gauge));
+        }
         self.failures.remove(vm).is_some_and(|f| f.broken)
     }
 
@@ -92,6 +102,12 @@
         self.failures.retain(|vm, _| keep(vm));
     }
 
+    /// Time since any open link heard a byte.
+    pub(super) fn silence(&self) -> Option<Duration> {
+        let open = self.slots.values().filter_map(|slot| slot.open.as_ref());
+        open.map(|gauge| gauge.silence()).min()
+    }
+
     /// Count of links.
     pub(super) fn len(&self) -> usize {
         self.slots.len()
