--- a/src/declare/mod.rs
+++ b/src/declare/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod audit;
 pub mod chunk;
+pub mod spread;
 
 mod apply;
 mod board;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod model;
 pub mod once;
 pub mod outcome;
+pub mod peer;
 pub mod platform;
 pub mod route;
 pub mod schema;
