--- /dev/null
+++ b/src/limit/account.rs
@@ -0,0 +1,471 @@
+//! One account at one VM: the whole decision, without I/O.
+//!
+//! Joins the record of holders, the parts that this VM holds, its spenders (one for the account's
+//! share and one for each caller with a share of its own) and the requests that wait for tokens.
+//! A caller's share is held by the same holders, in as many parts, under a name of its own.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use super::bucket::Share;
+use super::holder::Holder;
+use super::holding::Local;
+use super::record::{Record, RecordTimes, StoreCall, StoreResult};
+use super::spender::{LeaseTimes, Sending, Spender};
+use super::vms::LiveVms;
+use crate::ids::{CallerId, ClientAccount, Epoch, VmId};
+use crate::outcome::{Reason, Refusal};
+use crate::schema::peer::{LeaseAnswer, LeaseAsk, LeaseRefusal};
+use crate::units::Tokens;
+
+/// Rounds in which asks to this VM itself are answered at once.
+const LOCAL_ROUNDS: usize = 4;
+
+/// An account's share and those of its callers that have one.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Shares {
+    /// The account's.
+    pub whole: Share,
+    /// Its callers', by caller.
+    pub callers: BTreeMap<CallerId, Share>,
+}
+
+/// Settings of an account's machine.
+#[derive(Clone, Copy, Debug)]
+pub struct Tuning {
+    /// Times of leases.
+    pub leases: LeaseTimes,
+    /// Bounds on the use of the store.
+    pub record: RecordTimes,
+    /// Parts a share is held in.
+    pub holders: u32,
+}
+
+/// Names a waiting request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// Something for the shell to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send an ask.
+    Ask(Sending),
+    /// Call the store, then say how it ended.
+    Store(StoreCall),
+    /// Answer a waiting request.
+    Resolve(Ticket, Result<(), Refusal>),
+}
+
+/// What became of a request for tokens.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// Its tokens are spent for it.
+    Granted,
+    /// It waits; an [`Action::Resolve`] follows.
+    Waiting(Ticket),
+    /// It does not run.
+    Refused(Refusal),
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    ticket: Ticket,
+    caller: CallerId,
+    tokens: Tokens,
+    deadline: Instant,
+}
+
+/// State of one account at one VM.
+#[derive(Clone, Debug)]
+pub struct Account {
+    local: Local,
+    shares: Shares,
+    tuning: Tuning,
+    record: Record,
+    whole: Pool,
+    callers: BTreeMap<CallerId, Pool>,
+    /// Pools of callers that lost their own share; kept, as the numbers of their asks go on.
+    parked: BTreeMap<CallerId, Pool>,
+    queue: VecDeque<Waiting>,
+    tickets: u64,
+}
+
+/// A share's spender and the parts of it that this VM holds.
+#[derive(Clone, Debug)]
+struct Pool {
+    name: ClientAccount,
+    share: Share,
+    spender: Spender,
+    parts: BTreeMap<usize, (Epoch, Holder)>,
+}
+
+impl Account {
+    /// An account that knows its shares but not yet its holders.
+    pub fn open(
+        name: ClientAccount,
+        local: Local,
+        shares: Shares,
+        tuning: Tuning,
+        now: Instant,
+    ) -> Self {
+        let record = Record::open(name.clone(), local.clone(), tuning.record, now);
+        let whole = Pool::open(name, &local, shares.whole, tuning, now);
+        let mut account = Self {
+            local,
+            shares: Shares::default(),
+            tuning,
+            record,
+            whole,
+            callers: BTreeMap::new(),
+            parked: BTreeMap::new(),
+            queue: VecDeque::new(),
+            tickets: 0,
+        };
+        account.configure(shares, &LiveVms::default(), now);
+        account
+    }
+
+    /// Changes the shares.
+    pub fn configure(&mut self, shares: Shares, view: &LiveVms, now: Instant) {
+        self.whole.resize(shares.whole, self.parts(), now);
+        let parts = self.parts();
+        let gone = |caller: &CallerId, _: &mut Pool| !shares.callers.contains_key(caller);
+        for (caller, mut pool) in self.callers.extract_if(.., gone) {
+            pool.resize(Share::default(), parts, now);
+            self.parked.insert(caller, pool);
+        }
+        for (caller, share) in &shares.callers {
+            let pool = self.callers.entry(caller.clone()).or_insert_with(|| {
+                let name = caller_share(&self.whole.name, caller);
+                let parked = self.parked.remove(caller);
+                parked.unwrap_or_else(|| Pool::open(name, &self.local, *share, self.tuning, now))
+            });
+            pool.resize(*share, parts, now);
+        }
+        self.shares = shares;
+        self.follow(view, now);
+    }
+
+    /// Asks for tokens for a request.
+    pub fn reserve(
+        &mut self,
+        caller: &CallerId,
+        tokens: Tokens,
+        deadline: Instant,
+        now: Instant,
+    ) -> Admission {
+        let own = self.callers.get(caller).map(|pool| pool.share.burst);
+        if tokens > self.shares.whole.burst || own.is_some_and(|burst| tokens > burst) {
+            return Admission::Refused(Refusal::not_run(Reason::OverRate));
+        }
+        self.whole.spender.want(tokens, now);
+        if let Some(pool) = self.callers.get_mut(caller) {
+            pool.spender.want(tokens, now);
+        }
+        let first = !self.queue.iter().any(|waiting| waiting.caller == *caller);
+        if first && self.queue.is_empty() && self.spend(caller, tokens, now) {
+            return Admission::Granted;
+        }
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        self.queue.push_back(Waiting {
+            ticket,
+            caller: caller.clone(),
+            tokens,
+            deadline,
+        });
+        Admission::Waiting(ticket)
+    }
+
+    /// Forgets a waiting request that its caller gave up on.
+    pub fn cancel(&mut self, ticket: Ticket) {
+        self.queue.retain(|waiting| waiting.ticket != ticket);
+    }
+
+    /// Charges the real use of a request that reserved `reserved` at the time `at`.
+    pub fn settle(
+        &mut self,
+        caller: &CallerId,
+        reserved: Tokens,
+        used: Tokens,
+        at: Instant,
+        now: Instant,
+    ) {
+        self.whole.spender.settle(reserved, used, at, now);
+        if let Some(pool) = self.callers.get_mut(caller) {
+            pool.spender.settle(reserved, used, at, now);
+        }
+    }
+
+    /// Answers an ask of another VM.
+    pub fn ask(&mut self, from: &VmId, ask: &LeaseAsk, now: Instant) -> Option<LeaseAnswer> {
+        let index = ask.part as usize;
+        let known = self
+            .record
+            .holding()
+            .and_then(|holding| holding.parts.get(index));
+        let newer = known.is_none_or(|part| ask.epoch > part.epoch);
+        let pool = self.pool_mut(&ask.account);
+        let part = pool.and_then(|pool| pool.parts.get_mut(&index));
+        let held = part.filter(|(epoch, _)| *epoch == ask.epoch);
+        if let Some((_, holder)) = held {
+            return holder.ask(from, ask, now);
+        }
+        if newer {
+            self.record.doubt(now);
+            return Some(refuse(ask, LeaseRefusal::Unknown));
+        }
+        Some(refuse(ask, LeaseRefusal::Moved))
+    }
+
+    /// Takes an answer of a holder in.
+    pub fn answer(&mut self, from: &VmId, answer: &LeaseAnswer, now: Instant) {
+        let lost = matches!(
+            answer.refusal,
+            Some(LeaseRefusal::Moved | LeaseRefusal::Unknown)
+        );
+        if lost {
+            self.record.doubt(now);
+            return;
+        }
+        if let Some(pool) = self.pool_mut(&answer.account) {
+            pool.spender.answer(from, answer, now);
+        }
+    }
+
+    /// Takes the end of a call to the store in.
+    pub fn stored(&mut self, result: StoreResult, view: &LiveVms, now: Instant) {
+        if self.record.finish(result, view, now) {
+            self.follow(view, now);
+        }
+    }
+
+    /// Stops granting from this VM's parts and hands them over.
+    pub fn leave(&mut self, now: Instant) {
+        self.record.leave(now);
+        for pool in self.pools_mut() {
+            pool.parts.clear();
+        }
+    }
+
+    /// Whether the record still names this VM as a holder.
+    pub fn is_holder(&self) -> bool {
+        self.record.is_holder()
+    }
+
+    /// Serves what can be served and says what is to be done now.
+    pub fn pump(&mut self, view: &LiveVms, now: Instant, actions: &mut Vec<Action>) {
+        let burst = self.shares.whole.burst;
+        let call = self.record.call(burst, self.tuning.holders, view, now);
+        actions.extend(call.map(Action::Store));
+        for _ in 0..LOCAL_ROUNDS {
+            self.serve(now, actions);
+            if !self.send(now, actions) {
+                break;
+            }
+        }
+        self.refuse_late(now, actions);
+    }
+
+    /// When [`Self::pump`] must be called again at the latest.
+    pub fn wake(&self, now: Instant) -> Option<Instant> {
+        let deadline = self.queue.iter().map(|waiting| waiting.deadline).min();
+        let pools = std::iter::once(&self.whole).chain(self.callers.values());
+        let links = pools.filter_map(|pool| pool.spender.wake(now)).min();
+        let wakes = [deadline, links, self.record.wake()];
+        wakes.into_iter().flatten().min()
+    }
+
+    /// Grants waiting requests in order. One whose caller's share is short lets others pass; one
+    /// for which the account's share is short does not.
+    fn serve(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let waiting = std::mem::take(&mut self.queue);
+        let mut blocked = false;
+        for one in waiting {
+            if !blocked && self.spend(&one.caller, one.tokens, now) {
+                actions.push(Action::Resolve(one.ticket, Ok(())));
+                continue;
+            }
+            blocked |= self.whole.spender.available(now) < one.tokens;
+            self.queue.push_back(one);
+        }
+    }
+
+    fn spend(&mut self, caller: &CallerId, tokens: Tokens, now: Instant) -> bool {
+        if self.whole.spender.available(now) < tokens {
+            return false;
+        }
+        if let Some(pool) = self.callers.get_mut(caller)
+            && !pool.spender.spend(tokens, now)
+        {
+            return false;
+        }
+        self.whole.spender.spend(tokens, now)
+    }
+
+    /// Sends the asks that are due; `true` where this VM answered some itself.
+    fn send(&mut self, now: Instant, actions: &mut Vec<Action>) -> bool {
+        let mut sendings = self.whole.spender.plan(self.queued(None), now);
+        let callers: Vec<_> = self.callers.keys().cloned().collect();
+        for caller in callers {
+            let queued = self.queued(Some(&caller));
+            if let Some(pool) = self.callers.get_mut(&caller) {
+                sendings.extend(pool.spender.plan(queued, now));
+            }
+        }
+        let mut answered = false;
+        for sending in sendings {
+            if sending.to != self.local.vm {
+                actions.push(Action::Ask(sending));
+                continue;
+            }
+            let from = self.local.vm.clone();
+            if let Some(answer) = self.ask(&from, &sending.ask, now) {
+                self.answer(&from, &answer, now);
+                answered = true;
+            }
+        }
+        answered
+    }
+
+    /// Refuses at once what cannot be served by its deadline.
+    fn refuse_late(&mut self, now: Instant, actions: &mut Vec<Action>) {
+        let mut ahead = Tokens::ZERO;
+        let mut own: BTreeMap<CallerId, Tokens> = BTreeMap::new();
+        let waiting = std::mem::take(&mut self.queue);
+        for one in waiting {
+            let mine = own.entry(one.caller.clone()).or_default();
+            let wait = self.estimate(&one, ahead, *mine, now);
+            let late = wait.is_none_or(|wait| now + wait > one.deadline);
+            if late || now >= one.deadline || self.record.is_unreachable() {
+                let refusal = self.refusal(wait);
+                actions.push(Action::Resolve(one.ticket, Err(refusal)));
+                continue;
+            }
+            ahead = ahead + one.tokens;
+            *mine = *mine + one.tokens;
+            self.queue.push_back(one);
+        }
+    }
+
+    fn refusal(&self, wait: Option<Duration>) -> Refusal {
+        let reason = match self.record.holding() {
+            Some(_) => Reason::OverRate,
+            None => Reason::StoreUnavailable,
+        };
+        let refusal = Refusal::not_run(reason);
+        match wait {
+            Some(wait) => refusal.retry_after(wait.max(self.tuning.leases.batch)),
+            None => refusal,
+        }
+    }
+
+    /// Expected time until a waiting request is served.
+    fn estimate(
+        &self,
+        one: &Waiting,
+        ahead: Tokens,
+        mine: Tokens,
+        now: Instant,
+    ) -> Option<Duration> {
+        let whole = self.whole.spender.estimate(ahead + one.tokens, now)?;
+        let Some(pool) = self.callers.get(&one.caller) else {
+            return Some(whole);
+        };
+        let own = pool.spender.estimate(mine + one.tokens, now)?;
+        Some(whole.max(own))
+    }
+
+    fn queued(&self, caller: Option<&CallerId>) -> Tokens {
+        let among = |one: &&Waiting| caller.is_none_or(|caller| one.caller == *caller);
+        self.queue.iter().filter(among).map(|one| one.tokens).sum()
+    }
+
+    fn follow(&mut self, view: &LiveVms, now: Instant) {
+        let Some(holding) = self.record.holding().cloned() else {
+            return;
+        };
+        let mut held = holding.held_by(&self.local);
+        if self.record.is_leaving() {
+            held.clear();
+        }
+        let (life, count) = (self.tuning.leases.life, holding.parts.len());
+        for pool in self.pools_mut() {
+            pool.spender.follow(&holding, view, now);
+            pool.hold(&held, count, life, now);
+        }
+    }
+
+    fn parts(&self) -> usize {
+        self.record
+            .holding()
+            .map_or(1, |holding| holding.parts.len())
+    }
+
+    fn pools_mut(&mut self) -> impl Iterator<Item = &mut Pool> {
+        std::iter::once(&mut self.whole).chain(self.callers.values_mut())
+    }
+
+    fn pool_mut(&mut self, name: &ClientAccount) -> Option<&mut Pool> {
+        self.pools_mut().find(|pool| pool.name == *name)
+    }
+}
+
+impl Pool {
+    fn open(
+        name: ClientAccount,
+        local: &Local,
+        share: Share,
+        tuning: Tuning,
+        now: Instant,
+    ) -> Self {
+        Self {
+            spender: Spender::open(name.clone(), local.clone(), share, tuning.leases, now),
+            name,
+            share,
+            parts: BTreeMap::new(),
+        }
+    }
+
+    fn resize(&mut self, share: Share, parts: usize, now: Instant) {
+        self.share = share;
+        self.spender.resize(share);
+        for (_, holder) in self.parts.values_mut() {
+            holder.resize(share.part(parts), now);
+        }
+    }
+
+    /// Opens the parts that this VM now holds, empty, and drops those it holds no more.
+    fn hold(&mut self, held: &BTreeMap<usize, Epoch>, count: usize, life: Duration, now: Instant) {
+        self.parts
+            .retain(|index, (epoch, _)| held.get(index) == Some(epoch));
+        let share = self.share.part(count);
+        for (index, epoch) in held {
+            let part = self.parts.entry(*index);
+            part.or_insert_with(|| (*epoch, Holder::open(share, life, now)));
+        }
+    }
+}
+
+/// The name under which a caller's own share is leased.
+pub fn caller_share(account: &ClientAccount, caller: &CallerId) -> ClientAccount {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(account.as_str().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(caller.as_str().as_bytes());
+    let text = format!("caller:{}", hasher.finalize().to_hex());
+    text.parse().unwrap_or_else(|_| account.clone())
+}
+
+fn refuse(ask: &LeaseAsk, refusal: LeaseRefusal) -> LeaseAnswer {
+    LeaseAnswer {
+        account: ask.account.clone(),
+        epoch: ask.epoch,
+        life: 0,
+        part: ask.part,
+        refusal: Some(refusal),
+        sequence: ask.sequence,
+        tokens: Tokens::ZERO,
+        wait: 0,
+    }
+}
--- /dev/null
+++ b/src/limit/holder.rs
@@ -0,0 +1,195 @@
+//! The holder of one part of a share.
+//!
+//! A holder leases its part's tokens in small batches. Its level and the leases that are still
+//! open never exceed the part's burst together, so over any window the part gives out no more than
+//! rate x window + burst, wherever its leases are spent. A lease is open until it expires or its
+//! borrower says that it is over; the borrower counts its life from the sending of the ask and so
+//! stops before the holder does. A new holder starts empty.
+//!
+//! Asks of one borrower are numbered without gaps. Ask n says that every lease up to n-2 is over;
+//! an ask for no tokens says that every earlier lease is over. A repeat gets the first answer
+//! again, and an older ask gets none.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::bucket::{Amount, Bucket, Share};
+use super::peaks::Peaks;
+use crate::ids::VmId;
+use crate::schema::peer::{LeaseAnswer, LeaseAsk, LeaseRefusal};
+use crate::units::Tokens;
+
+/// Greatest age of a reservation whose unused tokens are credited, in milliseconds.
+pub const REFUND_AGE_MS: u64 = 10_000;
+
+/// Part of a lease's life that its holder adds, against clocks that run at unequal speeds.
+const DRIFT_DIVISOR: u32 = 32;
+
+#[derive(Clone, Debug)]
+struct Borrower {
+    answer: LeaseAnswer,
+    open: Vec<(u64, Instant)>,
+}
+
+/// State of one part of a share at its holder.
+#[derive(Clone, Debug)]
+pub struct Holder {
+    share: Share,
+    life: Duration,
+    bucket: Bucket,
+    peaks: Peaks,
+    leased: Amount,
+    leases: BTreeMap<(Instant, VmId, u64), Tokens>,
+    borrowers: BTreeMap<VmId, Borrower>,
+}
+
+impl Holder {
+    /// A new holder of a part, which starts empty.
+    pub fn open(share: Share, life: Duration, now: Instant) -> Self {
+        let span = Duration::from_millis(REFUND_AGE_MS) + life * 2;
+        Self {
+            share,
+            life,
+            bucket: Bucket::empty(share.rate, now),
+            peaks: Peaks::open(share.burst.into(), span, now),
+            leased: Amount::ZERO,
+            leases: BTreeMap::new(),
+            borrowers: BTreeMap::new(),
+        }
+    }
+
+    /// Changes the part's rate and burst from now on.
+    pub fn resize(&mut self, share: Share, now: Instant) {
+        if self.share == share {
+            return;
+        }
+        self.advance(now);
+        self.share = share;
+        self.bucket.set_rate(share.rate);
+        self.bucket.refill(self.cap(), now);
+    }
+
+    /// Tokens on hand and on lease; never above the part's burst.
+    pub fn total(&mut self, now: Instant) -> Tokens {
+        self.advance(now);
+        self.sum().floor()
+    }
+
+    /// Answers an ask; `None` where a newer one was answered before.
+    pub fn ask(&mut self, from: &VmId, ask: &LeaseAsk, now: Instant) -> Option<LeaseAnswer> {
+        self.advance(now);
+        if let Some(borrower) = self.borrowers.get(from) {
+            if ask.sequence < borrower.answer.sequence {
+                return None;
+            }
+            if ask.sequence == borrower.answer.sequence {
+                return Some(borrower.answer.clone());
+            }
+        }
+        self.close(from, ask);
+        if ask.tokens == Tokens::ZERO {
+            self.refund(ask.returned.unwrap_or_default());
+        }
+        let answer = self.grant(ask);
+        self.record(from, &answer, now);
+        Some(answer)
+    }
+
+    fn grant(&mut self, ask: &LeaseAsk) -> LeaseAnswer {
+        let tokens = self.bucket.draw(ask.tokens);
+        let short = ask.tokens.saturating_sub(tokens);
+        let wait = match short {
+            Tokens::ZERO => Some(Duration::ZERO),
+            _ => self.bucket.time_for(short),
+        };
+        let empty = tokens == Tokens::ZERO && short > Tokens::ZERO;
+        LeaseAnswer {
+            account: ask.account.clone(),
+            epoch: ask.epoch,
+            life: self.life.as_millis() as u64,
+            part: ask.part,
+            refusal: empty.then_some(LeaseRefusal::Empty),
+            sequence: ask.sequence,
+            tokens,
+            wait: wait.map_or(u64::MAX, |span| span.as_millis() as u64),
+        }
+    }
+
+    fn record(&mut self, from: &VmId, answer: &LeaseAnswer, now: Instant) {
+        let entry = self.borrowers.entry(from.clone());
+        let borrower = entry.or_insert_with(|| Borrower {
+            answer: answer.clone(),
+            open: Vec::new(),
+        });
+        borrower.answer = answer.clone();
+        if answer.tokens == Tokens::ZERO {
+            return;
+        }
+        let expiry = now + self.life + self.life / DRIFT_DIVISOR;
+        borrower.open.push((answer.sequence, expiry));
+        let key = (expiry, from.clone(), answer.sequence);
+        self.leases.insert(key, answer.tokens);
+        self.leased = self.leased.plus(answer.tokens.into());
+    }
+
+    /// Ends the leases that an ask says are over, and credits what it returns of them.
+    fn close(&mut self, from: &VmId, ask: &LeaseAsk) {
+        let Some(borrower) = self.borrowers.get_mut(from) else {
+            return;
+        };
+        let last = match ask.tokens {
+            Tokens::ZERO => ask.sequence.saturating_sub(1),
+            _ => ask.sequence.saturating_sub(2),
+        };
+        let over = |&mut (sequence, _): &mut (u64, Instant)| sequence <= last;
+        let closed: Vec<_> = borrower.open.extract_if(.., over).collect();
+        let mut freed = Tokens::ZERO;
+        for (sequence, expiry) in closed {
+            let key = (expiry, from.clone(), sequence);
+            freed = freed + self.leases.remove(&key).unwrap_or_default();
+        }
+        self.leased = self.leased.minus(freed.into());
+        if ask.tokens > Tokens::ZERO {
+            let returned = ask.returned.unwrap_or_default().min(freed);
+            self.bucket.credit(returned.into());
+        }
+    }
+
+    /// Credits unused tokens of settled requests, as far as the recent peaks leave room.
+    fn refund(&mut self, tokens: Tokens) {
+        let room = Amount::from(self.share.burst).minus(self.peaks.highest());
+        let credit = Amount::from(tokens).min(room);
+        self.bucket.credit(credit);
+        self.peaks.lift(credit);
+    }
+
+    /// Refills and expires in order of time, so that no refill uses room that was freed later.
+    fn advance(&mut self, now: Instant) {
+        while let Some(entry) = self.leases.first_entry() {
+            let expiry = entry.key().0;
+            if expiry > now {
+                break;
+            }
+            let ((_, vm, sequence), tokens) = entry.remove_entry();
+            self.refill(expiry);
+            self.leased = self.leased.minus(tokens.into());
+            if let Some(borrower) = self.borrowers.get_mut(&vm) {
+                borrower.open.retain(|&(open, _)| open != sequence);
+            }
+        }
+        self.refill(now);
+    }
+
+    fn refill(&mut self, now: Instant) {
+        self.bucket.refill(self.cap(), now);
+        self.peaks.note(self.sum(), now);
+    }
+
+    fn cap(&self) -> Amount {
+        Amount::from(self.share.burst).minus(self.leased)
+    }
+
+    fn sum(&self) -> Amount {
+        self.bucket.level().plus(self.leased)
+    }
+}
--- /dev/null
+++ b/src/limit/holding.rs
@@ -0,0 +1,172 @@
+//! Who holds which part of an account's share.
+//!
+//! The record is one object of the platform's store, changed only by compare-and-set; each change
+//! of a part's holder raises its epoch. A part moves when its holder releases it, when a newer
+//! incarnation of the holder's VM takes it up again, or when the platform's list has missed the
+//! holder's VM for longer than the list lags. Nothing moves because time passes, so a long outage
+//! of the store changes nothing, and a holder that was paused is still the only one.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::vms::{Absence, LiveVm, LiveVms};
+use crate::ids::{ClientAccount, Epoch, Generation, VmId};
+use crate::units::Tokens;
+
+/// Least burst of one part, in tokens; a smaller share is held in fewer parts.
+pub const MIN_PART_BURST: Tokens = Tokens(1024);
+
+/// The holder of one part.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Part {
+    /// The VM that holds it.
+    pub vm: VmId,
+    /// That VM's incarnation.
+    pub generation: Generation,
+    /// Grows with each change of holder.
+    pub epoch: Epoch,
+}
+
+/// The holders of an account's share, part by part.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Holding {
+    /// The parts, in order.
+    pub parts: Vec<Part>,
+}
+
+/// Parts that a share of `burst` is held in.
+pub fn part_count(burst: Tokens, holders: u32, vms: usize) -> usize {
+    let by_burst = burst.0 / MIN_PART_BURST.0;
+    let most = (holders as usize).min(vms).max(1);
+    usize::try_from(by_burst).unwrap_or(most).clamp(1, most)
+}
+
+/// Order in which VMs are preferred as holders of a part; the lowest comes first.
+pub fn rank(account: &ClientAccount, part: usize, vm: &VmId) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(account.as_str().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(vm.as_str().as_bytes());
+    hasher.update(&(part as u64).to_le_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
+
+/// This VM, as far as holding parts is concerned.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Local {
+    /// Its name.
+    pub vm: VmId,
+    /// Its incarnation.
+    pub generation: Generation,
+}
+
+impl Local {
+    fn holds(&self, part: &Part) -> bool {
+        part.vm == self.vm && part.generation == self.generation
+    }
+}
+
+impl Holding {
+    /// The first record of an account, with its parts spread over the VMs.
+    pub fn create(account: &ClientAccount, parts: usize, local: &Local, view: &LiveVms) -> Self {
+        let mut holding = Self::default();
+        for _ in 0..parts.max(1) {
+            let part = holding.successor(account, holding.parts.len(), local, view, false);
+            holding.parts.push(part);
+        }
+        holding
+    }
+
+    /// Index of the parts that `local` holds, with their epochs.
+    pub fn held_by(&self, local: &Local) -> BTreeMap<usize, Epoch> {
+        let parts = self.parts.iter().enumerate();
+        parts
+            .filter(|(_, part)| local.holds(part))
+            .map(|(index, part)| (index, part.epoch))
+            .collect()
+    }
+
+    /// The record after every part whose holder is surely over has moved; `None` without one.
+    pub fn repair(
+        &self,
+        account: &ClientAccount,
+        local: &Local,
+        view: &LiveVms,
+        absence: &Absence,
+        lag: Duration,
+    ) -> Option<Self> {
+        let over = |part: &Part| {
+            let restarted = part.vm == local.vm && part.generation != local.generation;
+            restarted || (part.vm != local.vm && absence.gone(&part.vm, lag))
+        };
+        self.moved(account, local, view, over, false)
+    }
+
+    /// The record after `local` has released its parts; `None` where it holds none or no other VM
+    /// can take them. The caller stops granting before this is written.
+    pub fn release(&self, account: &ClientAccount, local: &Local, view: &LiveVms) -> Option<Self> {
+        let moved = self.moved(account, local, view, |part| local.holds(part), true)?;
+        let others = moved.parts.iter().all(|part| part.vm != local.vm);
+        others.then_some(moved)
+    }
+
+    fn moved<F>(
+        &self,
+        account: &ClientAccount,
+        local: &Local,
+        view: &LiveVms,
+        over: F,
+        leaving: bool,
+    ) -> Option<Self>
+    where
+        F: Fn(&Part) -> bool,
+    {
+        let mut next = self.clone();
+        for (index, part) in self.parts.iter().enumerate() {
+            if over(part) {
+                let mut heir = next.successor(account, index, local, view, leaving);
+                heir.epoch = part.epoch.next();
+                next.parts[index] = heir;
+            }
+        }
+        (next != *self).then_some(next)
+    }
+
+    /// The best holder for a part: a listed VM that stays and holds the fewest others.
+    fn successor(
+        &self,
+        account: &ClientAccount,
+        index: usize,
+        local: &Local,
+        view: &LiveVms,
+        leaving: bool,
+    ) -> Part {
+        let fit = |(vm, live): &(&VmId, &LiveVm)| live.listed && !live.leaving && **vm != local.vm;
+        let others = view.vms.iter().filter(fit);
+        let mut fits: Vec<_> = others.map(|(vm, live)| (vm, live.generation)).collect();
+        if !leaving {
+            fits.push((&local.vm, local.generation));
+        }
+        let load = |vm: &VmId| {
+            let parts = self.parts.iter().enumerate();
+            parts
+                .filter(|(i, part)| *i != index && part.vm == *vm)
+                .count()
+        };
+        let best = fits
+            .into_iter()
+            .min_by_key(|(vm, _)| (load(vm), rank(account, index, vm)));
+        let (vm, generation) = best.unwrap_or((&local.vm, local.generation));
+        Part {
+            vm: vm.clone(),
+            generation,
+            epoch: Epoch(1),
+        }
+    }
+}
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -1,7 +1,11 @@
 //! Rates and bursts of client accounts and their callers, over all VMs.
 //!
 //! A request reserves its greatest cost on admission and settles its real cost at its end.
-//! [`Limiter`] is the border towards the edge.
+//! [`Limiter`] is the border towards the edge; [`Limits`] implements it.
+//!
+//! An account's share is held in a few parts. [`holding`] says who holds which, [`holder`] leases
+//! a part's tokens in small batches, [`spender`] spends them, [`account`] joins the three for one
+//! account, and [`shell`] drives the accounts of one VM. docs/LIMITS.md gives the reasons.
 
 use std::fmt::Debug;
 use std::time::Instant;
@@ -12,6 +16,23 @@
 use crate::outcome::Refusal;
 use crate::units::Tokens;
 
+pub mod account;
+mod bucket;
+mod demand;
+pub mod holder;
+pub mod holding;
+mod link;
+mod peaks;
+mod record;
+pub mod shell;
+pub mod spender;
+mod vms;
+
+pub use bucket::Share;
+pub use record::{RecordTimes, StoreCall, StoreResult};
+pub use shell::{LeaseLink, Limits};
+pub use vms::{Absence, LiveVm, LiveVms, VmView};
+
 /// A request for tokens.
 #[derive(Clone, Debug)]
 pub struct Reserve {
@@ -34,6 +55,8 @@
     pub caller: CallerId,
     /// What was reserved.
     pub tokens: Tokens,
+    /// When it was reserved.
+    pub at: Instant,
 }
 
 /// Decides whether a request is within its account's and caller's share.
--- /dev/null
+++ b/src/limit/shell.rs
@@ -0,0 +1,438 @@
+//! Drives the accounts of one VM: timers, store calls, asks and waiting requests.
+//!
+//! A request locks its own account only, for a few comparisons; accounts are found by one atomic
+//! load. One task wakes the accounts whose time has come.
+
+use std::collections::BTreeMap;
+use std::fmt::{self, Debug};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use futures_util::future::{BoxFuture, FutureExt};
+use tokio::sync::{Notify, oneshot};
+use tokio::task::JoinHandle;
+
+use super::account::{Account, Action, Admission, Shares, Ticket, Tuning};
+use super::bucket::Share;
+use super::holding::{Holding, Local};
+use super::record::{RecordTimes, StoreCall, StoreResult};
+use super::spender::LeaseTimes;
+use super::vms::VmView;
+use super::{Grant, Limiter, Reserve};
+use crate::clock::Clock;
+use crate::ids::{ClientAccount, Generation, ObjectKey, VmId};
+use crate::outcome::{Reason, Refusal};
+use crate::platform::{ObjectStore, StoreError};
+use crate::schema::declaration::{self, Declaration};
+use crate::schema::peer::{Frame, LeaseAnswer, LeaseAsk};
+use crate::schema::settings::{LimitSettings, PlatformSettings};
+use crate::units::Tokens;
+
+const LEAST_TICK_MS: u64 = 5;
+const MOST_TICK_MS: u64 = 200;
+
+/// Sends frames to other VMs; a frame that cannot be sent is lost.
+pub trait LeaseLink: Send + Sync + Debug {
+    /// Sends a frame, without waiting.
+    fn send(&self, to: &VmId, frame: Frame);
+}
+
+/// What the limits of one VM work with.
+#[derive(Clone, Debug)]
+pub struct Parts {
+    /// This VM.
+    pub vm: VmId,
+    /// Its incarnation; greater with each start, as its start time in milliseconds is.
+    pub generation: Generation,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The platform's store.
+    pub store: Arc<dyn ObjectStore>,
+    /// Links to other VMs.
+    pub link: Arc<dyn LeaseLink>,
+    /// The VMs.
+    pub view: Arc<dyn VmView>,
+}
+
+#[derive(Debug)]
+struct Cell {
+    name: ClientAccount,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    account: Account,
+    waiters: BTreeMap<Ticket, oneshot::Sender<Result<Instant, Refusal>>>,
+    wake: Instant,
+}
+
+type Cells = BTreeMap<ClientAccount, Arc<Cell>>;
+
+struct Inner {
+    parts: Parts,
+    tuning: Tuning,
+    cells: ArcSwap<Cells>,
+    /// Names of shares, callers' own included, and the accounts they belong to.
+    names: ArcSwap<BTreeMap<ClientAccount, ClientAccount>>,
+    configuring: Mutex<()>,
+    early: Notify,
+}
+
+/// The limits of one VM.
+pub struct Limits {
+    inner: Arc<Inner>,
+    timer: JoinHandle<()>,
+}
+
+impl Debug for Limits {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Limits").finish_non_exhaustive()
+    }
+}
+
+impl Drop for Limits {
+    fn drop(&mut self) {
+        self.timer.abort();
+    }
+}
+
+impl Limits {
+    /// Starts without accounts; [`Self::configure`] brings them.
+    pub fn spawn(parts: Parts, limits: &LimitSettings, platform: &PlatformSettings) -> Arc<Self> {
+        let tuning = Tuning {
+            leases: LeaseTimes {
+                batch: Duration::from_millis(limits.batch),
+                life: Duration::from_millis(limits.life),
+            },
+            record: RecordTimes {
+                lag: Duration::from_millis(platform.lag),
+                backoff: Duration::from_millis(platform.backoff),
+            },
+            holders: limits.holders,
+        };
+        let inner = Arc::new(Inner {
+            parts,
+            tuning,
+            cells: ArcSwap::default(),
+            names: ArcSwap::default(),
+            configuring: Mutex::new(()),
+            early: Notify::new(),
+        });
+        let timer = tokio::spawn(run_timer(Arc::clone(&inner)));
+        Arc::new(Self { inner, timer })
+    }
+
+    /// Brings the accounts of a declaration into force.
+    pub fn configure(&self, declaration: &Declaration) {
+        self.inner.configure(declaration);
+    }
+
+    /// Answers an ask of another VM.
+    pub fn on_ask(&self, from: &VmId, ask: &LeaseAsk) -> Option<LeaseAnswer> {
+        let cell = self.inner.cell_of(&ask.account)?;
+        let now = self.inner.now();
+        let answer = lock(&cell.state).account.ask(from, ask, now);
+        self.inner.pump(&cell);
+        answer
+    }
+
+    /// Takes another VM's answer in.
+    pub fn on_answer(&self, from: &VmId, answer: &LeaseAnswer) {
+        let Some(cell) = self.inner.cell_of(&answer.account) else {
+            return;
+        };
+        let now = self.inner.now();
+        lock(&cell.state).account.answer(from, answer, now);
+        self.inner.pump(&cell);
+    }
+
+    /// Hands this VM's parts over, as it shuts down; `false` where `bound` passed first.
+    pub async fn leave(&self, bound: Duration) -> bool {
+        let end = self.inner.now() + bound;
+        let cells = self.inner.cells.load_full();
+        for cell in cells.values() {
+            lock(&cell.state).account.leave(self.inner.now());
+            self.inner.pump(cell);
+        }
+        let held = |cell: &Arc<Cell>| lock(&cell.state).account.is_holder();
+        while cells.values().any(held) {
+            if self.inner.now() >= end {
+                return false;
+            }
+            tokio::time::sleep(Duration::from_millis(LEAST_TICK_MS)).await;
+        }
+        true
+    }
+}
+
+impl Limiter for Limits {
+    fn reserve(&self, ask: Reserve) -> BoxFuture<'_, Result<Grant, Refusal>> {
+        Arc::clone(&self.inner).reserve(ask).boxed()
+    }
+
+    fn settle(&self, grant: Grant, used: Tokens) {
+        let Some(cell) = self.inner.cells.load().get(&grant.account).cloned() else {
+            return;
+        };
+        let now = self.inner.now();
+        let mut state = lock(&cell.state);
+        let account = &mut state.account;
+        account.settle(&grant.caller, grant.tokens, used, grant.at, now);
+    }
+}
+
+impl Inner {
+    fn now(&self) -> Instant {
+        self.parts.clock.now()
+    }
+
+    fn cell_of(&self, share: &ClientAccount) -> Option<Arc<Cell>> {
+        let names = self.names.load();
+        let account = names.get(share)?;
+        self.cells.load().get(account).cloned()
+    }
+
+    fn configure(self: &Arc<Self>, declaration: &Declaration) {
+        let _guard = lock(&self.configuring);
+        let mut cells = Cells::clone(&self.cells.load());
+        let gone = cells
+            .iter()
+            .filter(|(name, _)| !declaration.accounts.contains_key(*name));
+        for (_, cell) in gone {
+            self.resize(cell, Shares::default());
+        }
+        for (name, account) in &declaration.accounts {
+            let shares = shares_of(account);
+            if let Some(cell) = cells.get(name) {
+                self.resize(cell, shares);
+            } else {
+                cells.insert(name.clone(), self.open_cell(name, shares));
+            }
+        }
+        let names = cells.keys().map(|name| (name.clone(), name.clone()));
+        let mut names: BTreeMap<_, _> = names.collect();
+        for (name, account) in &declaration.accounts {
+            for caller in shares_of(account).callers.keys() {
+                let share = super::account::caller_share(name, caller);
+                names.entry(share).or_insert_with(|| name.clone());
+            }
+        }
+        self.cells.store(Arc::new(cells));
+        self.names.store(Arc::new(names));
+        for cell in self.cells.load().values() {
+            self.pump(cell);
+        }
+    }
+
+    fn open_cell(&self, name: &ClientAccount, shares: Shares) -> Arc<Cell> {
+        let local = Local {
+            vm: self.parts.vm.clone(),
+            generation: self.parts.generation,
+        };
+        let account = Account::open(name.clone(), local, shares, self.tuning, self.now());
+        Arc::new(Cell {
+            name: name.clone(),
+            state: Mutex::new(State {
+                account,
+                waiters: BTreeMap::new(),
+                wake: self.now(),
+            }),
+        })
+    }
+
+    fn resize(&self, cell: &Cell, shares: Shares) {
+        let view = self.parts.view.vms();
+        let now = self.now();
+        lock(&cell.state).account.configure(shares, &view, now);
+    }
+
+    async fn reserve(self: Arc<Self>, ask: Reserve) -> Result<Grant, Refusal> {
+        let cell = self.cells.load().get(&ask.account).cloned();
+        let cell = cell.ok_or_else(|| Refusal::not_run(Reason::NotReady))?;
+        let now = self.now();
+        let (admission, answer) = enqueue(&cell, &ask, now);
+        let at = match admission {
+            Admission::Granted => now,
+            Admission::Refused(refusal) => return Err(refusal),
+            Admission::Waiting(ticket) => {
+                let _guard = Withdraw {
+                    cell: Arc::clone(&cell),
+                    ticket,
+                };
+                self.pump(&cell);
+                let lost = |_| Refusal::not_run(Reason::ShuttingDown);
+                answer.await.map_err(lost)??
+            }
+        };
+        Ok(Grant {
+            account: ask.account,
+            caller: ask.caller,
+            tokens: ask.tokens,
+            at,
+        })
+    }
+
+    /// Carries out what an account decides now.
+    fn pump(self: &Arc<Self>, cell: &Arc<Cell>) {
+        let view = self.parts.view.vms();
+        let now = self.now();
+        let mut actions = Vec::new();
+        let mut state = lock(&cell.state);
+        state.account.pump(&view, now, &mut actions);
+        let latest = now + Duration::from_millis(MOST_TICK_MS);
+        state.wake = state
+            .account
+            .wake(now)
+            .map_or(latest, |wake| wake.min(latest));
+        let mut outgoing = Vec::new();
+        for action in actions {
+            match action {
+                Action::Resolve(ticket, result) => resolve(&mut state, ticket, result, now),
+                other => outgoing.push(other),
+            }
+        }
+        let early = state.wake < latest;
+        drop(state);
+        if early {
+            self.early.notify_one();
+        }
+        for action in outgoing {
+            match action {
+                Action::Ask(sending) => self.parts.link.send(&sending.to, Frame::Ask(sending.ask)),
+                Action::Store(request) => {
+                    tokio::spawn(Arc::clone(self).call(Arc::clone(cell), request));
+                }
+                Action::Resolve(..) => {}
+            }
+        }
+    }
+
+    async fn call(self: Arc<Self>, cell: Arc<Cell>, request: StoreCall) {
+        let result = match store_key(&cell.name) {
+            Some(key) => self.call_store(&key, request).await,
+            None => StoreResult::Failed,
+        };
+        let view = self.parts.view.vms();
+        let now = self.now();
+        lock(&cell.state).account.stored(result, &view, now);
+        self.pump(&cell);
+    }
+
+    async fn call_store(&self, key: &ObjectKey, call: StoreCall) -> StoreResult {
+        let store = &self.parts.store;
+        match call {
+            StoreCall::Read => match store.get(key).await {
+                Ok(None) => StoreResult::Read(None),
+                Ok(Some(object)) => serde_json::from_slice(&object.value)
+                    .map_or(StoreResult::Failed, |holding| {
+                        StoreResult::Read(Some((object.version, holding)))
+                    }),
+                Err(_) => StoreResult::Failed,
+            },
+            StoreCall::Write(version, holding) => {
+                let Some(value) = encode(&holding) else {
+                    return StoreResult::Failed;
+                };
+                match store.put(key, version, value).await {
+                    Ok(version) => StoreResult::Written(version),
+                    Err(StoreError::Conflict(_)) => StoreResult::Conflict,
+                    Err(_) => StoreResult::Failed,
+                }
+            }
+        }
+    }
+}
+
+/// Withdraws a waiting request whose future was dropped.
+struct Withdraw {
+    cell: Arc<Cell>,
+    ticket: Ticket,
+}
+
+impl Drop for Withdraw {
+    fn drop(&mut self) {
+        let mut state = lock(&self.cell.state);
+        state.account.cancel(self.ticket);
+        state.waiters.remove(&self.ticket);
+    }
+}
+
+type Resolved = oneshot::Receiver<Result<Instant, Refusal>>;
+
+fn enqueue(cell: &Cell, ask: &Reserve, now: Instant) -> (Admission, Resolved) {
+    let (sender, receiver) = oneshot::channel();
+    let mut state = lock(&cell.state);
+    let account = &mut state.account;
+    let admission = account.reserve(&ask.caller, ask.tokens, ask.deadline, now);
+    if let Admission::Waiting(ticket) = admission {
+        state.waiters.insert(ticket, sender);
+    }
+    (admission, receiver)
+}
+
+fn resolve(state: &mut State, ticket: Ticket, result: Result<(), Refusal>, now: Instant) {
+    if let Some(waiter) = state.waiters.remove(&ticket) {
+        // The receiver is gone where the request was withdrawn; the lease covers its tokens.
+        let _gone = waiter.send(result.map(|()| now));
+    }
+}
+
+async fn run_timer(inner: Arc<Inner>) {
+    loop {
+        let now = inner.now();
+        let cells = inner.cells.load_full();
+        let mut next = now + Duration::from_millis(MOST_TICK_MS);
+        for cell in cells.values() {
+            let wake = lock(&cell.state).wake;
+            if wake <= now {
+                inner.pump(cell);
+            }
+            next = next.min(lock(&cell.state).wake);
+        }
+        let least = Duration::from_millis(LEAST_TICK_MS);
+        let pause = next.saturating_duration_since(now).max(least);
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = inner.early.notified() => tokio::time::sleep(least).await,
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The record's key; a name too long for a key is hashed.
+fn store_key(account: &ClientAccount) -> Option<ObjectKey> {
+    let hash = || blake3::hash(account.as_str().as_bytes()).to_hex();
+    let plain = format!("limits/{account}").parse();
+    plain.or_else(|_| format!("limits/{}", hash()).parse()).ok()
+}
+
+fn encode(holding: &Holding) -> Option<Bytes> {
+    serde_json::to_vec(holding).ok().map(Bytes::from)
+}
+
+/// The shares that an account and its callers are declared to have. A caller that declares only a
+/// rate or only a burst has the account's for the other.
+fn shares_of(account: &declaration::Account) -> Shares {
+    let whole = Share {
+        rate: account.rate,
+        burst: account.burst,
+    };
+    let own = |caller: &declaration::Caller| {
+        (caller.rate.is_some() || caller.burst.is_some()).then(|| Share {
+            rate: caller.rate.unwrap_or(whole.rate),
+            burst: caller.burst.unwrap_or(whole.burst),
+        })
+    };
+    let callers = account.callers.iter();
+    let callers = callers.filter_map(|(name, caller)| Some((name.clone(), own(caller)?)));
+    Shares {
+        whole,
+        callers: callers.collect(),
+    }
+}
--- /dev/null
+++ b/src/limit/spender.rs
@@ -0,0 +1,287 @@
+//! A VM that spends tokens of a share which it leases from the holders.
+//!
+//! Recent demand decides how much is asked for ahead of need. A part that fell short is left alone
+//! for a while and the next one is asked; the VM's own parts come first, then those in its data
+//! centre. Only tokens that have not expired are spent, counted from the sending of the ask.
+
+use std::time::{Duration, Instant};
+
+use super::bucket::Share;
+use super::demand::Demand;
+use super::holder::REFUND_AGE_MS;
+use super::holding::{Holding, Local, rank};
+use super::link::Link;
+use super::vms::LiveVms;
+use crate::ids::{ClientAccount, VmId};
+use crate::schema::peer::{LeaseAnswer, LeaseAsk};
+use crate::units::Tokens;
+
+/// Bits of an ask's number below the VM's incarnation.
+const SEQUENCE_BITS: u32 = 22;
+
+/// Part of the time to fill a burst that one lease may cover.
+const BURST_DIVISOR: f64 = 8.0;
+
+const DEMAND_SPAN_MS: u64 = 1_000;
+const INTAKE_SPAN_MS: u64 = 2_000;
+const SHORT_RUN_MS: u64 = 1_000;
+
+/// Times of leases.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseTimes {
+    /// Time one lease should last.
+    pub batch: Duration,
+    /// Life of a lease.
+    pub life: Duration,
+}
+
+/// An ask and the VM it goes to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sending {
+    /// The holder.
+    pub to: VmId,
+    /// The ask.
+    pub ask: LeaseAsk,
+}
+
+/// State of one share at a VM that spends it.
+#[derive(Clone, Debug)]
+pub struct Spender {
+    name: ClientAccount,
+    local: Local,
+    share: Share,
+    times: LeaseTimes,
+    links: Vec<Link>,
+    demand: Demand,
+    intake: Demand,
+    short: Option<Instant>,
+    debt: Tokens,
+    refund: Tokens,
+    refunded: Instant,
+}
+
+impl Spender {
+    /// A spender without tokens.
+    pub fn open(
+        name: ClientAccount,
+        local: Local,
+        share: Share,
+        times: LeaseTimes,
+        now: Instant,
+    ) -> Self {
+        Self {
+            name,
+            local,
+            share,
+            times,
+            links: Vec::new(),
+            demand: Demand::open(Duration::from_millis(DEMAND_SPAN_MS), now),
+            intake: Demand::open(Duration::from_millis(INTAKE_SPAN_MS), now),
+            short: None,
+            debt: Tokens::ZERO,
+            refund: Tokens::ZERO,
+            refunded: now,
+        }
+    }
+
+    /// Changes the share.
+    pub fn resize(&mut self, share: Share) {
+        self.share = share;
+    }
+
+    /// Follows a change of holders.
+    pub fn follow(&mut self, holding: &Holding, view: &LiveVms, now: Instant) {
+        let first = self.local.generation.0 << SEQUENCE_BITS;
+        for (index, part) in holding.parts.iter().enumerate() {
+            if let Some(link) = self.links.get_mut(index) {
+                link.follow(part.vm.clone(), part.epoch, now);
+            } else {
+                let link = Link::open(index as u32, part.vm.clone(), part.epoch, first, now);
+                self.links.push(link);
+            }
+        }
+        self.links.truncate(holding.parts.len());
+        let home = view.vms.get(&self.local.vm).map(|live| &live.centre);
+        for link in &mut self.links {
+            let centre = view.vms.get(&link.vm).map(|live| &live.centre);
+            let far = match () {
+                () if link.vm == self.local.vm => 0,
+                () if home.is_some() && centre == home => 1,
+                () => 2,
+            };
+            link.order = (
+                far,
+                rank(&self.name, 0, &link.vm) ^ rank(&self.name, 0, &self.local.vm),
+            );
+        }
+    }
+
+    /// Tokens that can be spent now.
+    pub fn available(&self, now: Instant) -> Tokens {
+        let left: Tokens = self.links.iter().map(|link| link.left(now)).sum();
+        left - self.debt
+    }
+
+    /// Notes that a request wants tokens.
+    pub fn want(&mut self, tokens: Tokens, now: Instant) {
+        self.demand.add(tokens.0 as f64, now);
+    }
+
+    /// Spends tokens, all or none.
+    pub fn spend(&mut self, tokens: Tokens, now: Instant) -> bool {
+        if self.available(now) < tokens {
+            return false;
+        }
+        self.draw(tokens, now);
+        true
+    }
+
+    /// Charges the real use of a request that reserved `reserved` at the time `at`.
+    pub fn settle(&mut self, reserved: Tokens, used: Tokens, at: Instant, now: Instant) {
+        self.debt = self.debt + (used - reserved);
+        self.pay(now);
+        let young = now.saturating_duration_since(at) <= Duration::from_millis(REFUND_AGE_MS);
+        let unused = reserved - used;
+        if !young || unused == Tokens::ZERO {
+            return;
+        }
+        if self.refund == Tokens::ZERO {
+            self.refunded = now;
+        }
+        self.refund = self.refund + unused;
+    }
+
+    /// The asks to send now, where `queued` tokens are waited for.
+    pub fn plan(&mut self, queued: Tokens, now: Instant) -> Vec<Sending> {
+        self.want_more(queued, now);
+        if queued == Tokens::ZERO {
+            self.give_back(now);
+        }
+        let life = self.times.life;
+        let send = |link: &mut Link| {
+            let ask = link.due(life, now)?;
+            let to = link.vm.clone();
+            Some(Sending { to, ask })
+        };
+        self.links.iter_mut().filter_map(send).collect()
+    }
+
+    /// Takes an answer in; `false` where it answers nothing that is under way.
+    pub fn answer(&mut self, from: &VmId, answer: &LeaseAnswer, now: Instant) -> bool {
+        let index = answer.part as usize;
+        let link = self.links.get_mut(index).filter(|link| link.vm == *from);
+        let Some(link) = link else {
+            return false;
+        };
+        if !link.answer(answer, now) {
+            return false;
+        }
+        self.intake.add(answer.tokens.0 as f64, now);
+        self.note_short(now);
+        self.pay(now);
+        true
+    }
+
+    /// Least time until `tokens` beyond those at hand can be there; `None` where never.
+    pub fn estimate(&self, tokens: Tokens, now: Instant) -> Option<Duration> {
+        let missing = tokens + self.debt;
+        let missing = missing - self.links.iter().map(|link| link.left(now)).sum();
+        let least = self.share.time_for(missing)?;
+        let Some(since) = self.short else {
+            return Some(Duration::ZERO);
+        };
+        let run = now.saturating_duration_since(since);
+        if run >= Duration::from_millis(SHORT_RUN_MS) {
+            let rate = self.intake.per_second(now);
+            let expected = Duration::try_from_secs_f64(missing.0 as f64 / rate);
+            return Some(least.max(expected.unwrap_or(least)));
+        }
+        let waits = self.links.iter().filter_map(|link| link.short);
+        let soonest = waits.min().unwrap_or(now);
+        Some(least.max(soonest.saturating_duration_since(now)))
+    }
+
+    /// Whether some holder does not answer.
+    pub fn is_cut(&self) -> bool {
+        self.links.iter().any(|link| link.silent)
+    }
+
+    /// When there is next something to do.
+    pub fn wake(&self, now: Instant) -> Option<Instant> {
+        self.links.iter().filter_map(|link| link.wake(now)).min()
+    }
+
+    fn draw(&mut self, tokens: Tokens, now: Instant) {
+        let mut links: Vec<_> = self.links.iter_mut().collect();
+        links.sort_by_key(|link| link.expiry(now).unwrap_or(now));
+        let mut missing = tokens;
+        for link in links {
+            missing = missing - link.spend(missing, now);
+        }
+    }
+
+    fn pay(&mut self, now: Instant) {
+        let left: Tokens = self.links.iter().map(|link| link.left(now)).sum();
+        let paid = self.debt.min(left);
+        self.draw(paid, now);
+        self.debt = self.debt - paid;
+    }
+
+    fn note_short(&mut self, now: Instant) {
+        let reachable = self.links.iter().filter(|link| !link.silent);
+        let all_short = reachable
+            .map(|link| link.short)
+            .all(|short| short.is_some());
+        self.short = all_short.then_some(self.short.unwrap_or(now));
+    }
+
+    /// Time one lease should last; less where the burst fills faster.
+    fn batch_seconds(&self) -> f64 {
+        let fill = self.share.burst.0 as f64 / self.share.rate.per_second();
+        self.times.batch.as_secs_f64().min(fill / BURST_DIVISOR)
+    }
+
+    fn want_more(&mut self, queued: Tokens, now: Instant) {
+        let ahead = Tokens((self.demand.per_second(now) * self.batch_seconds()) as u64);
+        let left: Tokens = self.links.iter().map(|link| link.left(now)).sum();
+        let coming: Tokens = self.links.iter().map(Link::coming).sum();
+        let owed = queued + self.debt;
+        let have = left + coming;
+        if have >= owed + Tokens(ahead.0 / 2) {
+            return;
+        }
+        let mut missing = owed + ahead - have;
+        let most = self.share.part(self.links.len()).burst;
+        let name = &self.name;
+        let mut links: Vec<_> = self.links.iter_mut().collect();
+        links.sort_by_key(|link| (link.silent, link.order));
+        for link in links {
+            let tokens = missing.min(most);
+            if tokens == Tokens::ZERO || !link.is_ready(now) {
+                continue;
+            }
+            link.ask(name, tokens, now);
+            missing = missing - link.coming();
+        }
+    }
+
+    /// Ends leases that stay unused, and returns unused tokens of settled requests.
+    fn give_back(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.refunded) > self.times.life {
+            self.refund = Tokens::ZERO;
+        }
+        let fill = self.share.burst.0 as f64 / self.share.rate.per_second();
+        let tight = fill < self.times.life.as_secs_f64() * BURST_DIVISOR;
+        for link in &mut self.links {
+            if !link.is_ready(now) || link.silent {
+                continue;
+            }
+            let left = link.left(now);
+            let idle = link.is_idle(self.times.batch, now) && (tight || left > Tokens::ZERO);
+            let refund = self.refund > Tokens::ZERO && self.refund >= left;
+            if idle || refund {
+                link.close(&self.name, std::mem::take(&mut self.refund), now);
+            }
+        }
+    }
+}
