--- /dev/null
+++ b/standin/src/caller.rs
@@ -0,0 +1,1 @@
+//! The stand-in for a caller.
