--- a/src/declare/apply.rs
+++ b/src/declare/apply.rs
@@ -201,7 +201,7 @@
     async fn read_declaration(&self, stored: &Stored) -> Result<Declaration, ApplyError> {
         let current = self.board.current();
         if current.revision == stored.revision() {
-            return Ok(current.declaration.clone());
+            return Ok(Declaration::clone(&current.declaration));
         }
         let Some(head) = &stored.head else {
             return Ok(Declaration::default());
--- a/src/declare/board.rs
+++ b/src/declare/board.rs
@@ -13,7 +13,9 @@
 use super::chunk::Chunk;
 use super::key::KeyHash;
 use super::validate::{DeclarationFault, validate};
-use crate::ids::{AdapterId, CallerId, ClientAccount, KeyId, ModelId, Revision, RouteId};
+use crate::ids::{
+    AdapterId, CallerId, ClientAccount, KeyId, ModelId, ObjectKey, Revision, RouteId,
+};
 use crate::schema::declaration::{Declaration, Head, Priority, Route};
 
 /// Who holds a key.
@@ -50,7 +52,7 @@
     /// Its parts as stored.
     pub chunks: Vec<Chunk>,
     /// The whole.
-    pub declaration: Declaration,
+    pub declaration: Arc<Declaration>,
     keys: BTreeMap<KeyHash, Holder>,
     names: BTreeMap<KeyId, KeyHash>,
     reach: BTreeMap<ClientAccount, Reach>,
@@ -143,7 +145,7 @@
 #[derive(Debug)]
 pub struct Board {
     current: ArcSwap<InForce>,
-    turn: Mutex<()>,
+    turn: Mutex<BTreeSet<ObjectKey>>,
     news: watch::Sender<Revision>,
 }
 
@@ -168,6 +170,11 @@
         self.current.load().revision
     }
 
+    /// Parts that the revision before the one in force had, where this VM held it.
+    pub fn parent_places(&self) -> BTreeSet<ObjectKey> {
+        self.turn.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Tells of each new revision.
     pub fn subscribe(&self) -> watch::Receiver<Revision> {
         self.news.subscribe()
@@ -190,11 +197,13 @@
         }
         let revision = head.revision;
         let next = InForce::index(head, chunks, declaration);
-        let _turn = self.turn.lock().unwrap_or_else(PoisonError::into_inner);
-        let known = self.revision();
-        if revision <= known {
-            return Err(OfferError::Old(known));
+        let mut before = self.turn.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = self.current();
+        if revision <= known.revision {
+            return Err(OfferError::Old(known.revision));
         }
+        let places = known.chunks.iter().map(|chunk| chunk.place.key.clone());
+        *before = if known.revision.next() == revision { places.collect() } else { BTreeSet::new() };
         self.current.store(Arc::new(next));
         self.news.send_replace(revision);
         Ok(revision)
--- a/src/declare/feed.rs
+++ b/src/declare/feed.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use slog::{Logger, info, warn};
 use thiserror::Error;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use super::apply::head_key;
@@ -52,6 +53,7 @@
 #[derive(Debug)]
 pub struct Feed {
     heard: Arc<Heard>,
+    early: Arc<Notify>,
     task: JoinHandle<()>,
 }
 
@@ -115,6 +117,11 @@
     pub fn heard(&self) -> Arc<Heard> {
         Arc::clone(&self.heard)
     }
+
+    /// Ends a pause between two tries early.
+    pub fn early(&self) -> Arc<Notify> {
+        Arc::clone(&self.early)
+    }
 }
 
 impl Drop for Feed {
@@ -127,6 +134,7 @@
     store: Arc<dyn ObjectStore>,
     board: Arc<Board>,
     heard: Arc<Heard>,
+    early: Arc<Notify>,
     bounds: FeedBounds,
     log: Logger,
     seen: Version,
@@ -140,7 +148,8 @@
                 Ok(()) => pause = FIRST_BACKOFF,
                 Err(e) => {
                     warn!(self.log, "config_feed_failed"; "error" => %e);
-                    tokio::time::sleep(jitter(pause)).await;
+                    let waited = tokio::time::timeout(jitter(pause), self.early.notified()).await;
+                    drop(waited);
                     pause = (pause * 2).min(self.bounds.backoff);
                 }
             }
--- a/src/error.rs
+++ b/src/error.rs
@@ -8,7 +8,9 @@
 use crate::exit_codes::ExitCode;
 use crate::ops::FailedCode;
 use crate::ops::client::OpsError;
+use crate::peer::BindError;
 use crate::platform::StoreError;
+use crate::route::http::OpenError;
 use crate::settings::SettingsFault;
 
 /// Why a command failed.
@@ -51,6 +53,12 @@
     /// The HTTP server failed.
     #[error("the server failed: {0}")]
     Serve(volo_http::error::BoxError),
+    /// The links to other VMs cannot be started.
+    #[error("{0}")]
+    Peers(#[from] BindError),
+    /// The client of upstreams cannot be built.
+    #[error("{0}")]
+    Upstreams(#[from] OpenError),
     /// A metric cannot be registered.
     #[error("a metric cannot be registered: {0}")]
     Metrics(#[from] prometheus::Error),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,10 +7,14 @@
 // Generated code names this crate's types by its public path.
 extern crate self as basilgw;
 
+pub mod cli;
 pub mod clock;
+pub mod commands;
 pub mod config;
 pub mod declare;
+pub mod edge;
 pub mod engine;
+pub mod error;
 pub mod exit_codes;
 pub mod ids;
 pub mod limit;
@@ -18,10 +22,12 @@
 pub mod metrics;
 pub mod model;
 pub mod once;
+pub mod ops;
 pub mod outcome;
 pub mod peer;
 pub mod platform;
 pub mod route;
+pub mod run;
 pub mod schema;
 pub mod settings;
 pub mod units;
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -4,13 +4,13 @@
 //! have had. Every call is counted by kind.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use http::{Method, StatusCode};
 use http_body_util::BodyExt;
+use prometheus::IntCounter;
 use serde::de::DeserializeOwned;
 use volo_http::body::Body;
 use volo_http::client::Client;
@@ -19,24 +19,53 @@
 
 use super::{InstanceList, InstanceSource, MAX_VALUE_BYTES, Object, ObjectStore, StoreError};
 use crate::ids::{ObjectKey, Version};
+use crate::metrics::Metrics;
 use crate::schema::platform::{ConflictAnswer, PutAnswer};
 
 const VERSION_HEADER: &str = "x-version";
 const WATCH_GRACE: Duration = Duration::from_secs(2);
 
 /// Calls made to the platform, by kind.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct CallCounts {
     /// Reads.
-    pub reads: AtomicU64,
+    pub reads: IntCounter,
     /// Writes and deletions.
-    pub writes: AtomicU64,
+    pub writes: IntCounter,
     /// Watches.
-    pub watches: AtomicU64,
+    pub watches: IntCounter,
     /// Readings of the VM list.
-    pub lists: AtomicU64,
+    pub lists: IntCounter,
     /// Calls that failed.
-    pub failures: AtomicU64,
+    pub failures: IntCounter,
+}
+
+impl CallCounts {
+    fn open() -> Result<Self, prometheus::Error> {
+        let counter = |kind: &str| {
+            let name = format!("basilgw_platform_{kind}_total");
+            IntCounter::new(name, format!("Calls to the platform's service: {kind}."))
+        };
+        Ok(Self {
+            reads: counter("reads")?,
+            writes: counter("writes")?,
+            watches: counter("watches")?,
+            lists: counter("lists")?,
+            failures: counter("failures")?,
+        })
+    }
+
+    /// Adds the counters to a registry.
+    ///
+    /// # Errors
+    ///
+    /// Where a name is taken.
+    pub fn register(&self, metrics: &Metrics) -> Result<(), prometheus::Error> {
+        for counter in [&self.reads, &self.writes, &self.watches, &self.lists, &self.failures] {
+            metrics.registry().register(Box::new(counter.clone()))?;
+        }
+        Ok(())
+    }
 }
 
 /// A client of the platform's service.
@@ -108,7 +137,7 @@
         let outcome = tokio::time::timeout(timeout, exchange).await;
         let outcome = outcome.unwrap_or(Err(StoreError::Unknown));
         if outcome.is_err() {
-            self.counts.failures.fetch_add(1, Ordering::Relaxed);
+            self.counts.failures.inc();
         }
         outcome
     }
@@ -166,7 +195,7 @@
 impl ObjectStore for PlatformClient {
     fn get<'a>(&'a self, key: &'a ObjectKey) -> BoxFuture<'a, Result<Option<Object>, StoreError>> {
         Box::pin(async move {
-            self.counts.reads.fetch_add(1, Ordering::Relaxed);
+            self.counts.reads.inc();
             let reply = self
                 .read(&format!("/v1/objects/{key}"), self.timeout)
                 .await?;
@@ -188,7 +217,7 @@
             if value.len() > MAX_VALUE_BYTES {
                 return Err(StoreError::TooLarge(value.len()));
             }
-            self.counts.writes.fetch_add(1, Ordering::Relaxed);
+            self.counts.writes.inc();
             let path = format!("/v1/objects/{key}?if={expected}");
             let reply = self.call(Method::PUT, &path, value, self.timeout).await?;
             match reply.status {
@@ -211,7 +240,7 @@
         expected: Version,
     ) -> BoxFuture<'a, Result<(), StoreError>> {
         Box::pin(async move {
-            self.counts.writes.fetch_add(1, Ordering::Relaxed);
+            self.counts.writes.inc();
             let path = format!("/v1/objects/{key}?if={expected}");
             let reply = self
                 .call(Method::DELETE, &path, Bytes::new(), self.timeout)
@@ -233,7 +262,7 @@
         wait: Duration,
     ) -> BoxFuture<'a, Result<Option<Object>, StoreError>> {
         Box::pin(async move {
-            self.counts.watches.fetch_add(1, Ordering::Relaxed);
+            self.counts.watches.inc();
             let path = format!("/v1/watch/{key}?after={after}&wait={}", wait.as_millis());
             let reply = self.read(&path, wait + WATCH_GRACE).await?;
             match reply.status {
@@ -248,7 +277,7 @@
 impl InstanceSource for PlatformClient {
     fn list(&self) -> BoxFuture<'_, Result<InstanceList, StoreError>> {
         Box::pin(async move {
-            self.counts.lists.fetch_add(1, Ordering::Relaxed);
+            self.counts.lists.inc();
             let reply = self.read("/v1/instances", self.timeout).await?;
             match reply.status {
                 StatusCode::OK => parse(&reply.body),
--- /dev/null
+++ b/src/run/mod.rs
@@ -0,0 +1,339 @@
+//! One VM, wired.
+//!
+//! Opens every module in the order in which they need one another, serves until a signal, drains,
+//! hands over what this VM holds, and returns.
+
+mod engines;
+mod servers;
+mod tasks;
+mod views;
+mod wake;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{Logger, info, warn};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use self::engines::{CacheFeed, ReportTap};
+use self::servers::Drain;
+use self::tasks::{follow_board, follow_list};
+use self::views::{Catalogue, Engines, LeaseFrames, Leases, Own, Reachable, Status, Vms};
+use self::wake::{Waker, Wakes, Woken};
+use crate::clock::{Clock, SystemClock};
+use crate::config::Config;
+use crate::declare::spread::Spreader;
+use crate::declare::{Board, BoardHolder, Feed, FeedBounds, Submitter};
+use crate::edge::{Edge, EdgeParts, Running};
+use crate::engine::EngineControl;
+use crate::engine::http::HttpEngineControl;
+use crate::error::Error;
+use crate::ids::Generation;
+use crate::limit::{Limits, Parts, VmView};
+use crate::log;
+use crate::metrics::{EdgeMetrics, Metrics};
+use crate::model::{self, Models, Ports};
+use crate::once::log::{Keeper, StoreLog};
+use crate::ops::{Ops, OpsParts};
+use crate::peer::{Kind, NodeOptions, PeerNode};
+use crate::platform::http::PlatformClient;
+use crate::platform::{Directory, ObjectStore};
+use crate::route::Transport;
+use crate::route::choose::{Balancer, ChooseSettings};
+use crate::route::dispatch::Dispatcher;
+use crate::route::http::HttpTransport;
+
+const HANDOVER: Duration = Duration::from_secs(5);
+const ORDER_CALL: Duration = Duration::from_secs(2);
+
+/// Modules that every other one builds on.
+struct Base {
+    config: Config,
+    clock: Arc<dyn Clock>,
+    log: Logger,
+    metrics: Metrics,
+    generation: Generation,
+    store: Arc<dyn ObjectStore>,
+    board: Arc<Board>,
+    directory: Arc<Directory>,
+    feed: Feed,
+    running: Arc<Running>,
+}
+
+/// Modules that choose and reach upstreams.
+struct Routes {
+    balancer: Arc<Balancer>,
+    transport: Arc<HttpTransport>,
+    engines: Arc<dyn EngineControl>,
+    _cache: CacheFeed,
+}
+
+/// Modules that talk to other VMs.
+struct Fleet {
+    node: Arc<PeerNode>,
+    vms: Arc<Vms>,
+    limits: Arc<Limits>,
+    models: Arc<Models>,
+    _tasks: Tasks,
+}
+
+/// Tasks that end with this value.
+struct Tasks(Vec<JoinHandle<()>>);
+
+impl Drop for Tasks {
+    fn drop(&mut self) {
+        self.0.iter().for_each(JoinHandle::abort);
+    }
+}
+
+/// Runs one VM until it is told to stop.
+///
+/// # Errors
+///
+/// Where an address cannot be bound or a part cannot be started.
+pub async fn run(config: Config) -> Result<(), Error> {
+    let base = open_base(config)?;
+    let gate = servers::bind_gate(&base.config).await?;
+    let ops_listener = servers::bind_ops(&base.config).await?;
+    let routes = open_routes(&base)?;
+    let fleet = open_fleet(&base, &routes).await?;
+    info!(base.log, "started";
+        "callers" => %gate.address(), "peers" => %fleet.node.local_addr(),
+        "generation" => base.generation.0);
+    let edge = open_edge(&base, &routes, &fleet)?;
+    let ops = open_ops(&base, &fleet);
+    let (over, done) = watch::channel(false);
+    let hook = drain(&base, &fleet, over);
+    let (callers, operators) = tokio::join!(
+        servers::serve_callers(edge, gate, hook),
+        servers::serve_operators(ops, ops_listener, done),
+    );
+    callers.and(operators)
+}
+
+fn open_base(config: Config) -> Result<Base, Error> {
+    let clock = SystemClock::open();
+    let log = log::open(&config.vm, config.level);
+    let metrics = Metrics::open();
+    let settings = &config.platform;
+    let timeout = Duration::from_millis(settings.timeout);
+    let client = Arc::new(PlatformClient::open(config.platform_at, timeout)?);
+    client.counts().register(&metrics)?;
+    let store = Arc::clone(&client) as Arc<dyn ObjectStore>;
+    let board = Board::open();
+    let bounds = FeedBounds {
+        watch: Duration::from_millis(settings.watch),
+        backoff: Duration::from_millis(settings.backoff),
+    };
+    let feed = Feed::spawn(
+        Arc::clone(&store),
+        Arc::clone(&board),
+        Arc::clone(&clock),
+        bounds,
+        log.clone(),
+    );
+    let pause = Duration::from_millis(settings.list);
+    let directory = Arc::new(Directory::spawn(client, Arc::clone(&clock), pause, log.clone()));
+    Ok(Base {
+        generation: Generation(clock.wall_ms()),
+        config,
+        clock,
+        log,
+        metrics,
+        store,
+        board,
+        directory,
+        feed,
+        running: Running::open(),
+    })
+}
+
+fn open_routes(base: &Base) -> Result<Routes, Error> {
+    let settings = &base.config.upstreams;
+    let choice = ChooseSettings {
+        centre: base.config.centre.clone(),
+        budget: settings.budget,
+        seed: base.generation.0,
+    };
+    let balancer = Arc::new(Balancer::open(&choice, base.clock.now()));
+    let transport = Arc::new(HttpTransport::open(Arc::clone(&base.clock), settings)?);
+    let control = HttpEngineControl::open(
+        Arc::clone(&transport) as Arc<dyn Transport>,
+        Arc::clone(&base.clock),
+        ORDER_CALL,
+    );
+    let engines: Arc<dyn EngineControl> = Arc::new(ReportTap {
+        inner: Arc::new(control),
+        balancer: Arc::clone(&balancer),
+        clock: Arc::clone(&base.clock),
+    });
+    let cache = CacheFeed::spawn(
+        Arc::clone(&engines),
+        Arc::clone(&base.directory),
+        Arc::clone(&balancer),
+        Arc::clone(&base.clock),
+    );
+    Ok(Routes { balancer, transport, engines, _cache: cache })
+}
+
+async fn open_fleet(base: &Base, routes: &Routes) -> Result<Fleet, Error> {
+    let node = open_node(base, routes).await?;
+    node.metrics().register(base.metrics.registry())?;
+    let vms = Arc::new(Vms {
+        node: Arc::clone(&node),
+        directory: Arc::clone(&base.directory),
+        lag: Duration::from_millis(base.config.platform.lag),
+        clock: Arc::clone(&base.clock),
+    });
+    let limits = open_limits(base, &node, &vms);
+    let models = open_models(base, routes, &node);
+    let holder = BoardHolder::open(Arc::clone(&base.board), base.feed.early());
+    let spreader = Spreader::spawn(&node, holder, Arc::clone(&base.clock));
+    let board = follow_board(Arc::clone(&base.board), Arc::clone(&limits), spreader);
+    let list = follow_list(
+        Arc::clone(&base.directory),
+        Arc::clone(&node),
+        Arc::clone(&routes.balancer),
+        Arc::clone(&routes.transport),
+    );
+    Ok(Fleet { node, vms, limits, models, _tasks: Tasks(vec![board, list]) })
+}
+
+async fn open_node(base: &Base, routes: &Routes) -> Result<Arc<PeerNode>, Error> {
+    let options = NodeOptions {
+        vm: base.config.vm.clone(),
+        generation: base.generation,
+        centre: base.config.centre.clone(),
+        listen: base.config.peers_at,
+        settings: base.config.peers.clone(),
+        seed: base.generation.0,
+    };
+    let own = Arc::new(Own {
+        board: Arc::clone(&base.board),
+        heard: base.feed.heard(),
+        balancer: Arc::clone(&routes.balancer),
+        directory: Arc::clone(&base.directory),
+    });
+    Ok(Arc::new(PeerNode::bind(options, Arc::clone(&base.clock), own).await?))
+}
+
+fn open_limits(base: &Base, node: &Arc<PeerNode>, vms: &Arc<Vms>) -> Arc<Limits> {
+    let parts = Parts {
+        vm: base.config.vm.clone(),
+        generation: base.generation,
+        clock: Arc::clone(&base.clock),
+        store: Arc::clone(&base.store),
+        link: Arc::new(Leases(Arc::clone(node))),
+        view: Arc::clone(vms) as Arc<dyn VmView>,
+    };
+    let limits = Limits::spawn(parts, &base.config.limits, &base.config.platform);
+    for kind in [Kind::Ask, Kind::Grant] {
+        node.handle(kind, Arc::new(LeaseFrames(Arc::clone(&limits))));
+    }
+    limits
+}
+
+fn open_models(base: &Base, routes: &Routes, node: &Arc<PeerNode>) -> Arc<Models> {
+    let wakes = Wakes::open(Arc::clone(node));
+    let config = model::Config {
+        vm: base.config.vm.clone(),
+        models: base.config.models.clone(),
+        report: Duration::from_millis(base.config.upstreams.report),
+        waiting: base.config.callers.waiting as usize,
+    };
+    let ports = Ports {
+        store: Arc::clone(&base.store),
+        engines: Arc::clone(&routes.engines),
+        fleet: Arc::new(Engines {
+            node: Arc::clone(node),
+            directory: Arc::clone(&base.directory),
+            vm: base.config.vm.clone(),
+        }),
+        catalog: Arc::new(Catalogue(Arc::clone(&base.board))),
+        wake: Arc::clone(&wakes) as Arc<dyn model::WakeLink>,
+        clock: Arc::clone(&base.clock),
+        log: base.log.clone(),
+    };
+    let models = Arc::new(Models::spawn(config, ports));
+    let waker = Waker { models: Arc::clone(&models), node: Arc::downgrade(node) };
+    node.handle(Kind::Wake, Arc::new(waker));
+    node.handle(Kind::Woken, Arc::new(Woken(wakes)));
+    models
+}
+
+fn open_edge(base: &Base, routes: &Routes, fleet: &Fleet) -> Result<Edge, Error> {
+    let keeper = Keeper { vm: base.config.vm.clone(), generation: base.generation };
+    let once = StoreLog::open(
+        Arc::clone(&base.store),
+        Arc::clone(&fleet.vms) as Arc<dyn crate::once::VmLiveness>,
+        Arc::clone(&base.clock),
+        keeper,
+    );
+    let dispatcher = Dispatcher::open(
+        Arc::clone(&routes.balancer) as Arc<dyn crate::route::Chooser>,
+        Arc::clone(&routes.transport) as Arc<dyn Transport>,
+        Arc::clone(&base.clock),
+        base.config.upstreams.retries,
+    );
+    Ok(Edge::open(EdgeParts {
+        board: Arc::clone(&base.board),
+        standing: Arc::new(Reachable(Arc::clone(&fleet.node))),
+        limiter: Arc::clone(&fleet.limits) as Arc<dyn crate::limit::Limiter>,
+        placer: Arc::clone(&fleet.models) as Arc<dyn crate::model::Placer>,
+        once,
+        dispatcher,
+        directory: Arc::clone(&base.directory),
+        running: Arc::clone(&base.running),
+        callers: base.config.callers.clone(),
+        buffer: base.config.upstreams.buffer as usize,
+        metrics: EdgeMetrics::open(&base.metrics)?,
+        clock: Arc::clone(&base.clock),
+        log: base.log.clone(),
+    }))
+}
+
+fn open_ops(base: &Base, fleet: &Fleet) -> Ops {
+    let submitter = Submitter::open(
+        Arc::clone(&base.store),
+        Arc::clone(&base.board),
+        Arc::clone(&base.clock),
+    );
+    let status = Status {
+        config: base.config.clone(),
+        board: Arc::clone(&base.board),
+        heard: base.feed.heard(),
+        node: Arc::clone(&fleet.node),
+        directory: Arc::clone(&base.directory),
+        running: Arc::clone(&base.running),
+    };
+    Ops::open(OpsParts {
+        submitter,
+        store: Arc::clone(&base.store),
+        status: Arc::new(status),
+        metrics: base.metrics.clone(),
+        log: base.log.clone(),
+    })
+}
+
+/// Drains callers, hands over held shares, and says that callers are done.
+fn drain(
+    base: &Base,
+    fleet: &Fleet,
+    over: watch::Sender<bool>,
+) -> impl Future<Output = ()> + Send + 'static {
+    let drain = Drain {
+        running: Arc::clone(&base.running),
+        linger: base.config.linger,
+        bound: base.config.bound,
+        log: base.log.clone(),
+    };
+    let (node, limits) = (Arc::clone(&fleet.node), Arc::clone(&fleet.limits));
+    async move {
+        drain.run(|| node.leave()).await;
+        if !limits.leave(HANDOVER).await {
+            warn!(drain.log, "shares_not_handed_over");
+        }
+        over.send_replace(true);
+    }
+}
--- /dev/null
+++ b/src/run/tasks.rs
@@ -0,0 +1,70 @@
+//! Tasks that carry news from one module to the others.
+
+use std::sync::Arc;
+
+use tokio::task::JoinHandle;
+
+use crate::declare::Board;
+use crate::declare::spread::Spreader;
+use crate::limit::Limits;
+use crate::peer::PeerNode;
+use crate::platform::{Directory, InstanceList, InstanceState, Listing};
+use crate::route::choose::Balancer;
+use crate::route::http::HttpTransport;
+use crate::route::{Chooser, upstream_of};
+
+/// Brings each new revision to the limits and to the peers.
+pub fn follow_board(
+    board: Arc<Board>,
+    limits: Arc<Limits>,
+    spreader: Arc<Spreader>,
+) -> JoinHandle<()> {
+    let mut news = board.subscribe();
+    tokio::spawn(async move {
+        loop {
+            let current = board.current();
+            if current.head.is_some() {
+                limits.configure(&current.declaration);
+                spreader.accepted(current.revision);
+            }
+            if news.changed().await.is_err() {
+                return;
+            }
+        }
+    })
+}
+
+/// Brings each reading of the platform's list to the links and to the choice of upstreams, and
+/// each word that an upstream leaves from one to the other.
+pub fn follow_list(
+    directory: Arc<Directory>,
+    node: Arc<PeerNode>,
+    balancer: Arc<Balancer>,
+    transport: Arc<HttpTransport>,
+) -> JoinHandle<()> {
+    let mut news = directory.subscribe();
+    tokio::spawn(async move {
+        while news.changed().await.is_ok() {
+            let listing = directory.listing();
+            node.observe(&InstanceList { age: 0, instances: listing.instances.clone() });
+            note_leaving(&listing, &balancer);
+            for (upstream, generation) in &node.live().leaving {
+                balancer.on_leaving(upstream, *generation);
+            }
+            for (upstream, generation) in balancer.leaving() {
+                node.upstream_leaves(&upstream, generation);
+            }
+            let listed = |at: &str| listing.instances.iter().any(|i| i.address == at);
+            transport.retain(listed);
+        }
+    })
+}
+
+fn note_leaving(listing: &Listing, balancer: &Balancer) {
+    let leaving = listing.instances.iter().filter(|i| i.state == InstanceState::Leaving);
+    for instance in leaving {
+        if let Some(upstream) = upstream_of(instance) {
+            balancer.on_leaving(&upstream, instance.generation);
+        }
+    }
+}
--- /dev/null
+++ b/src/run/views.rs
@@ -0,0 +1,225 @@
+//! What one module shows another: VMs, health, status.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::declare::{Board, Heard};
+use crate::edge::{Running, Standing};
+use crate::ids::{Generation, Revision, UpstreamId, VmId};
+use crate::limit::{LeaseLink, Limits, LiveVm, LiveVms, VmView};
+use crate::model::{Catalog, Fleet};
+use crate::once::VmLiveness;
+use crate::ops::{StatusReport, StatusSource};
+use crate::peer::{Contact, FrameHandler, LocalState, MemberState, PeerNode};
+use crate::platform::{Directory, Instance, InstanceKind, InstanceState};
+use crate::route::choose::Balancer;
+use crate::schema::declaration::Declaration;
+use crate::schema::peer::{Frame, UpstreamDigest};
+
+/// What this VM tells its peers of itself.
+#[derive(Debug)]
+pub struct Own {
+    /// The configuration in force.
+    pub board: Arc<Board>,
+    /// When the store was last heard.
+    pub heard: Arc<Heard>,
+    /// Choice of upstreams, for requests in flight.
+    pub balancer: Arc<Balancer>,
+    /// Upstreams known.
+    pub directory: Arc<Directory>,
+}
+
+impl LocalState for Own {
+    fn revision(&self) -> Revision {
+        self.board.revision()
+    }
+
+    fn heard(&self) -> Duration {
+        self.heard.age().unwrap_or(Duration::MAX)
+    }
+
+    fn upstreams(&self) -> Vec<UpstreamDigest> {
+        let listing = self.directory.listing();
+        let known = listing.instances.iter().filter_map(|instance| {
+            let upstream: UpstreamId = instance.vm.as_str().parse().ok()?;
+            let inflight = self.balancer.own(&upstream);
+            let leaving = instance.state == InstanceState::Leaving;
+            let told = inflight > 0 || leaving;
+            let generation = instance.generation;
+            told.then_some(UpstreamDigest { upstream, generation, leaving, inflight })
+        });
+        known.collect()
+    }
+}
+
+/// The VMs as the platform's list and the peers show them.
+#[derive(Debug)]
+pub struct Vms {
+    /// Links to other VMs.
+    pub node: Arc<PeerNode>,
+    /// The platform's list.
+    pub directory: Arc<Directory>,
+    /// Greatest lag of the list.
+    pub lag: Duration,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+}
+
+impl Vms {
+    fn listed(&self, vm: &VmId) -> Option<Instance> {
+        self.directory.listing().gateways().find(|instance| instance.vm == *vm).cloned()
+    }
+}
+
+impl VmView for Vms {
+    fn vms(&self) -> Arc<LiveVms> {
+        let listing = self.directory.listing();
+        let members = self.node.live();
+        let mut view = LiveVms { listed: listing.taken, ..LiveVms::default() };
+        for instance in listing.gateways() {
+            let member = members.vms.get(&instance.vm);
+            let leaves = instance.state == InstanceState::Leaving
+                || member.is_some_and(|m| m.state == MemberState::Leaving);
+            let known = member.map_or(instance.generation, |m| m.generation);
+            let live = LiveVm {
+                centre: instance.centre.clone(),
+                generation: known.max(instance.generation),
+                leaving: leaves,
+                listed: true,
+            };
+            view.vms.insert(instance.vm.clone(), live);
+        }
+        Arc::new(view)
+    }
+}
+
+impl VmLiveness for Vms {
+    fn is_gone(&self, vm: &VmId, generation: Generation) -> bool {
+        let fresh = self.directory.listing().taken.is_some_and(|taken| {
+            self.clock.now().saturating_duration_since(taken) <= self.lag
+        });
+        if !fresh {
+            return false;
+        }
+        let newer = |known: Generation| known > generation;
+        if self.node.live().vms.get(vm).is_some_and(|member| newer(member.generation)) {
+            return true;
+        }
+        self.listed(vm).is_none_or(|instance| newer(instance.generation))
+    }
+}
+
+/// Trusts keys unless this VM is cut off alone.
+#[derive(Debug)]
+pub struct Reachable(pub Arc<PeerNode>);
+
+impl Standing for Reachable {
+    fn keys_trusted(&self) -> bool {
+        self.0.contact() != Contact::Alone
+    }
+}
+
+/// Sends lease frames over the peer links.
+#[derive(Debug)]
+pub struct Leases(pub Arc<PeerNode>);
+
+impl LeaseLink for Leases {
+    fn send(&self, to: &VmId, frame: Frame) {
+        // A frame that cannot be sent is counted by the node, and asked for again.
+        let sent = self.0.send(to, &frame);
+        drop(sent);
+    }
+}
+
+/// Hands lease frames of peers to the limits.
+#[derive(Debug)]
+pub struct LeaseFrames(pub Arc<Limits>);
+
+impl FrameHandler for LeaseFrames {
+    fn on_frame(&self, from: &VmId, frame: Frame) -> Option<Frame> {
+        match frame {
+            Frame::Ask(ask) => self.0.on_ask(from, &ask).map(Frame::Grant),
+            Frame::Grant(answer) => {
+                self.0.on_answer(from, &answer);
+                None
+            }
+            _ => None,
+        }
+    }
+}
+
+/// Engines and live VMs as the placement of models sees them.
+#[derive(Debug)]
+pub struct Engines {
+    /// Links to other VMs.
+    pub node: Arc<PeerNode>,
+    /// The platform's list.
+    pub directory: Arc<Directory>,
+    /// This VM.
+    pub vm: VmId,
+}
+
+impl Fleet for Engines {
+    fn engines(&self) -> Arc<Vec<Instance>> {
+        let listing = self.directory.listing();
+        let engines = listing.instances.iter().filter(|i| i.kind == InstanceKind::Engine);
+        Arc::new(engines.cloned().collect())
+    }
+
+    fn vms(&self) -> Arc<Vec<VmId>> {
+        let members = self.node.live();
+        let mut vms: Vec<VmId> = members.live().map(|(vm, _)| vm.clone()).collect();
+        vms.push(self.vm.clone());
+        vms.sort();
+        Arc::new(vms)
+    }
+}
+
+/// The declaration in force as the placement of models sees it.
+#[derive(Debug)]
+pub struct Catalogue(pub Arc<Board>);
+
+impl Catalog for Catalogue {
+    fn current(&self) -> Arc<Declaration> {
+        Arc::clone(&self.0.current().declaration)
+    }
+}
+
+/// What this VM says of itself to operators.
+#[derive(Debug)]
+pub struct Status {
+    /// Who this VM is.
+    pub config: Config,
+    /// The configuration in force.
+    pub board: Arc<Board>,
+    /// When the store was last heard.
+    pub heard: Arc<Heard>,
+    /// Links to other VMs.
+    pub node: Arc<PeerNode>,
+    /// The platform's list.
+    pub directory: Arc<Directory>,
+    /// Running requests.
+    pub running: Arc<Running>,
+}
+
+impl StatusSource for Status {
+    fn status(&self) -> StatusReport {
+        let held = self.board.current().head.is_some();
+        let trusted = self.node.contact() != Contact::Alone;
+        let leaving = self.running.leaving();
+        let upstreams = self.directory.listing().instances.len();
+        StatusReport {
+            vm: self.config.vm.clone(),
+            centre: self.config.centre.clone(),
+            revision: self.board.revision(),
+            ready: held && trusted && !leaving,
+            leaving,
+            running: self.running.count() as u64,
+            heard: self.heard.age().map(|age| age.as_millis() as u64),
+            peers: self.node.live().live().count() as u64,
+            upstreams: upstreams.saturating_sub(self.directory.listing().gateways().count()) as u64,
+        }
+    }
+}
