Prove the once-records against faults of the store

Cause: the once-records had no test.

Change: a store in memory that is down, loses answers before and after effect, delivers writes late and shows stale reads; directed cases, and a property over 2,000 seeded sequences of concurrent repeats, ends, deaths, lagging lists and faults.

--- /dev/null
+++ b/tests/once_log.rs
@@ -0,0 +1,413 @@
+//! A request with an idempotency key runs at most once, whatever fails around its record.
+
+mod once_support;
+
+use std::sync::Arc;
+
+use basilgw::clock::SystemClock;
+use basilgw::ids::Generation;
+use basilgw::once::log::{Keeper, StoreLog};
+use basilgw::once::record::MAX_BODY_BYTES;
+use basilgw::once::{Attempt, Begin, End, OnceKey, OnceLog, Recorded};
+use basilgw::outcome::{Ran, Reason, Refusal};
+use bytes::Bytes;
+use futures_util::future::join_all;
+use once_support::{Fault, Gone, MemoryStore};
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+const VMS: usize = 3;
+const KEYS: usize = 2;
+
+/// The store, the list and the logs of some VMs.
+struct Fleet {
+    store: Arc<MemoryStore>,
+    gone: Arc<Gone>,
+    keepers: Vec<Keeper>,
+    logs: Vec<Arc<StoreLog>>,
+}
+
+impl Fleet {
+    fn open() -> Self {
+        let keeper = |number| Keeper {
+            vm: format!("vm{number}").parse().expect("an id"),
+            generation: Generation(1),
+        };
+        let mut fleet = Self {
+            store: Arc::default(),
+            gone: Gone::open(),
+            keepers: (0..VMS).map(keeper).collect(),
+            logs: Vec::new(),
+        };
+        fleet.logs = (0..VMS).map(|vm| fleet.log(vm)).collect();
+        fleet
+    }
+
+    fn log(&self, vm: usize) -> Arc<StoreLog> {
+        let store = Arc::clone(&self.store);
+        let gone = Arc::clone(&self.gone);
+        StoreLog::open(store, gone, SystemClock::open(), self.keepers[vm].clone())
+    }
+
+    /// Kills a VM; its successor starts with nothing.
+    fn kill(&mut self, vm: usize) {
+        let generation = self.keepers[vm].generation;
+        self.keepers[vm].generation = generation.next();
+        self.logs[vm] = self.log(vm);
+    }
+
+    fn show_gone(&self, vm: usize) {
+        let keeper = &self.keepers[vm];
+        self.gone.add(&keeper.vm, keeper.generation);
+    }
+
+    async fn begin(&self, vm: usize, key: usize) -> Result<Begin, Refusal> {
+        self.logs[vm].begin(once_key(key)).await
+    }
+
+    async fn run(&self, vm: usize) -> Attempt {
+        match self.begin(vm, 0).await.expect("may run") {
+            Begin::Run(attempt) => attempt,
+            Begin::Repeat(answer) => panic!("nothing ran, but got {answer:?}"),
+        }
+    }
+
+    async fn refused(&self, vm: usize) -> Refusal {
+        self.begin(vm, 0).await.expect_err("refused")
+    }
+}
+
+fn once_key(number: usize) -> OnceKey {
+    OnceKey {
+        account: "club".parse().expect("an id"),
+        route: "book".parse().expect("an id"),
+        key: format!("key {number}").into(),
+        digest: [1; 32],
+    }
+}
+
+fn answer(text: &str) -> Recorded {
+    Recorded {
+        status: 201,
+        media: "text/plain".into(),
+        body: Bytes::copy_from_slice(text.as_bytes()),
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_repeat_elsewhere_gets_the_recorded_answer() {
+    let fleet = Fleet::open();
+    let attempt = fleet.run(0).await;
+    let refusal = fleet.refused(1).await;
+    assert_eq!(
+        (refusal.reason, refusal.ran),
+        (Reason::InProgress, Ran::Unknown)
+    );
+    fleet.logs[0]
+        .finish(attempt, End::Ran(answer("slot 7")))
+        .await;
+    for vm in 0..VMS {
+        let repeat = fleet.begin(vm, 0).await.expect("a repeat");
+        assert!(matches!(repeat, Begin::Repeat(kept) if kept == answer("slot 7")));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_surely_did_not_run_may_be_tried_again() {
+    let fleet = Fleet::open();
+    let attempt = fleet.run(0).await;
+    fleet.logs[0].finish(attempt, End::NotRun).await;
+    assert_eq!(fleet.store.objects().len(), 0);
+    fleet.run(1).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn after_its_vm_died_the_outcome_is_unknown_for_good() {
+    let mut fleet = Fleet::open();
+    drop(fleet.run(0).await);
+    assert_eq!(fleet.refused(1).await.reason, Reason::InProgress);
+    fleet.show_gone(0);
+    fleet.kill(0);
+    for vm in [1, 0, 2] {
+        let refusal = fleet.refused(vm).await;
+        assert_eq!(refusal, Refusal::unknown(Reason::UpstreamFailed));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_live_vm_that_the_list_lost_still_records_its_answer() {
+    let fleet = Fleet::open();
+    let attempt = fleet.run(0).await;
+    fleet.show_gone(0);
+    assert_eq!(fleet.refused(1).await.ran, Ran::Unknown);
+    fleet.logs[0]
+        .finish(attempt, End::Ran(answer("late")))
+        .await;
+    let repeat = fleet.begin(2, 0).await.expect("a repeat");
+    assert!(matches!(repeat, Begin::Repeat(kept) if kept == answer("late")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn another_request_with_the_same_key_did_not_run() {
+    let fleet = Fleet::open();
+    fleet.run(0).await;
+    let mut other = once_key(0);
+    other.digest = [2; 32];
+    let refusal = fleet.logs[1]
+        .begin(other)
+        .await
+        .expect_err("another request");
+    assert_eq!(refusal, Refusal::not_run(Reason::Conflict));
+}
+
+#[tokio::test(start_paused = true)]
+async fn accounts_and_routes_do_not_share_keys() {
+    let fleet = Fleet::open();
+    fleet.run(0).await;
+    let (mut account, mut route) = (once_key(0), once_key(0));
+    account.account = "rival".parse().expect("an id");
+    route.route = "draw".parse().expect("an id");
+    for key in [account, route] {
+        let begin = fleet.logs[0].begin(key).await.expect("another key");
+        assert!(matches!(begin, Begin::Run(_)));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_store_that_is_down_means_not_run_and_when_to_come_back() {
+    let fleet = Fleet::open();
+    fleet.store.fail([Fault::Down]);
+    let refusal = fleet.refused(0).await;
+    assert_eq!(
+        (refusal.reason, refusal.ran),
+        (Reason::StoreUnavailable, Ran::No)
+    );
+    assert!(refusal.retry.is_some());
+    fleet.run(0).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_earlier_attempt_that_cannot_be_read_is_not_called_not_run() {
+    let fleet = Fleet::open();
+    fleet.run(0).await;
+    fleet.store.fail([Fault::None, Fault::Down]);
+    let refusal = fleet.refused(1).await;
+    assert_eq!(
+        (refusal.reason, refusal.ran),
+        (Reason::StoreUnavailable, Ran::Unknown)
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_of_the_creation_is_settled_by_reading() {
+    for fault in [Fault::LostAfter, Fault::LostBefore, Fault::Late] {
+        let fleet = Fleet::open();
+        fleet.store.fail([fault]);
+        fleet.run(0).await;
+        fleet.store.deliver();
+        assert_eq!(
+            fleet.refused(1).await.reason,
+            Reason::InProgress,
+            "{fault:?}"
+        );
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_creation_given_up_on_that_appears_later_is_cleared_away() {
+    let fleet = Fleet::open();
+    fleet.store.fail([Fault::Late, Fault::Down]);
+    assert_eq!(fleet.refused(0).await.ran, Ran::No);
+    assert_eq!(fleet.logs[0].flush().await, 1);
+    fleet.store.deliver();
+    assert_eq!(fleet.refused(1).await.reason, Reason::InProgress);
+    assert_eq!(fleet.logs[0].flush().await, 0);
+    fleet.run(1).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outcome_survives_an_outage_while_its_vm_lives() {
+    let fleet = Fleet::open();
+    let attempt = fleet.run(0).await;
+    fleet.store.fail([Fault::Down; 2]);
+    fleet.logs[0]
+        .finish(attempt, End::Ran(answer("kept")))
+        .await;
+    let repeat = fleet.begin(0, 0).await.expect("a repeat without the store");
+    assert!(matches!(repeat, Begin::Repeat(kept) if kept == answer("kept")));
+    fleet.store.heal();
+    assert_eq!(fleet.logs[0].flush().await, 0);
+    let repeat = fleet.begin(1, 0).await.expect("a repeat elsewhere");
+    assert!(matches!(repeat, Begin::Repeat(kept) if kept == answer("kept")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_too_large_to_keep_is_said_to_have_run() {
+    let fleet = Fleet::open();
+    let attempt = fleet.run(0).await;
+    let large = "x".repeat(MAX_BODY_BYTES + 1);
+    fleet.logs[0]
+        .finish(attempt, End::Ran(answer(&large)))
+        .await;
+    assert_eq!(fleet.refused(1).await, Refusal::ran(Reason::Capacity));
+    assert!(fleet.store.objects()[0].len() < 1000);
+}
+
+/// One thing that happens to the fleet.
+#[derive(Clone, Debug)]
+enum Step {
+    /// Repeats of a request at VMs, at once.
+    Begin(usize, Vec<usize>),
+    /// The oldest attempt of a VM ends.
+    Finish(usize, u8),
+    Kill(usize),
+    /// The list no longer shows a VM, which may live.
+    Gone(usize),
+    Flush(usize),
+    Faults(Vec<Fault>),
+    Deliver,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let fault = prop::sample::select(vec![
+        Fault::None,
+        Fault::Down,
+        Fault::LostAfter,
+        Fault::LostBefore,
+        Fault::Late,
+        Fault::Stale,
+    ]);
+    prop_oneof![
+        4 => (0..KEYS, vec(0..VMS, 1..4)).prop_map(|(key, vms)| Step::Begin(key, vms)),
+        3 => (0..VMS, 0..3_u8).prop_map(|(vm, end)| Step::Finish(vm, end)),
+        1 => (0..VMS).prop_map(Step::Kill),
+        1 => (0..VMS).prop_map(Step::Gone),
+        1 => (0..VMS).prop_map(Step::Flush),
+        3 => vec(fault, 1..8).prop_map(Step::Faults),
+        1 => Just(Step::Deliver),
+    ]
+}
+
+/// What truly happened to one request.
+#[derive(Debug, Default)]
+struct Truth {
+    /// The VM whose attempt may be running.
+    active: Option<usize>,
+    /// Whether an attempt ran, or may have.
+    spent: bool,
+    answer: Option<Recorded>,
+}
+
+/// The fleet, its attempts and the truth.
+struct World {
+    fleet: Fleet,
+    attempts: Vec<Vec<(usize, Attempt)>>,
+    truths: Vec<Truth>,
+    runs: usize,
+}
+
+impl World {
+    fn open() -> Self {
+        Self {
+            fleet: Fleet::open(),
+            attempts: (0..VMS).map(|_| Vec::new()).collect(),
+            truths: (0..KEYS).map(|_| Truth::default()).collect(),
+            runs: 0,
+        }
+    }
+
+    async fn step(&mut self, step: Step) -> Result<(), TestCaseError> {
+        match step {
+            Step::Begin(key, vms) => {
+                let begun = join_all(vms.iter().map(|&vm| self.fleet.begin(vm, key))).await;
+                for (vm, begin) in vms.into_iter().zip(begun) {
+                    self.check(vm, key, begin)?;
+                }
+            }
+            Step::Finish(vm, end) => self.finish(vm, end).await,
+            Step::Kill(vm) => {
+                self.fleet.kill(vm);
+                for (key, _) in self.attempts[vm].drain(..) {
+                    self.truths[key].active = None;
+                    self.truths[key].spent = true;
+                }
+            }
+            Step::Gone(vm) => self.fleet.show_gone(vm),
+            Step::Flush(vm) => {
+                self.fleet.logs[vm].flush().await;
+            }
+            Step::Faults(faults) => self.fleet.store.fail(faults),
+            Step::Deliver => self.fleet.store.deliver(),
+        }
+        Ok(())
+    }
+
+    fn check(
+        &mut self,
+        vm: usize,
+        key: usize,
+        begin: Result<Begin, Refusal>,
+    ) -> Result<(), TestCaseError> {
+        let truth = &mut self.truths[key];
+        match begin {
+            Ok(Begin::Run(attempt)) => {
+                prop_assert_eq!(truth.active, None, "two attempts may run");
+                prop_assert!(!truth.spent, "a second run");
+                truth.active = Some(vm);
+                self.attempts[vm].push((key, attempt));
+            }
+            Ok(Begin::Repeat(answer)) => prop_assert_eq!(Some(&answer), truth.answer.as_ref()),
+            Err(refusal) if refusal.ran == Ran::No => {
+                prop_assert_eq!(refusal.reason, Reason::StoreUnavailable);
+            }
+            Err(refusal) => prop_assert_eq!(refusal.ran, Ran::Unknown),
+        }
+        Ok(())
+    }
+
+    async fn finish(&mut self, vm: usize, end: u8) {
+        if self.attempts[vm].is_empty() {
+            return;
+        }
+        let (key, attempt) = self.attempts[vm].remove(0);
+        let truth = &mut self.truths[key];
+        truth.active = None;
+        let end = match end {
+            0 => End::NotRun,
+            1 => End::Unknown,
+            _ => {
+                self.runs += 1;
+                End::Ran(answer(&self.runs.to_string()))
+            }
+        };
+        if end != End::NotRun {
+            truth.spent = true;
+        }
+        if let End::Ran(answer) = &end {
+            truth.answer = Some(answer.clone());
+        }
+        self.fleet.logs[vm].finish(attempt, end).await;
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_order_of_faults_runs_a_request_twice(steps in vec(step(), 1..40)) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime");
+        let mut world = World::open();
+        for step in steps {
+            runtime.block_on(world.step(step))?;
+        }
+    }
+}
--- a/tests/route_support/mod.rs
+++ b/tests/route_support/mod.rs
@@ -210,7 +210,7 @@
     if !write(stream, &head).await {
         return false;
     }
-    let block = [b'x'; 16 << 10];
+    let block = vec![b'x'; 16 << 10];
     for _ in 0..FLOOD_BYTES / block.len() {
         if stream.write_all(&block).await.is_err() {
             return false;
@@ -223,7 +223,7 @@
 /// Reads one request with a body of known length; `false` where the connection ends first.
 async fn read_request(stream: &mut TcpStream, shared: &Shared) -> bool {
     let mut text = Vec::new();
-    let mut buffer = [0; 4096];
+    let mut buffer = vec![0; 4096];
     loop {
         if let Some(end) = text.windows(4).position(|window| window == b"\r\n\r\n") {
             let head = String::from_utf8_lossy(&text[..end]).to_ascii_lowercase();
