--- /dev/null
+++ b/tests/peer_common/mod.rs
@@ -0,0 +1,189 @@
+//! Fleet of peer nodes on loopback, for the tests of `peer`.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use basilgw::clock::SystemClock;
+use basilgw::declare::spread::{ConfigHolder, Export, OfferError, Spreader};
+use basilgw::ids::{Generation, Revision, VmId};
+use basilgw::peer::{LocalState, NodeOptions, PeerNode, UpstreamDigest};
+use basilgw::platform::{Instance, InstanceKind, InstanceList, InstanceState};
+use basilgw::schema::settings::PeerSettings;
+use bytes::Bytes;
+
+pub const DEADLINE: Duration = Duration::from_secs(20);
+
+/// A holder whose configuration is filler text behind its revision.
+#[derive(Debug, Default)]
+pub struct Holder {
+    revision: AtomicU64,
+    size: usize,
+    pub rereads: AtomicU64,
+    pub offers: Mutex<Vec<Result<Revision, OfferError>>>,
+}
+
+impl Holder {
+    pub fn open(size: usize) -> Arc<Self> {
+        Arc::new(Self {
+            size,
+            ..Self::default()
+        })
+    }
+
+    pub fn put(&self, revision: u64) {
+        self.revision.fetch_max(revision, Ordering::SeqCst);
+    }
+
+    fn check(&self, bytes: &[u8]) -> Result<Revision, OfferError> {
+        let number = bytes.first_chunk().ok_or(OfferError::Malformed)?;
+        let offered = u64::from_be_bytes(*number);
+        if bytes.len() != self.size + number.len() {
+            return Err(OfferError::Malformed);
+        }
+        let held = self.revision.fetch_max(offered, Ordering::SeqCst);
+        if offered <= held {
+            return Err(OfferError::Stale(Revision(held)));
+        }
+        Ok(Revision(offered))
+    }
+}
+
+impl ConfigHolder for Holder {
+    fn revision(&self) -> Revision {
+        Revision(self.revision.load(Ordering::SeqCst))
+    }
+
+    fn export(&self, since: Revision) -> Option<Export> {
+        let revision = ConfigHolder::revision(self);
+        let mut bytes = revision.0.to_be_bytes().to_vec();
+        bytes.resize(bytes.len() + self.size, b'x');
+        (revision > since).then(|| Export {
+            revision,
+            bytes: bytes.into(),
+        })
+    }
+
+    fn offer(&self, bytes: Bytes) -> Result<Revision, OfferError> {
+        let result = self.check(&bytes);
+        self.offers.lock().unwrap().push(result.clone());
+        result
+    }
+
+    fn reread(&self) {
+        self.rereads.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+impl LocalState for Holder {
+    fn revision(&self) -> Revision {
+        ConfigHolder::revision(self)
+    }
+
+    fn heard(&self) -> Duration {
+        Duration::from_hours(1)
+    }
+
+    fn upstreams(&self) -> Vec<UpstreamDigest> {
+        Vec::new()
+    }
+}
+
+/// One node with its holder.
+#[derive(Debug)]
+pub struct Peer {
+    pub vm: VmId,
+    pub holder: Arc<Holder>,
+    pub spreader: Arc<Spreader>,
+    pub node: Arc<PeerNode>,
+}
+
+/// Short pauses, so that tests take seconds.
+pub fn settings() -> PeerSettings {
+    PeerSettings {
+        alone: 800,
+        digest: 100,
+        ping: 100,
+        silence: 500,
+        ..PeerSettings::default()
+    }
+}
+
+pub fn vm(index: usize) -> VmId {
+    format!("vm-{index:03}").parse().unwrap()
+}
+
+pub async fn open(index: usize, settings: PeerSettings, size: usize) -> Peer {
+    let holder = Holder::open(size);
+    let options = NodeOptions {
+        vm: vm(index),
+        generation: Generation(1),
+        centre: format!("dc-{}", index % 3).parse().unwrap(),
+        listen: (Ipv4Addr::LOCALHOST, 0).into(),
+        settings,
+        seed: index as u64,
+    };
+    let clock = SystemClock::open();
+    let state = Arc::clone(&holder);
+    let node = PeerNode::bind(options, Arc::clone(&clock), state).await;
+    let node = Arc::new(node.unwrap());
+    let spreader = Spreader::spawn(&node, Arc::clone(&holder) as _, clock);
+    Peer {
+        vm: vm(index),
+        holder,
+        spreader,
+        node,
+    }
+}
+
+/// A list in which each VM listens where `addresses` says.
+pub fn list(addresses: &BTreeMap<VmId, SocketAddr>) -> InstanceList {
+    let instances = addresses
+        .iter()
+        .enumerate()
+        .map(|(i, (vm, address))| Instance {
+            vm: vm.clone(),
+            kind: InstanceKind::Gateway,
+            state: InstanceState::Live,
+            generation: Generation(1),
+            centre: format!("dc-{}", i % 3).parse().unwrap(),
+            address: address.to_string().into(),
+            fenced: false,
+            memory: None,
+            service: None,
+        });
+    InstanceList {
+        age: 0,
+        instances: instances.collect(),
+    }
+}
+
+/// Opens nodes that know one another by the platform's list.
+pub async fn fleet(count: usize, settings: PeerSettings, size: usize) -> Vec<Peer> {
+    let mut peers = Vec::new();
+    for index in 0..count {
+        peers.push(open(index, settings.clone(), size).await);
+    }
+    let addresses = peers.iter().map(|p| (p.vm.clone(), p.node.local_addr()));
+    let list = list(&addresses.collect());
+    for peer in &peers {
+        peer.node.observe(&list);
+    }
+    peers
+}
+
+/// Waits until a condition holds, and returns how long that took.
+pub async fn wait<F>(what: &str, mut condition: F) -> Duration
+where
+    F: FnMut() -> bool,
+{
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < DEADLINE, "{what} did not happen");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    start.elapsed()
+}
--- /dev/null
+++ b/tests/peer_links.rs
@@ -0,0 +1,186 @@
+//! Links over real sockets: silence, breaks, refusals.
+
+mod peer_common;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use basilgw::ids::{Generation, Revision};
+use basilgw::peer::{
+    ConfigPart, Contact, Frame, Hello, MemberState, PROTOCOL, PeerNode, SendError, frame,
+};
+use basilgw::units::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use peer_common::{list, open, settings, vm, wait};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_tungstenite::tungstenite::Message;
+
+/// Forwards connections; those open when `mute` is called stay open and carry nothing more.
+struct Proxy {
+    address: SocketAddr,
+    mute: Arc<std::sync::Mutex<Arc<AtomicBool>>>,
+}
+
+impl Proxy {
+    async fn bind(to: SocketAddr) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let mute = Arc::new(std::sync::Mutex::new(Arc::new(AtomicBool::new(false))));
+        let current = Arc::clone(&mute);
+        tokio::spawn(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let far = TcpStream::connect(to).await.unwrap();
+                let muted = Arc::clone(&current.lock().unwrap());
+                let ((a, b), (c, d)) = (near.into_split(), far.into_split());
+                tokio::spawn(copy(a, d, Arc::clone(&muted)));
+                tokio::spawn(copy(c, b, muted));
+            }
+        });
+        Self { address, mute }
+    }
+
+    fn mute(&self) {
+        let fresh = Arc::new(AtomicBool::new(false));
+        let old = std::mem::replace(&mut *self.mute.lock().unwrap(), fresh);
+        old.store(true, Ordering::SeqCst);
+    }
+}
+
+async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, muted: Arc<AtomicBool>) {
+    let mut buffer = [0; 4096];
+    while let Ok(size @ 1..) = from.read(&mut buffer).await {
+        if !muted.load(Ordering::SeqCst) && to.write_all(&buffer[..size]).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Speaks the protocol by hand, after a greeting of the given version.
+async fn rogue(node: &PeerNode, protocol: u32) -> impl SinkExt<Message> + StreamExt {
+    let stream = TcpStream::connect(node.local_addr()).await.unwrap();
+    let url = format!("ws://{}/", node.local_addr());
+    let (mut socket, _) = tokio_tungstenite::client_async(url, stream).await.unwrap();
+    let hello = Frame::Hello(Hello {
+        protocol,
+        vm: vm(99),
+        generation: Generation(1),
+        centre: "dc-1".parse().unwrap(),
+        revision: Revision(0),
+    });
+    let bytes = frame::encode(&hello, Bytes(1000)).unwrap();
+    socket.send(Message::Binary(bytes)).await.unwrap();
+    socket
+}
+
+fn binary(frame: &Frame) -> Message {
+    Message::Binary(frame::encode(frame, Bytes(10_000_000)).unwrap())
+}
+
+#[tokio::test]
+async fn a_silent_link_is_replaced_within_the_bound() {
+    let a = open(0, settings(), 0).await;
+    let b = open(1, settings(), 0).await;
+    let proxy = Proxy::bind(b.node.local_addr()).await;
+    // Only the first knows where the second is, so that all goes through the proxy.
+    a.node.observe(&list(&[(vm(1), proxy.address)].into()));
+    wait("a link", || b.node.links() == 1).await;
+    let seen = b.node.metrics().frames_in.get();
+    wait("traffic", || b.node.metrics().frames_in.get() > seen).await;
+
+    proxy.mute();
+    let start = Instant::now();
+    wait("a new link", || a.node.metrics().replaced.get() == 1).await;
+    let seen = b.node.metrics().frames_in.get();
+    wait("new traffic", || b.node.metrics().frames_in.get() > seen).await;
+    let silence = Duration::from_millis(settings().silence);
+    // The last byte may have come a little before the link went mute.
+    assert!(start.elapsed() > silence / 2, "{:?}", start.elapsed());
+    assert!(start.elapsed() < silence * 3, "{:?}", start.elapsed());
+    assert_eq!(a.node.live().vms[&vm(1)].state, MemberState::Live);
+}
+
+#[tokio::test]
+async fn a_vm_that_dies_turns_silent_and_then_this_one_is_alone() {
+    let a = open(0, settings(), 0).await;
+    let b = open(1, settings(), 0).await;
+    a.node
+        .observe(&list(&[(vm(1), b.node.local_addr())].into()));
+    wait("a link", || a.node.links() == 1).await;
+    wait("an outage", || a.node.contact() == Contact::Outage).await;
+    drop(b);
+    let silent = || a.node.live().vms[&vm(1)].state == MemberState::Silent;
+    wait("silence", silent).await;
+    wait("solitude", || a.node.contact() == Contact::Alone).await;
+}
+
+#[tokio::test]
+async fn a_greeting_that_never_comes_is_given_up() {
+    let a = open(0, settings(), 0).await;
+    let mut half_open = TcpStream::connect(a.node.local_addr()).await.unwrap();
+    let start = Instant::now();
+    let mut buffer = [0; 1];
+    assert_eq!(half_open.read(&mut buffer).await.unwrap(), 0);
+    assert!(start.elapsed() < Duration::from_millis(settings().silence) * 3);
+    assert_eq!(a.node.metrics().opened.get(), 0);
+}
+
+#[tokio::test]
+async fn another_protocol_version_opens_no_link() {
+    let a = open(0, settings(), 0).await;
+    let _socket = rogue(&a.node, PROTOCOL + 1).await;
+    wait("a refusal", || a.node.metrics().rejected.get() == 1).await;
+    assert_eq!(a.node.metrics().opened.get(), 0);
+}
+
+#[tokio::test]
+async fn a_frame_that_must_not_be_ends_the_link() {
+    let small = basilgw::schema::settings::PeerSettings {
+        frame: 2000,
+        ..settings()
+    };
+    let oversized = binary(&Frame::Config(ConfigPart {
+        revision: Revision(1),
+        part: 0,
+        parts: 1,
+        bytes: vec![200; 4000],
+    }));
+    let mut unknown = Vec::new();
+    ciborium::into_writer(&serde_json::json!({"novel": 1}), &mut unknown).unwrap();
+    let unknown = Message::Binary(unknown.into());
+    let text = Message::Text("hello".into());
+    for (count, message) in (1..).zip([oversized, unknown, text]) {
+        let a = open(0, small.clone(), 0).await;
+        let mut socket = rogue(&a.node, PROTOCOL).await;
+        wait("a link", || a.node.links() == 1).await;
+        assert!(socket.send(message).await.is_ok());
+        wait("a refusal", || a.node.metrics().rejected.get() == 1).await;
+        wait("the end", || a.node.links() == 0).await;
+        assert_eq!(a.node.metrics().frames_in.get(), 0, "message {count}");
+    }
+}
+
+#[tokio::test]
+async fn a_full_queue_drops_and_never_blocks() {
+    let a = open(0, settings(), 0).await;
+    // Accepts connections and reads nothing, as a paused VM does.
+    let paused = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = paused.local_addr().unwrap();
+    a.node.observe(&list(&[(vm(1), address)].into()));
+    let frame = Frame::Config(ConfigPart {
+        revision: Revision(1),
+        part: 0,
+        parts: 1,
+        bytes: vec![200; 1000],
+    });
+    let start = Instant::now();
+    let results: Vec<_> = (0..200).map(|_| a.node.send(&vm(1), &frame)).collect();
+    assert!(start.elapsed() < Duration::from_millis(settings().silence));
+    assert_eq!(results.first(), Some(&Ok(())));
+    assert_eq!(results.last(), Some(&Err(SendError::Full)));
+    wait("the queue's loss", || a.node.metrics().dropped.get() >= 200).await;
+    assert_eq!(a.node.send(&vm(7), &frame), Err(SendError::NoAddress));
+}
--- /dev/null
+++ b/tests/peer_spread.rs
@@ -0,0 +1,197 @@
+//! Configuration spreads to all, in parts, and never backwards.
+
+mod peer_common;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use basilgw::declare::spread::{
+    Action, Bundle, Event, FETCH_TIMEOUT, OfferError, PART_BYTES, Spread, chunk_key,
+};
+use basilgw::ids::{Revision, UpstreamId};
+use basilgw::peer::{ConfigPart, Frame, MemberState};
+use basilgw::schema::declaration::{ChunkRef, Head};
+use basilgw::schema::settings::PeerSettings;
+use basilgw::units;
+use bytes::Bytes;
+use peer_common::{Peer, fleet, open, settings, vm, wait};
+
+fn all_hold(peers: &[Peer], revision: u64) -> bool {
+    let holds = |p: &Peer| basilgw::peer::LocalState::revision(&*p.holder) == Revision(revision);
+    peers.iter().all(holds)
+}
+
+fn accept(peer: &Peer, revision: u64) {
+    peer.holder.put(revision);
+    peer.spreader.accepted(Revision(revision));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_revision_reaches_nine_vms_in_many_parts() {
+    // Rounds are rare, so that only what is told at once can be in time.
+    let round = Duration::from_secs(3);
+    let settings = PeerSettings {
+        digest: round.as_millis() as u64,
+        ..settings()
+    };
+    let peers = fleet(9, settings, 5 * PART_BYTES + 17).await;
+    wait("links", || peers.iter().all(|p| p.node.links() >= 3)).await;
+    for revision in 1..=5 {
+        accept(&peers[revision as usize], revision);
+        let took = wait("the spread", || all_hold(&peers, revision)).await;
+        assert!(took < round / 3, "{took:?}");
+    }
+    for peer in &peers {
+        let offers = peer.holder.offers.lock().unwrap();
+        let accepted: Vec<_> = offers.iter().flatten().collect();
+        assert!(accepted.is_sorted(), "{accepted:?}");
+        assert_eq!(peer.holder.rereads.load(Ordering::SeqCst), 0);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_that_starts_late_catches_up_without_the_store() {
+    let mut peers = fleet(3, settings(), 100).await;
+    accept(&peers[0], 4);
+    wait("the spread", || all_hold(&peers, 4)).await;
+    peers.push(open(3, settings(), 100).await);
+    let addresses = peers.iter().map(|p| (p.vm.clone(), p.node.local_addr()));
+    let list = peer_common::list(&addresses.collect());
+    for peer in &peers {
+        peer.node.observe(&list);
+    }
+    wait("the catch-up", || all_hold(&peers, 4)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stale_revision_is_refused() {
+    let peers = fleet(2, settings(), 100).await;
+    accept(&peers[0], 9);
+    wait("the spread", || all_hold(&peers, 9)).await;
+    let stale = Frame::Config(ConfigPart {
+        revision: Revision(3),
+        part: 0,
+        parts: 1,
+        bytes: vec![0; 108],
+    });
+    peers[0].node.send(&vm(1), &stale).unwrap();
+    wait("the refusal", || peers[1].spreader.stale() == 1).await;
+    assert_eq!(peers[1].holder.offers.lock().unwrap().len(), 1);
+    assert!(all_hold(&peers, 9));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leaving_words_reach_all() {
+    let peers = fleet(9, settings(), 0).await;
+    wait("links", || peers.iter().all(|p| p.node.links() >= 3)).await;
+    let engine: UpstreamId = "engine-1".parse().unwrap();
+    let generation = basilgw::ids::Generation(2);
+    peers[0].node.upstream_leaves(&engine, generation);
+    peers[0].node.leave();
+    let knows = |p: &Peer| {
+        let members = p.node.live();
+        members.is_leaving(&engine, generation) && members.vms[&vm(0)].state == MemberState::Leaving
+    };
+    wait("the word", || peers[1..].iter().all(knows)).await;
+}
+
+#[test]
+fn a_source_that_stalls_or_lies_is_replaced_and_then_the_store_asked() {
+    let now = Instant::now();
+    let heard = |index, revision| Event::Heard {
+        from: vm(index),
+        revision: Revision(revision),
+    };
+    let fetch = |index: usize| Action::Fetch {
+        from: vm(index),
+        revision: Revision(6),
+    };
+    let mut spread = Spread::open(Revision(5));
+    assert_eq!(spread.step(heard(1, 7), now), [fetch(1)]);
+    assert_eq!(spread.step(heard(2, 6), now), []);
+    assert_eq!(spread.step(heard(3, 4), now), [Action::Hint { to: vm(3) }]);
+    let late = now + FETCH_TIMEOUT;
+    assert_eq!(spread.step(Event::Tick, late), [fetch(2)]);
+    let lie = Event::Offered {
+        from: vm(2),
+        result: Err(OfferError::Invalid),
+    };
+    assert_eq!(spread.step(lie, late), [Action::Reread]);
+    assert_eq!(spread.step(Event::Accepted(Revision(5)), late), []);
+    assert_eq!(spread.held(), Revision(5));
+    let announce = Action::Announce { except: None };
+    assert_eq!(spread.step(Event::Accepted(Revision(8)), late), [announce]);
+}
+
+#[test]
+fn parts_join_in_any_order_and_once() {
+    let now = Instant::now() + Duration::from_secs(1);
+    let part = |part, byte| Event::Part {
+        from: vm(1),
+        part: ConfigPart {
+            revision: Revision(2),
+            part,
+            parts: 2,
+            bytes: vec![byte],
+        },
+    };
+    let mut spread = Spread::open(Revision(1));
+    spread.step(
+        Event::Heard {
+            from: vm(1),
+            revision: Revision(2),
+        },
+        now,
+    );
+    assert_eq!(spread.step(part(1, b'b'), now), []);
+    assert_eq!(spread.step(part(1, b'b'), now), []);
+    let whole = Action::Offer {
+        from: vm(1),
+        bytes: Bytes::from_static(b"ab"),
+    };
+    assert_eq!(spread.step(part(0, b'a'), now), [whole]);
+}
+
+#[test]
+fn a_bundle_is_checked_against_its_head() {
+    let (one, two) = (Bytes::from_static(b"one"), Bytes::from_static(b"two"));
+    let chunk = |content: &Bytes| ChunkRef {
+        key: chunk_key(content).unwrap(),
+        size: units::Bytes(content.len() as u64),
+    };
+    let head = Head {
+        revision: Revision(2),
+        parent: Revision(1),
+        change: "change-2".parse().unwrap(),
+        actor: "operator".into(),
+        wall: 0,
+        chunks: vec![chunk(&one), chunk(&two)],
+        audit: Vec::new(),
+        page: 0,
+    };
+    let key = |content: &Bytes| chunk_key(content).unwrap();
+    let pack = |content: &Bytes| Bundle::pack(head.clone(), [(key(&two), content.clone())]);
+    let kept = |wanted: &basilgw::ids::ObjectKey| (*wanted == key(&one)).then(|| one.clone());
+
+    let bundle = Bundle::decode(&pack(&two).encode().unwrap()).unwrap();
+    assert_eq!(bundle.verify(kept).unwrap(), [one.clone(), two.clone()]);
+    assert_eq!(bundle.verify(|_| None), Err(OfferError::Missing(key(&one))));
+    let forged = pack(&Bytes::from_static(b"TWO"));
+    assert_eq!(forged.verify(kept), Err(OfferError::Address(key(&two))));
+    let stray = Bundle::pack(head.clone(), [(key(&Bytes::new()), Bytes::new())]);
+    assert_eq!(stray.verify(kept), Err(OfferError::Malformed));
+}
+
+#[test]
+fn a_node_and_its_spreader_do_not_keep_each_other() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let node = runtime.block_on(async {
+        let peer = open(0, settings(), 0).await;
+        let node = Arc::downgrade(&peer.node);
+        assert_eq!(node.strong_count(), 1);
+        drop(peer);
+        node
+    });
+    assert_eq!(node.strong_count(), 0);
+}
