--- a/src/limit/shell.rs
+++ b/src/limit/shell.rs
@@ -258,13 +258,15 @@
             Admission::Granted => now,
             Admission::Refused(refusal) => return Err(refusal),
             Admission::Waiting(ticket) => {
-                let _guard = Withdraw {
+                let mut waiter = Waiter {
                     cell: Arc::clone(&cell),
                     ticket,
+                    ask: &ask,
+                    answer,
                 };
                 self.pump(&cell);
                 let lost = |_| Refusal::not_run(Reason::ShuttingDown);
-                answer.await.map_err(lost)??
+                (&mut waiter.answer).await.map_err(lost)??
             }
         };
         Ok(Grant {
@@ -346,22 +348,29 @@
     }
 }
 
-/// Withdraws a waiting request whose future was dropped.
-struct Withdraw {
+type Resolved = oneshot::Receiver<Result<Instant, Refusal>>;
+
+/// A waiting request; withdrawn, or its tokens given back, where its future is dropped.
+struct Waiter<'a> {
     cell: Arc<Cell>,
     ticket: Ticket,
+    ask: &'a Reserve,
+    answer: Resolved,
 }
 
-impl Drop for Withdraw {
+impl Drop for Waiter<'_> {
     fn drop(&mut self) {
         let mut state = lock(&self.cell.state);
         state.account.cancel(self.ticket);
         state.waiters.remove(&self.ticket);
+        if let Ok(Ok(at)) = self.answer.try_recv() {
+            let Reserve { caller, tokens, .. } = self.ask;
+            let account = &mut state.account;
+            account.settle(caller, *tokens, Tokens::ZERO, at, at);
+        }
     }
 }
 
-type Resolved = oneshot::Receiver<Result<Instant, Refusal>>;
-
 fn enqueue(cell: &Cell, ask: &Reserve, now: Instant) -> (Admission, Resolved) {
     let (sender, receiver) = oneshot::channel();
     let mut state = lock(&cell.state);
@@ -375,8 +384,8 @@
 
 fn resolve(state: &mut State, ticket: Ticket, result: Result<(), Refusal>, now: Instant) {
     if let Some(waiter) = state.waiters.remove(&ticket) {
-        // The receiver is gone where the request was withdrawn; the lease covers its tokens.
-        let _gone = waiter.send(result.map(|()| now));
+        // A waiter leaves the map before its receiver is dropped, so that this cannot fail.
+        let _sent = waiter.send(result.map(|()| now));
     }
 }
 
--- /dev/null
+++ b/tests/limit_fleet/mod.rs
@@ -0,0 +1,393 @@
+//! Account machines of a few VMs, driven step by step in virtual time.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use basilgw::ids::{CallerId, ClientAccount, Generation, Version, VmId};
+use basilgw::limit::account::{Account, Action, Admission, Shares, Ticket, Tuning};
+use basilgw::limit::holding::{Holding, Local};
+use basilgw::limit::spender::LeaseTimes;
+use basilgw::limit::{LiveVm, LiveVms, RecordTimes, Share, StoreCall, StoreResult};
+use basilgw::schema::peer::{LeaseAnswer, LeaseAsk};
+use basilgw::units::{TokenRate, Tokens};
+use proptest::prelude::*;
+
+const RATE: u64 = 4_000;
+const BURST: u64 = 6_000;
+const LAG: Duration = Duration::from_millis(500);
+
+/// One thing that happens.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Time passes, in milliseconds, and the running VMs act.
+    Pass(u64),
+    /// A request comes to a VM.
+    Reserve(usize, u64),
+    /// The oldest grants settle for a part of what they reserved, in hundredths.
+    Settle(usize, u64),
+    /// Messages arrive, the oldest first.
+    Deliver(usize),
+    /// A message arrives out of order, and stays on its way where it is doubled.
+    Reorder(usize, bool),
+    /// A message is lost.
+    Lose(usize),
+    /// A VM stops running.
+    Pause(usize),
+    /// All VMs run again.
+    Resume,
+    /// A VM dies and starts anew.
+    Restart(usize),
+    /// A VM dies for good.
+    Kill(usize),
+    /// A VM shuts down gracefully.
+    Leave(usize),
+    /// The list is read, as it was some milliseconds ago.
+    List(u64),
+    /// The store goes down, or comes back.
+    Store(bool),
+    /// The store's next answer is lost after it took effect.
+    LoseAnswer,
+}
+
+/// Steps, the useful ones more often.
+pub fn steps() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => prop_oneof![4 => 1_u64..40, 1 => 40_u64..2_500].prop_map(Step::Pass),
+        8 => (0_usize..4, 1_u64..3_000).prop_map(|(vm, tokens)| Step::Reserve(vm, tokens)),
+        3 => (0_usize..8, 0_u64..130).prop_map(|(at, part)| Step::Settle(at, part)),
+        8 => (1_usize..8).prop_map(Step::Deliver),
+        2 => (any::<usize>(), any::<bool>()).prop_map(|(at, twice)| Step::Reorder(at, twice)),
+        2 => any::<usize>().prop_map(Step::Lose),
+        1 => (0_usize..4).prop_map(Step::Pause),
+        2 => Just(Step::Resume),
+        1 => (0_usize..4).prop_map(Step::Restart),
+        1 => (0_usize..4).prop_map(Step::Kill),
+        1 => (0_usize..4).prop_map(Step::Leave),
+        4 => (0_u64..500).prop_map(Step::List),
+        1 => any::<bool>().prop_map(Step::Store),
+        1 => Just(Step::LoseAnswer),
+    ]
+}
+
+#[derive(Clone, Debug)]
+enum Message {
+    Ask(VmId, VmId, LeaseAsk),
+    Answer(VmId, VmId, LeaseAnswer),
+}
+
+#[derive(Debug)]
+struct Node {
+    account: Account,
+    waiting: BTreeMap<Ticket, u64>,
+    generation: u64,
+    alive: bool,
+    paused: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Granted {
+    node: usize,
+    at: Instant,
+    reserved: u64,
+    used: Option<u64>,
+}
+
+/// The VMs, what lies between them, and the history.
+#[derive(Debug)]
+pub struct Fleet {
+    nodes: Vec<Node>,
+    now: Instant,
+    wire: Vec<Message>,
+    record: Option<(Version, Holding)>,
+    store_up: bool,
+    lose_answer: bool,
+    alive: Vec<(Instant, BTreeSet<usize>)>,
+    view: LiveVms,
+    grants: Vec<Granted>,
+}
+
+impl Fleet {
+    /// A fleet whose list is up to date.
+    pub fn open(count: usize) -> Self {
+        let now = Instant::now();
+        let mut fleet = Self {
+            nodes: (0..count).map(|n| node(n, 1, now)).collect(),
+            now,
+            wire: Vec::new(),
+            record: None,
+            store_up: true,
+            lose_answer: false,
+            alive: vec![(now, (0..count).collect())],
+            view: LiveVms::default(),
+            grants: Vec::new(),
+        };
+        fleet.list(0);
+        fleet
+    }
+
+    /// Lets one thing happen.
+    pub fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Pass(ms) => self.now += Duration::from_millis(ms),
+            Step::Reserve(at, tokens) => self.reserve(at, tokens),
+            Step::Settle(at, part) => self.settle(at, part),
+            Step::Deliver(count) => {
+                let count = count.min(self.wire.len());
+                let messages: Vec<_> = self.wire.drain(..count).collect();
+                messages.into_iter().for_each(|one| self.deliver(one));
+            }
+            Step::Reorder(at, twice) => {
+                if let Some(at) = at.checked_rem(self.wire.len()) {
+                    let message = self.wire[at].clone();
+                    if !twice {
+                        self.wire.remove(at);
+                    }
+                    self.deliver(message);
+                }
+            }
+            Step::Lose(at) => {
+                if let Some(at) = at.checked_rem(self.wire.len()) {
+                    self.wire.remove(at);
+                }
+            }
+            Step::Pause(at) => self.nodes[at].paused = true,
+            Step::Resume => self.nodes.iter_mut().for_each(|node| node.paused = false),
+            Step::Restart(at) => self.restart(at),
+            Step::Kill(at) => self.nodes[at].alive = false,
+            Step::Leave(at) => self.leave(at),
+            Step::List(age) => self.list(age),
+            Step::Store(up) => self.store_up = up,
+            Step::LoseAnswer => self.lose_answer = true,
+        }
+        let alive = (0..self.nodes.len())
+            .filter(|&at| self.nodes[at].alive)
+            .collect();
+        self.alive.push((self.now, alive));
+        (0..self.nodes.len()).for_each(|at| self.pump(at));
+    }
+
+    /// Greatest excess of any window over the bound, in thousandths of a token.
+    pub fn overshoot(&self) -> i64 {
+        let mut level = 0;
+        let mut last = self.grants.first().map_or(self.now, |grant| grant.at);
+        let mut worst = i64::MIN;
+        for grant in &self.grants {
+            let drained = RATE as i64 * (grant.at - last).as_millis() as i64;
+            let used = grant
+                .used
+                .map_or(grant.reserved, |used| used.min(grant.reserved));
+            level = (level - drained).max(0) + used as i64 * 1_000;
+            last = grant.at;
+            worst = worst.max(level);
+        }
+        worst.max(0) - BURST as i64 * 1_000
+    }
+
+    /// Tokens granted so far.
+    pub fn granted(&self) -> u64 {
+        self.grants.iter().map(|grant| grant.reserved).sum()
+    }
+
+    fn reserve(&mut self, at: usize, tokens: u64) {
+        let (now, node) = (self.now, &mut self.nodes[at]);
+        if !node.alive || node.paused {
+            return;
+        }
+        let deadline = now + Duration::from_secs(3);
+        match node
+            .account
+            .reserve(&caller(), Tokens(tokens), deadline, now)
+        {
+            Admission::Granted => self.grant(at, tokens),
+            Admission::Waiting(ticket) => {
+                node.waiting.insert(ticket, tokens);
+            }
+            Admission::Refused(_) => {}
+        }
+    }
+
+    fn grant(&mut self, node: usize, reserved: u64) {
+        self.grants.push(Granted {
+            node,
+            at: self.now,
+            reserved,
+            used: None,
+        });
+    }
+
+    fn settle(&mut self, at: usize, part: u64) {
+        let now = self.now;
+        let mut open = self.grants.iter_mut().filter(|grant| grant.used.is_none());
+        let Some(grant) = open.nth(at) else { return };
+        let node = &mut self.nodes[grant.node];
+        if !node.alive || node.paused {
+            return;
+        }
+        let used = grant.reserved * part / 100;
+        grant.used = Some(used);
+        let (reserved, used) = (Tokens(grant.reserved), Tokens(used));
+        node.account
+            .settle(&caller(), reserved, used, grant.at, now);
+    }
+
+    fn restart(&mut self, at: usize) {
+        let generation = self.nodes[at].generation + 1;
+        self.nodes[at] = node(at, generation, self.now);
+        for grant in self.grants.iter_mut().filter(|grant| grant.node == at) {
+            grant.used = grant.used.or(Some(grant.reserved));
+        }
+    }
+
+    fn leave(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        if node.alive && !node.paused {
+            node.account.leave(self.now);
+        }
+    }
+
+    fn list(&mut self, age: u64) {
+        let then = self
+            .now
+            .checked_sub(Duration::from_millis(age))
+            .unwrap_or(self.now);
+        let before = self.alive.iter().rev().find(|(at, _)| *at <= then);
+        let (_, shown) = before.or(self.alive.first()).expect("never empty");
+        let vms = self.nodes.iter().enumerate().map(|(at, node)| {
+            let live = LiveVm {
+                centre: "a".parse().unwrap(),
+                generation: Generation(node.generation),
+                leaving: false,
+                listed: shown.contains(&at),
+            };
+            (name(at), live)
+        });
+        self.view = LiveVms {
+            vms: vms.collect(),
+            listed: Some(self.now),
+        };
+    }
+
+    fn deliver(&mut self, message: Message) {
+        let to = match &message {
+            Message::Ask(_, to, _) | Message::Answer(_, to, _) => index(to),
+        };
+        let (now, node) = (self.now, &mut self.nodes[to]);
+        if node.paused {
+            self.wire.push(message);
+            return;
+        }
+        if !node.alive {
+            return;
+        }
+        match message {
+            Message::Ask(from, to, ask) => {
+                let answer = node.account.ask(&from, &ask, now);
+                let answer = answer.map(|answer| Message::Answer(to, from, answer));
+                self.wire.extend(answer);
+            }
+            Message::Answer(from, _, answer) => node.account.answer(&from, &answer, now),
+        }
+    }
+
+    fn pump(&mut self, at: usize) {
+        if !self.nodes[at].alive || self.nodes[at].paused {
+            return;
+        }
+        let mut actions = Vec::new();
+        let node = &mut self.nodes[at];
+        node.account.pump(&self.view, self.now, &mut actions);
+        for action in actions {
+            match action {
+                Action::Ask(sending) => {
+                    self.wire
+                        .push(Message::Ask(name(at), sending.to, sending.ask));
+                }
+                Action::Resolve(ticket, result) => {
+                    let tokens = self.nodes[at].waiting.remove(&ticket).expect("waits");
+                    if result.is_ok() {
+                        self.grant(at, tokens);
+                    }
+                }
+                Action::Store(call) => {
+                    let result = self.call(call);
+                    let account = &mut self.nodes[at].account;
+                    account.stored(result, &self.view, self.now);
+                }
+            }
+        }
+    }
+
+    fn call(&mut self, call: StoreCall) -> StoreResult {
+        if !self.store_up {
+            return StoreResult::Failed;
+        }
+        let result = match call {
+            StoreCall::Read => StoreResult::Read(self.record.clone()),
+            StoreCall::Write(expected, holding) => self.write(expected, holding),
+        };
+        let lost = std::mem::take(&mut self.lose_answer);
+        if lost { StoreResult::Failed } else { result }
+    }
+
+    fn write(&mut self, expected: Version, holding: Holding) -> StoreResult {
+        let present = self
+            .record
+            .as_ref()
+            .map_or(Version(0), |(version, _)| *version);
+        if present != expected {
+            return StoreResult::Conflict;
+        }
+        let version = present.next();
+        self.record = Some((version, holding));
+        StoreResult::Written(version)
+    }
+}
+
+fn node(at: usize, generation: u64, now: Instant) -> Node {
+    let local = Local {
+        vm: name(at),
+        generation: Generation(generation),
+    };
+    let share = Share {
+        rate: TokenRate::new(RATE as f64).unwrap(),
+        burst: Tokens(BURST),
+    };
+    let shares = Shares {
+        whole: share,
+        callers: BTreeMap::new(),
+    };
+    let account: ClientAccount = "club".parse().unwrap();
+    Node {
+        account: Account::open(account, local, shares, tuning(), now),
+        waiting: BTreeMap::new(),
+        generation,
+        alive: true,
+        paused: false,
+    }
+}
+
+fn tuning() -> Tuning {
+    Tuning {
+        leases: LeaseTimes {
+            batch: Duration::from_millis(500),
+            life: Duration::from_secs(2),
+        },
+        record: RecordTimes {
+            lag: LAG,
+            backoff: Duration::from_secs(1),
+        },
+        holders: 3,
+    }
+}
+
+fn name(at: usize) -> VmId {
+    format!("vm-{at}").parse().unwrap()
+}
+
+fn index(vm: &VmId) -> usize {
+    vm.as_str().trim_start_matches("vm-").parse().unwrap()
+}
+
+fn caller() -> CallerId {
+    "c".parse().unwrap()
+}
--- /dev/null
+++ b/tests/limit_shell.rs
@@ -0,0 +1,301 @@
+//! The limits of VMs that share a store and links, all in memory.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, OnceLock, PoisonError, Weak};
+use std::time::{Duration, Instant};
+
+use basilgw::clock::SystemClock;
+use basilgw::ids::{CallerId, ClientAccount, Generation, ObjectKey, Version, VmId};
+use basilgw::limit::shell::Parts;
+use basilgw::limit::{LeaseLink, Limiter, Limits, LiveVm, LiveVms, Reserve, VmView};
+use basilgw::outcome::Reason;
+use basilgw::platform::{Object, ObjectStore, StoreError};
+use basilgw::schema::declaration::{Account, Caller, Declaration, Priority};
+use basilgw::schema::peer::Frame;
+use basilgw::schema::settings::{LimitSettings, PlatformSettings};
+use basilgw::units::{TokenRate, Tokens};
+use bytes::Bytes;
+use futures_util::future::{BoxFuture, FutureExt};
+
+#[derive(Debug, Default)]
+struct Store {
+    objects: Mutex<BTreeMap<ObjectKey, Object>>,
+    down: Mutex<bool>,
+}
+
+impl Store {
+    fn check(&self) -> Result<(), StoreError> {
+        let down = *self.down.lock().unwrap_or_else(PoisonError::into_inner);
+        if down {
+            Err(StoreError::Unavailable)
+        } else {
+            Ok(())
+        }
+    }
+}
+
+impl ObjectStore for Store {
+    fn get<'a>(&'a self, key: &'a ObjectKey) -> BoxFuture<'a, Result<Option<Object>, StoreError>> {
+        async move {
+            self.check()?;
+            Ok(self.objects.lock().unwrap().get(key).cloned())
+        }
+        .boxed()
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        expected: Version,
+        value: Bytes,
+    ) -> BoxFuture<'a, Result<Version, StoreError>> {
+        async move {
+            self.check()?;
+            let mut objects = self.objects.lock().unwrap();
+            let present = objects.get(key).map_or(Version(0), |object| object.version);
+            if present != expected {
+                return Err(StoreError::Conflict(present));
+            }
+            let version = present.next();
+            objects.insert(key.clone(), Object { version, value });
+            Ok(version)
+        }
+        .boxed()
+    }
+
+    fn delete<'a>(
+        &'a self,
+        _key: &'a ObjectKey,
+        _expected: Version,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        async { Err(StoreError::Unavailable) }.boxed()
+    }
+
+    fn watch<'a>(
+        &'a self,
+        _key: &'a ObjectKey,
+        _after: Version,
+        _wait: Duration,
+    ) -> BoxFuture<'a, Result<Option<Object>, StoreError>> {
+        async { Err(StoreError::Unavailable) }.boxed()
+    }
+}
+
+#[derive(Debug, Default)]
+struct Fleet {
+    vms: OnceLock<BTreeMap<VmId, Weak<Limits>>>,
+}
+
+#[derive(Debug)]
+struct Link {
+    from: VmId,
+    fleet: Arc<Fleet>,
+}
+
+impl LeaseLink for Link {
+    fn send(&self, to: &VmId, frame: Frame) {
+        let (fleet, from, to) = (Arc::clone(&self.fleet), self.from.clone(), to.clone());
+        tokio::spawn(async move {
+            let Frame::Ask(ask) = frame else { return };
+            let vms = fleet.vms.get().expect("the fleet is up");
+            let limits = |vm: &VmId| vms.get(vm).and_then(Weak::upgrade);
+            let answer = limits(&to).and_then(|holder| holder.on_ask(&from, &ask));
+            if let (Some(answer), Some(asker)) = (answer, limits(&from)) {
+                asker.on_answer(&to, &answer);
+            }
+        });
+    }
+}
+
+#[derive(Debug)]
+struct View(Vec<VmId>);
+
+impl VmView for View {
+    fn vms(&self) -> Arc<LiveVms> {
+        let live = || LiveVm {
+            centre: "a".parse().unwrap(),
+            generation: Generation(1),
+            leaving: false,
+            listed: true,
+        };
+        Arc::new(LiveVms {
+            vms: self.0.iter().map(|vm| (vm.clone(), live())).collect(),
+            listed: Some(Instant::now()),
+        })
+    }
+}
+
+fn open(count: usize, store: &Arc<Store>) -> Vec<Arc<Limits>> {
+    let names: Vec<VmId> = (0..count)
+        .map(|n| format!("vm-{n}").parse().unwrap())
+        .collect();
+    let fleet = Arc::new(Fleet::default());
+    let spawn = |vm: &VmId| {
+        let parts = Parts {
+            vm: vm.clone(),
+            generation: Generation(1),
+            clock: SystemClock::open(),
+            store: Arc::clone(store) as Arc<dyn ObjectStore>,
+            link: Arc::new(Link {
+                from: vm.clone(),
+                fleet: Arc::clone(&fleet),
+            }),
+            view: Arc::new(View(names.clone())),
+        };
+        Limits::spawn(parts, &LimitSettings::default(), &platform())
+    };
+    let vms: Vec<_> = names.iter().map(spawn).collect();
+    let weak = vms.iter().map(Arc::downgrade);
+    fleet
+        .vms
+        .set(names.iter().cloned().zip(weak).collect())
+        .expect("set once");
+    vms
+}
+
+fn platform() -> PlatformSettings {
+    PlatformSettings {
+        address: "127.0.0.1:0".into(),
+        backoff: 1_000,
+        lag: 200,
+        list: 100,
+        timeout: 500,
+        watch: 1_000,
+    }
+}
+
+fn declaration(rate: f64, burst: u64, caller: Option<f64>) -> Declaration {
+    let own = Caller {
+        burst: caller.map(|_| Tokens(1_024)),
+        keys: BTreeMap::new(),
+        priority: Priority::Interactive,
+        rate: caller.map(|rate| TokenRate::new(rate).unwrap()),
+    };
+    let account = Account {
+        adapters: Vec::new(),
+        burst: Tokens(burst),
+        callers: BTreeMap::from([("c".parse().unwrap(), own)]),
+        models: Vec::new(),
+        rate: TokenRate::new(rate).unwrap(),
+        routes: Vec::new(),
+    };
+    Declaration {
+        accounts: BTreeMap::from([(account_name(), account)]),
+        ..Declaration::default()
+    }
+}
+
+fn account_name() -> ClientAccount {
+    "club".parse().unwrap()
+}
+
+fn ask(tokens: u64, wait: Duration) -> Reserve {
+    let caller: CallerId = "c".parse().unwrap();
+    Reserve {
+        account: account_name(),
+        caller,
+        tokens: Tokens(tokens),
+        deadline: Instant::now() + wait,
+    }
+}
+
+const WAIT: Duration = Duration::from_secs(5);
+
+#[tokio::test]
+async fn one_vm_without_peers_serves_and_refuses() {
+    let vms = open(1, &Arc::default());
+    vms[0].configure(&declaration(5_000.0, 6_000, None));
+    let granted = vms[0]
+        .reserve(ask(500, WAIT))
+        .await
+        .expect("within the rate");
+    assert_eq!(granted.tokens, Tokens(500));
+    vms[0].settle(granted, Tokens(700));
+    let never = vms[0].reserve(ask(6_001, WAIT)).await;
+    assert_eq!(never.expect_err("above the burst").retry, None);
+    let begun = Instant::now();
+    let late = vms[0].reserve(ask(6_000, Duration::from_millis(100))).await;
+    let late = late.expect_err("not full by then");
+    assert_eq!(late.reason, Reason::OverRate);
+    assert!(late.retry.is_some(), "says when to come back");
+    assert!(
+        begun.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        begun.elapsed()
+    );
+}
+
+#[tokio::test]
+async fn vms_serve_from_parts_held_elsewhere_in_an_outage() {
+    let store = Arc::new(Store::default());
+    let vms = open(5, &store);
+    for vm in &vms {
+        vm.configure(&declaration(50_000.0, 60_000, None));
+    }
+    for vm in &vms {
+        vm.reserve(ask(1_000, WAIT)).await.expect("in rate");
+    }
+    *store.down.lock().unwrap() = true;
+    for vm in &vms {
+        vm.reserve(ask(1_000, WAIT))
+            .await
+            .expect("in rate, without the store");
+    }
+}
+
+#[tokio::test]
+async fn a_callers_own_share_binds_over_all_vms() {
+    let vms = open(3, &Arc::default());
+    for vm in &vms {
+        vm.configure(&declaration(50_000.0, 60_000, Some(1.0)));
+    }
+    let (mut granted, begun) = (0, Instant::now());
+    let burst = Duration::from_millis(300);
+    let asks = vms.iter().cycle().take(12);
+    for vm in asks {
+        granted += u64::from(vm.reserve(ask(1, burst)).await.is_ok());
+    }
+    let most = 1_024.0_f64.min(begun.elapsed().as_secs_f64() + 1.0);
+    assert!(granted as f64 <= most, "{granted} of at most {most}");
+}
+
+#[tokio::test]
+async fn a_leaving_vm_hands_its_parts_over() {
+    let store = Arc::new(Store::default());
+    let vms = open(3, &store);
+    for vm in &vms {
+        vm.configure(&declaration(50_000.0, 60_000, None));
+    }
+    for vm in &vms {
+        vm.reserve(ask(100, WAIT)).await.expect("in rate");
+    }
+    assert!(vms[0].leave(WAIT).await, "released in time");
+    let objects = store.objects.lock().unwrap().clone();
+    let record = objects.values().next().expect("a record");
+    let text = String::from_utf8(record.value.to_vec()).unwrap();
+    assert!(!text.contains("vm-0"), "{text}");
+    vms[0]
+        .reserve(ask(100, WAIT))
+        .await
+        .expect("served by others' parts");
+}
+
+#[tokio::test]
+async fn a_vm_that_cannot_learn_the_holders_refuses_at_once() {
+    let store = Arc::new(Store::default());
+    *store.down.lock().unwrap() = true;
+    let vms = open(1, &store);
+    vms[0].configure(&declaration(50_000.0, 60_000, None));
+    let begun = Instant::now();
+    let refusal = vms[0]
+        .reserve(ask(100, WAIT))
+        .await
+        .expect_err("unknown holders");
+    assert_eq!(refusal.reason, Reason::StoreUnavailable);
+    assert!(refusal.retry.is_some(), "says when to come back");
+    assert!(
+        begun.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        begun.elapsed()
+    );
+}
