Check histories of concurrent runs for the thirteen points

Every party records what it did and saw as JSON lines; the checker joins them by request, VM, upstream and object and replays them. A point without cases is reported as not shown, so that a run which exercised nothing cannot pass for a proof. Spans of trouble (kill, pause, cut) excuse a broken connection, nothing else. For shares only requests both sent and run inside a span count, so queueing raises no false alarm.

--- a/standin/src/history/event.rs
+++ b/standin/src/history/event.rs
@@ -64,11 +64,15 @@
     },
     /// An answer that ended early with a visible error.
     Cut {
+        /// The error's code, where there was one.
+        code: Option<ErrorCode>,
         /// What the error says of the run, where it says so.
         ran: Option<Ran>,
     },
     /// An answer that ended cleanly without its end mark.
     Truncated,
+    /// An answer with a part missing, doubled or of another request.
+    Garbled,
     /// The connection closed before any answer.
     Broken,
     /// No connection could be made.
@@ -237,6 +241,11 @@
         /// The upstream.
         upstream: UpstreamId,
     },
+    /// An upstream's process started anew, with empty memory.
+    Restarted {
+        /// The upstream.
+        upstream: UpstreamId,
+    },
     /// The store accepted a write.
     Written {
         /// The object.
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,7 +1,9 @@
 //! Runs one stand-in, or checks a history.
 
+use std::fs;
 use std::io::{self, Write};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -9,11 +11,19 @@
 use basilgw::units::Bytes;
 use bpaf::Bpaf;
 use standin::engine::{Engine, EngineSettings};
+use standin::history::{self, Bounds, HistoryError};
 use standin::http::Addresses;
 use standin::platform::Platform;
 use standin::service::PlainService;
+use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Exit code where a point is violated.
+const VIOLATED: u8 = 1;
+
+/// Exit code where a command failed.
+const FAILED: u8 = 2;
+
 /// Stand-ins for what basilgw meets outside
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version)]
@@ -56,6 +66,27 @@
         #[bpaf(argument("ID"))]
         name: UpstreamId,
     },
+    /// Check a history, given as JSON lines, for every point that must always hold
+    ///
+    /// Prints a verdict for each point; "no cases" says that the history shows nothing of it.
+    /// Exits 1 where a point is violated and 2 where the history cannot be checked.
+    #[bpaf(command("check-history"))]
+    CheckHistory {
+        /// Files whose lines are joined
+        #[bpaf(positional("FILE"), some("at least one FILE is needed"))]
+        files: Vec<PathBuf>,
+    },
+}
+
+/// Why a command failed.
+#[derive(Debug, Error)]
+enum CommandError {
+    /// A socket or a file failed.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// A history cannot be checked.
+    #[error(transparent)]
+    History(#[from] HistoryError),
 }
 
 fn announce(addresses: Addresses) -> io::Result<()> {
@@ -76,12 +107,27 @@
     Ok(())
 }
 
-async fn run(command: Command) -> io::Result<()> {
+fn check_files(files: &[PathBuf]) -> Result<ExitCode, CommandError> {
+    let mut lines = String::new();
+    for file in files {
+        lines += &fs::read_to_string(file)?;
+    }
+    let findings = history::check(history::parse(&lines)?, &Bounds::default())?;
+    print!("{}", findings.summary());
+    let sound = findings.violations.is_empty();
+    Ok(if sound {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(VIOLATED)
+    })
+}
+
+async fn run(command: Command) -> Result<ExitCode, CommandError> {
     match command {
         Command::Platform { listen } => {
             let platform = Platform::bind(listen).await?;
             announce(platform.addresses())?;
-            ended().await
+            ended().await?;
         }
         Command::Engine {
             listen,
@@ -100,23 +146,25 @@
             };
             let engine = Engine::bind(listen, settings).await?;
             announce(engine.addresses())?;
-            ended().await
+            ended().await?;
         }
         Command::Service { listen, name } => {
             let service = PlainService::bind(listen, name).await?;
             announce(service.addresses())?;
-            ended().await
+            ended().await?;
         }
+        Command::CheckHistory { files } => return check_files(&files),
     }
+    Ok(ExitCode::SUCCESS)
 }
 
 #[tokio::main]
 async fn main() -> ExitCode {
     match run(command().run()).await {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(error) => {
             eprintln!("standin: {error}");
-            ExitCode::FAILURE
+            ExitCode::from(FAILED)
         }
     }
 }
