Decide, reserve, order: the objects and the steps of model loading

First pure parts: edits on the objects, steps between them, evidence that a replica is gone, queue, placement, eviction, scaling. Not wired and not tested yet.

--- /dev/null
+++ b/src/model/flow.rs
@@ -0,0 +1,461 @@
+//! The steps that carry a decision out: reserve, decide, order; withdraw, forget, give back.
+//!
+//! Each step is a compare-and-set, so a process may stop between any two of them: what it leaves
+//! is a hold without an intent ([`Flows::sweep`] takes it back), an intent without a replica
+//! ([`Flows::renew`] or [`Flows::unload`]), or a forgotten intent's hold (swept too).
+//!
+//! Two rules carry the safety. A load order is sent only within one order life of a write that
+//! left its intent loading. And a hold is taken back only after a write to its model's object made
+//! every decision based on an older reading fail.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use super::decided::{
+    Decided, EditError, Hold, Intent, IntentState, Reserved, engine_key, model_key,
+};
+use crate::clock::Clock;
+use crate::engine::{EngineControl, EngineError, Order, OrderKind, OrderStatus};
+use crate::ids::{AdapterId, Epoch, IdError, ModelId, ObjectKey, ReplicaId, UpstreamId, Version, VersionId};
+use crate::platform::{Instance, ObjectStore, StoreError};
+use crate::units::Bytes;
+
+const MAX_TRIES: u32 = 8;
+
+/// Why a step was not carried out.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum FlowError {
+    /// The edit does not apply.
+    #[error(transparent)]
+    Edit(#[from] EditError),
+    /// The store failed.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// The engine failed; the order may take effect yet.
+    #[error(transparent)]
+    Engine(#[from] EngineError),
+    /// A name does not fit an object key.
+    #[error(transparent)]
+    Name(#[from] IdError),
+    /// The engine refused the order.
+    #[error("the engine answered {0}")]
+    Refused(OrderStatus),
+    /// Other writes came first too often.
+    #[error("other writes came first too often")]
+    Contended,
+    /// The decision is too old for an order to be sent.
+    #[error("the decision is too old for an order to be sent")]
+    Late,
+    /// The replica was decided and taken back meanwhile.
+    #[error("the decision was taken back meanwhile")]
+    Lost,
+}
+
+/// What a load needs.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// The replica's new name.
+    pub replica: ReplicaId,
+    /// The model.
+    pub model: ModelId,
+    /// Its version.
+    pub version: VersionId,
+    /// Size of the weights.
+    pub weights: Bytes,
+    /// Least memory for the KV cache.
+    pub floor: Bytes,
+    /// Most replicas of the model.
+    pub maximum: u32,
+    /// The engine's memory.
+    pub memory: Bytes,
+}
+
+/// Names a decided replica for an order.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Target {
+    /// The model.
+    pub model: ModelId,
+    /// The replica.
+    pub replica: ReplicaId,
+    /// The version it has.
+    pub version: VersionId,
+    /// Memory of the replica, or of the adapter for orders on one.
+    pub bytes: Bytes,
+}
+
+/// Carries decisions out.
+#[derive(Clone, Debug)]
+pub struct Flows {
+    /// The platform's store.
+    pub store: Arc<dyn ObjectStore>,
+    /// The engines.
+    pub engines: Arc<dyn EngineControl>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Longest life of an order.
+    pub life: Duration,
+}
+
+impl Load {
+    /// The replica as orders name it.
+    pub fn target(&self) -> Target {
+        Target {
+            model: self.model.clone(),
+            replica: self.replica.clone(),
+            version: self.version.clone(),
+            bytes: self.weights + self.floor,
+        }
+    }
+}
+
+enum Written {
+    Done,
+    Again(Version),
+    Unsure,
+}
+
+impl Flows {
+    /// Reserves memory, decides the replica and orders the load.
+    pub async fn load(&self, engine: &Instance, load: &Load) -> Result<Epoch, FlowError> {
+        let key = model_key(&load.model)?;
+        let at = upstream(engine)?;
+        let target = load.target();
+        let mut floor = Version(0);
+        for _ in 0..MAX_TRIES {
+            let (version, mut decided) = self.read::<Decided>(&key, floor).await?;
+            let intent = self.intent(engine, at.clone(), load.version.clone());
+            let epoch = decided.decide(load.replica.clone(), intent, load.maximum)?;
+            self.reserve(engine, &at, load).await?;
+            let started = self.clock.now();
+            match self.write(&key, version, &decided).await? {
+                Written::Done => {}
+                Written::Again(newer) => {
+                    floor = newer;
+                    continue;
+                }
+                Written::Unsure => self.settle(&key, version, &decided, &load.replica).await?,
+            }
+            return self.send_load(engine, &target, epoch, started).await;
+        }
+        Err(FlowError::Contended)
+    }
+
+    /// Finds out whether a decision whose answer was lost is in force, and writes it if it may be.
+    async fn settle(
+        &self,
+        key: &ObjectKey,
+        version: Version,
+        decided: &Decided,
+        replica: &ReplicaId,
+    ) -> Result<(), FlowError> {
+        let mut floor = version;
+        for _ in 0..MAX_TRIES {
+            let (now_at, present) = self.read::<Decided>(key, floor).await?;
+            let state = present.replicas.get(replica).map(|i| i.state);
+            match state {
+                Some(IntentState::Loading) => return Ok(()),
+                None if now_at == version => {}
+                _ => return Err(FlowError::Lost),
+            }
+            match self.write(key, version, decided).await? {
+                Written::Done => return Ok(()),
+                Written::Again(newer) => floor = newer,
+                Written::Unsure => {}
+            }
+        }
+        Err(FlowError::Contended)
+    }
+
+    async fn reserve(
+        &self,
+        engine: &Instance,
+        at: &UpstreamId,
+        load: &Load,
+    ) -> Result<(), FlowError> {
+        let key = engine_key(at)?;
+        let hold = Hold {
+            model: load.model.clone(),
+            weights: load.weights,
+            floor: load.floor,
+            reserved: self.clock.wall_ms(),
+            adapters: BTreeMap::new(),
+        };
+        let generation = engine.generation;
+        self.edit(&key, |reserved: &mut Reserved| {
+            reserved.generation = generation;
+            reserved.hold(&load.replica, hold.clone(), load.memory)
+        })
+        .await
+    }
+
+    fn intent(&self, engine: &Instance, at: UpstreamId, version: VersionId) -> Intent {
+        Intent {
+            engine: at,
+            generation: engine.generation,
+            version,
+            state: IntentState::Loading,
+            epoch: Epoch(0),
+            decided: self.clock.wall_ms(),
+            withdrawn: None,
+        }
+    }
+
+    async fn send_load(
+        &self,
+        engine: &Instance,
+        target: &Target,
+        epoch: Epoch,
+        started: Instant,
+    ) -> Result<Epoch, FlowError> {
+        let order = order(OrderKind::Load, target, epoch, None);
+        self.send(engine, &order, started).await?;
+        Ok(epoch)
+    }
+
+    /// Sends an order, unless the write it rests on is too old.
+    async fn send(
+        &self,
+        engine: &Instance,
+        order: &Order,
+        started: Instant,
+    ) -> Result<(), FlowError> {
+        if self.clock.now().duration_since(started) >= self.life {
+            return Err(FlowError::Late);
+        }
+        let answer = self.engines.order(engine, order).await?;
+        match answer.status {
+            OrderStatus::Accepted => Ok(()),
+            status => Err(FlowError::Refused(status)),
+        }
+    }
+
+    /// Orders a load again that was decided but not seen at its engine.
+    pub async fn renew(&self, engine: &Instance, target: &Target) -> Result<Epoch, FlowError> {
+        let key = model_key(&target.model)?;
+        let started = self.clock.now();
+        let epoch = self
+            .edit(&key, |decided: &mut Decided| decided.renew(&target.replica))
+            .await?;
+        self.send_load(engine, target, epoch, started).await
+    }
+
+    /// Records that a replica was seen ready.
+    pub async fn ready(&self, model: &ModelId, replica: &ReplicaId) -> Result<Epoch, FlowError> {
+        let key = model_key(model)?;
+        self.edit(&key, |decided: &mut Decided| decided.ready(replica))
+            .await
+    }
+
+    /// Withdraws a replica and orders its unload; may be repeated.
+    pub async fn unload(&self, engine: &Instance, target: &Target) -> Result<Epoch, FlowError> {
+        let epoch = self.withdraw(&target.model, &target.replica).await?;
+        let order = order(OrderKind::Unload, target, epoch, None);
+        self.send(engine, &order, self.clock.now()).await?;
+        Ok(epoch)
+    }
+
+    /// Withdraws a replica whose engine is gone, so that no order can be sent.
+    pub async fn withdraw(&self, model: &ModelId, replica: &ReplicaId) -> Result<Epoch, FlowError> {
+        let key = model_key(model)?;
+        let wall_ms = self.clock.wall_ms();
+        self.edit(&key, |decided: &mut Decided| {
+            decided.withdraw(replica, wall_ms)
+        })
+        .await
+    }
+
+    /// Forgets a withdrawn replica and gives its memory back. The caller has checked that no
+    /// order for it can take effect any more and that its engine no longer has it.
+    pub async fn release(
+        &self,
+        model: &ModelId,
+        replica: &ReplicaId,
+        engine: &UpstreamId,
+    ) -> Result<(), FlowError> {
+        let key = model_key(model)?;
+        self.edit(&key, |decided: &mut Decided| decided.forget(replica))
+            .await?;
+        self.sweep(model, replica, engine).await
+    }
+
+    /// Gives back a hold without an intent. The reading of the hold comes first, then a write that
+    /// makes decisions based on older readings of the model fail, then the removal.
+    pub async fn sweep(
+        &self,
+        model: &ModelId,
+        replica: &ReplicaId,
+        engine: &UpstreamId,
+    ) -> Result<(), FlowError> {
+        let key = engine_key(engine)?;
+        let mut floor = Version(0);
+        for _ in 0..MAX_TRIES {
+            let (version, mut reserved) = self.read::<Reserved>(&key, floor).await?;
+            if reserved.free(replica).is_err() {
+                return Ok(());
+            }
+            self.bar(model, replica).await?;
+            match self.write(&key, version, &reserved).await? {
+                Written::Done => return Ok(()),
+                Written::Again(newer) => floor = newer,
+                Written::Unsure => {}
+            }
+        }
+        Err(FlowError::Contended)
+    }
+
+    async fn bar(&self, model: &ModelId, replica: &ReplicaId) -> Result<(), FlowError> {
+        let key = model_key(model)?;
+        self.edit(&key, |decided: &mut Decided| {
+            if decided.replicas.contains_key(replica) {
+                return Err(EditError::State);
+            }
+            decided.touch();
+            Ok(())
+        })
+        .await
+    }
+
+    /// Reserves memory for an adapter and orders it onto a replica.
+    pub async fn attach(
+        &self,
+        engine: &Instance,
+        target: &Target,
+        adapter: &AdapterId,
+        memory: Bytes,
+    ) -> Result<(), FlowError> {
+        let fence = self.fence(target, IntentState::Ready).await?;
+        let key = engine_key(&upstream(engine)?)?;
+        let started = self.clock.now();
+        self.edit(&key, |reserved: &mut Reserved| {
+            reserved.attach(&target.replica, adapter, target.bytes, memory)
+        })
+        .await?;
+        let order = order(OrderKind::Attach, target, fence, Some(adapter));
+        self.send(engine, &order, started).await
+    }
+
+    /// Withdraws an adapter and orders it off its replica; may be repeated.
+    pub async fn detach(
+        &self,
+        engine: &Instance,
+        target: &Target,
+        adapter: &AdapterId,
+    ) -> Result<(), FlowError> {
+        let fence = self.fence(target, IntentState::Ready).await?;
+        let key = engine_key(&upstream(engine)?)?;
+        self.edit(&key, |reserved: &mut Reserved| {
+            reserved.detach(&target.replica, adapter)
+        })
+        .await?;
+        let order = order(OrderKind::Detach, target, fence, Some(adapter));
+        self.send(engine, &order, self.clock.now()).await
+    }
+
+    /// Gives a withdrawn adapter's memory back, with the same care as [`Self::release`].
+    pub async fn drop_adapter(
+        &self,
+        engine: &UpstreamId,
+        replica: &ReplicaId,
+        adapter: &AdapterId,
+        since: Epoch,
+    ) -> Result<(), FlowError> {
+        let key = engine_key(engine)?;
+        self.edit(&key, |reserved: &mut Reserved| {
+            reserved.drop_adapter(replica, adapter, since)
+        })
+        .await
+    }
+
+    /// The model's newest fencing number, if the replica is in `state`.
+    async fn fence(&self, target: &Target, state: IntentState) -> Result<Epoch, FlowError> {
+        let key = model_key(&target.model)?;
+        let (_, decided) = self.read::<Decided>(&key, Version(0)).await?;
+        match decided.replicas.get(&target.replica) {
+            Some(intent) if intent.state == state => Ok(decided.epoch),
+            _ => Err(EditError::State.into()),
+        }
+    }
+
+    /// Applies an edit by compare-and-set; after a lost answer it is applied again.
+    async fn edit<T, F, R>(&self, key: &ObjectKey, mut apply: F) -> Result<R, FlowError>
+    where
+        T: Default + Serialize + DeserializeOwned,
+        F: FnMut(&mut T) -> Result<R, EditError>,
+    {
+        let mut floor = Version(0);
+        for _ in 0..MAX_TRIES {
+            let (version, mut value) = self.read::<T>(key, floor).await?;
+            let result = apply(&mut value)?;
+            match self.write(key, version, &value).await? {
+                Written::Done => return Ok(result),
+                Written::Again(newer) => floor = newer,
+                Written::Unsure => {}
+            }
+        }
+        Err(FlowError::Contended)
+    }
+
+    /// Reads an object at `floor` or newer; a staler answer is asked for again.
+    pub(super) async fn read<T>(
+        &self,
+        key: &ObjectKey,
+        floor: Version,
+    ) -> Result<(Version, T), FlowError>
+    where
+        T: Default + DeserializeOwned,
+    {
+        for _ in 0..MAX_TRIES {
+            let object = self.store.get(key).await?;
+            let version = object.as_ref().map_or(Version(0), |o| o.version);
+            if version < floor {
+                continue;
+            }
+            let Some(object) = object else {
+                return Ok((version, T::default()));
+            };
+            let value = serde_json::from_slice(&object.value);
+            return Ok((version, value.or(Err(StoreError::Malformed))?));
+        }
+        Err(FlowError::Contended)
+    }
+
+    async fn write<T>(
+        &self,
+        key: &ObjectKey,
+        expected: Version,
+        value: &T,
+    ) -> Result<Written, FlowError>
+    where
+        T: Serialize,
+    {
+        let value = serde_json::to_vec(value).or(Err(StoreError::Malformed))?;
+        match self.store.put(key, expected, value.into()).await {
+            Ok(_) => Ok(Written::Done),
+            Err(StoreError::Conflict(newer)) => Ok(Written::Again(newer)),
+            Err(StoreError::Unknown) => Ok(Written::Unsure),
+            Err(error) => Err(error.into()),
+        }
+    }
+}
+
+/// The engine's name as an upstream.
+pub fn upstream(engine: &Instance) -> Result<UpstreamId, IdError> {
+    engine.vm.as_str().parse()
+}
+
+fn order(kind: OrderKind, target: &Target, fence: Epoch, adapter: Option<&AdapterId>) -> Order {
+    Order {
+        adapter: adapter.cloned(),
+        bytes: target.bytes,
+        fence,
+        kind,
+        model: target.model.clone(),
+        replica: target.replica.clone(),
+        version: target.version.clone(),
+    }
+}
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -3,6 +3,16 @@
 //! [`Placer`] is the border towards the edge: a request waits there for a replica until its
 //! deadline, or is refused at once where the deadline cannot be met.
 
+pub mod decided;
+pub mod evict;
+pub mod evidence;
+pub mod flow;
+pub mod owner;
+pub mod place;
+pub mod queue;
+pub mod scale;
+pub mod slots;
+
 use std::fmt::Debug;
 use std::time::Instant;
 
--- /dev/null
+++ b/src/model/queue.rs
@@ -0,0 +1,226 @@
+//! Requests waiting for one model at one VM.
+//!
+//! Between accounts, deficit round robin by tokens, so that a flood of one account leaves the
+//! others' turns where they were. Inside an account, strict priorities with aging, so that low
+//! priorities wait long but not for ever.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use crate::ids::{AdapterId, ClientAccount, RequestId};
+use crate::schema::declaration::Priority;
+use crate::units::Tokens;
+
+const QUANTUM_TOKENS: u64 = 512;
+const AGING_STEP: Duration = Duration::from_secs(10);
+const LANES: usize = 3;
+
+/// Names a waiting request within its VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// A waiting request.
+#[derive(Clone, Debug)]
+pub struct Item {
+    /// Its ticket.
+    pub ticket: Ticket,
+    /// The request.
+    pub request: RequestId,
+    /// The adapter it needs.
+    pub adapter: Option<AdapterId>,
+    /// Its priority.
+    pub priority: Priority,
+    /// Its expected work.
+    pub work: Tokens,
+    /// When it came.
+    pub arrived: Instant,
+    /// When it must be answered.
+    pub deadline: Instant,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Line {
+    deficit: u64,
+    lanes: [VecDeque<Item>; LANES],
+}
+
+impl Line {
+    fn items(&self) -> impl Iterator<Item = &Item> {
+        self.lanes.iter().flatten()
+    }
+
+    fn len(&self) -> usize {
+        self.lanes.iter().map(VecDeque::len).sum()
+    }
+
+    /// Lane and position of the item whose turn it is.
+    fn turn<F>(&self, eligible: &F, now: Instant) -> Option<(usize, usize)>
+    where
+        F: Fn(&Item) -> bool,
+    {
+        let heads = self.lanes.iter().enumerate().filter_map(|(lane, items)| {
+            let at = items.iter().position(eligible)?;
+            let item = &items[at];
+            Some((rank(lane, item, now), item.arrived, lane, at))
+        });
+        heads.min().map(|(_, _, lane, at)| (lane, at))
+    }
+}
+
+fn lane(priority: Priority) -> usize {
+    match priority {
+        Priority::Interactive => 0,
+        Priority::Review => 1,
+        Priority::Background => 2,
+    }
+}
+
+fn rank(lane: usize, item: &Item, now: Instant) -> usize {
+    let waited = now.saturating_duration_since(item.arrived);
+    let steps = waited.as_millis() / AGING_STEP.as_millis();
+    lane.saturating_sub(steps as usize)
+}
+
+/// The waiting requests.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    lines: BTreeMap<ClientAccount, Line>,
+    ring: VecDeque<ClientAccount>,
+}
+
+impl Queue {
+    /// Adds a request at the end of its account's lane.
+    pub fn push(&mut self, account: &ClientAccount, item: Item) {
+        if !self.lines.contains_key(account) {
+            self.ring.push_back(account.clone());
+        }
+        let line = self.lines.entry(account.clone()).or_default();
+        line.lanes[lane(item.priority)].push_back(item);
+    }
+
+    /// Takes the next request among those that `eligible` allows.
+    pub fn pop<F>(&mut self, eligible: F, now: Instant) -> Option<(ClientAccount, Item)>
+    where
+        F: Fn(&Item) -> bool,
+    {
+        let (rounds, account, (lane, at)) = self.next_account(&eligible, now)?;
+        self.advance(rounds, &account, &eligible);
+        let line = self.lines.get_mut(&account)?;
+        let item = line.lanes[lane].remove(at)?;
+        line.deficit = line.deficit.saturating_sub(item.work.0);
+        self.close(&account);
+        Some((account, item))
+    }
+
+    /// The account whose turn comes after the fewest rounds, first in the ring where equal.
+    fn next_account<F>(
+        &self,
+        eligible: &F,
+        now: Instant,
+    ) -> Option<(u64, ClientAccount, (usize, usize))>
+    where
+        F: Fn(&Item) -> bool,
+    {
+        let turns = self.ring.iter().filter_map(|account| {
+            let line = self.lines.get(account)?;
+            let (lane, at) = line.turn(eligible, now)?;
+            let lack = line.lanes[lane][at].work.0.saturating_sub(line.deficit);
+            Some((lack.div_ceil(QUANTUM_TOKENS), account, (lane, at)))
+        });
+        let (rounds, account, place) = turns.min_by_key(|&(rounds, _, _)| rounds)?;
+        Some((rounds, account.clone(), place))
+    }
+
+    /// Gives every account that could be served its quantum of each round, and moves the ring on.
+    fn advance<F>(&mut self, rounds: u64, served: &ClientAccount, eligible: &F)
+    where
+        F: Fn(&Item) -> bool,
+    {
+        if rounds == 0 {
+            return;
+        }
+        let before = self.ring.iter().position(|a| a == served).unwrap_or(0);
+        for (place, account) in self.ring.iter().enumerate() {
+            let Some(line) = self.lines.get_mut(account) else {
+                continue;
+            };
+            if line.items().any(eligible) {
+                let full = if place <= before { rounds } else { rounds - 1 };
+                line.deficit += full * QUANTUM_TOKENS;
+            }
+        }
+        self.ring.rotate_left(before);
+    }
+
+    /// Withdraws a request.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<(ClientAccount, Item)> {
+        let mut taken = self.drain(|_, item| item.ticket == ticket);
+        taken.pop()
+    }
+
+    /// Withdraws all requests for which `gone` holds.
+    pub fn drain<F>(&mut self, gone: F) -> Vec<(ClientAccount, Item)>
+    where
+        F: Fn(&ClientAccount, &Item) -> bool,
+    {
+        let mut taken = Vec::new();
+        for (account, line) in &mut self.lines {
+            for items in &mut line.lanes {
+                let (out, kept) = items.drain(..).partition(|item| gone(account, item));
+                *items = kept;
+                let out: VecDeque<Item> = out;
+                taken.extend(out.into_iter().map(|item| (account.clone(), item)));
+            }
+        }
+        for (account, _) in &taken {
+            self.close(account);
+        }
+        taken
+    }
+
+    fn close(&mut self, account: &ClientAccount) {
+        if self.lines.get(account).is_some_and(|l| l.len() == 0) {
+            self.lines.remove(account);
+            self.ring.retain(|a| a != account);
+        }
+    }
+
+    /// All waiting requests.
+    pub fn items(&self) -> impl Iterator<Item = (&ClientAccount, &Item)> {
+        self.lines
+            .iter()
+            .flat_map(|(account, line)| line.items().map(move |item| (account, item)))
+    }
+
+    /// Waiting requests.
+    pub fn len(&self) -> usize {
+        self.lines.values().map(Line::len).sum()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.lines.is_empty()
+    }
+
+    /// Accounts with waiting requests.
+    pub fn accounts(&self) -> usize {
+        self.lines.len()
+    }
+
+    /// Waiting requests of an account.
+    pub fn held_by(&self, account: &ClientAccount) -> usize {
+        self.lines.get(account).map_or(0, Line::len)
+    }
+
+    /// Work that is served before a new request of `account`, at most.
+    pub fn ahead(&self, account: &ClientAccount, priority: Priority) -> Tokens {
+        let total: u64 = self.items().map(|(_, item)| item.work.0).sum();
+        let own: u64 = self.lines.get(account).map_or(0, |line| {
+            let before = |item: &&Item| lane(item.priority) <= lane(priority);
+            line.items().filter(before).map(|item| item.work.0).sum()
+        });
+        let others = self.lines.len() - usize::from(self.lines.contains_key(account));
+        let fair = own + others as u64 * (own + QUANTUM_TOKENS);
+        Tokens(total.min(fair))
+    }
+}
