--- /dev/null
+++ b/src/model/adapters.rs
@@ -0,0 +1,219 @@
+//! Adapters: attached where they are waited for, detached when idle, at most so many at once.
+
+use std::time::Instant;
+
+use super::decided::{AdapterState, Hold, IntentState, Reserved};
+use super::evidence::Seen;
+use super::flow::{Target, upstream};
+use super::plan::{Command, World, memory};
+use super::upkeep::find;
+use crate::ids::{AdapterId, ModelId, ReplicaId, UpstreamId};
+use crate::platform::Instance;
+use crate::schema::engine::{ReplicaReport, ReplicaState};
+use crate::units::Bytes;
+
+/// Adds the commands that adapters need.
+pub(super) fn commands(world: &World<'_>, out: &mut Vec<Command>) {
+    let mut free = world.policy.adapters.saturating_sub(in_flight(world));
+    for (model, adapter) in wanted(world) {
+        if free == 0 {
+            break;
+        }
+        if let Some(command) = attach(world, model, adapter) {
+            free -= usize::from(matches!(command, Command::Attach { .. }));
+            out.push(command);
+        }
+    }
+    for (engine, reserved) in world.reserved {
+        for (replica, hold) in &reserved.holds {
+            if !world.busy.contains(&hold.model) {
+                upkeep(world, engine, replica, hold, out);
+            }
+        }
+    }
+}
+
+/// Adapters waited for, the earliest deadline first.
+fn wanted<'a>(world: &World<'a>) -> Vec<(&'a ModelId, &'a AdapterId)> {
+    let mut wanted: Vec<(Instant, &ModelId, &AdapterId)> = Vec::new();
+    for (model, need) in world.needs {
+        if world.busy.contains(model) {
+            continue;
+        }
+        let adapters = need.adapters.iter();
+        wanted.extend(adapters.map(|(adapter, deadline)| (*deadline, model, adapter)));
+    }
+    wanted.sort();
+    wanted.into_iter().map(|(_, m, a)| (m, a)).collect()
+}
+
+/// Reserved adapters that the reports do not show yet.
+fn in_flight(world: &World<'_>) -> usize {
+    let holds = world.reserved.iter().flat_map(|(engine, reserved)| {
+        let seen = world.reports.get(engine);
+        reserved
+            .holds
+            .iter()
+            .map(move |(id, hold)| (seen, id, hold))
+    });
+    holds
+        .map(|(seen, replica, hold)| {
+            let adapters = hold.adapters.iter();
+            let missing = adapters.filter(|(adapter, held)| {
+                held.state == AdapterState::Attached
+                    && seen.is_some_and(|s| !s.has_adapter(replica, adapter))
+            });
+            missing.count()
+        })
+        .sum()
+}
+
+/// A ready replica that could take an adapter.
+struct Place<'a> {
+    engine: &'a Instance,
+    seen: &'a Seen,
+    reserved: &'a Reserved,
+    replica: &'a ReplicaReport,
+    free: Bytes,
+}
+
+fn places<'a>(world: &World<'a>, model: &ModelId) -> Vec<Place<'a>> {
+    let mut places = Vec::new();
+    let Some(decided) = world.decided.get(model) else {
+        return places;
+    };
+    for (replica, intent) in &decided.replicas {
+        if intent.state != IntentState::Ready {
+            continue;
+        }
+        let found = find(world, &intent.engine);
+        let seen = world.reports.get(&intent.engine);
+        let reserved = world.reserved.get(&intent.engine);
+        let (Some(engine), Some(seen), Some(reserved)) = (found, seen, reserved) else {
+            continue;
+        };
+        let mut reports = seen.report.replicas.iter();
+        let report = reports.find(|r| &r.replica == replica && r.state == ReplicaState::Ready);
+        let Some(report) = report.filter(|_| !seen.report.leaving) else {
+            continue;
+        };
+        places.push(Place {
+            engine,
+            seen,
+            reserved,
+            replica: report,
+            free: memory(engine, seen).saturating_sub(reserved.total()),
+        });
+    }
+    places
+}
+
+fn attach(world: &World<'_>, model: &ModelId, adapter: &AdapterId) -> Option<Command> {
+    let declared = world.declaration.adapters.get(adapter)?;
+    if &declared.model != model {
+        return None;
+    }
+    let places = places(world, model);
+    let under_way = places.iter().any(|p| {
+        let last = world.evidence.last_adapter(&p.replica.replica, adapter);
+        last.is_some_and(|at| at + world.policy.retry > p.seen.taken)
+    });
+    let present = places.iter().any(|p| p.replica.adapters.contains(adapter));
+    if under_way || present {
+        return None;
+    }
+    let held = |p: &Place<'_>| {
+        let hold = p.reserved.holds.get(&p.replica.replica);
+        hold.is_some_and(|h| h.adapters.contains_key(adapter))
+    };
+    let place = places.iter().max_by_key(|p| (held(p), p.free))?;
+    if !held(place) && place.free < declared.weights {
+        return detach_oldest(world, model, place);
+    }
+    Some(Command::Attach {
+        engine: place.engine.clone(),
+        target: target(model, place, declared.weights),
+        adapter: adapter.clone(),
+        memory: memory(place.engine, place.seen),
+    })
+}
+
+fn target(model: &ModelId, place: &Place<'_>, bytes: Bytes) -> Target {
+    Target {
+        model: model.clone(),
+        replica: place.replica.replica.clone(),
+        version: place.replica.version.clone(),
+        bytes,
+    }
+}
+
+/// Makes room on a replica's engine by its least recently used adapter that is not waited for.
+fn detach_oldest(world: &World<'_>, model: &ModelId, place: &Place<'_>) -> Option<Command> {
+    let hold = place.reserved.holds.get(&place.replica.replica)?;
+    let need = world.needs.get(model);
+    let idle = hold.adapters.iter().filter(|(adapter, held)| {
+        let waited = need.is_some_and(|n| n.adapters.contains_key(*adapter));
+        held.state == AdapterState::Attached && !waited
+    });
+    let (adapter, held) = idle.min_by_key(|(a, _)| world.adapter_usage.get(*a))?;
+    Some(Command::Detach {
+        engine: place.engine.clone(),
+        target: target(model, place, held.bytes),
+        adapter: adapter.clone(),
+    })
+}
+
+fn upkeep(
+    world: &World<'_>,
+    engine: &UpstreamId,
+    replica: &ReplicaId,
+    hold: &Hold,
+    out: &mut Vec<Command>,
+) {
+    let Some(seen) = world.reports.get(engine) else {
+        return;
+    };
+    for (adapter, held) in &hold.adapters {
+        let gone = world
+            .evidence
+            .adapter_gone(replica, adapter, seen, world.policy.life);
+        let command = match gone {
+            Some(since) => Some(Command::DropAdapter {
+                model: hold.model.clone(),
+                engine: engine.clone(),
+                replica: replica.clone(),
+                adapter: adapter.clone(),
+                since,
+            }),
+            None => detach(world, engine, replica, hold, adapter, held.state),
+        };
+        out.extend(command);
+    }
+}
+
+/// Detaches an idle adapter, or orders a withdrawn one off again.
+fn detach(
+    world: &World<'_>,
+    engine: &UpstreamId,
+    replica: &ReplicaId,
+    hold: &Hold,
+    adapter: &AdapterId,
+    state: AdapterState,
+) -> Option<Command> {
+    let found = places(world, &hold.model);
+    let place = found.into_iter().find(|p| &p.replica.replica == replica)?;
+    let last = world.evidence.last_adapter(replica, adapter);
+    let due = last.is_none_or(|at| at + world.policy.retry <= place.seen.taken);
+    let used = world.adapter_usage.get(adapter);
+    let idle = used.is_some_and(|at| *at + world.policy.idle <= world.now);
+    let wanted = match state {
+        AdapterState::Attached => idle || !world.declaration.adapters.contains_key(adapter),
+        AdapterState::Detaching => place.replica.adapters.contains(adapter),
+    };
+    debug_assert!(upstream(place.engine).is_ok_and(|id| &id == engine));
+    (wanted && due).then(|| Command::Detach {
+        engine: place.engine.clone(),
+        target: target(&hold.model, &place, hold.adapters[adapter].bytes),
+        adapter: adapter.clone(),
+    })
+}
--- /dev/null
+++ b/src/model/desk.rs
@@ -0,0 +1,430 @@
+//! Admission at one VM: who waits for which model, who is served next, who is refused.
+//!
+//! Pure: events come with the present, and answers leave as [`Outcome`]s. A request is granted when
+//! a replica has what it needs and a slot is free; it is refused at once when its deadline can no
+//! longer be met, with the time after which it could be.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use super::queue::{Discipline, Item, Queue, Ticket};
+use super::{Replica, Want};
+use crate::ids::{AdapterId, ClientAccount, ModelId, RequestId};
+use crate::outcome::{Reason, Refusal};
+use crate::units::Tokens;
+
+const PACE_WEIGHT: f64 = 0.1;
+const HINT_GRACE: Duration = Duration::from_secs(10);
+const MIN_RETRY: Duration = Duration::from_secs(1);
+
+/// A replica that serves now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Usable {
+    /// The replica.
+    pub replica: Replica,
+    /// Adapters on it.
+    pub adapters: BTreeSet<AdapterId>,
+    /// Requests running or queued there, as reported.
+    pub busy: u32,
+}
+
+/// What the reports say of a model.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ModelView {
+    /// Replicas that serve now.
+    pub usable: Vec<Usable>,
+    /// Time a cold start takes.
+    pub cold: Duration,
+}
+
+/// An answer to a waiting request.
+#[derive(Debug)]
+pub struct Outcome {
+    /// The request's ticket.
+    pub ticket: Ticket,
+    /// Its replicas, or why it is refused.
+    pub result: Result<Vec<Replica>, Refusal>,
+}
+
+/// What waits for a model.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Need {
+    /// Requests that lack a replica or a slot.
+    pub requests: u32,
+    /// Their work.
+    pub work: Tokens,
+    /// The first deadline.
+    pub deadline: Instant,
+    /// Time the replicas there are need for the work.
+    pub drain: Duration,
+    /// Adapters waited for, with the first deadline of each.
+    pub adapters: BTreeMap<AdapterId, Instant>,
+}
+
+impl Need {
+    /// No request, but a deadline.
+    pub fn empty(deadline: Instant) -> Self {
+        Self {
+            requests: 0,
+            work: Tokens::ZERO,
+            deadline,
+            drain: Duration::ZERO,
+            adapters: BTreeMap::new(),
+        }
+    }
+
+    /// Adds another VM's need.
+    pub fn merge(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.work = self.work + other.work;
+        self.deadline = self.deadline.min(other.deadline);
+        self.drain = self.drain.max(other.drain);
+        for (adapter, deadline) in &other.adapters {
+            self.want_adapter(adapter, *deadline);
+        }
+    }
+
+    /// Adds an adapter.
+    pub fn want_adapter(&mut self, adapter: &AdapterId, deadline: Instant) {
+        let first = self.adapters.entry(adapter.clone()).or_insert(deadline);
+        *first = deadline.min(*first);
+    }
+}
+
+#[derive(Debug)]
+struct Run {
+    started: Instant,
+    work: Tokens,
+}
+
+type RunKey = (ClientAccount, RequestId);
+
+#[derive(Debug, Default)]
+struct Counter {
+    queue: Queue,
+    running: BTreeMap<RunKey, Vec<Run>>,
+    inflight: u32,
+    peak: u32,
+    former_peak: u32,
+    others: u32,
+    view: ModelView,
+    ready_at: Option<Instant>,
+    hints: BTreeMap<Option<AdapterId>, Instant>,
+    pace: f64,
+}
+
+impl Counter {
+    fn serves(&self, adapter: Option<&AdapterId>) -> bool {
+        let fits = |u: &Usable| adapter.is_none_or(|a| u.adapters.contains(a));
+        self.view.usable.iter().any(fits)
+    }
+
+    fn replicas(&self, adapter: Option<&AdapterId>) -> Vec<Replica> {
+        let fits = |u: &&Usable| adapter.is_none_or(|a| u.adapters.contains(a));
+        let usable = self.view.usable.iter().filter(fits);
+        usable.map(|u| u.replica.clone()).collect()
+    }
+
+    fn slots(&self) -> u32 {
+        self.view.usable.iter().map(|u| u.replica.slots).sum()
+    }
+
+    fn free(&self) -> u32 {
+        self.slots()
+            .saturating_sub(self.others)
+            .saturating_sub(self.inflight)
+    }
+
+    fn service(&self, work: Tokens) -> Duration {
+        Duration::from_secs_f64(self.pace * work.0 as f64)
+    }
+
+    fn drain(&self, work: Tokens) -> Duration {
+        self.service(work) / self.slots().max(1)
+    }
+
+    /// Time until a request could start.
+    fn start(&self, adapter: Option<&AdapterId>, ahead: Tokens, now: Instant) -> Duration {
+        let queued = if self.free() > 0 && self.queue.is_empty() {
+            Duration::ZERO
+        } else {
+            self.drain(ahead)
+        };
+        if self.serves(adapter) {
+            return queued;
+        }
+        self.until_ready(now) + queued
+    }
+
+    fn until_ready(&self, now: Instant) -> Duration {
+        let known = self.ready_at.map(|at| at.saturating_duration_since(now));
+        if self.view.usable.is_empty() {
+            return known.unwrap_or(self.view.cold);
+        }
+        Duration::ZERO
+    }
+
+    fn see(&mut self, view: ModelView) {
+        let reported: u32 = view.usable.iter().map(|u| u.busy).sum();
+        self.others = reported.saturating_sub(self.peak.max(self.former_peak));
+        self.former_peak = self.peak;
+        self.peak = self.inflight;
+        if !view.usable.is_empty() {
+            self.ready_at = None;
+        }
+        self.view = view;
+    }
+
+    fn begin(&mut self, account: ClientAccount, item: &Item, now: Instant) {
+        let run = Run {
+            started: now,
+            work: item.work,
+        };
+        let key = (account, item.request.clone());
+        self.running.entry(key).or_default().push(run);
+        self.inflight += 1;
+        self.peak = self.peak.max(self.inflight);
+    }
+
+    fn end(&mut self, key: &RunKey, now: Instant) {
+        let Some(runs) = self.running.get_mut(key) else {
+            return;
+        };
+        let run = runs.pop();
+        if runs.is_empty() {
+            self.running.remove(key);
+        }
+        let Some(run) = run else {
+            return;
+        };
+        self.inflight -= 1;
+        let span = now.saturating_duration_since(run.started).as_secs_f64();
+        let pace = span / run.work.0.max(1) as f64;
+        self.pace = if self.pace == 0.0 {
+            pace
+        } else {
+            self.pace * (1.0 - PACE_WEIGHT) + pace * PACE_WEIGHT
+        };
+    }
+
+    fn hint(&mut self, adapter: Option<AdapterId>, until: Instant) {
+        let hint = self.hints.entry(adapter).or_insert(until);
+        *hint = until.max(*hint);
+    }
+
+    fn need(&self, now: Instant) -> Option<Need> {
+        let mut need = Need::empty(now + HINT_GRACE);
+        let mut any = false;
+        for (_, item) in self.queue.items() {
+            any = true;
+            need.deadline = need.deadline.min(item.deadline);
+            let served = self.serves(item.adapter.as_ref());
+            if self.view.usable.is_empty() || served {
+                need.requests += 1;
+                need.work = need.work + item.work;
+            }
+            if let Some(adapter) = item.adapter.as_ref().filter(|_| !served) {
+                need.want_adapter(adapter, item.deadline);
+            }
+        }
+        for (adapter, until) in self.hints.iter().filter(|(_, until)| **until > now) {
+            if self.serves(adapter.as_ref()) {
+                continue;
+            }
+            any = true;
+            need.requests += u32::from(self.view.usable.is_empty());
+            if let Some(adapter) = adapter {
+                need.want_adapter(adapter, *until);
+            }
+        }
+        need.drain = self.drain(need.work);
+        any.then_some(need)
+    }
+}
+
+/// The waiting and running requests of one VM.
+#[derive(Debug)]
+pub struct Desk {
+    bound: usize,
+    discipline: Discipline,
+    models: BTreeMap<ModelId, Counter>,
+    waiting: BTreeMap<Ticket, ModelId>,
+    last: Ticket,
+}
+
+impl Desk {
+    /// A desk at which at most `bound` requests wait.
+    pub fn new(bound: usize, discipline: Discipline) -> Self {
+        Self {
+            bound,
+            discipline,
+            models: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            last: Ticket(0),
+        }
+    }
+
+    /// Takes a request in, or refuses it at once. Its answer may be among [`Self::grant`]'s next.
+    pub fn arrive(&mut self, want: &Want, now: Instant) -> Result<Ticket, Refusal> {
+        let total = self.waiting.len();
+        let bound = self.bound;
+        let counter = self.counter(&want.model);
+        let ahead = counter.queue.ahead(&want.account, want.priority);
+        let start = counter.start(want.adapter.as_ref(), ahead, now);
+        let retry = start.max(MIN_RETRY);
+        let share = bound / (counter.queue.accounts() + 1).max(2);
+        if total >= bound || counter.queue.held_by(&want.account) >= share {
+            return Err(Refusal::not_run(Reason::Capacity).retry_after(retry));
+        }
+        if now + start + counter.service(want.work) > want.deadline {
+            counter.hint(want.adapter.clone(), now + start + HINT_GRACE);
+            return Err(Refusal::not_run(Reason::Deadline).retry_after(retry));
+        }
+        self.last = Ticket(self.last.0 + 1);
+        let ticket = self.last;
+        let item = Item {
+            ticket,
+            request: want.request.clone(),
+            adapter: want.adapter.clone(),
+            priority: want.priority,
+            work: want.work,
+            arrived: now,
+            deadline: want.deadline,
+        };
+        self.counter(&want.model).queue.push(&want.account, item);
+        self.waiting.insert(ticket, want.model.clone());
+        Ok(ticket)
+    }
+
+    /// Withdraws a waiting request; `false` where it was answered already.
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        let Some(model) = self.waiting.remove(&ticket) else {
+            return false;
+        };
+        self.counter(&model).queue.remove(ticket);
+        true
+    }
+
+    /// Ends a granted request.
+    pub fn release(&mut self, want: &Want, now: Instant) {
+        let key = (want.account.clone(), want.request.clone());
+        self.counter(&want.model).end(&key, now);
+    }
+
+    /// Takes a new view of a model in.
+    pub fn see(&mut self, model: &ModelId, view: ModelView) {
+        self.counter(model).see(view);
+    }
+
+    /// Takes the time in after which a replica is expected.
+    pub fn expect(&mut self, model: &ModelId, ready_at: Instant) {
+        let counter = self.counter(model);
+        if counter.view.usable.is_empty() {
+            counter.ready_at = Some(ready_at);
+        }
+    }
+
+    /// Answers those of a model's requests whose turn it is.
+    pub fn grant(&mut self, model: &ModelId, now: Instant) -> Vec<Outcome> {
+        let mut outcomes = Vec::new();
+        let Some(counter) = self.models.get_mut(model) else {
+            return outcomes;
+        };
+        while counter.free() > 0 {
+            let mut queue = std::mem::take(&mut counter.queue);
+            let next = queue.pop(|item| counter.serves(item.adapter.as_ref()), now);
+            counter.queue = queue;
+            let Some((account, item)) = next else {
+                break;
+            };
+            counter.begin(account, &item, now);
+            self.waiting.remove(&item.ticket);
+            outcomes.push(Outcome {
+                ticket: item.ticket,
+                result: Ok(counter.replicas(item.adapter.as_ref())),
+            });
+        }
+        outcomes
+    }
+
+    /// Grants what can be granted and refuses what can no longer be met.
+    pub fn tick(&mut self, now: Instant) -> Vec<Outcome> {
+        let models: Vec<ModelId> = self.models.keys().cloned().collect();
+        let mut outcomes = Vec::new();
+        for model in models {
+            outcomes.extend(self.grant(&model, now));
+            outcomes.extend(self.give_up(&model, now));
+        }
+        outcomes
+    }
+
+    fn give_up(&mut self, model: &ModelId, now: Instant) -> Vec<Outcome> {
+        let Some(counter) = self.models.get_mut(model) else {
+            return Vec::new();
+        };
+        counter.hints.retain(|_, until| *until > now);
+        let mut queue = std::mem::take(&mut counter.queue);
+        let late = queue.drain(|_, item| {
+            let known = counter.ready_at.is_some();
+            let wait = if known && !counter.serves(item.adapter.as_ref()) {
+                counter.until_ready(now)
+            } else {
+                Duration::ZERO
+            };
+            now + wait + counter.service(item.work) > item.deadline || item.deadline <= now
+        });
+        counter.queue = queue;
+        let mut outcomes = Vec::new();
+        for (account, item) in late {
+            self.waiting.remove(&item.ticket);
+            let ahead = counter.queue.ahead(&account, item.priority);
+            let start = counter.start(item.adapter.as_ref(), ahead, now);
+            counter.hint(item.adapter.clone(), now + start + HINT_GRACE);
+            let refusal = Refusal::not_run(Reason::Deadline).retry_after(start.max(MIN_RETRY));
+            outcomes.push(Outcome {
+                ticket: item.ticket,
+                result: Err(refusal),
+            });
+        }
+        outcomes
+    }
+
+    /// What waits, by model.
+    pub fn needs(&self, now: Instant) -> BTreeMap<ModelId, Need> {
+        let needs = self.models.iter().filter_map(|(model, counter)| {
+            let need = counter.need(now)?;
+            Some((model.clone(), need))
+        });
+        needs.collect()
+    }
+
+    /// Models with running requests.
+    pub fn in_use(&self) -> impl Iterator<Item = &ModelId> {
+        let used = self.models.iter().filter(|(_, c)| c.inflight > 0);
+        used.map(|(model, _)| model)
+    }
+
+    /// Waiting requests.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Running requests.
+    pub fn running(&self) -> u32 {
+        self.models.values().map(|c| c.inflight).sum()
+    }
+
+    fn counter(&mut self, model: &ModelId) -> &mut Counter {
+        let discipline = self.discipline;
+        let make = || Counter {
+            queue: Queue::new(discipline),
+            ..Counter::default()
+        };
+        self.models.entry(model.clone()).or_insert_with(make)
+    }
+}
--- a/src/model/evidence.rs
+++ b/src/model/evidence.rs
@@ -39,11 +39,7 @@
 
     /// Whether the adapter is on the replica in the report.
     pub fn has_adapter(&self, replica: &ReplicaId, adapter: &AdapterId) -> bool {
-        let found = self
-            .report
-            .replicas
-            .iter()
-            .find(|r| &r.replica == replica);
+        let found = self.report.replicas.iter().find(|r| &r.replica == replica);
         found.is_some_and(|r| r.adapters.contains(adapter))
     }
 }
@@ -62,6 +58,7 @@
     adapters: BTreeMap<(ReplicaId, AdapterId), (Epoch, Instant)>,
     orphans: BTreeMap<(UpstreamId, ReplicaId), Instant>,
     ordered: BTreeMap<ReplicaId, Instant>,
+    attached: BTreeMap<(ReplicaId, AdapterId), Instant>,
     unlisted: BTreeMap<UpstreamId, Instant>,
 }
 
@@ -132,6 +129,18 @@
         self.ordered.get(replica).copied()
     }
 
+    /// Notes that an order for an adapter was sent.
+    pub fn sent_adapter(&mut self, replica: &ReplicaId, adapter: &AdapterId, now: Instant) {
+        let key = (replica.clone(), adapter.clone());
+        self.attached.insert(key, now);
+    }
+
+    /// When an order for an adapter was last sent.
+    pub fn last_adapter(&self, replica: &ReplicaId, adapter: &AdapterId) -> Option<Instant> {
+        let key = (replica.clone(), adapter.clone());
+        self.attached.get(&key).copied()
+    }
+
     /// Notes that a fenced engine accepted an unload; the answer came at `now`.
     pub fn unload_accepted(&mut self, replica: &ReplicaId, generation: Generation, now: Instant) {
         let accepted = Accepted {
@@ -196,6 +205,7 @@
         self.accepted.retain(|replica, _| keep(replica));
         self.ordered.retain(|replica, _| keep(replica));
         self.adapters.retain(|(replica, _), _| keep(replica));
+        self.attached.retain(|(replica, _), _| keep(replica));
         self.orphans.retain(|(_, replica), _| keep(replica));
     }
 }
--- a/src/model/flow.rs
+++ b/src/model/flow.rs
@@ -21,7 +21,9 @@
 };
 use crate::clock::Clock;
 use crate::engine::{EngineControl, EngineError, Order, OrderKind, OrderStatus};
-use crate::ids::{AdapterId, Epoch, IdError, ModelId, ObjectKey, ReplicaId, UpstreamId, Version, VersionId};
+use crate::ids::{
+    AdapterId, Epoch, IdError, ModelId, ObjectKey, ReplicaId, UpstreamId, Version, VersionId,
+};
 use crate::platform::{Instance, ObjectStore, StoreError};
 use crate::units::Bytes;
 
@@ -308,18 +310,25 @@
         Err(FlowError::Contended)
     }
 
-    async fn bar(&self, model: &ModelId, replica: &ReplicaId) -> Result<(), FlowError> {
+    async fn bar(&self, model: &ModelId, replica: &ReplicaId) -> Result<Epoch, FlowError> {
         let key = model_key(model)?;
         self.edit(&key, |decided: &mut Decided| {
             if decided.replicas.contains_key(replica) {
                 return Err(EditError::State);
             }
             decided.touch();
-            Ok(())
+            Ok(decided.epoch)
         })
         .await
     }
 
+    /// Orders a replica off its engine that has neither intent nor hold.
+    pub async fn expel(&self, engine: &Instance, target: &Target) -> Result<(), FlowError> {
+        let fence = self.bar(&target.model, &target.replica).await?;
+        let order = order(OrderKind::Unload, target, fence, None);
+        self.send(engine, &order, self.clock.now()).await
+    }
+
     /// Reserves memory for an adapter and orders it onto a replica.
     pub async fn attach(
         &self,
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -3,15 +3,19 @@
 //! [`Placer`] is the border towards the edge: a request waits there for a replica until its
 //! deadline, or is refused at once where the deadline cannot be met.
 
+mod adapters;
 pub mod decided;
+pub mod desk;
 pub mod evict;
 pub mod evidence;
 pub mod flow;
 pub mod owner;
 pub mod place;
+pub mod plan;
 pub mod queue;
 pub mod scale;
 pub mod slots;
+mod upkeep;
 
 use std::fmt::Debug;
 use std::time::Instant;
--- a/src/model/place.rs
+++ b/src/model/place.rs
@@ -25,7 +25,7 @@
 
 /// Where a checkpoint is read from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum From {
+pub enum Origin {
     /// The engine's memory.
     Memory,
     /// The engine's disk.
@@ -35,24 +35,24 @@
 }
 
 /// Where an engine would read a model from.
-pub fn source(report: &LoadReport, model: &ModelId, version: &VersionId) -> From {
+pub fn source(report: &LoadReport, model: &ModelId, version: &VersionId) -> Origin {
     let held = report
         .checkpoints
         .iter()
         .filter(|c| &c.model == model && &c.version == version)
         .map(|c| match c.source {
-            Source::Memory => From::Memory,
-            Source::Disk => From::Disk,
+            Source::Memory => Origin::Memory,
+            Source::Disk => Origin::Disk,
         });
-    held.min().unwrap_or(From::Remote)
+    held.min().unwrap_or(Origin::Remote)
 }
 
 /// Time to load `weights`, where `bandwidth` is what one load reads from the weight store.
-pub fn load_time(from: From, weights: Bytes, bandwidth: Bytes) -> Duration {
+pub fn load_time(from: Origin, weights: Bytes, bandwidth: Bytes) -> Duration {
     let factor = match from {
-        From::Memory => MEMORY_FACTOR,
-        From::Disk => DISK_FACTOR,
-        From::Remote => 1.0,
+        Origin::Memory => MEMORY_FACTOR,
+        Origin::Disk => DISK_FACTOR,
+        Origin::Remote => 1.0,
     };
     let seconds = weights.0 as f64 / (bandwidth.0.max(1) as f64 * factor);
     Duration::from_secs_f64(seconds)
@@ -64,7 +64,7 @@
     /// The engine.
     pub engine: T,
     /// Where it has the checkpoint.
-    pub from: From,
+    pub from: Origin,
     /// Time the load takes.
     pub time: Duration,
     /// Loads under way there.
--- /dev/null
+++ b/src/model/plan.rs
@@ -0,0 +1,582 @@
+//! What to do next about replicas, adapters and reservations.
+//!
+//! Pure: a [`World`] as this VM knows it goes in, [`Command`]s come out. A stale world costs work,
+//! never safety: each command is checked again by compare-and-set when it is carried out.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use super::decided::{Decided, IntentState, Reserved, replica_id};
+use super::desk::Need;
+use super::evict::{Eviction, Usage, worth};
+use super::evidence::{Evidence, Seen};
+use super::flow::{Load, Target, upstream};
+use super::place::{Candidate, Origin, Placement, choose, load_time, loads_under_way, source};
+use super::scale::{Waiting, is_idle, replicas_to_add};
+use super::{adapters, upkeep};
+use crate::ids::{AdapterId, Epoch, ModelId, ReplicaId, UpstreamId};
+use crate::platform::{Instance, InstanceKind, InstanceState};
+use crate::schema::declaration::{Declaration, Model};
+use crate::units::Bytes;
+
+const REPORT_BOUND: Duration = Duration::from_secs(5);
+const EVICT_GRACE: Duration = Duration::from_secs(3);
+const SETTLE: Duration = Duration::from_secs(1);
+
+/// The parameters of a plan.
+#[derive(Clone, Debug)]
+pub struct Policy {
+    /// Bytes a second one load reads from the weight store.
+    pub bandwidth: Bytes,
+    /// Loads the weight store carries at once.
+    pub slots: usize,
+    /// Adapter loads at once.
+    pub adapters: usize,
+    /// Idle time after which a replica may go.
+    pub idle: Duration,
+    /// Longest life of an order.
+    pub life: Duration,
+    /// Time after which an order without effect is sent again.
+    pub retry: Duration,
+    /// How a victim is chosen.
+    pub eviction: Eviction,
+    /// How an engine is chosen.
+    pub placement: Placement,
+    /// Whether loads go by deadline, or by first request.
+    pub by_deadline: bool,
+}
+
+/// What this VM knows.
+#[derive(Clone, Copy, Debug)]
+pub struct World<'a> {
+    /// The configuration in force.
+    pub declaration: &'a Declaration,
+    /// The platform's list of engines.
+    pub engines: &'a [Instance],
+    /// Decided replicas, by model.
+    pub decided: &'a BTreeMap<ModelId, Decided>,
+    /// Reservations, by engine.
+    pub reserved: &'a BTreeMap<UpstreamId, Reserved>,
+    /// Newest reports, by engine.
+    pub reports: &'a BTreeMap<UpstreamId, Seen>,
+    /// What waits, by model.
+    pub needs: &'a BTreeMap<ModelId, Need>,
+    /// When models were used.
+    pub usage: &'a BTreeMap<ModelId, Usage>,
+    /// When adapters were used.
+    pub adapter_usage: &'a BTreeMap<AdapterId, Instant>,
+    /// What was seen since when.
+    pub evidence: &'a Evidence,
+    /// Models with a command under way.
+    pub busy: &'a BTreeSet<ModelId>,
+    /// Memory of loads under way that the reservations may not show yet.
+    pub pending: &'a BTreeMap<UpstreamId, Bytes>,
+    /// Loads from the weight store that may start now.
+    pub starts: usize,
+    /// The parameters.
+    pub policy: &'a Policy,
+    /// The present.
+    pub now: Instant,
+}
+
+/// Something to carry out; see the method of the same name in [`super::flow::Flows`].
+#[derive(Clone, Debug)]
+#[expect(missing_docs, reason = "fields are the method's arguments")]
+pub enum Command {
+    /// Loads a new replica.
+    Load {
+        engine: Instance,
+        load: Load,
+        origin: Origin,
+    },
+    /// Orders a load again.
+    Renew { engine: Instance, target: Target },
+    /// Records a replica as ready.
+    Ready { model: ModelId, replica: ReplicaId },
+    /// Withdraws a replica and orders its unload.
+    Unload { engine: Instance, target: Target },
+    /// Withdraws a replica of an engine that is not listed.
+    Withdraw { model: ModelId, replica: ReplicaId },
+    /// Forgets a replica that is gone.
+    Release {
+        model: ModelId,
+        replica: ReplicaId,
+        engine: UpstreamId,
+    },
+    /// Gives back a hold without an intent.
+    Sweep {
+        model: ModelId,
+        replica: ReplicaId,
+        engine: UpstreamId,
+    },
+    /// Orders a replica off that nobody decided.
+    Expel { engine: Instance, target: Target },
+    /// Puts an adapter onto a replica.
+    Attach {
+        engine: Instance,
+        target: Target,
+        adapter: AdapterId,
+        memory: Bytes,
+    },
+    /// Takes an adapter off a replica.
+    Detach {
+        engine: Instance,
+        target: Target,
+        adapter: AdapterId,
+    },
+    /// Gives a withdrawn adapter's memory back.
+    DropAdapter {
+        model: ModelId,
+        engine: UpstreamId,
+        replica: ReplicaId,
+        adapter: AdapterId,
+        since: Epoch,
+    },
+}
+
+impl Command {
+    /// The model it is about.
+    pub fn model(&self) -> &ModelId {
+        match self {
+            Self::Load { load, .. } => &load.model,
+            Self::Renew { target, .. }
+            | Self::Unload { target, .. }
+            | Self::Expel { target, .. }
+            | Self::Attach { target, .. }
+            | Self::Detach { target, .. } => &target.model,
+            Self::Ready { model, .. }
+            | Self::Withdraw { model, .. }
+            | Self::Release { model, .. }
+            | Self::Sweep { model, .. }
+            | Self::DropAdapter { model, .. } => model,
+        }
+    }
+}
+
+/// What to do, and when replicas are expected.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    /// Commands, in order.
+    pub commands: Vec<Command>,
+    /// Time until a replica of a model is ready.
+    pub waits: BTreeMap<ModelId, Duration>,
+}
+
+/// Memory of an engine, as the plan fills it.
+#[derive(Clone, Debug)]
+struct Room<'a> {
+    engine: &'a Instance,
+    id: UpstreamId,
+    seen: &'a Seen,
+    memory: Bytes,
+    free: Bytes,
+    coming: Bytes,
+    loading: usize,
+}
+
+/// Makes a plan; `nonce` gives numbers that never repeat.
+pub fn plan<F>(world: &World<'_>, nonce: F) -> Plan
+where
+    F: FnMut() -> u64,
+{
+    let mut planner = Planner::new(world, nonce);
+    upkeep::commands(world, &mut planner.plan.commands);
+    adapters::commands(world, &mut planner.plan.commands);
+    planner.scale_up();
+    planner.scale_down();
+    planner.plan
+}
+
+/// An engine's memory: the least of what the platform and the engine say.
+pub(super) fn memory(engine: &Instance, seen: &Seen) -> Bytes {
+    let reported = seen.report.memory;
+    engine.memory.map_or(reported, |m| m.min(reported))
+}
+
+struct Planner<'a, 'w, F> {
+    world: &'a World<'w>,
+    nonce: F,
+    rooms: Vec<Room<'w>>,
+    slots: usize,
+    starts: usize,
+    evicted: BTreeSet<ReplicaId>,
+    plan: Plan,
+}
+
+struct Wanted<'w> {
+    id: &'w ModelId,
+    model: &'w Model,
+    deadline: Instant,
+    work: u64,
+}
+
+impl<'a, 'w, F> Planner<'a, 'w, F>
+where
+    F: FnMut() -> u64,
+{
+    fn new(world: &'a World<'w>, nonce: F) -> Self {
+        let rooms = world
+            .engines
+            .iter()
+            .filter_map(|e| room(world, e))
+            .collect();
+        let used = remote_loads(world);
+        Self {
+            world,
+            nonce,
+            rooms,
+            slots: world.policy.slots.saturating_sub(used),
+            starts: world.starts,
+            evicted: BTreeSet::new(),
+            plan: Plan::default(),
+        }
+    }
+
+    fn scale_up(&mut self) {
+        for wanted in self.wanted() {
+            let wait = self.place(&wanted);
+            self.plan.waits.insert(wanted.id.clone(), wait);
+        }
+        for (model, wait) in loading_waits(self.world) {
+            self.plan.waits.insert(model, wait);
+        }
+    }
+
+    /// Models that need a further replica, the most urgent first.
+    fn wanted(&self) -> Vec<Wanted<'w>> {
+        let world = self.world;
+        let mut wanted = Vec::new();
+        for (id, model) in &world.declaration.models {
+            let need = world.needs.get(id);
+            let live = live(world, id);
+            let waiting = need.map(|n| Waiting {
+                requests: n.requests,
+                drain: n.drain,
+            });
+            let time = load_time(Origin::Remote, model.weights, world.policy.bandwidth);
+            if replicas_to_add(model, live, waiting, time) == 0 {
+                continue;
+            }
+            wanted.push(Wanted {
+                id,
+                model,
+                deadline: need.map_or(world.now + REPORT_BOUND * 12, |n| n.deadline),
+                work: need.map_or(0, |n| n.work.0),
+            });
+        }
+        if world.policy.by_deadline {
+            wanted.sort_by_key(|w| (w.deadline, std::cmp::Reverse(w.work)));
+        }
+        wanted
+    }
+
+    /// Finds a place for one more replica; gives the time until it is ready.
+    fn place(&mut self, wanted: &Wanted<'w>) -> Duration {
+        let policy = self.world.policy;
+        let size = wanted.model.weights + wanted.model.floor;
+        let remote = load_time(Origin::Remote, wanted.model.weights, policy.bandwidth);
+        let decided = self.world.decided.get(wanted.id);
+        let total = decided.map_or(0, |d| d.replicas.len());
+        if self.world.busy.contains(wanted.id) {
+            return remote;
+        }
+        if total >= wanted.model.maximum as usize {
+            return remote + policy.life;
+        }
+        let candidates = self.candidates(wanted, size);
+        let Some(best) = choose(policy.placement, candidates) else {
+            return remote + self.make_room(wanted.id, size);
+        };
+        if best.from == Origin::Remote {
+            if self.slots == 0 || self.starts == 0 {
+                self.rooms[best.engine].free = best.left;
+                return best.time * 2;
+            }
+            self.slots -= 1;
+            self.starts -= 1;
+        }
+        self.load(wanted, &best);
+        best.time + SETTLE
+    }
+
+    fn candidates(&self, wanted: &Wanted<'w>, size: Bytes) -> Vec<Candidate<usize>> {
+        let policy = self.world.policy;
+        let fitting = self
+            .rooms
+            .iter()
+            .enumerate()
+            .filter(|(_, r)| r.free >= size);
+        let candidates = fitting.map(|(at, room)| {
+            let from = source(&room.seen.report, wanted.id, &wanted.model.version);
+            Candidate {
+                engine: at,
+                from,
+                time: load_time(from, wanted.model.weights, policy.bandwidth),
+                loading: room.loading,
+                left: room.free - size,
+            }
+        });
+        candidates.collect()
+    }
+
+    fn load(&mut self, wanted: &Wanted<'w>, best: &Candidate<usize>) {
+        let Ok(replica) = replica_id(wanted.id, (self.nonce)()) else {
+            return;
+        };
+        let room = &mut self.rooms[best.engine];
+        room.free = best.left;
+        room.loading += 1;
+        let load = Load {
+            replica,
+            model: wanted.id.clone(),
+            version: wanted.model.version.clone(),
+            weights: wanted.model.weights,
+            floor: wanted.model.floor,
+            maximum: wanted.model.maximum,
+            memory: room.memory,
+        };
+        self.plan.commands.push(Command::Load {
+            engine: room.engine.clone(),
+            load,
+            origin: best.from,
+        });
+    }
+
+    /// Waits for memory that is being freed, or gives up idle replicas for it.
+    fn make_room(&mut self, model: &ModelId, size: Bytes) -> Duration {
+        let coming = self.rooms.iter_mut().find(|r| r.free + r.coming >= size);
+        if let Some(room) = coming {
+            let rest = size.saturating_sub(room.free);
+            room.free = room.free.saturating_sub(size);
+            room.coming = room.coming.saturating_sub(rest);
+            return SETTLE;
+        }
+        let mut best: Option<(f64, usize, Vec<Target>)> = None;
+        for at in 0..self.rooms.len() {
+            let Some((cost, targets)) = self.victims(at, model, size) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
+                best = Some((cost, at, targets));
+            }
+        }
+        let Some((_, at, targets)) = best else {
+            return self.world.policy.life;
+        };
+        self.evict(at, size, targets);
+        SETTLE
+    }
+
+    fn evict(&mut self, at: usize, size: Bytes, targets: Vec<Target>) {
+        let room = &mut self.rooms[at];
+        let freed: Bytes = targets.iter().map(|t| t.bytes).sum();
+        room.coming = (room.free + room.coming + freed).saturating_sub(size);
+        room.free = Bytes::ZERO;
+        let engine = room.engine.clone();
+        for target in targets {
+            self.evicted.insert(target.replica.clone());
+            let engine = engine.clone();
+            self.plan.commands.push(Command::Unload { engine, target });
+        }
+    }
+
+    /// The cheapest idle replicas of an engine whose memory suffices.
+    fn victims(&self, at: usize, model: &ModelId, size: Bytes) -> Option<(f64, Vec<Target>)> {
+        let room = &self.rooms[at];
+        let world = self.world;
+        let mut idle: Vec<(f64, Target)> = Vec::new();
+        for target in self.idle_targets(room, model) {
+            let declared = world.declaration.models.get(&target.model);
+            let weights = declared.map_or(target.bytes, |m| m.weights);
+            let origin = source(&room.seen.report, &target.model, &target.version);
+            let reload = load_time(origin, weights, world.policy.bandwidth);
+            let cost = world.usage.get(&target.model).map_or(0.0, |usage| {
+                worth(world.policy.eviction, usage, reload, world.now)
+            });
+            idle.push((cost, target));
+        }
+        idle.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut gained = room.free + room.coming;
+        let mut cost = 0.0;
+        let mut targets = Vec::new();
+        for (each, target) in idle {
+            if gained >= size {
+                break;
+            }
+            gained = gained + target.bytes;
+            cost += each;
+            targets.push(target);
+        }
+        (gained >= size).then_some((cost, targets))
+    }
+
+    fn idle_targets(&self, room: &Room<'_>, model: &ModelId) -> Vec<Target> {
+        let world = self.world;
+        let mut targets = Vec::new();
+        for report in &room.seen.report.replicas {
+            let owner = &report.model;
+            let quiet = report.running == 0 && report.queued == 0;
+            let spared = owner == model
+                || world.needs.contains_key(owner)
+                || world.busy.contains(owner)
+                || self.evicted.contains(&report.replica);
+            let used = world.usage.get(owner).map(|u| u.last);
+            let recent = used.is_some_and(|last| last + EVICT_GRACE > world.now);
+            if !quiet || spared || recent || !above_minimum(world, owner) {
+                continue;
+            }
+            let Some(target) = ready_target(world, &room.id, owner, &report.replica) else {
+                continue;
+            };
+            targets.push(target);
+        }
+        targets
+    }
+
+    fn scale_down(&mut self) {
+        let world = self.world;
+        for (id, model) in &world.declaration.models {
+            if world.needs.contains_key(id) || world.busy.contains(id) {
+                continue;
+            }
+            let usage = world.usage.get(id);
+            if !is_idle(model, live(world, id), usage, world.policy.idle, world.now) {
+                continue;
+            }
+            self.unload_one(id);
+        }
+    }
+
+    fn unload_one(&mut self, model: &ModelId) {
+        for room in &self.rooms {
+            let replicas = &room.seen.report.replicas;
+            let idle = replicas
+                .iter()
+                .find(|r| &r.model == model && r.running == 0 && r.queued == 0);
+            let Some(report) = idle.filter(|r| !self.evicted.contains(&r.replica)) else {
+                continue;
+            };
+            if let Some(target) = ready_target(self.world, &room.id, model, &report.replica) {
+                let engine = room.engine.clone();
+                self.plan.commands.push(Command::Unload { engine, target });
+                return;
+            }
+        }
+    }
+}
+
+/// Decided replicas that are not withdrawn.
+pub(super) fn live(world: &World<'_>, model: &ModelId) -> u32 {
+    let Some(decided) = world.decided.get(model) else {
+        return 0;
+    };
+    let states = decided.replicas.values().map(|i| i.state);
+    states.filter(|s| *s != IntentState::Unloading).count() as u32
+}
+
+fn above_minimum(world: &World<'_>, model: &ModelId) -> bool {
+    let minimum = world.declaration.models.get(model).map_or(0, |m| m.minimum);
+    live(world, model) > minimum
+}
+
+fn ready_target(
+    world: &World<'_>,
+    engine: &UpstreamId,
+    model: &ModelId,
+    replica: &ReplicaId,
+) -> Option<Target> {
+    let intent = world.decided.get(model)?.replicas.get(replica)?;
+    if intent.state != IntentState::Ready || &intent.engine != engine {
+        return None;
+    }
+    let hold = world.reserved.get(engine)?.holds.get(replica)?;
+    Some(Target {
+        model: model.clone(),
+        replica: replica.clone(),
+        version: intent.version.clone(),
+        bytes: hold.total(),
+    })
+}
+
+fn room<'w>(world: &World<'w>, engine: &'w Instance) -> Option<Room<'w>> {
+    if engine.kind != InstanceKind::Engine || engine.state != InstanceState::Live {
+        return None;
+    }
+    let id = upstream(engine).ok()?;
+    let seen = world.reports.get(&id)?;
+    let old = world.now.saturating_duration_since(seen.taken) > REPORT_BOUND;
+    if old || seen.report.leaving {
+        return None;
+    }
+    let reserved = world.reserved.get(&id)?;
+    let memory = memory(engine, seen);
+    let stray = stray_bytes(reserved, seen);
+    let pending = world.pending.get(&id).copied().unwrap_or_default();
+    let free = memory
+        .saturating_sub(reserved.total())
+        .saturating_sub(stray)
+        .saturating_sub(pending);
+    Some(Room {
+        engine,
+        seen,
+        memory,
+        free,
+        coming: coming(world, reserved),
+        loading: loads_under_way(&seen.report),
+        id,
+    })
+}
+
+/// Memory of replicas that nobody reserved.
+fn stray_bytes(reserved: &Reserved, seen: &Seen) -> Bytes {
+    let replicas = seen.report.replicas.iter();
+    let strays = replicas.filter(|r| !reserved.holds.contains_key(&r.replica));
+    strays.map(|r| r.bytes).sum()
+}
+
+/// Memory of replicas that are being unloaded.
+fn coming(world: &World<'_>, reserved: &Reserved) -> Bytes {
+    let holds = reserved.holds.iter();
+    let leaving = holds.filter(|(replica, hold)| {
+        let decided = world.decided.get(&hold.model);
+        let intent = decided.and_then(|d| d.replicas.get(*replica));
+        intent.is_none_or(|i| i.state == IntentState::Unloading)
+    });
+    leaving.map(|(_, hold)| hold.total()).sum()
+}
+
+/// Decided loads that read from the weight store now.
+fn remote_loads(world: &World<'_>) -> usize {
+    let intents = world.decided.iter().flat_map(|(model, decided)| {
+        let replicas = decided.replicas.values();
+        replicas.map(move |intent| (model, intent))
+    });
+    let remote = intents.filter(|(model, intent)| {
+        let seen = world.reports.get(&intent.engine);
+        let origin = seen.map(|s| source(&s.report, model, &intent.version));
+        intent.state == IntentState::Loading && origin.is_none_or(|o| o == Origin::Remote)
+    });
+    remote.count()
+}
+
+/// Time until the loads under way are ready.
+fn loading_waits(world: &World<'_>) -> Vec<(ModelId, Duration)> {
+    let mut waits = Vec::new();
+    for (id, decided) in world.decided {
+        let Some(model) = world.declaration.models.get(id) else {
+            continue;
+        };
+        let loading = |i: &&super::decided::Intent| i.state == IntentState::Loading;
+        let Some(intent) = decided.replicas.values().find(loading) else {
+            continue;
+        };
+        let seen = world.reports.get(&intent.engine);
+        let origin = seen.map_or(Origin::Remote, |s| source(&s.report, id, &intent.version));
+        let time = load_time(origin, model.weights, world.policy.bandwidth);
+        let wall = decided.replicas.iter().find(|(_, i)| loading(i));
+        let sent = wall.and_then(|(replica, _)| world.evidence.last_order(replica));
+        let spent = sent.map_or(Duration::ZERO, |at| world.now.saturating_duration_since(at));
+        waits.push((id.clone(), time.saturating_sub(spent) + SETTLE));
+    }
+    waits
+}
--- a/src/model/queue.rs
+++ b/src/model/queue.rs
@@ -81,14 +81,33 @@
     lane.saturating_sub(steps as usize)
 }
 
+/// Who is served next.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Discipline {
+    /// Accounts in turn by tokens, priorities inside each.
+    #[default]
+    Fair,
+    /// First come, first served.
+    Arrival,
+}
+
 /// The waiting requests.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
+    discipline: Discipline,
     lines: BTreeMap<ClientAccount, Line>,
     ring: VecDeque<ClientAccount>,
 }
 
 impl Queue {
+    /// An empty queue.
+    pub fn new(discipline: Discipline) -> Self {
+        Self {
+            discipline,
+            ..Self::default()
+        }
+    }
+
     /// Adds a request at the end of its account's lane.
     pub fn push(&mut self, account: &ClientAccount, item: Item) {
         if !self.lines.contains_key(account) {
@@ -103,6 +122,11 @@
     where
         F: Fn(&Item) -> bool,
     {
+        if self.discipline == Discipline::Arrival {
+            let first = self.items().filter(|(_, item)| eligible(item));
+            let ticket = first.map(|(_, item)| item.ticket).min()?;
+            return self.remove(ticket);
+        }
         let (rounds, account, (lane, at)) = self.next_account(&eligible, now)?;
         self.advance(rounds, &account, &eligible);
         let line = self.lines.get_mut(&account)?;
@@ -215,6 +239,9 @@
     /// Work that is served before a new request of `account`, at most.
     pub fn ahead(&self, account: &ClientAccount, priority: Priority) -> Tokens {
         let total: u64 = self.items().map(|(_, item)| item.work.0).sum();
+        if self.discipline == Discipline::Arrival {
+            return Tokens(total);
+        }
         let own: u64 = self.lines.get(account).map_or(0, |line| {
             let before = |item: &&Item| lane(item.priority) <= lane(priority);
             line.items().filter(before).map(|item| item.work.0).sum()
