--- a/src/model/adapters.rs
+++ b/src/model/adapters.rs
@@ -155,10 +155,10 @@
         let waited = need.is_some_and(|n| n.adapters.contains_key(*adapter));
         held.state == AdapterState::Attached && !waited
     });
-    let (adapter, held) = idle.min_by_key(|(a, _)| world.adapter_usage.get(*a))?;
+    let (adapter, oldest) = idle.min_by_key(|(a, _)| world.adapter_usage.get(*a))?;
     Some(Command::Detach {
         engine: place.engine.clone(),
-        target: target(model, place, held.bytes),
+        target: target(model, place, oldest.bytes),
         adapter: adapter.clone(),
     })
 }
--- a/src/model/decided.rs
+++ b/src/model/decided.rs
@@ -259,12 +259,12 @@
         if total.saturating_sub(present) + bytes.max(present) > memory {
             return Err(EditError::Memory);
         }
-        let held = AdapterHold {
+        let entry = AdapterHold {
             bytes: bytes.max(present),
             state: AdapterState::Attached,
             epoch,
         };
-        hold.adapters.insert(adapter.clone(), held);
+        hold.adapters.insert(adapter.clone(), entry);
         self.epoch = epoch;
         Ok(())
     }
@@ -273,10 +273,10 @@
     pub fn detach(&mut self, replica: &ReplicaId, adapter: &AdapterId) -> Result<(), EditError> {
         let epoch = self.epoch.next();
         let hold = self.holds.get_mut(replica).ok_or(EditError::State)?;
-        let held = hold.adapters.get_mut(adapter).ok_or(EditError::State)?;
-        if held.state == AdapterState::Attached {
-            held.state = AdapterState::Detaching;
-            held.epoch = epoch;
+        let entry = hold.adapters.get_mut(adapter).ok_or(EditError::State)?;
+        if entry.state == AdapterState::Attached {
+            entry.state = AdapterState::Detaching;
+            entry.epoch = epoch;
         }
         self.epoch = epoch;
         Ok(())
@@ -290,8 +290,8 @@
         epoch: Epoch,
     ) -> Result<(), EditError> {
         let hold = self.holds.get_mut(replica).ok_or(EditError::State)?;
-        let held = hold.adapters.get(adapter).ok_or(EditError::State)?;
-        if held.state != AdapterState::Detaching || held.epoch != epoch {
+        let entry = hold.adapters.get(adapter).ok_or(EditError::State)?;
+        if entry.state != AdapterState::Detaching || entry.epoch != epoch {
             return Err(EditError::State);
         }
         hold.adapters.remove(adapter);
--- a/src/model/desk.rs
+++ b/src/model/desk.rs
@@ -13,6 +13,7 @@
 use crate::outcome::{Reason, Refusal};
 use crate::units::Tokens;
 
+const REPORT_LAG: Duration = Duration::from_millis(1500);
 const PACE_WEIGHT: f64 = 0.1;
 const HINT_GRACE: Duration = Duration::from_secs(10);
 const MIN_RETRY: Duration = Duration::from_secs(1);
@@ -106,10 +107,12 @@
     inflight: u32,
     peak: u32,
     former_peak: u32,
+    peak_since: Option<Instant>,
     others: u32,
     view: ModelView,
     ready_at: Option<Instant>,
     hints: BTreeMap<Option<AdapterId>, Instant>,
+    used: BTreeSet<Option<AdapterId>>,
     pace: f64,
 }
 
@@ -164,11 +167,15 @@
         Duration::ZERO
     }
 
-    fn see(&mut self, view: ModelView) {
+    /// Reports lag, so what this VM itself had running lately is not taken for other VMs' load.
+    fn see(&mut self, view: ModelView, now: Instant) {
         let reported: u32 = view.usable.iter().map(|u| u.busy).sum();
         self.others = reported.saturating_sub(self.peak.max(self.former_peak));
-        self.former_peak = self.peak;
-        self.peak = self.inflight;
+        if self.peak_since.is_none_or(|at| at + REPORT_LAG <= now) {
+            self.peak_since = Some(now);
+            self.former_peak = self.peak;
+            self.peak = self.inflight;
+        }
         if !view.usable.is_empty() {
             self.ready_at = None;
         }
@@ -182,6 +189,7 @@
         };
         let key = (account, item.request.clone());
         self.running.entry(key).or_default().push(run);
+        self.used.insert(item.adapter.clone());
         self.inflight += 1;
         self.peak = self.peak.max(self.inflight);
     }
@@ -312,8 +320,8 @@
     }
 
     /// Takes a new view of a model in.
-    pub fn see(&mut self, model: &ModelId, view: ModelView) {
-        self.counter(model).see(view);
+    pub fn see(&mut self, model: &ModelId, view: ModelView, now: Instant) {
+        self.counter(model).see(view, now);
     }
 
     /// Takes the time in after which a replica is expected.
@@ -398,10 +406,17 @@
         needs.collect()
     }
 
-    /// Models with running requests.
-    pub fn in_use(&self) -> impl Iterator<Item = &ModelId> {
-        let used = self.models.iter().filter(|(_, c)| c.inflight > 0);
-        used.map(|(model, _)| model)
+    /// Models and adapters used since the last call, or in use.
+    pub fn take_used(&mut self) -> Vec<(ModelId, Option<AdapterId>)> {
+        let mut used = Vec::new();
+        for (model, counter) in &mut self.models {
+            let adapters = std::mem::take(&mut counter.used);
+            used.extend(adapters.into_iter().map(|a| (model.clone(), a)));
+            if counter.inflight > 0 {
+                used.push((model.clone(), None));
+            }
+        }
+        used
     }
 
     /// Waiting requests.
--- a/src/model/evict.rs
+++ b/src/model/evict.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 const GAP_WEIGHT: f64 = 0.3;
-const FIRST_GAP: Duration = Duration::from_secs(600);
+const FIRST_GAP: Duration = Duration::from_mins(10);
 const SAME_BURST: Duration = Duration::from_secs(5);
 
 /// How a victim is chosen.
--- /dev/null
+++ b/src/model/jobs.rs
@@ -0,0 +1,183 @@
+//! Slow calls that run beside the loader's loop.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Instant;
+
+use futures_util::stream::{self, StreamExt};
+
+use super::decided::{Decided, Reserved, engine_key, model_key};
+use super::flow::{FlowError, Flows, upstream};
+use super::plan::Command;
+use super::shell::{WakeError, WakeLink};
+use crate::engine::{EngineControl, EngineError, LoadReport};
+use crate::ids::{ModelId, UpstreamId, Version, VmId};
+use crate::platform::Instance;
+use crate::schema::peer::{WakeAnswer, WakeAsk};
+
+const READS_AT_ONCE: usize = 16;
+
+/// Objects as read.
+#[derive(Debug, Default)]
+pub(super) struct Read {
+    pub(super) models: Vec<(ModelId, Version, Decided)>,
+    pub(super) engines: Vec<(UpstreamId, Version, Reserved)>,
+    pub(super) whole: bool,
+}
+
+/// The end of a job.
+#[derive(Debug)]
+pub(super) enum Done {
+    Report {
+        engine: UpstreamId,
+        asked: Instant,
+        result: Result<LoadReport, EngineError>,
+    },
+    Scan(Read),
+    Batch {
+        model: ModelId,
+        results: Vec<(Command, Result<(), FlowError>)>,
+        read: Read,
+    },
+    Woken {
+        model: ModelId,
+        result: Result<WakeAnswer, WakeError>,
+    },
+}
+
+pub(super) async fn read_report(
+    engines: Arc<dyn EngineControl>,
+    instance: Instance,
+    engine: UpstreamId,
+    asked: Instant,
+) -> Done {
+    let result = engines.report(&instance).await;
+    Done::Report {
+        engine,
+        asked,
+        result,
+    }
+}
+
+pub(super) async fn wake(link: Arc<dyn WakeLink>, owner: VmId, ask: WakeAsk) -> Done {
+    let model = ask.model.clone();
+    let result = link.wake(&owner, ask).await;
+    Done::Woken { model, result }
+}
+
+/// Reads objects, a few at once.
+pub(super) async fn read_objects(
+    flows: &Flows,
+    models: BTreeSet<ModelId>,
+    engines: BTreeSet<UpstreamId>,
+) -> Read {
+    let wanted = models.len() + engines.len();
+    let models = stream::iter(models)
+        .map(|model| async move {
+            let key = model_key(&model)?;
+            let (version, value) = flows.read(&key, Version(0)).await?;
+            Ok::<_, FlowError>((model, version, value))
+        })
+        .buffer_unordered(READS_AT_ONCE)
+        .filter_map(|read| async { read.ok() })
+        .collect::<Vec<_>>()
+        .await;
+    let engines = stream::iter(engines)
+        .map(|engine| async move {
+            let key = engine_key(&engine)?;
+            let (version, value) = flows.read(&key, Version(0)).await?;
+            Ok::<_, FlowError>((engine, version, value))
+        })
+        .buffer_unordered(READS_AT_ONCE)
+        .filter_map(|read| async { read.ok() })
+        .collect::<Vec<_>>()
+        .await;
+    let whole = models.len() + engines.len() == wanted;
+    Read {
+        models,
+        engines,
+        whole,
+    }
+}
+
+/// Carries a model's commands out in order, up to the first failure, and reads what they changed.
+pub(super) async fn run_batch(flows: Flows, model: ModelId, batch: Vec<Command>) -> Done {
+    let mut engines = BTreeSet::new();
+    let mut results = Vec::new();
+    let mut commands = batch.into_iter();
+    for command in commands.by_ref() {
+        engines.extend(engine_of(&command));
+        let result = run(&flows, &command).await;
+        let failed = result.is_err();
+        results.push((command, result));
+        if failed {
+            break;
+        }
+    }
+    for skipped in commands {
+        results.push((skipped, Err(FlowError::Contended)));
+    }
+    let read = read_objects(&flows, BTreeSet::from([model.clone()]), engines).await;
+    Done::Batch {
+        model,
+        results,
+        read,
+    }
+}
+
+fn engine_of(command: &Command) -> Option<UpstreamId> {
+    match command {
+        Command::Load { engine, .. }
+        | Command::Renew { engine, .. }
+        | Command::Unload { engine, .. }
+        | Command::Expel { engine, .. }
+        | Command::Attach { engine, .. }
+        | Command::Detach { engine, .. } => upstream(engine).ok(),
+        Command::Release { engine, .. }
+        | Command::Sweep { engine, .. }
+        | Command::DropAdapter { engine, .. } => Some(engine.clone()),
+        Command::Ready { .. } | Command::Withdraw { .. } => None,
+    }
+}
+
+async fn run(flows: &Flows, command: &Command) -> Result<(), FlowError> {
+    match command {
+        Command::Load { engine, load, .. } => flows.load(engine, load).await.map(drop),
+        Command::Renew { engine, target } => flows.renew(engine, target).await.map(drop),
+        Command::Ready { model, replica } => flows.ready(model, replica).await.map(drop),
+        Command::Unload { engine, target } => flows.unload(engine, target).await.map(drop),
+        Command::Withdraw { model, replica } => flows.withdraw(model, replica).await.map(drop),
+        Command::Release {
+            model,
+            replica,
+            engine,
+        } => flows.release(model, replica, engine).await,
+        Command::Sweep {
+            model,
+            replica,
+            engine,
+        } => flows.sweep(model, replica, engine).await,
+        Command::Expel { engine, target } => flows.expel(engine, target).await,
+        Command::Attach {
+            engine,
+            target,
+            adapter,
+            memory,
+        } => flows.attach(engine, target, adapter, *memory).await,
+        Command::Detach {
+            engine,
+            target,
+            adapter,
+        } => flows.detach(engine, target, adapter).await,
+        Command::DropAdapter {
+            engine,
+            replica,
+            adapter,
+            since,
+            ..
+        } => {
+            let since = *since;
+            flows.drop_adapter(engine, replica, adapter, since).await
+        }
+    }
+}
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -9,13 +9,20 @@
 pub mod evict;
 pub mod evidence;
 pub mod flow;
+mod front;
+mod jobs;
+mod loader;
 pub mod owner;
 pub mod place;
 pub mod plan;
 pub mod queue;
 pub mod scale;
+mod shell;
 pub mod slots;
 mod upkeep;
+pub mod views;
+
+pub use shell::{Catalog, Config, Fleet, Models, Ports, WakeError, WakeLink};
 
 use std::fmt::Debug;
 use std::time::Instant;
--- a/src/model/plan.rs
+++ b/src/model/plan.rs
@@ -21,6 +21,7 @@
 
 const REPORT_BOUND: Duration = Duration::from_secs(5);
 const EVICT_GRACE: Duration = Duration::from_secs(3);
+const NO_ROOM: Duration = Duration::from_secs(5);
 const SETTLE: Duration = Duration::from_secs(1);
 
 /// The parameters of a plan.
@@ -71,6 +72,8 @@
     pub busy: &'a BTreeSet<ModelId>,
     /// Memory of loads under way that the reservations may not show yet.
     pub pending: &'a BTreeMap<UpstreamId, Bytes>,
+    /// Loads from the weight store under way that the intents may not show yet.
+    pub starting: usize,
     /// Loads from the weight store that may start now.
     pub starts: usize,
     /// The parameters.
@@ -220,7 +223,7 @@
             .iter()
             .filter_map(|e| room(world, e))
             .collect();
-        let used = remote_loads(world);
+        let used = remote_loads(world) + world.starting;
         Self {
             world,
             nonce,
@@ -281,7 +284,7 @@
             return remote;
         }
         if total >= wanted.model.maximum as usize {
-            return remote + policy.life;
+            return remote + SETTLE * 2;
         }
         let candidates = self.candidates(wanted, size);
         let Some(best) = choose(policy.placement, candidates) else {
@@ -361,7 +364,7 @@
             }
         }
         let Some((_, at, targets)) = best else {
-            return self.world.policy.life;
+            return NO_ROOM;
         };
         self.evict(at, size, targets);
         SETTLE
@@ -573,9 +576,9 @@
         let seen = world.reports.get(&intent.engine);
         let origin = seen.map_or(Origin::Remote, |s| source(&s.report, id, &intent.version));
         let time = load_time(origin, model.weights, world.policy.bandwidth);
-        let wall = decided.replicas.iter().find(|(_, i)| loading(i));
-        let sent = wall.and_then(|(replica, _)| world.evidence.last_order(replica));
-        let spent = sent.map_or(Duration::ZERO, |at| world.now.saturating_duration_since(at));
+        let entry = decided.replicas.iter().find(|(_, i)| loading(i));
+        let ordered = entry.and_then(|(replica, _)| world.evidence.last_order(replica));
+        let spent = ordered.map_or(Duration::ZERO, |at| world.now.saturating_duration_since(at));
         waits.push((id.clone(), time.saturating_sub(spent) + SETTLE));
     }
     waits
--- a/src/model/queue.rs
+++ b/src/model/queue.rs
@@ -127,10 +127,10 @@
             let ticket = first.map(|(_, item)| item.ticket).min()?;
             return self.remove(ticket);
         }
-        let (rounds, account, (lane, at)) = self.next_account(&eligible, now)?;
+        let (rounds, account, place) = self.next_account(&eligible, now)?;
         self.advance(rounds, &account, &eligible);
         let line = self.lines.get_mut(&account)?;
-        let item = line.lanes[lane].remove(at)?;
+        let item = line.lanes[place.0].remove(place.1)?;
         line.deficit = line.deficit.saturating_sub(item.work.0);
         self.close(&account);
         Some((account, item))
@@ -147,9 +147,10 @@
     {
         let turns = self.ring.iter().filter_map(|account| {
             let line = self.lines.get(account)?;
-            let (lane, at) = line.turn(eligible, now)?;
-            let lack = line.lanes[lane][at].work.0.saturating_sub(line.deficit);
-            Some((lack.div_ceil(QUANTUM_TOKENS), account, (lane, at)))
+            let place = line.turn(eligible, now)?;
+            let item = &line.lanes[place.0][place.1];
+            let lack = item.work.0.saturating_sub(line.deficit);
+            Some((lack.div_ceil(QUANTUM_TOKENS), account, place))
         });
         let (rounds, account, place) = turns.min_by_key(|&(rounds, _, _)| rounds)?;
         Some((rounds, account.clone(), place))
--- a/src/model/upkeep.rs
+++ b/src/model/upkeep.rs
@@ -59,12 +59,11 @@
                 model: self.model.clone(),
                 replica: self.replica.clone(),
             }),
-            Some(_) => None,
             None if self.is_due(seen) => Some(Command::Renew {
                 engine: engine.clone(),
                 target: self.target(),
             }),
-            None => None,
+            _ => None,
         }
     }
 
--- /dev/null
+++ b/src/model/views.rs
@@ -0,0 +1,81 @@
+//! What the reports say of each model: the replicas that serve now.
+
+use std::collections::BTreeMap;
+
+use super::Replica;
+use super::decided::{Decided, IntentState};
+use super::desk::{ModelView, Usable};
+use super::evidence::Seen;
+use super::flow::upstream;
+use super::place::{Origin, load_time};
+use crate::engine::ReplicaReport;
+use crate::ids::{ModelId, UpstreamId};
+use crate::platform::{Instance, InstanceState};
+use crate::schema::declaration::{Declaration, Model};
+use crate::schema::engine::ReplicaState;
+use crate::units::Bytes;
+
+/// The newest reports, by engine.
+pub type Reports = BTreeMap<UpstreamId, Seen>;
+
+/// One view for each declared model.
+pub fn views(
+    declaration: &Declaration,
+    engines: &[Instance],
+    reports: &Reports,
+    decided: &BTreeMap<ModelId, Decided>,
+    bandwidth: Bytes,
+) -> BTreeMap<ModelId, ModelView> {
+    let mut views: BTreeMap<ModelId, ModelView> = BTreeMap::new();
+    for (id, model) in &declaration.models {
+        let cold = load_time(Origin::Remote, model.weights, bandwidth);
+        let usable = Vec::new();
+        views.insert(id.clone(), ModelView { usable, cold });
+    }
+    for engine in engines.iter().filter(|e| e.state == InstanceState::Live) {
+        let Some((id, seen)) = upstream(engine).ok().and_then(|id| {
+            let seen = reports.get(&id)?;
+            Some((id, seen))
+        }) else {
+            continue;
+        };
+        if seen.report.leaving {
+            continue;
+        }
+        for report in &seen.report.replicas {
+            let Some(model) = declaration.models.get(&report.model) else {
+                continue;
+            };
+            if !serves(report, model) || is_withdrawn(decided, report) {
+                continue;
+            }
+            if let Some(view) = views.get_mut(&report.model) {
+                view.usable.push(usable(&id, report, model));
+            }
+        }
+    }
+    views
+}
+
+fn serves(report: &ReplicaReport, model: &Model) -> bool {
+    report.state == ReplicaState::Ready && report.version == model.version
+}
+
+fn is_withdrawn(decided: &BTreeMap<ModelId, Decided>, report: &ReplicaReport) -> bool {
+    let intent = decided
+        .get(&report.model)
+        .and_then(|d| d.replicas.get(&report.replica));
+    intent.is_some_and(|i| i.state == IntentState::Unloading)
+}
+
+fn usable(engine: &UpstreamId, report: &ReplicaReport, model: &Model) -> Usable {
+    Usable {
+        replica: Replica {
+            id: report.replica.clone(),
+            upstream: engine.clone(),
+            slots: model.slots,
+        },
+        adapters: report.adapters.iter().cloned().collect(),
+        busy: report.running + report.queued,
+    }
+}
