--- a/src/model/desk.rs
+++ b/src/model/desk.rs
@@ -419,6 +419,18 @@
         used
     }
 
+    /// Replicas of a model that serve, as last seen.
+    pub fn usable(&self, model: &ModelId) -> usize {
+        let counter = self.models.get(model);
+        counter.map_or(0, |c| c.view.usable.len())
+    }
+
+    /// Time a cold start of the model takes; nothing where it serves.
+    pub fn expected(&self, model: &ModelId) -> Duration {
+        let cold = self.models.get(model).filter(|c| c.view.usable.is_empty());
+        cold.map_or(Duration::ZERO, |c| c.view.cold)
+    }
+
     /// Waiting requests.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/src/model/shell.rs
+++ b/src/model/shell.rs
@@ -21,7 +21,7 @@
 use super::{Placer, Replica, Want};
 use crate::clock::Clock;
 use crate::engine::EngineControl;
-use crate::ids::VmId;
+use crate::ids::{ModelId, VmId};
 use crate::outcome::{Reason, Refusal};
 use crate::platform::{Instance, ObjectStore};
 use crate::schema::declaration::Declaration;
@@ -175,6 +175,16 @@
         self.front.with(|desk| desk.running())
     }
 
+    /// Replicas of a model that serve, as last reported.
+    pub fn usable(&self, model: &ModelId) -> usize {
+        self.front.with(|desk| desk.usable(model))
+    }
+
+    /// Time a request for the model would wait at least.
+    pub fn expected(&self, model: &ModelId) -> Duration {
+        self.front.with(|desk| desk.expected(model))
+    }
+
     fn check(&self, want: &Want) -> Result<(), Refusal> {
         let declaration = self.catalog.current();
         let known = declaration.models.contains_key(&want.model);
--- /dev/null
+++ b/tests/model_fakes/mod.rs
@@ -0,0 +1,415 @@
+//! Small fakes of the store, the engines and the links, in real time.
+#![allow(dead_code, reason = "each test file uses a part of the fakes")]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use basilgw::clock::{Clock, SystemClock};
+use basilgw::engine::{
+    CacheEvents, EngineControl, EngineError, LoadReport, Order, OrderAnswer, OrderKind,
+    OrderStatus, ReplicaReport,
+};
+use basilgw::ids::{AdapterId, Epoch, Generation, ModelId, ObjectKey, ReplicaId, Version, VmId};
+use basilgw::model::{Catalog, Config, Fleet, Models, Ports, WakeError, WakeLink, Want};
+use basilgw::platform::{Instance, InstanceKind, InstanceState, Object, ObjectStore, StoreError};
+use basilgw::schema::declaration::{Adapter, Declaration, Model, Priority};
+use basilgw::schema::engine::ReplicaState;
+use basilgw::schema::peer::{WakeAnswer, WakeAsk};
+use basilgw::schema::settings::ModelSettings;
+use basilgw::units::{Bytes, Tokens};
+use futures_util::future::BoxFuture;
+
+/// A store in memory; `down` makes every call fail without effect.
+#[derive(Debug, Default)]
+pub struct FakeStore {
+    pub objects: Mutex<BTreeMap<ObjectKey, (Version, bytes::Bytes)>>,
+    pub down: AtomicBool,
+}
+
+impl FakeStore {
+    fn check(&self) -> Result<(), StoreError> {
+        if self.down.load(Ordering::Relaxed) {
+            return Err(StoreError::Unavailable);
+        }
+        Ok(())
+    }
+}
+
+impl ObjectStore for FakeStore {
+    fn get<'a>(&'a self, key: &'a ObjectKey) -> BoxFuture<'a, Result<Option<Object>, StoreError>> {
+        Box::pin(async move {
+            self.check()?;
+            let objects = self.objects.lock().unwrap();
+            let found = objects.get(key);
+            Ok(found.map(|(version, value)| Object {
+                version: *version,
+                value: value.clone(),
+            }))
+        })
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        expected: Version,
+        value: bytes::Bytes,
+    ) -> BoxFuture<'a, Result<Version, StoreError>> {
+        Box::pin(async move {
+            self.check()?;
+            let mut objects = self.objects.lock().unwrap();
+            let now = objects.get(key).map_or(Version(0), |(version, _)| *version);
+            if now != expected {
+                return Err(StoreError::Conflict(now));
+            }
+            objects.insert(key.clone(), (now.next(), value));
+            Ok(now.next())
+        })
+    }
+
+    fn delete<'a>(
+        &'a self,
+        _key: &'a ObjectKey,
+        _expected: Version,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        Box::pin(async { Err(StoreError::Malformed) })
+    }
+
+    fn watch<'a>(
+        &'a self,
+        _key: &'a ObjectKey,
+        _after: Version,
+        _wait: Duration,
+    ) -> BoxFuture<'a, Result<Option<Object>, StoreError>> {
+        Box::pin(async { Err(StoreError::Malformed) })
+    }
+}
+
+#[derive(Debug)]
+struct Held {
+    model: ModelId,
+    version: basilgw::ids::VersionId,
+    bytes: Bytes,
+    ready: Instant,
+    adapters: BTreeMap<AdapterId, Bytes>,
+}
+
+/// Engines in memory. Records the greatest memory in use and the loads carried out.
+#[derive(Debug)]
+pub struct FakeEngines {
+    pub load: Duration,
+    state: Mutex<BTreeMap<VmId, BTreeMap<ReplicaId, Held>>>,
+    fences: Mutex<BTreeMap<(VmId, ModelId), Epoch>>,
+    pub loads: Mutex<Vec<ReplicaId>>,
+    pub lost: Mutex<u32>,
+}
+
+impl FakeEngines {
+    pub fn new(load: Duration) -> Self {
+        Self {
+            load,
+            state: Mutex::default(),
+            fences: Mutex::default(),
+            loads: Mutex::default(),
+            lost: Mutex::new(0),
+        }
+    }
+
+    /// Forgets everything, as a restart does.
+    pub fn restart(&self) {
+        self.state.lock().unwrap().clear();
+    }
+
+    pub fn replicas(&self) -> usize {
+        self.state.lock().unwrap().values().map(BTreeMap::len).sum()
+    }
+
+    pub fn used(&self) -> Bytes {
+        let state = self.state.lock().unwrap();
+        let held = state.values().flat_map(BTreeMap::values);
+        held.map(|h| h.bytes + h.adapters.values().copied().sum())
+            .sum()
+    }
+
+    fn carry_out(&self, engine: &Instance, order: &Order) -> OrderStatus {
+        let mut fences = self.fences.lock().unwrap();
+        let key = (engine.vm.clone(), order.model.clone());
+        let fence = fences.entry(key).or_default();
+        if engine.fenced && order.fence < *fence {
+            return OrderStatus::Stale;
+        }
+        *fence = order.fence.max(*fence);
+        let mut state = self.state.lock().unwrap();
+        let replicas = state.entry(engine.vm.clone()).or_default();
+        let entry = replicas.get_mut(&order.replica);
+        match (order.kind, entry, &order.adapter) {
+            (OrderKind::Load, None, _) => {
+                self.loads.lock().unwrap().push(order.replica.clone());
+                let held = Held {
+                    model: order.model.clone(),
+                    version: order.version.clone(),
+                    bytes: order.bytes,
+                    ready: Instant::now() + self.load,
+                    adapters: BTreeMap::new(),
+                };
+                replicas.insert(order.replica.clone(), held);
+            }
+            (OrderKind::Unload, Some(_), _) => {
+                replicas.remove(&order.replica);
+            }
+            (OrderKind::Attach, Some(held), Some(adapter)) => {
+                held.adapters.insert(adapter.clone(), order.bytes);
+            }
+            (OrderKind::Detach, Some(held), Some(adapter)) => {
+                held.adapters.remove(adapter);
+            }
+            (OrderKind::Attach, None, _) => return OrderStatus::Unknown,
+            _ => {}
+        }
+        OrderStatus::Accepted
+    }
+}
+
+impl EngineControl for FakeEngines {
+    fn order<'a>(
+        &'a self,
+        engine: &'a Instance,
+        order: &'a Order,
+    ) -> BoxFuture<'a, Result<OrderAnswer, EngineError>> {
+        Box::pin(async move {
+            let mut lost = self.lost.lock().unwrap();
+            if *lost > 0 {
+                *lost -= 1;
+                return Err(EngineError::Unknown);
+            }
+            let status = self.carry_out(engine, order);
+            Ok(OrderAnswer { status })
+        })
+    }
+
+    fn report<'a>(
+        &'a self,
+        engine: &'a Instance,
+    ) -> BoxFuture<'a, Result<LoadReport, EngineError>> {
+        Box::pin(async move {
+            let now = Instant::now();
+            let mut state = self.state.lock().unwrap();
+            let replicas = state.entry(engine.vm.clone()).or_default();
+            let reports = replicas.iter().map(|(id, held)| ReplicaReport {
+                adapters: held.adapters.keys().cloned().collect(),
+                bytes: held.bytes,
+                model: held.model.clone(),
+                queued: 0,
+                replica: id.clone(),
+                running: 0,
+                state: if held.ready <= now {
+                    ReplicaState::Ready
+                } else {
+                    ReplicaState::Loading
+                },
+                version: held.version.clone(),
+            });
+            Ok(LoadReport {
+                age: 0,
+                checkpoints: Vec::new(),
+                generation: engine.generation,
+                leaving: false,
+                memory: engine.memory.unwrap_or_default(),
+                replicas: reports.collect(),
+                used: Bytes::ZERO,
+            })
+        })
+    }
+
+    fn events<'a>(
+        &'a self,
+        _engine: &'a Instance,
+        from: u64,
+    ) -> BoxFuture<'a, Result<CacheEvents, EngineError>> {
+        Box::pin(async move {
+            Ok(CacheEvents {
+                events: Vec::new(),
+                next: from,
+            })
+        })
+    }
+}
+
+/// The platform's list and the declaration.
+#[derive(Debug)]
+pub struct FakeSite {
+    pub engines: Mutex<Arc<Vec<Instance>>>,
+    pub vms: Vec<VmId>,
+    pub declaration: Arc<Declaration>,
+}
+
+impl Fleet for FakeSite {
+    fn engines(&self) -> Arc<Vec<Instance>> {
+        Arc::clone(&self.engines.lock().unwrap())
+    }
+
+    fn vms(&self) -> Arc<Vec<VmId>> {
+        Arc::new(self.vms.clone())
+    }
+}
+
+impl Catalog for FakeSite {
+    fn current(&self) -> Arc<Declaration> {
+        Arc::clone(&self.declaration)
+    }
+}
+
+/// Links that hand asks straight to the other VMs' models; those `cut` are out of reach.
+#[derive(Debug, Default)]
+pub struct FakeLinks {
+    pub models: Mutex<BTreeMap<VmId, Arc<Models>>>,
+    pub cut: Mutex<BTreeSet<VmId>>,
+}
+
+impl WakeLink for FakeLinks {
+    fn wake<'a>(
+        &'a self,
+        to: &'a VmId,
+        ask: WakeAsk,
+    ) -> BoxFuture<'a, Result<WakeAnswer, WakeError>> {
+        Box::pin(async move {
+            if self.cut.lock().unwrap().contains(to) {
+                return Err(WakeError::Unreachable);
+            }
+            let found = self.models.lock().unwrap().get(to).cloned();
+            let models = found.ok_or(WakeError::Unreachable)?;
+            Ok(models.wake(ask).await)
+        })
+    }
+}
+
+pub fn id<T>(text: &str) -> T
+where
+    T: std::str::FromStr,
+    T::Err: std::fmt::Debug,
+{
+    text.parse().unwrap()
+}
+
+pub fn engine(name: &str, memory: u64, fenced: bool) -> Instance {
+    Instance {
+        address: "127.0.0.1:1".into(),
+        centre: id("dc1"),
+        fenced,
+        generation: Generation(1),
+        kind: InstanceKind::Engine,
+        memory: Some(Bytes(memory)),
+        service: None,
+        state: InstanceState::Live,
+        vm: id(name),
+    }
+}
+
+pub fn model(weights: u64, maximum: u32, slots: u32) -> Model {
+    Model {
+        floor: Bytes(10),
+        maximum,
+        minimum: 0,
+        slots,
+        version: id("v1"),
+        weights: Bytes(weights),
+    }
+}
+
+pub fn declaration(models: &[(&str, Model)], adapters: &[(&str, &str)]) -> Arc<Declaration> {
+    let adapter = |(name, of): &(&str, &str)| {
+        let adapter = Adapter {
+            model: id(of),
+            version: id("v1"),
+            weights: Bytes(5),
+        };
+        (id(name), adapter)
+    };
+    Arc::new(Declaration {
+        models: models.iter().map(|(n, m)| (id(n), m.clone())).collect(),
+        adapters: adapters.iter().map(adapter).collect(),
+        ..Declaration::default()
+    })
+}
+
+pub fn want(request: &str, model: &str, wait: Duration) -> Want {
+    Want {
+        request: id(request),
+        account: id("account"),
+        priority: Priority::Interactive,
+        model: id(model),
+        adapter: None,
+        work: Tokens(100),
+        deadline: Instant::now() + wait,
+    }
+}
+
+pub fn config(vm: &VmId, order: Duration, idle: Duration) -> Config {
+    Config {
+        vm: vm.clone(),
+        models: ModelSettings {
+            adapters: 32,
+            bandwidth: 1000,
+            idle: idle.as_millis() as u64,
+            order: order.as_millis() as u64,
+            slots: 4,
+            starts: 5,
+        },
+        report: Duration::from_millis(50),
+        waiting: 1000,
+    }
+}
+
+/// Everything of one site, with its VMs running.
+#[derive(Debug)]
+pub struct Site {
+    pub store: Arc<FakeStore>,
+    pub engines: Arc<FakeEngines>,
+    pub site: Arc<FakeSite>,
+    pub links: Arc<FakeLinks>,
+}
+
+impl Site {
+    pub fn new(engines: Vec<Instance>, vms: &[&str], declaration: Arc<Declaration>) -> Self {
+        Self {
+            store: Arc::default(),
+            engines: Arc::new(FakeEngines::new(Duration::from_millis(100))),
+            site: Arc::new(FakeSite {
+                engines: Mutex::new(Arc::new(engines)),
+                vms: vms.iter().map(|vm| id(vm)).collect(),
+                declaration,
+            }),
+            links: Arc::default(),
+        }
+    }
+
+    pub fn spawn(&self, vm: &str, order: Duration, idle: Duration) -> Arc<Models> {
+        let ports = Ports {
+            store: Arc::<FakeStore>::clone(&self.store),
+            engines: Arc::<FakeEngines>::clone(&self.engines),
+            fleet: Arc::<FakeSite>::clone(&self.site),
+            catalog: Arc::<FakeSite>::clone(&self.site),
+            wake: Arc::<FakeLinks>::clone(&self.links),
+            clock: SystemClock::open() as Arc<dyn Clock>,
+            log: slog::Logger::root(slog::Discard, slog::o!()),
+        };
+        let vm: VmId = id(vm);
+        let models = Arc::new(Models::spawn(config(&vm, order, idle), ports));
+        let mut known = self.links.models.lock().unwrap();
+        known.insert(vm, Arc::clone(&models));
+        models
+    }
+}
+
+/// Waits until a condition holds, for a bounded time.
+pub async fn until<F>(what: &str, mut holds: F)
+where
+    F: FnMut() -> bool,
+{
+    let end = Instant::now() + Duration::from_secs(20);
+    while !holds() {
+        assert!(Instant::now() < end, "not in time: {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- /dev/null
+++ b/tests/model_shell.rs
@@ -0,0 +1,146 @@
+//! Requests against running models, with fakes of the store, the engines and the links.
+
+mod model_fakes;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use basilgw::model::{Models, Placer};
+use basilgw::outcome::{Ran, Reason};
+use basilgw::units::Bytes;
+use futures_util::future::join_all;
+use model_fakes::{Site, declaration, engine, id, model, until, want};
+
+const LONG: Duration = Duration::from_secs(15);
+const LIFE: Duration = Duration::from_millis(300);
+const IDLE: Duration = Duration::from_secs(60);
+
+fn one_model(maximum: u32, vms: &[&str], fenced: bool) -> Site {
+    let engines = vec![engine("e1", 1000, fenced), engine("e2", 1000, fenced)];
+    let declared = declaration(&[("m1", model(500, maximum, 4))], &[("a1", "m1")]);
+    Site::new(engines, vms, declared)
+}
+
+async fn serve(models: &Arc<Models>, count: usize, prefix: &str) {
+    let requests = (0..count).map(|n| {
+        let want = want(&format!("{prefix}{n}"), "m1", LONG);
+        async move {
+            let replicas = models.acquire(want.clone()).await.expect("served");
+            assert!(!replicas.is_empty());
+            models.release(&want);
+        }
+    });
+    join_all(requests).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn burst_at_one_vm_makes_one_load() {
+    let site = one_model(3, &["vm1"], true);
+    let models = site.spawn("vm1", LIFE, IDLE);
+    serve(&models, 20, "r").await;
+    assert_eq!(site.engines.loads.lock().unwrap().len(), 1);
+    assert_eq!(models.waiting(), 0);
+    assert_eq!(models.running(), 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn burst_at_many_vms_makes_one_load() {
+    let names = ["vm1", "vm2", "vm3", "vm4"];
+    let site = one_model(3, &names, true);
+    let vms: Vec<_> = names.iter().map(|vm| site.spawn(vm, LIFE, IDLE)).collect();
+    let bursts = vms.iter().zip(names).map(|(vm, name)| serve(vm, 4, name));
+    join_all(bursts).await;
+    assert_eq!(site.engines.loads.lock().unwrap().len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unreachable_owner_is_replaced_by_the_vm_itself() {
+    let names = ["vm1", "vm2"];
+    let site = one_model(1, &names, true);
+    site.links.cut.lock().unwrap().extend(names.map(|n| id(n)));
+    let vms: Vec<_> = names.iter().map(|vm| site.spawn(vm, LIFE, IDLE)).collect();
+    let bursts = vms.iter().zip(names).map(|(vm, name)| serve(vm, 4, name));
+    join_all(bursts).await;
+    assert_eq!(site.engines.loads.lock().unwrap().len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lost_order_is_sent_again() {
+    let site = one_model(1, &["vm1"], false);
+    *site.engines.lost.lock().unwrap() = 1;
+    let models = site.spawn("vm1", LIFE, IDLE);
+    serve(&models, 1, "r").await;
+    assert_eq!(site.engines.loads.lock().unwrap().len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn adapter_is_attached_and_given() {
+    let site = one_model(1, &["vm1"], true);
+    let models = site.spawn("vm1", LIFE, IDLE);
+    let mut with_adapter = want("r1", "m1", LONG);
+    with_adapter.adapter = Some(id("a1"));
+    let replicas = models.acquire(with_adapter.clone()).await.expect("served");
+    assert_eq!(replicas.len(), 1);
+    assert_eq!(site.engines.used(), Bytes(515));
+    models.release(&with_adapter);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_cannot_be_met_is_refused_at_once_and_still_loads() {
+    let site = one_model(1, &["vm1"], true);
+    let models = site.spawn("vm1", LIFE, IDLE);
+    until("a first report", || {
+        models.expected(&id("m1")) > Duration::ZERO
+    })
+    .await;
+    let started = Instant::now();
+    let refused = models
+        .acquire(want("r1", "m1", Duration::from_millis(200)))
+        .await;
+    let refusal = refused.expect_err("refused");
+    assert!(started.elapsed() < Duration::from_millis(150));
+    assert_eq!(refusal.reason, Reason::Deadline);
+    assert_eq!(refusal.ran, Ran::No);
+    assert!(refusal.retry.is_some());
+    until("the model to load", || site.engines.replicas() == 1).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn dropped_request_leaves_the_queue() {
+    let site = one_model(1, &["vm1"], true);
+    site.store.down.store(true, Ordering::Relaxed);
+    let models = site.spawn("vm1", LIFE, IDLE);
+    let held = Arc::clone(&models);
+    let task = tokio::spawn(async move { held.acquire(want("r1", "m1", LONG)).await });
+    until("the request to wait", || models.waiting() == 1).await;
+    task.abort();
+    until("the request to leave", || models.waiting() == 0).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idle_model_is_unloaded_and_its_memory_given_back() {
+    for fenced in [true, false] {
+        let site = one_model(1, &["vm1"], fenced);
+        let models = site.spawn("vm1", LIFE, Duration::from_millis(500));
+        serve(&models, 1, "r").await;
+        until("the unload", || site.engines.replicas() == 0).await;
+        until("the hold to go", || {
+            let objects = site.store.objects.lock().unwrap();
+            let mut values = objects.values().map(|(_, value)| value);
+            !values.any(|value| value.windows(9).any(|part| part == b"\"weights\""))
+        })
+        .await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn restarted_engine_is_loaded_again() {
+    let site = one_model(1, &["vm1"], true);
+    let models = site.spawn("vm1", LIFE, IDLE);
+    serve(&models, 1, "r").await;
+    site.engines.restart();
+    until("the report without it", || models.usable(&id("m1")) == 0).await;
+    serve(&models, 1, "s").await;
+    assert_eq!(site.engines.loads.lock().unwrap().len(), 2);
+}
