--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -3,6 +3,27 @@
 //! [`Placer`] is the border towards the edge: a request waits there for a replica until its
 //! deadline, or is refused at once where the deadline cannot be met.
 
+mod adapters;
+pub mod decided;
+pub mod desk;
+pub mod evict;
+pub mod evidence;
+pub mod flow;
+mod front;
+mod jobs;
+mod loader;
+pub mod owner;
+pub mod place;
+pub mod plan;
+pub mod queue;
+pub mod scale;
+mod shell;
+pub mod slots;
+mod upkeep;
+pub mod views;
+
+pub use shell::{Catalog, Config, Fleet, Models, Ports, WakeError, WakeLink};
+
 use std::fmt::Debug;
 use std::time::Instant;
 
