--- a/src/cli.rs
+++ b/src/cli.rs
@@ -34,29 +34,34 @@
     /// Submits a declaration; prints the revision once it is accepted
     #[bpaf(command)]
     Apply {
+        /// Operators' listener of any VM
         #[bpaf(external(vm))]
         vm: SocketAddr,
         /// The whole new declaration, a JSON file
         #[bpaf(argument("FILE"))]
         declaration: PathBuf,
+        /// Who makes the change
         #[bpaf(external(actor))]
         actor: Text,
         /// Revision that the declaration was made on; a conflict is shown if another came first.
         /// Without it the declaration replaces whatever is in force
         #[bpaf(argument("REVISION"), optional)]
         base: Option<Revision>,
+        /// Name of the change
         #[bpaf(external(change))]
         change: Option<ChangeId>,
     },
     /// Prints what a VM says of itself
     #[bpaf(command)]
     Status {
+        /// Operators' listener of any VM
         #[bpaf(external(vm))]
         vm: SocketAddr,
     },
     /// Prints accepted changes, newest first, a JSON line each
     #[bpaf(command)]
     Audit {
+        /// Operators' listener of any VM
         #[bpaf(external(vm))]
         vm: SocketAddr,
         /// Most entries printed
@@ -66,13 +71,16 @@
     /// Withdraws a key; its running streams end too
     #[bpaf(command("withdraw-key"))]
     WithdrawKey {
+        /// Operators' listener of any VM
         #[bpaf(external(vm))]
         vm: SocketAddr,
         /// Public name of the key in the declaration
         #[bpaf(argument("KEY"))]
         key: KeyId,
+        /// Who makes the change
         #[bpaf(external(actor))]
         actor: Text,
+        /// Name of the change
         #[bpaf(external(change))]
         change: Option<ChangeId>,
     },
--- a/src/config.rs
+++ b/src/config.rs
@@ -83,5 +83,5 @@
         key: key.into(),
         fault: FaultKind::Bad(Expected::Address),
     };
-    text.parse().or_else(|_| Err(vec![fault()]))
+    text.parse().map_err(|_cause| vec![fault()])
 }
--- a/src/declare/board.rs
+++ b/src/declare/board.rs
@@ -87,7 +87,7 @@
             revision: head.revision,
             head: Some(head),
             chunks,
-            declaration,
+            declaration: Arc::new(declaration),
             keys,
             names,
             reach,
@@ -155,7 +155,7 @@
         let (news, _) = watch::channel(Revision::default());
         Arc::new(Self {
             current: ArcSwap::default(),
-            turn: Mutex::new(()),
+            turn: Mutex::default(),
             news,
         })
     }
@@ -172,7 +172,10 @@
 
     /// Parts that the revision before the one in force had, where this VM held it.
     pub fn parent_places(&self) -> BTreeSet<ObjectKey> {
-        self.turn.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.turn
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
     /// Tells of each new revision.
@@ -203,7 +206,11 @@
             return Err(OfferError::Old(known.revision));
         }
         let places = known.chunks.iter().map(|chunk| chunk.place.key.clone());
-        *before = if known.revision.next() == revision { places.collect() } else { BTreeSet::new() };
+        *before = if known.revision.next() == revision {
+            places.collect()
+        } else {
+            BTreeSet::new()
+        };
         self.current.store(Arc::new(next));
         self.news.send_replace(revision);
         Ok(revision)
--- a/src/declare/feed.rs
+++ b/src/declare/feed.rs
@@ -101,16 +101,18 @@
         log: Logger,
     ) -> Self {
         let heard = Arc::new(Heard::open(clock));
+        let early = Arc::new(Notify::new());
         let follower = Follower {
             store,
             board,
             heard: Arc::clone(&heard),
+            early: Arc::clone(&early),
             bounds,
             log,
             seen: Version(0),
         };
         let task = tokio::spawn(follower.run());
-        Self { heard, task }
+        Self { heard, early, task }
     }
 
     /// When the store was last heard.
--- a/src/declare/holder.rs
+++ b/src/declare/holder.rs
@@ -37,11 +37,21 @@
             return None;
         }
         // A reader one revision behind has all parts but those that this revision brought.
-        let skipped = if head.parent == since { self.board.parent_places() } else { BTreeSet::new() };
-        let parts = current.chunks.iter().filter(|chunk| !skipped.contains(&chunk.place.key));
+        let skipped = if head.parent == since {
+            self.board.parent_places()
+        } else {
+            BTreeSet::new()
+        };
+        let parts = current
+            .chunks
+            .iter()
+            .filter(|chunk| !skipped.contains(&chunk.place.key));
         let parts = parts.map(|chunk| (chunk.place.key.clone(), chunk.value.clone()));
         let bytes = Bundle::pack(head, parts).encode().ok()?;
-        Some(Export { revision: current.revision, bytes })
+        Some(Export {
+            revision: current.revision,
+            bytes,
+        })
     }
 
     fn offer(&self, bytes: Bytes) -> Result<Revision, OfferError> {
@@ -56,13 +66,18 @@
         };
         let values = bundle.verify(held)?;
         let declaration = chunk::join(&values).or(Err(OfferError::Malformed))?;
-        let head = bundle.head().clone();
-        let places = head.chunks.iter().cloned();
-        let chunks = places.zip(values).map(|(place, value)| Chunk { place, value }).collect();
-        self.board.offer(head, chunks, declaration).map_err(|e| match e {
-            board::OfferError::Old(revision) => OfferError::Stale(revision),
-            board::OfferError::Invalid(_) => OfferError::Invalid,
-        })
+        let accepted = bundle.head().clone();
+        let places = accepted.chunks.iter().cloned();
+        let chunks = places
+            .zip(values)
+            .map(|(place, value)| Chunk { place, value })
+            .collect();
+        self.board
+            .offer(accepted, chunks, declaration)
+            .map_err(|e| match e {
+                board::OfferError::Old(revision) => OfferError::Stale(revision),
+                board::OfferError::Invalid(_) => OfferError::Invalid,
+            })
     }
 
     fn reread(&self) {
--- a/src/edge/models.rs
+++ b/src/edge/models.rs
@@ -130,7 +130,7 @@
 struct Held {
     _token: Token,
     cost: Cost,
-    _turn: Turn,
+    turn: Turn,
 }
 
 /// Serves a call to a model.
@@ -187,7 +187,7 @@
         Held {
             _token: token,
             cost,
-            _turn: turn,
+            turn,
         },
         among,
     ))
@@ -200,9 +200,9 @@
     mut held: Held,
     among: &[Instance],
 ) -> Result<(Held, Served), Refusal> {
-    job.replicas = held._turn.ids();
+    job.replicas = held.turn.ids();
     // From here on the prompt may have been worked on, whatever comes back.
-    held.cost.used = held._turn.want.work;
+    held.cost.used = held.turn.want.work;
     let dispatched = tokio::select! {
         biased;
         () = principal.withdrawn() => Err(Refusal::unknown(Reason::Withdrawn)),
@@ -237,8 +237,7 @@
     };
     let body = served.answer.body;
     tokio::spawn(async move {
-        let pumped = pump.run(body, &inlet).await;
-        held.cost.used = pumped.used;
+        held.cost.used = pump.run(body, &inlet).await;
         drop(held);
     });
     *response.body_mut() = Body::from_stream(outlet);
@@ -354,8 +353,7 @@
     hasher.update(model.as_str().as_bytes());
     hasher.update(adapter.map_or("", AdapterId::as_str).as_bytes());
     hasher.update(&prompt.to_le_bytes());
-    let [a, b, c, d, e, f, g, h, ..] = *hasher.finalize().as_bytes();
-    u64::from_le_bytes([a, b, c, d, e, f, g, h])
+    parse::hash_number(hasher.finalize())
 }
 
 fn rank(priority: Priority) -> HeaderValue {
--- a/src/edge/parse.rs
+++ b/src/edge/parse.rs
@@ -79,19 +79,19 @@
 /// [`Reason::Malformed`] for anything but the expected JSON.
 pub fn parse_completion(body: &Bytes, bounds: &CallerSettings) -> Result<Completion, Refusal> {
     let malformed = || Refusal::not_run(Reason::Malformed);
-    let parsed: CompletionBody = serde_json::from_slice(body).or_else(|_| Err(malformed()))?;
+    let parsed: CompletionBody = serde_json::from_slice(body).map_err(|_cause| malformed())?;
     let text = prompt_text(&parsed).ok_or_else(malformed)?;
     let (model, inline) = match parsed.model.split_once('/') {
         Some((model, adapter)) => (model, Some(CompactString::new(adapter))),
         None => (parsed.model.as_str(), None),
     };
     let adapter = match parsed.adapter.or(inline) {
-        Some(name) => Some(name.parse().or_else(|_| Err(malformed()))?),
+        Some(name) => Some(name.parse().map_err(|_cause| malformed())?),
         None => None,
     };
     let beginning = &text.as_bytes()[..text.len().min(PREFIX_BYTES)];
     Ok(Completion {
-        model: model.parse().or_else(|_| Err(malformed()))?,
+        model: model.parse().map_err(|_cause| malformed())?,
         adapter,
         stream: parsed.stream,
         prompt: Tokens((text.len() as u64).div_ceil(BYTES_PER_TOKEN).max(1)),
@@ -114,8 +114,16 @@
 }
 
 fn prefix_hash(bytes: &[u8]) -> u64 {
-    let [a, b, c, d, e, f, g, h, ..] = *blake3::hash(bytes).as_bytes();
-    u64::from_le_bytes([a, b, c, d, e, f, g, h])
+    hash_number(blake3::hash(bytes))
+}
+
+/// The first 8 bytes of a hash, as a number.
+pub fn hash_number(hash: blake3::Hash) -> u64 {
+    let (first, _) = hash.as_bytes().split_at(8);
+    first
+        .iter()
+        .rev()
+        .fold(0, |number, byte| number << 8 | u64::from(*byte))
 }
 
 /// The id that a request carries, or a new one.
@@ -133,7 +141,7 @@
             .ok_or_else(malformed),
         None => format!("{:032x}", rand::random::<u128>())
             .parse()
-            .or_else(|_| Err(malformed())),
+            .map_err(|_cause| malformed()),
     }
 }
 
--- a/src/edge/plain.rs
+++ b/src/edge/plain.rs
@@ -71,7 +71,7 @@
     let task =
         tokio::spawn(async move { call_once(&parts, &arrived, &route, job, once, held).await });
     task.await
-        .or_else(|_| Err(Refusal::unknown(Reason::Internal)))?
+        .map_err(|_cause| Refusal::unknown(Reason::Internal))?
 }
 
 async fn admit(
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -21,7 +21,6 @@
 use super::auth::Principal;
 use crate::ids::RequestId;
 use crate::outcome::{Ran, Reason, Refusal};
-use crate::route::Ending;
 use crate::units::Tokens;
 
 /// A chunk on its way to a caller.
@@ -142,15 +141,6 @@
     parsed.usage.map(|usage| usage.total_tokens)
 }
 
-/// How a pumped stream ended.
-#[derive(Debug)]
-pub struct Pumped {
-    /// What the upstream's health is told.
-    pub ending: Ending,
-    /// Tokens used.
-    pub used: Tokens,
-}
-
 /// What a pump needs to know of its request.
 #[derive(Debug)]
 pub struct Pump {
@@ -165,31 +155,20 @@
 }
 
 impl Pump {
-    /// Moves chunks from an upstream's stream of events to a caller until either ends.
-    pub async fn run<S>(&self, mut body: S, out: &Inlet) -> Pumped
+    /// Moves chunks from an upstream's stream of events to a caller until either ends; answers the
+    /// tokens used.
+    pub async fn run<S>(&self, mut body: S, out: &Inlet) -> Tokens
     where
         S: Stream<Item = Result<Bytes, Refusal>> + Unpin,
     {
         let mut scan = EventScan::default();
-        let outcome = self.relay(&mut body, out, &mut scan).await;
-        let used = scan.used(self.prompt);
-        let ending = match outcome {
-            Ok(ending) => ending,
-            Err(refusal) => {
-                let ending = ending_of(&refusal);
-                self.leave_error(out, &refusal);
-                ending
-            }
-        };
-        Pumped { ending, used }
+        if let Err(refusal) = self.relay(&mut body, out, &mut scan).await {
+            self.leave_error(out, &refusal);
+        }
+        scan.used(self.prompt)
     }
 
-    async fn relay<S>(
-        &self,
-        body: &mut S,
-        out: &Inlet,
-        scan: &mut EventScan,
-    ) -> Result<Ending, Refusal>
+    async fn relay<S>(&self, body: &mut S, out: &Inlet, scan: &mut EventScan) -> Result<(), Refusal>
     where
         S: Stream<Item = Result<Bytes, Refusal>> + Unpin,
     {
@@ -201,15 +180,11 @@
                 biased;
                 () = &mut withdrawn => return Err(Refusal::ran(Reason::Withdrawn)),
                 () = &mut expired => return Err(Refusal::ran(Reason::Deadline)),
-                () = out.chunks.closed() => return Ok(Ending::Cancelled),
+                () = out.chunks.closed() => return Ok(()),
                 next = body.next() => next,
             };
             let Some(chunk) = next else {
-                return if scan.done() {
-                    Ok(Ending::Whole)
-                } else {
-                    Err(cut())
-                };
+                return if scan.done() { Ok(()) } else { Err(cut()) };
             };
             let chunk = chunk.map_err(|e| Refusal { ran: Ran::Yes, ..e })?;
             scan.feed(&chunk);
@@ -219,7 +194,7 @@
                 () = &mut expired => return Err(Refusal::ran(Reason::Deadline)),
                 sent = out.chunks.send(Ok(Frame::data(chunk))) => {
                     if sent.is_err() {
-                        return Ok(Ending::Cancelled);
+                        return Ok(());
                     }
                 }
             }
@@ -238,11 +213,3 @@
 fn cut() -> Refusal {
     Refusal::ran(Reason::UpstreamFailed)
 }
-
-fn ending_of(refusal: &Refusal) -> Ending {
-    match refusal.reason {
-        Reason::Withdrawn | Reason::Deadline => Ending::Cancelled,
-        Reason::UpstreamSilent => Ending::Silent,
-        _ => Ending::Failed,
-    }
-}
--- a/src/error.rs
+++ b/src/error.rs
@@ -73,9 +73,12 @@
             Self::Read { .. } => ExitCode::Input,
             Self::Ops(OpsError::Refused(failed)) => refused(failed.code),
             Self::Ops(_) | Self::Store(_) => ExitCode::Unavailable,
-            Self::Bind { .. } | Self::Runtime(_) | Self::Serve(_) | Self::Metrics(_) => {
-                ExitCode::General
-            }
+            Self::Bind { .. }
+            | Self::Runtime(_)
+            | Self::Serve(_)
+            | Self::Peers(_)
+            | Self::Upstreams(_)
+            | Self::Metrics(_) => ExitCode::General,
         }
     }
 }
--- a/src/ops/client.rs
+++ b/src/ops/client.rs
@@ -111,16 +111,16 @@
     ) -> Result<(StatusCode, Bytes), OpsError> {
         let client = Client::builder()
             .build()
-            .or_else(|_| Err(self.unreachable()))?;
+            .map_err(|_cause| self.unreachable())?;
         let uri = format!("http://{}{path}", self.address);
         let sent = client.request(method, uri).body(Body::from(body)).send();
-        let response: Response = sent.await.or_else(|_| Err(self.unreachable()))?;
+        let response: Response = sent.await.map_err(|_cause| self.unreachable())?;
         let status = response.status();
         let body = response
             .into_body()
             .collect()
             .await
-            .or_else(|_| Err(self.unreachable()))?;
+            .map_err(|_cause| self.unreachable())?;
         Ok((status, body.to_bytes()))
     }
 
--- a/src/ops/serve.rs
+++ b/src/ops/serve.rs
@@ -184,11 +184,7 @@
     type Response = Response;
     type Error = Infallible;
 
-    async fn call(
-        &self,
-        _cx: &mut ServerContext,
-        request: Request,
-    ) -> Result<Response, Infallible> {
-        Ok(self.answer(request).await)
+    async fn call(&self, _cx: &mut ServerContext, req: Request) -> Result<Response, Infallible> {
+        Ok(self.answer(req).await)
     }
 }
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -61,7 +61,13 @@
     ///
     /// Where a name is taken.
     pub fn register(&self, metrics: &Metrics) -> Result<(), prometheus::Error> {
-        for counter in [&self.reads, &self.writes, &self.watches, &self.lists, &self.failures] {
+        for counter in [
+            &self.reads,
+            &self.writes,
+            &self.watches,
+            &self.lists,
+            &self.failures,
+        ] {
             metrics.registry().register(Box::new(counter.clone()))?;
         }
         Ok(())
@@ -100,11 +106,12 @@
         let mut builder = Client::builder();
         builder.set_connect_timeout(timeout);
         let client = builder.build().or(Err(StoreError::Unavailable))?;
+        let counts = CallCounts::open().or(Err(StoreError::Unavailable))?;
         Ok(Self {
             client,
             address,
             timeout,
-            counts: CallCounts::default(),
+            counts,
         })
     }
 
--- a/src/run/engines.rs
+++ b/src/run/engines.rs
@@ -8,9 +8,7 @@
 use tokio::task::JoinHandle;
 
 use crate::clock::Clock;
-use crate::engine::{
-    CacheEvents, EngineControl, EngineError, LoadReport, Order, OrderAnswer,
-};
+use crate::engine::{CacheEvents, EngineControl, EngineError, LoadReport, Order, OrderAnswer};
 use crate::ids::UpstreamId;
 use crate::platform::{Directory, Instance};
 use crate::route::choose::Balancer;
@@ -45,7 +43,8 @@
         Box::pin(async move {
             let report = self.inner.report(engine).await?;
             if let Some(upstream) = upstream_of(engine) {
-                self.balancer.on_report(&upstream, &report, self.clock.now());
+                self.balancer
+                    .on_report(&upstream, &report, self.clock.now());
             }
             Ok(report)
         })
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -30,7 +30,8 @@
 use crate::engine::http::HttpEngineControl;
 use crate::error::Error;
 use crate::ids::Generation;
-use crate::limit::{Limits, Parts, VmView};
+use crate::limit::shell::Parts;
+use crate::limit::{Limits, VmView};
 use crate::log;
 use crate::metrics::{EdgeMetrics, Metrics};
 use crate::model::{self, Models, Ports};
@@ -134,7 +135,12 @@
         log.clone(),
     );
     let pause = Duration::from_millis(settings.list);
-    let directory = Arc::new(Directory::spawn(client, Arc::clone(&clock), pause, log.clone()));
+    let directory = Arc::new(Directory::spawn(
+        client,
+        Arc::clone(&clock),
+        pause,
+        log.clone(),
+    ));
     Ok(Base {
         generation: Generation(clock.wall_ms()),
         config,
@@ -174,7 +180,12 @@
         Arc::clone(&balancer),
         Arc::clone(&base.clock),
     );
-    Ok(Routes { balancer, transport, engines, _cache: cache })
+    Ok(Routes {
+        balancer,
+        transport,
+        engines,
+        _cache: cache,
+    })
 }
 
 async fn open_fleet(base: &Base, routes: &Routes) -> Result<Fleet, Error> {
@@ -197,7 +208,13 @@
         Arc::clone(&routes.balancer),
         Arc::clone(&routes.transport),
     );
-    Ok(Fleet { node, vms, limits, models, _tasks: Tasks(vec![board, list]) })
+    Ok(Fleet {
+        node,
+        vms,
+        limits,
+        models,
+        _tasks: Tasks(vec![board, list]),
+    })
 }
 
 async fn open_node(base: &Base, routes: &Routes) -> Result<Arc<PeerNode>, Error> {
@@ -215,7 +232,9 @@
         balancer: Arc::clone(&routes.balancer),
         directory: Arc::clone(&base.directory),
     });
-    Ok(Arc::new(PeerNode::bind(options, Arc::clone(&base.clock), own).await?))
+    Ok(Arc::new(
+        PeerNode::bind(options, Arc::clone(&base.clock), own).await?,
+    ))
 }
 
 fn open_limits(base: &Base, node: &Arc<PeerNode>, vms: &Arc<Vms>) -> Arc<Limits> {
@@ -256,14 +275,20 @@
         log: base.log.clone(),
     };
     let models = Arc::new(Models::spawn(config, ports));
-    let waker = Waker { models: Arc::clone(&models), node: Arc::downgrade(node) };
-    node.handle(Kind::Wake, Arc::new(waker));
+    let asked = Waker {
+        models: Arc::clone(&models),
+        node: Arc::downgrade(node),
+    };
+    node.handle(Kind::Wake, Arc::new(asked));
     node.handle(Kind::Woken, Arc::new(Woken(wakes)));
     models
 }
 
 fn open_edge(base: &Base, routes: &Routes, fleet: &Fleet) -> Result<Edge, Error> {
-    let keeper = Keeper { vm: base.config.vm.clone(), generation: base.generation };
+    let keeper = Keeper {
+        vm: base.config.vm.clone(),
+        generation: base.generation,
+    };
     let once = StoreLog::open(
         Arc::clone(&base.store),
         Arc::clone(&fleet.vms) as Arc<dyn crate::once::VmLiveness>,
--- a/src/run/servers.rs
+++ b/src/run/servers.rs
@@ -85,7 +85,7 @@
 {
     let mut server = Server::new(edge).http1_only();
     server.http1_config().set_max_headers(MAX_HEADERS);
-    server.register_shutdown_hook(move || Box::pin(hook));
+    let server = server.register_shutdown_hook(move || Box::pin(hook));
     server.run(gate).await.map_err(Error::Serve)
 }
 
@@ -99,17 +99,23 @@
     listener: TcpListener,
     mut over: watch::Receiver<bool>,
 ) -> Result<(), Error> {
-    let mut server = Server::new(ops).http1_only();
-    server.register_shutdown_hook(move || {
+    let server = Server::new(ops).http1_only();
+    let server = server.register_shutdown_hook(move || {
         Box::pin(async move {
             let waited = over.wait_for(|over| *over).await;
             drop(waited);
         })
     });
-    server.run(DefaultIncoming::from(listener)).await.map_err(Error::Serve)
+    server
+        .run(DefaultIncoming::from(listener))
+        .await
+        .map_err(Error::Serve)
 }
 
 /// Names the address that could not be bound.
 pub fn bind_error(address: SocketAddr, source: io::Error) -> Error {
-    Error::Bind { address: address.to_string(), source }
+    Error::Bind {
+        address: address.to_string(),
+        source,
+    }
 }
--- a/src/run/tasks.rs
+++ b/src/run/tasks.rs
@@ -46,7 +46,10 @@
     tokio::spawn(async move {
         while news.changed().await.is_ok() {
             let listing = directory.listing();
-            node.observe(&InstanceList { age: 0, instances: listing.instances.clone() });
+            node.observe(&InstanceList {
+                age: 0,
+                instances: listing.instances.clone(),
+            });
             note_leaving(&listing, &balancer);
             for (upstream, generation) in &node.live().leaving {
                 balancer.on_leaving(upstream, *generation);
@@ -61,7 +64,10 @@
 }
 
 fn note_leaving(listing: &Listing, balancer: &Balancer) {
-    let leaving = listing.instances.iter().filter(|i| i.state == InstanceState::Leaving);
+    let leaving = listing
+        .instances
+        .iter()
+        .filter(|i| i.state == InstanceState::Leaving);
     for instance in leaving {
         if let Some(upstream) = upstream_of(instance) {
             balancer.on_leaving(&upstream, instance.generation);
--- a/src/run/views.rs
+++ b/src/run/views.rs
@@ -48,7 +48,12 @@
             let leaving = instance.state == InstanceState::Leaving;
             let told = inflight > 0 || leaving;
             let generation = instance.generation;
-            told.then_some(UpstreamDigest { upstream, generation, leaving, inflight })
+            told.then_some(UpstreamDigest {
+                upstream,
+                generation,
+                leaving,
+                inflight,
+            })
         });
         known.collect()
     }
@@ -69,7 +74,11 @@
 
 impl Vms {
     fn listed(&self, vm: &VmId) -> Option<Instance> {
-        self.directory.listing().gateways().find(|instance| instance.vm == *vm).cloned()
+        self.directory
+            .listing()
+            .gateways()
+            .find(|instance| instance.vm == *vm)
+            .cloned()
     }
 }
 
@@ -77,7 +86,10 @@
     fn vms(&self) -> Arc<LiveVms> {
         let listing = self.directory.listing();
         let members = self.node.live();
-        let mut view = LiveVms { listed: listing.taken, ..LiveVms::default() };
+        let mut view = LiveVms {
+            listed: listing.taken,
+            ..LiveVms::default()
+        };
         for instance in listing.gateways() {
             let member = members.vms.get(&instance.vm);
             let leaves = instance.state == InstanceState::Leaving
@@ -97,17 +109,26 @@
 
 impl VmLiveness for Vms {
     fn is_gone(&self, vm: &VmId, generation: Generation) -> bool {
-        let fresh = self.directory.listing().taken.is_some_and(|taken| {
-            self.clock.now().saturating_duration_since(taken) <= self.lag
-        });
+        let fresh = self
+            .directory
+            .listing()
+            .taken
+            .is_some_and(|taken| self.clock.now().saturating_duration_since(taken) <= self.lag);
         if !fresh {
             return false;
         }
         let newer = |known: Generation| known > generation;
-        if self.node.live().vms.get(vm).is_some_and(|member| newer(member.generation)) {
+        if self
+            .node
+            .live()
+            .vms
+            .get(vm)
+            .is_some_and(|member| newer(member.generation))
+        {
             return true;
         }
-        self.listed(vm).is_none_or(|instance| newer(instance.generation))
+        self.listed(vm)
+            .is_none_or(|instance| newer(instance.generation))
     }
 }
 
@@ -164,7 +185,10 @@
 impl Fleet for Engines {
     fn engines(&self) -> Arc<Vec<Instance>> {
         let listing = self.directory.listing();
-        let engines = listing.instances.iter().filter(|i| i.kind == InstanceKind::Engine);
+        let engines = listing
+            .instances
+            .iter()
+            .filter(|i| i.kind == InstanceKind::Engine);
         Arc::new(engines.cloned().collect())
     }
 
--- a/src/run/wake.rs
+++ b/src/run/wake.rs
@@ -24,7 +24,10 @@
 impl Wakes {
     /// Opens the asking side.
     pub fn open(node: Arc<PeerNode>) -> Arc<Self> {
-        Arc::new(Self { node, pending: Mutex::default() })
+        Arc::new(Self {
+            node,
+            pending: Mutex::default(),
+        })
     }
 
     fn expect(&self, request: RequestId) -> oneshot::Receiver<WakeAnswer> {
@@ -48,7 +51,11 @@
             let request = ask.request.clone();
             let answer = self.expect(request.clone());
             let sent = self.node.send(to, &Frame::Wake(ask));
-            let wait = if sent.is_ok() { ANSWER_TIMEOUT } else { Duration::ZERO };
+            let wait = if sent.is_ok() {
+                ANSWER_TIMEOUT
+            } else {
+                Duration::ZERO
+            };
             let outcome = tokio::time::timeout(wait, answer).await;
             self.lock().remove(&request);
             match outcome {
@@ -91,7 +98,11 @@
         let Frame::Wake(ask) = frame else {
             return None;
         };
-        let (models, node, to) = (Arc::clone(&self.models), self.node.clone(), from.clone());
+        let (models, node, to) = (
+            Arc::clone(&self.models),
+            Weak::clone(&self.node),
+            from.clone(),
+        );
         tokio::spawn(async move {
             let answer = models.wake(ask).await;
             if let Some(node) = node.upgrade() {
--- a/tests/declare.rs
+++ b/tests/declare.rs
@@ -320,7 +320,7 @@
         .current()
         .key_hash(&"portal-1".parse().unwrap())
         .unwrap();
-    let mut other = board.current().declaration.clone();
+    let mut other = Declaration::clone(&board.current().declaration);
     other
         .accounts
         .get_mut(&"teams".parse().unwrap())
