Name requests within the system apart from their callers' names

Cause: the desk, the wake messages and the release of a turn were keyed by the id that a caller may choose, so that two requests with one id could end each other's turn; and an id shaped like a key would have been logged and forwarded. Found by reading. Change: a random serial names a request inside; a key in X-Request-Id is malformed. Also: a plain call's body is read before its cost is reserved, so a slow sender holds none; refusals for capacity, shutdown and readiness say when to come back; account names that begin with an underscore are kept for the system.

--- a/src/declare/validate.rs
+++ b/src/declare/validate.rs
@@ -31,6 +31,8 @@
     SameKey(KeyId, KeyId),
     /// Two keys have the same name.
     SameKeyName(KeyId),
+    /// An account's name begins with an underscore, which is kept for the system's own.
+    ReservedName(ClientAccount),
     /// An account's burst is zero, so that nothing could ever run.
     NoBurst(ClientAccount),
     /// A caller's rate or burst is above its account's.
@@ -55,6 +57,7 @@
             Self::SamePrefix(r, s) => write!(f, "routes {r} and {s} have the same prefix"),
             Self::SameKey(k, l) => write!(f, "keys {k} and {l} are the same key"),
             Self::SameKeyName(k) => write!(f, "key name {k} is used twice"),
+            Self::ReservedName(a) => write!(f, "account {a}: a name must not begin with _"),
             Self::NoBurst(a) => write!(f, "account {a}: burst must be at least 1"),
             Self::CallerShare(a, c) => {
                 write!(
@@ -129,6 +132,9 @@
     account: &Account,
     faults: &mut Vec<DeclarationFault>,
 ) {
+    if name.as_str().starts_with('_') {
+        faults.push(DeclarationFault::ReservedName(name.clone()));
+    }
     if account.burst.0 == 0 {
         faults.push(DeclarationFault::NoBurst(name.clone()));
     }
--- a/src/edge/auth.rs
+++ b/src/edge/auth.rs
@@ -5,6 +5,7 @@
 
 use std::fmt::Debug;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::HeaderMap;
 use http::header::AUTHORIZATION;
@@ -13,6 +14,8 @@
 use crate::outcome::{Reason, Refusal};
 
 const SCHEME: &str = "Bearer ";
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+const RECHECK: Duration = Duration::from_secs(1);
 
 /// Says whether this VM may still trust the keys it knows.
 pub trait Standing: Send + Sync + Debug {
@@ -48,7 +51,6 @@
 
     /// Completes once the key is no longer in force.
     pub async fn withdrawn(&self) {
-        const RECHECK: std::time::Duration = std::time::Duration::from_secs(1);
         let mut news = self.board.subscribe();
         while self.in_force() {
             // The timer covers a VM that is cut off, which no news reaches.
@@ -73,7 +75,7 @@
 ) -> Result<Principal, Refusal> {
     let current = board.current();
     if current.head.is_none() || !standing.keys_trusted() {
-        return Err(Refusal::not_run(Reason::NotReady));
+        return Err(Refusal::not_run(Reason::NotReady).retry_after(RETRY_AFTER));
     }
     let unauthorized = || Refusal::not_run(Reason::Unauthorized);
     let key = bearer(headers).ok_or_else(unauthorized)?;
--- a/src/edge/models.rs
+++ b/src/edge/models.rs
@@ -173,7 +173,7 @@
     let greatest = call.prompt + call.output;
     let cost = Cost::reserve(parts, principal, arrived, greatest).await?;
     let want = Want {
-        request: arrived.request.clone(),
+        request: arrived.serial.clone(),
         account: principal.holder.account.clone(),
         priority: principal.holder.priority,
         model: call.model.clone(),
--- a/src/edge/parse.rs
+++ b/src/edge/parse.rs
@@ -12,6 +12,7 @@
 use super::answer::REQUEST_ID;
 use crate::ids::{AdapterId, ModelId, RequestId};
 use crate::outcome::{Reason, Refusal};
+use crate::route::headers::holds_key;
 use crate::schema::settings::CallerSettings;
 use crate::units::Tokens;
 
@@ -130,19 +131,18 @@
 ///
 /// # Errors
 ///
-/// [`Reason::Malformed`] where the header is not an identifier.
+/// [`Reason::Malformed`] where the header is not an identifier, or holds a key.
 pub fn request_id(headers: &HeaderMap) -> Result<RequestId, Refusal> {
     let malformed = || Refusal::not_run(Reason::Malformed);
-    match headers.get(REQUEST_ID) {
-        Some(value) => value
-            .to_str()
-            .ok()
-            .and_then(|v| v.parse().ok())
-            .ok_or_else(malformed),
-        None => format!("{:032x}", rand::random::<u128>())
-            .parse()
-            .map_err(|_cause| malformed()),
+    let Some(value) = headers.get(REQUEST_ID) else {
+        return Ok(RequestId::random());
+    };
+    // The id is logged and sent to upstreams, which a key never is.
+    if holds_key(value.as_bytes()) {
+        return Err(malformed());
     }
+    let parsed = value.to_str().ok().and_then(|v| v.parse().ok());
+    parsed.ok_or_else(malformed)
 }
 
 /// When a request must be answered.
--- a/src/edge/plain.rs
+++ b/src/edge/plain.rs
@@ -15,6 +15,7 @@
 use volo_http::body::Body;
 use volo_http::response::Response;
 
+use super::auth::Principal;
 use super::models::{Cost, answer_head, collect};
 use super::parse;
 use super::running::Token;
@@ -29,7 +30,8 @@
 
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 const MAX_KEY_BYTES: usize = 255;
-const OPEN_ACCOUNT: &str = "open";
+// No declared account can have this name.
+const OPEN_ACCOUNT: &str = "_open";
 
 /// Everything a call holds until it is over.
 struct Held {
@@ -52,11 +54,15 @@
     let path = arrived.path.split('?').next().unwrap_or_default();
     let found = current.route(path);
     let (id, route) = found.ok_or_else(|| Refusal::not_run(Reason::UnknownRoute))?;
-    let (cost, account) = admit(parts, &arrived, id, route).await?;
+    let principal = admit(parts, &arrived, id, route)?;
     let body = parse::read_body(body, &parts.callers).await?;
-    let deadline = arrived
-        .deadline
-        .min(Instant::now() + Duration::from_millis(route.timeout));
+    let cost = match &principal {
+        Some(holder) => Some(Cost::reserve(parts, holder, &arrived, Tokens(route.cost)).await?),
+        None => None,
+    };
+    let account = account_of(principal.as_ref())?;
+    let timeout = parts.clock.now() + Duration::from_millis(route.timeout);
+    let deadline = arrived.deadline.min(timeout);
     let job = prepare(parts, &arrived, method, body, route, deadline)?;
     let held = Held {
         _token: token,
@@ -74,29 +80,31 @@
         .map_err(|_cause| Refusal::unknown(Reason::Internal))?
 }
 
-async fn admit(
-    parts: &Arc<EdgeParts>,
+fn admit(
+    parts: &EdgeParts,
     arrived: &Arrived,
     id: &RouteId,
     route: &Route,
-) -> Result<(Option<Cost>, ClientAccount), Refusal> {
+) -> Result<Option<Principal>, Refusal> {
     if route.open {
-        let open = OPEN_ACCOUNT
-            .parse()
-            .or(Err(Refusal::not_run(Reason::Internal)))?;
-        return Ok((None, open));
+        return Ok(None);
     }
     let principal = parts.authenticate(arrived)?;
-    let account = principal.holder.account.clone();
     let current = parts.board.current();
-    let reached = current
-        .reach(&account)
-        .is_some_and(|reach| reach.routes.contains(id));
-    if !reached {
+    let reach = current.reach(&principal.holder.account);
+    if !reach.is_some_and(|reach| reach.routes.contains(id)) {
         return Err(Refusal::not_run(Reason::Forbidden));
     }
-    let cost = Cost::reserve(parts, &principal, arrived, Tokens(route.cost)).await?;
-    Ok((Some(cost), account))
+    Ok(Some(principal))
+}
+
+fn account_of(principal: Option<&Principal>) -> Result<ClientAccount, Refusal> {
+    match principal {
+        Some(principal) => Ok(principal.holder.account.clone()),
+        None => OPEN_ACCOUNT
+            .parse()
+            .or(Err(Refusal::not_run(Reason::Internal))),
+    }
 }
 
 fn prepare(
--- a/src/edge/running.rs
+++ b/src/edge/running.rs
@@ -2,11 +2,15 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use tokio::sync::Notify;
 
 use crate::outcome::{Reason, Refusal};
 
+/// When to come back; another VM may answer at once.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Counts running requests.
 #[derive(Debug, Default)]
 pub struct Running {
@@ -36,10 +40,10 @@
         let before = self.count.fetch_add(1, Ordering::SeqCst);
         let token = Token(Arc::clone(self));
         if self.closed.load(Ordering::SeqCst) {
-            return Err(Refusal::not_run(Reason::ShuttingDown));
+            return Err(Refusal::not_run(Reason::ShuttingDown).retry_after(RETRY_AFTER));
         }
         if before >= most {
-            return Err(Refusal::not_run(Reason::Capacity));
+            return Err(Refusal::not_run(Reason::Capacity).retry_after(RETRY_AFTER));
         }
         Ok(token)
     }
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -69,8 +69,10 @@
 /// The head of a request, read once.
 #[derive(Clone, Debug)]
 pub(super) struct Arrived {
-    /// Its id.
+    /// Its id, which its caller may have chosen.
     pub request: RequestId,
+    /// Its name within the system, which no other request has.
+    pub serial: RequestId,
     /// Its headers.
     pub headers: HeaderMap,
     /// Its path and query.
@@ -147,6 +149,7 @@
         let deadline = parse::deadline(&head.headers, begun, &parts.callers)?;
         let arrived = Arrived {
             request: id,
+            serial: RequestId::random(),
             headers: head.headers,
             path,
             deadline,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -164,13 +164,21 @@
 counter_id!(/// Incarnation of a VM or an upstream; grows with each start.
     Generation);
 
+fn random_text() -> CompactString {
+    compact_str::format_compact!("{:032x}", rand::random::<u128>())
+}
+
 impl ChangeId {
     /// A new name that no other change has.
     pub fn random() -> Self {
-        Self(compact_str::format_compact!(
-            "{:032x}",
-            rand::random::<u128>()
-        ))
+        Self(random_text())
+    }
+}
+
+impl RequestId {
+    /// A new name that no other request has.
+    pub fn random() -> Self {
+        Self(random_text())
     }
 }
 
