--- a/tests/model_fakes/mod.rs
+++ b/tests/model_fakes/mod.rs
@@ -366,7 +366,7 @@
 pub struct Site {
     pub store: Arc<FakeStore>,
     pub engines: Arc<FakeEngines>,
-    pub site: Arc<FakeSite>,
+    pub platform: Arc<FakeSite>,
     pub links: Arc<FakeLinks>,
 }
 
@@ -375,7 +375,7 @@
         Self {
             store: Arc::default(),
             engines: Arc::new(FakeEngines::new(Duration::from_millis(100))),
-            site: Arc::new(FakeSite {
+            platform: Arc::new(FakeSite {
                 engines: Mutex::new(Arc::new(engines)),
                 vms: vms.iter().map(|vm| id(vm)).collect(),
                 declaration,
@@ -388,8 +388,8 @@
         let ports = Ports {
             store: Arc::<FakeStore>::clone(&self.store),
             engines: Arc::<FakeEngines>::clone(&self.engines),
-            fleet: Arc::<FakeSite>::clone(&self.site),
-            catalog: Arc::<FakeSite>::clone(&self.site),
+            fleet: Arc::<FakeSite>::clone(&self.platform),
+            catalog: Arc::<FakeSite>::clone(&self.platform),
             wake: Arc::<FakeLinks>::clone(&self.links),
             clock: SystemClock::open() as Arc<dyn Clock>,
             log: slog::Logger::root(slog::Discard, slog::o!()),
--- a/tests/model_shell.rs
+++ b/tests/model_shell.rs
@@ -14,7 +14,7 @@
 
 const LONG: Duration = Duration::from_secs(15);
 const LIFE: Duration = Duration::from_millis(300);
-const IDLE: Duration = Duration::from_secs(60);
+const IDLE: Duration = Duration::from_mins(1);
 
 fn one_model(maximum: u32, vms: &[&str], fenced: bool) -> Site {
     let engines = vec![engine("e1", 1000, fenced), engine("e2", 1000, fenced)];
@@ -58,7 +58,7 @@
 async fn unreachable_owner_is_replaced_by_the_vm_itself() {
     let names = ["vm1", "vm2"];
     let site = one_model(1, &names, true);
-    site.links.cut.lock().unwrap().extend(names.map(|n| id(n)));
+    site.links.cut.lock().unwrap().extend(names.map(id));
     let vms: Vec<_> = names.iter().map(|vm| site.spawn(vm, LIFE, IDLE)).collect();
     let bursts = vms.iter().zip(names).map(|(vm, name)| serve(vm, 4, name));
     join_all(bursts).await;
