--- a/src/route/budget.rs
+++ b/src/route/budget.rs
@@ -5,14 +5,15 @@
 
 use std::time::{Duration, Instant};
 
-const CAP_RETRIES: f64 = 10.0;
-const TRICKLE: Duration = Duration::from_secs(10);
+const POINTS_PER_RETRY: u64 = 100;
+const CAP_POINTS: u64 = 10 * POINTS_PER_RETRY;
+const POINT_TRICKLE: Duration = Duration::from_millis(100);
 
 /// Retries left.
 #[derive(Clone, Debug)]
 pub struct Budget {
-    earned: f64,
-    left: f64,
+    percent: u64,
+    points: u64,
     since: Instant,
 }
 
@@ -20,27 +21,33 @@
     /// A full budget that earns `percent` retries for 100 whole answers.
     pub fn new(percent: u32, now: Instant) -> Self {
         Self {
-            earned: f64::from(percent) / 100.0,
-            left: CAP_RETRIES,
+            percent: percent.into(),
+            points: CAP_POINTS,
             since: now,
         }
     }
 
     /// Counts a whole answer.
     pub fn on_success(&mut self) {
-        self.left = (self.left + self.earned).min(CAP_RETRIES);
+        self.points = (self.points + self.percent).min(CAP_POINTS);
     }
 
     /// Takes a retry, if one is left.
     pub fn take(&mut self, now: Instant) -> bool {
-        let span = now.saturating_duration_since(self.since);
-        self.since = self.since.max(now);
-        let trickled = span.as_secs_f64() / TRICKLE.as_secs_f64();
-        self.left = (self.left + trickled).min(CAP_RETRIES);
-        if self.left < 1.0 {
+        self.trickle(now);
+        if self.points < POINTS_PER_RETRY {
             return false;
         }
-        self.left -= 1.0;
+        self.points -= POINTS_PER_RETRY;
         true
     }
+
+    fn trickle(&mut self, now: Instant) {
+        let span = now.saturating_duration_since(self.since);
+        let points = (span.as_millis() / POINT_TRICKLE.as_millis()) as u64;
+        if points > 0 {
+            self.points = self.points.saturating_add(points).min(CAP_POINTS);
+            self.since = now;
+        }
+    }
 }
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -21,6 +21,8 @@
 
 /// When to come back where no upstream may be used.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Pause before the same upstream is tried again.
+const SAME_PAUSE: Duration = Duration::from_millis(50);
 const REPLICA: HeaderName = HeaderName::from_static("x-replica");
 
 /// A request and what its dispatch goes by.
@@ -30,7 +32,7 @@
     pub request: Outgoing,
     /// Whether it may run more than once.
     pub idempotent: bool,
-    /// When its answer must have begun, and ended.
+    /// When its answer must have begun.
     pub deadline: Instant,
     /// Hash of the prompt's prefix together with its model and adapter.
     pub prefix: Option<u64>,
@@ -79,9 +81,8 @@
             tried: Vec::new(),
         };
         let mut history = History::default();
-        loop {
-            let now = self.clock.now();
-            let Some((upstream, instance)) = self.choose(among, &choice, now) else {
+        for tries in 1.. {
+            let Some((upstream, instance)) = self.choose(among, &mut choice).await else {
                 return Err(history.refusal());
             };
             let failure = match self.attempt(&upstream, instance, job).await {
@@ -90,20 +91,27 @@
                 Err(error) => Failure::Lost(error),
             };
             choice.tried.push(upstream);
-            if !self.may_repeat(job, &failure, choice.tried.len()) {
+            if !self.may_repeat(job, &failure, tries) {
                 return history.end(failure);
             }
             history.note(&failure);
         }
+        Err(history.refusal())
     }
 
-    fn choose<'a>(
+    /// Chooses an upstream that was not tried, or else, after a pause, any.
+    async fn choose<'a>(
         &self,
         among: &'a [Instance],
-        choice: &Choice,
-        now: Instant,
+        choice: &mut Choice,
     ) -> Option<(UpstreamId, &'a Instance)> {
-        let upstream = self.chooser.choose(among, choice, now)?;
+        let mut chosen = self.chooser.choose(among, choice, self.clock.now());
+        if chosen.is_none() && !choice.tried.is_empty() {
+            choice.tried.clear();
+            tokio::time::sleep(SAME_PAUSE).await;
+            chosen = self.chooser.choose(among, choice, self.clock.now());
+        }
+        let upstream = chosen?;
         let found = among
             .iter()
             .find(|instance| instance.vm.as_str() == upstream.as_str());
@@ -167,9 +175,9 @@
         }
     }
 
-    fn may_repeat(&self, job: &Job, failure: &Failure, tries: usize) -> bool {
+    fn may_repeat(&self, job: &Job, failure: &Failure, tries: u32) -> bool {
         let now = self.clock.now();
-        if now >= job.deadline || tries >= self.tries as usize {
+        if now >= job.deadline || tries >= self.tries {
             return false;
         }
         let allowed = match failure {
--- a/src/route/http.rs
+++ b/src/route/http.rs
@@ -5,7 +5,8 @@
 //! that one silent connection retires all idle ones to the same upstream. A request that asks for a
 //! fresh connection travels on one that carried nothing before and carries nothing after.
 //!
-//! The answer's body is pulled by its reader: nothing is read ahead for a slow one beyond the
+//! The deadline bounds the begin of an answer; once it has begun, only the pause between two chunks
+//! is bounded. The answer's body is pulled by its reader: nothing is read ahead for a slow one beyond the
 //! library's read buffer and the kernel's. Dropping the body closes the connection.
 
 use std::collections::BTreeMap;
@@ -120,14 +121,13 @@
         let method = request.method.clone();
         let mark = Mark::default();
         let sending = start(&client, socket, request, mark.clone());
-        // An engine may be quiet until its first token, a plain service not for longer than the bound.
-        let first = if engine { left } else { left.min(silence) };
-        let response = match timeout(first, sending).await {
+        let (bound, reason) = first_bound(engine, left, silence);
+        let response = match timeout(bound, sending).await {
             Ok(Ok(response)) => response,
             Ok(Err(_failed)) => return Err(lost(&mark, Reason::UpstreamFailed)),
             Err(_elapsed) => {
                 self.distrust(&to.address);
-                return Err(lost(&mark, quiet_reason(first == left)));
+                return Err(lost(&mark, reason));
             }
         };
         let (parts, body) = response.into_parts();
@@ -139,7 +139,8 @@
             body,
             mark,
             silence,
-            first: engine,
+            engine,
+            begun: false,
             deadline,
             clock: Arc::clone(&self.clock),
             pools: Arc::clone(&self.pools),
@@ -203,11 +204,14 @@
     }
 }
 
-fn quiet_reason(at_deadline: bool) -> Reason {
-    if at_deadline {
-        Reason::Deadline
+/// How long an answer may take to begin, and what it means if it takes longer.
+///
+/// An engine may be quiet until its first token, a plain service not for longer than the bound.
+fn first_bound(engine: bool, left: Duration, silence: Duration) -> (Duration, Reason) {
+    if engine || left <= silence {
+        (left, Reason::Deadline)
     } else {
-        Reason::UpstreamSilent
+        (silence, Reason::UpstreamSilent)
     }
 }
 
@@ -226,8 +230,8 @@
     body: Body,
     mark: EndMark,
     silence: Duration,
-    /// Whether the first chunk may take until the deadline.
-    first: bool,
+    engine: bool,
+    begun: bool,
     deadline: Instant,
     clock: Arc<dyn Clock>,
     pools: Pools,
@@ -249,15 +253,10 @@
 
     async fn next(&mut self) -> Result<Option<Bytes>, Refusal> {
         loop {
-            let left = self.deadline.saturating_duration_since(self.clock.now());
-            let bound = if self.first {
-                left
-            } else {
-                left.min(self.silence)
-            };
+            let (bound, reason) = self.bound();
             let Ok(frame) = timeout(bound, self.body.frame()).await else {
                 distrust(&self.pools, &self.address);
-                return Err(Refusal::unknown(quiet_reason(bound == left)));
+                return Err(Refusal::unknown(reason));
             };
             let Some(frame) = frame else {
                 return self.end();
@@ -266,12 +265,21 @@
             let Ok(chunk) = frame.into_data() else {
                 continue;
             };
-            self.first = false;
+            self.begun = true;
             self.mark.push(&chunk);
             return Ok(Some(chunk));
         }
     }
 
+    /// How long the next chunk may take, and what it means if it takes longer.
+    fn bound(&self) -> (Duration, Reason) {
+        if self.begun {
+            return (self.silence, Reason::UpstreamSilent);
+        }
+        let left = self.deadline.saturating_duration_since(self.clock.now());
+        first_bound(self.engine, left, self.silence)
+    }
+
     fn end(&self) -> Result<Option<Bytes>, Refusal> {
         if self.mark.is_whole() {
             return Ok(None);
--- /dev/null
+++ b/tests/route_dispatch.rs
@@ -0,0 +1,336 @@
+//! One request's tries: how often, where, and what its caller is told.
+
+mod route_support;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use basilgw::clock::SystemClock;
+use basilgw::ids::UpstreamId;
+use basilgw::outcome::{Ran, Reason, Refusal};
+use basilgw::platform::{Instance, InstanceKind};
+use basilgw::route::choose::{Balancer, ChooseSettings};
+use basilgw::route::dispatch::{Dispatcher, Job, Served};
+use basilgw::route::{Answer, Outgoing, SendError, Transport};
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use futures_util::stream::{self, StreamExt};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use proptest::prelude::*;
+use route_support::{instance, post};
+
+const UNSENT: Plan = Plan::Fail(SendError::Unsent(Reason::UpstreamFailed));
+const LOST: Plan = Plan::Fail(SendError::Lost(Reason::UpstreamSilent));
+const DECLINED: Plan = Plan::Fail(SendError::Declined);
+
+/// What becomes of one sending.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Plan {
+    Fail(SendError),
+    /// A status and whether the body breaks off after some chunks.
+    Answer(u16, usize, bool),
+}
+
+impl Plan {
+    /// Whether the request may run at the upstream.
+    fn may_run(self) -> bool {
+        !matches!(self, Self::Fail(SendError::Unsent(_) | SendError::Declined))
+    }
+}
+
+/// A transport that follows a plan and notes where requests went.
+#[derive(Debug, Default)]
+struct Planned {
+    plans: Mutex<VecDeque<Plan>>,
+    sent: Mutex<Vec<(Instance, Outgoing, Plan)>>,
+}
+
+impl Transport for Planned {
+    fn send<'a>(
+        &'a self,
+        to: &'a Instance,
+        request: Outgoing,
+        _deadline: Instant,
+    ) -> BoxFuture<'a, Result<Answer, SendError>> {
+        Box::pin(async move {
+            let plan = self.plans.lock().expect("no panic").pop_front();
+            let plan = plan.unwrap_or(Plan::Answer(200, 1, false));
+            let mut sent = self.sent.lock().expect("no panic");
+            sent.push((to.clone(), request, plan));
+            match plan {
+                Plan::Fail(error) => Err(error),
+                Plan::Answer(status, chunks, cut) => Ok(answer(status, chunks, cut)),
+            }
+        })
+    }
+}
+
+fn answer(status: u16, chunks: usize, cut: bool) -> Answer {
+    let whole = (0..chunks).map(|_| Ok(Bytes::from_static(b"x")));
+    let end = cut.then_some(Err(Refusal::unknown(Reason::UpstreamFailed)));
+    Answer {
+        status: StatusCode::from_u16(status).expect("a status"),
+        headers: HeaderMap::new(),
+        body: stream::iter(whole.chain(end).collect::<Vec<_>>()).boxed(),
+    }
+}
+
+struct Bench {
+    transport: Arc<Planned>,
+    balancer: Arc<Balancer>,
+    dispatcher: Dispatcher,
+    among: Vec<Instance>,
+}
+
+impl Bench {
+    fn open(kind: InstanceKind, plans: &[Plan]) -> Self {
+        let clock = SystemClock::open();
+        let settings = ChooseSettings {
+            centre: "dc-a".parse().expect("an id"),
+            budget: 10,
+            seed: 6,
+        };
+        let balancer = Arc::new(Balancer::open(&settings, clock.now()));
+        let transport = Arc::new(Planned::default());
+        transport.plans.lock().expect("no panic").extend(plans);
+        let dispatcher = Dispatcher::open(
+            Arc::clone(&balancer) as _,
+            Arc::clone(&transport) as _,
+            Arc::clone(&clock),
+            3,
+        );
+        let address = ([127, 0, 0, 1], 1).into();
+        let among = ["u1", "u2", "u3"].map(|name| instance(name, address, kind));
+        Self {
+            transport,
+            balancer,
+            dispatcher,
+            among: among.into(),
+        }
+    }
+
+    async fn dispatch(&self, idempotent: bool) -> Result<Served, Refusal> {
+        let job = Job {
+            request: post("/book", "{}"),
+            idempotent,
+            deadline: Instant::now() + Duration::from_secs(10),
+            prefix: None,
+            replicas: BTreeMap::from([(id("u1"), "r1".parse().expect("an id"))]),
+        };
+        self.dispatcher.dispatch(&self.among, &job).await
+    }
+
+    fn sent(&self) -> Vec<(Instance, Outgoing, Plan)> {
+        self.transport.sent.lock().expect("no panic").clone()
+    }
+
+    fn in_flight(&self) -> u32 {
+        ["u1", "u2", "u3"]
+            .map(|name| self.balancer.own(&id(name)))
+            .iter()
+            .sum()
+    }
+}
+
+fn id(name: &str) -> UpstreamId {
+    name.parse().expect("an id")
+}
+
+async fn drain(served: Served) -> Result<usize, Refusal> {
+    let mut body = served.answer.body;
+    let mut count = 0;
+    while let Some(chunk) = body.next().await {
+        count += chunk?.len();
+    }
+    Ok(count)
+}
+
+#[tokio::test]
+async fn a_request_that_must_not_repeat_is_sent_once() {
+    for plan in [
+        LOST,
+        DECLINED,
+        Plan::Answer(503, 0, false),
+        Plan::Answer(200, 0, true),
+    ] {
+        let bench = Bench::open(InstanceKind::Service, &[plan]);
+        let result = bench.dispatch(false).await;
+        assert_eq!(bench.sent().len(), 1, "{plan:?}");
+        assert!(bench.sent()[0].1.fresh);
+        match plan {
+            LOST => assert_eq!(result.expect_err("lost").ran, Ran::Unknown),
+            DECLINED => assert_eq!(result.expect_err("declined").ran, Ran::No),
+            _ => drop(result.expect("an answer")),
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_unsent_request_goes_elsewhere() {
+    let bench = Bench::open(InstanceKind::Service, &[UNSENT]);
+    let served = bench.dispatch(false).await.expect("the second answers");
+    let sent = bench.sent();
+    assert_eq!(sent.len(), 2);
+    assert_ne!(sent[0].0.vm, sent[1].0.vm);
+    assert_eq!(drain(served).await, Ok(1));
+}
+
+#[tokio::test]
+async fn an_idempotent_request_is_tried_elsewhere_until_its_tries_end() {
+    let bench = Bench::open(
+        InstanceKind::Service,
+        &[LOST, DECLINED, Plan::Answer(200, 0, true)],
+    );
+    let refusal = bench.dispatch(true).await.expect_err("three tries");
+    assert_eq!(
+        (refusal.reason, refusal.ran),
+        (Reason::UpstreamFailed, Ran::Unknown)
+    );
+    let mut names: Vec<_> = bench.sent().iter().map(|sent| sent.0.vm.clone()).collect();
+    names.sort();
+    names.dedup();
+    assert_eq!(names.len(), 3);
+}
+
+#[tokio::test]
+async fn the_same_upstream_is_tried_again_where_it_is_the_only_one() {
+    let mut bench = Bench::open(InstanceKind::Service, &[LOST]);
+    bench.among.truncate(1);
+    drop(bench.dispatch(true).await.expect("the second try"));
+    assert_eq!(bench.sent().len(), 2);
+}
+
+#[tokio::test]
+async fn what_fails_after_its_first_byte_is_not_tried_again() {
+    let bench = Bench::open(InstanceKind::Engine, &[Plan::Answer(200, 2, true)]);
+    let served = bench.dispatch(true).await.expect("begins");
+    let end = drain(served).await;
+    assert_eq!(end, Err(Refusal::unknown(Reason::UpstreamFailed)));
+    assert_eq!(bench.sent().len(), 1);
+}
+
+#[tokio::test]
+async fn a_failure_answered_last_is_handed_on() {
+    let plans = [Plan::Answer(503, 0, false); 3];
+    let bench = Bench::open(InstanceKind::Service, &plans);
+    let served = bench.dispatch(true).await.expect("the last answer");
+    assert_eq!(served.answer.status, 503);
+    assert_eq!(bench.sent().len(), 3);
+    let error = [Plan::Answer(500, 0, false)];
+    let bench = Bench::open(InstanceKind::Service, &error);
+    assert_eq!(
+        bench.dispatch(true).await.expect("an answer").answer.status,
+        500
+    );
+    assert_eq!(bench.sent().len(), 1);
+}
+
+#[tokio::test]
+async fn retries_stop_when_the_budget_is_used_up() {
+    let bench = Bench::open(InstanceKind::Service, &[LOST; 200]);
+    for _ in 0..50 {
+        bench.dispatch(true).await.expect_err("all fail");
+    }
+    // Breakers open in between, so some requests are not sent at all.
+    assert!(bench.sent().len() <= 50 + 10, "{}", bench.sent().len());
+}
+
+#[tokio::test]
+async fn an_engine_that_declines_gets_nothing_new() {
+    let mut bench = Bench::open(InstanceKind::Engine, &[DECLINED]);
+    bench.among.truncate(1);
+    let first = bench.dispatch(true).await.expect_err("the only one leaves");
+    assert_eq!(first.ran, Ran::No);
+    let second = bench.dispatch(true).await.expect_err("still leaves");
+    assert_eq!(second.ran, Ran::No);
+    assert!(second.retry.is_some());
+    assert_eq!(bench.sent().len(), 1);
+}
+
+#[tokio::test]
+async fn each_engine_hears_the_name_of_its_own_replica() {
+    let bench = Bench::open(InstanceKind::Engine, &[LOST, LOST]);
+    drop(bench.dispatch(true).await);
+    for (to, request, _) in bench.sent() {
+        let replica = request.headers.get("x-replica").map(HeaderValue::as_bytes);
+        let expected = (to.vm.as_str() == "u1").then_some(&b"r1"[..]);
+        assert_eq!(replica, expected);
+        assert!(request.fresh);
+    }
+}
+
+#[tokio::test]
+async fn a_passed_deadline_ends_the_tries() {
+    let bench = Bench::open(InstanceKind::Service, &[LOST; 3]);
+    let job = Job {
+        request: post("/x", "{}"),
+        idempotent: true,
+        deadline: Instant::now(),
+        prefix: None,
+        replicas: BTreeMap::new(),
+    };
+    let refused = bench.dispatcher.dispatch(&bench.among, &job).await;
+    refused.expect_err("too late");
+    assert_eq!(bench.sent().len(), 1);
+}
+
+fn plan() -> impl Strategy<Value = Plan> {
+    prop_oneof![
+        Just(UNSENT),
+        Just(LOST),
+        Just(DECLINED),
+        (
+            prop::sample::select(vec![200_u16, 500, 502, 503]),
+            0..3_usize,
+            any::<bool>()
+        )
+            .prop_map(|(status, chunks, cut)| Plan::Answer(status, chunks, cut)),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(6),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn what_a_caller_is_told_is_true(
+        plans in proptest::collection::vec(plan(), 0..5),
+        idempotent in any::<bool>(),
+        read in any::<bool>(),
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime");
+        let bench = Bench::open(InstanceKind::Service, &plans);
+        let result = runtime.block_on(bench.dispatch(idempotent));
+        let sent = bench.sent();
+        let may_have_run = sent.iter().filter(|sent| sent.2.may_run()).count();
+        prop_assert!(sent.len() <= 3);
+        if !idempotent {
+            let left = sent.iter().filter(|sent| sent.2 != UNSENT).count();
+            prop_assert!(left <= 1, "written to {left} connections");
+        }
+        match result {
+            Err(refusal) if refusal.ran == Ran::No => prop_assert_eq!(may_have_run, 0),
+            Err(refusal) => prop_assert_eq!(refusal.ran, Ran::Unknown),
+            Ok(served) => {
+                let Some(&(_, _, Plan::Answer(_, chunks, cut))) = sent.last() else {
+                    return Err(TestCaseError::fail("an answer from nowhere"));
+                };
+                if read {
+                    let end = runtime.block_on(drain(served));
+                    prop_assert_eq!(end.ok(), (!cut).then_some(chunks));
+                } else {
+                    drop(served);
+                }
+            }
+        }
+        prop_assert_eq!(bench.in_flight(), 0);
+    }
+}
--- /dev/null
+++ b/tests/route_engine.rs
@@ -0,0 +1,104 @@
+//! Orders and reports over HTTP.
+
+mod route_support;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use basilgw::clock::SystemClock;
+use basilgw::engine::http::HttpEngineControl;
+use basilgw::engine::{EngineControl, EngineError, Order, OrderKind, OrderStatus};
+use basilgw::ids::Epoch;
+use basilgw::platform::InstanceKind;
+use basilgw::route::http::HttpTransport;
+use basilgw::units::Bytes;
+use route_support::{Act, Upstream, instance, settings};
+
+const BOUND: Duration = Duration::from_millis(500);
+
+macro_rules! json {
+    ($body:literal) => {
+        concat!(
+            "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n",
+            $body
+        )
+    };
+}
+
+fn control() -> HttpEngineControl {
+    let clock = SystemClock::open();
+    let transport = HttpTransport::open(Arc::clone(&clock), &settings()).expect("builds");
+    HttpEngineControl::open(Arc::new(transport), clock, BOUND)
+}
+
+fn order() -> Order {
+    Order {
+        adapter: None,
+        bytes: Bytes(5),
+        fence: Epoch(3),
+        kind: OrderKind::Load,
+        model: "m".parse().expect("an id"),
+        replica: "r".parse().expect("an id"),
+        version: "v".parse().expect("an id"),
+    }
+}
+
+#[tokio::test]
+async fn an_order_travels_whole_and_its_answer_returns() {
+    let accepted = json!("15\r\n{\"status\":\"accepted\"}\r\n0\r\n\r\n");
+    let upstream = Upstream::bind(vec![Act::Answer(accepted)]).await;
+    let engine = instance("e1", upstream.address(), InstanceKind::Engine);
+    let answer = control().order(&engine, &order()).await.expect("an answer");
+    assert_eq!(answer.status, OrderStatus::Accepted);
+    let text = String::from_utf8(upstream.received()).expect("text");
+    assert!(text.starts_with("POST /orders HTTP/1.1\r\n"), "{text}");
+    let (_, body) = text.split_once("\r\n\r\n").expect("a body");
+    assert_eq!(
+        serde_json::from_str::<Order>(body).expect("an order"),
+        order()
+    );
+}
+
+#[tokio::test]
+async fn reports_and_events_are_read() {
+    let report = json!("2c\r\n{\"age\":7,\"memory\":9,\"used\":1,\"generation\":2}\r\n0\r\n\r\n");
+    let events = json!("b\r\n{\"next\":12}\r\n0\r\n\r\n");
+    let upstream = Upstream::bind(vec![Act::Answer(report), Act::Answer(events)]).await;
+    let engine = instance("e1", upstream.address(), InstanceKind::Engine);
+    let control = control();
+    assert_eq!(control.report(&engine).await.expect("a report").age, 7);
+    assert_eq!(control.events(&engine, 4).await.expect("events").next, 12);
+    let text = String::from_utf8(upstream.received()).expect("text");
+    assert!(text.contains("GET /load HTTP/1.1\r\n"), "{text}");
+    assert!(
+        text.contains("GET /cache-events?from=4 HTTP/1.1\r\n"),
+        "{text}"
+    );
+}
+
+#[tokio::test]
+async fn a_lost_order_is_unknown_and_an_unsent_one_unreachable() {
+    let cut = json!("15\r\n{\"status\"");
+    let declined = "HTTP/1.1 503 Leaving\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    for (act, expected) in [
+        (Act::CloseAfterRead, EngineError::Unknown),
+        (Act::Silent, EngineError::Unknown),
+        (Act::AnswerThenClose(cut), EngineError::Unknown),
+        (Act::Answer(declined), EngineError::Unreachable),
+        (
+            Act::Answer(json!("2\r\n{}\r\n0\r\n\r\n")),
+            EngineError::Malformed,
+        ),
+    ] {
+        let upstream = Upstream::bind(vec![act]).await;
+        let engine = instance("e1", upstream.address(), InstanceKind::Engine);
+        let error = control().order(&engine, &order()).await.expect_err("fails");
+        assert_eq!(error, expected, "{act:?}");
+        assert_eq!(upstream.requests(), 1);
+    }
+    let upstream = Upstream::bind(Vec::new()).await;
+    let engine = instance("e1", upstream.address(), InstanceKind::Engine);
+    upstream.stop().await;
+    let error = control().order(&engine, &order()).await.expect_err("fails");
+    assert_eq!(error, EngineError::Unreachable);
+}
--- a/tests/route_transport.rs
+++ b/tests/route_transport.rs
@@ -74,6 +74,21 @@
     }
 }
 
+#[tokio::test]
+async fn a_fresh_request_uses_no_idle_connection_and_leaves_none() {
+    let upstream = Upstream::bind(vec![Act::Answer(OK); 3]).await;
+    let transport = transport();
+    for (fresh, connections) in [(false, 1), (true, 2), (false, 2)] {
+        let answer = send(&transport, &upstream, fresh).await.expect("answered");
+        read(answer).await.expect("whole");
+        settle().await;
+        assert_eq!(upstream.connections(), connections);
+    }
+    let received = upstream.received().to_ascii_lowercase();
+    let text = String::from_utf8_lossy(&received);
+    assert_eq!(text.matches("connection: close").count(), 1);
+}
+
 #[tokio::test]
 async fn a_cut_answer_is_an_error_and_never_a_clean_end() {
     let cuts = [
@@ -148,6 +163,41 @@
     assert_eq!(upstream.connections(), 0);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_request_given_up_at_any_moment_and_called_unsent_never_arrives() {
+    let upstream = Upstream::bind(vec![Act::Answer(OK); 4000]).await;
+    let to = instance("s1", upstream.address(), InstanceKind::Service);
+    let transport = transport();
+    let mut unsent = Vec::new();
+    let mut arrived = 0;
+    for round in 0..400_u64 {
+        let sends = (0..8_u64).map(|lane| {
+            let mut request = post(&format!("/{round}-{lane}/"), "{}");
+            request.fresh = lane % 2 == 0;
+            let bound = Duration::from_micros((round * 37 + lane * 211) % 1500);
+            let sent = transport.send(&to, request, Instant::now() + bound);
+            async move { (round, lane, sent.await.map(|answer| answer.status)) }
+        });
+        for (round, lane, result) in futures_util::future::join_all(sends).await {
+            match result {
+                Err(SendError::Unsent(_)) => unsent.push(format!("/{round}-{lane}/")),
+                Ok(_) => arrived += 1,
+                Err(_) => {}
+            }
+        }
+    }
+    settle().await;
+    let received = upstream.received();
+    let text = String::from_utf8_lossy(&received);
+    let false_words: Vec<_> = unsent.iter().filter(|path| text.contains(*path)).collect();
+    assert!(
+        unsent.len() > 100 && arrived > 100,
+        "{} and {arrived}",
+        unsent.len()
+    );
+    assert!(false_words.is_empty(), "{false_words:?}");
+}
+
 #[tokio::test]
 async fn an_upstream_that_declines_says_not_run() {
     let declined = "HTTP/1.1 503 Leaving\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
