--- /dev/null
+++ b/standin/src/experiment/mod.rs
@@ -0,0 +1,3 @@
+//! Experiments: short loops that drive the pure decisions with fakes and a virtual clock.
+
+pub mod routes;
