--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod caller;
 pub mod engine;
+pub mod experiment;
 pub mod fault;
 pub mod gate;
 pub mod history;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -11,6 +11,7 @@
 use basilgw::units::Bytes;
 use bpaf::Bpaf;
 use standin::engine::{Engine, EngineSettings};
+use standin::experiment::{self, Experiment};
 use standin::history::{self, Bounds, HistoryError};
 use standin::http::Addresses;
 use standin::platform::Platform;
@@ -76,6 +77,9 @@
         #[bpaf(positional("FILE"), some("at least one FILE is needed"))]
         files: Vec<PathBuf>,
     },
+    /// Drive the decisions with fakes in virtual time; prints JSON lines
+    #[bpaf(command)]
+    Experiment(#[bpaf(external(experiment::experiment))] Experiment),
 }
 
 /// Why a command failed.
@@ -154,6 +158,7 @@
             ended().await?;
         }
         Command::CheckHistory { files } => return check_files(&files),
+        Command::Experiment(experiment) => return Ok(experiment.run()),
     }
     Ok(ExitCode::SUCCESS)
 }
