--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -97,10 +97,13 @@
     let base = open_base(config)?;
     let gate = servers::bind_gate(&base.config).await?;
     let ops_listener = servers::bind_ops(&base.config).await?;
+    let at = ops_listener.local_addr();
+    let operators_at = at.map_err(|e| servers::bind_error(base.config.operators_at, e))?;
     let routes = open_routes(&base)?;
     let fleet = open_fleet(&base, &routes).await?;
     info!(base.log, "started";
-        "callers" => %gate.address(), "peers" => %fleet.node.local_addr(),
+        "callers" => %gate.address(), "operators" => %operators_at,
+        "peers" => %fleet.node.local_addr(),
         "generation" => base.generation.0);
     let edge = open_edge(&base, &routes, &fleet)?;
     let ops = open_ops(&base, &fleet);
