--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! store and the VM list, [`engine`] a model engine, [`service`] a plain service, [`caller`] a
 //! caller that verifies its answers. Every one records a [`history`], which the checker joins.
 
+pub mod bench;
 pub mod caller;
 pub mod engine;
 pub mod experiment;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -10,6 +10,8 @@
 use basilgw::ids::{Generation, UpstreamId};
 use basilgw::units::Bytes;
 use bpaf::Bpaf;
+use standin::bench::load::{self, Plan};
+use standin::bench::passthrough;
 use standin::engine::{Engine, EngineSettings};
 use standin::experiment::{self, Experiment};
 use standin::history::{self, Bounds, HistoryError};
@@ -67,6 +69,44 @@
         #[bpaf(argument("ID"))]
         name: UpstreamId,
     },
+    /// Pass every request on to one upstream, to compare with
+    #[bpaf(command)]
+    Passthrough {
+        /// Address to listen on
+        #[bpaf(argument("ADDRESS"), fallback(SocketAddr::from(([127, 0, 0, 1], 0))))]
+        listen: SocketAddr,
+        /// The upstream
+        #[bpaf(argument("ADDRESS"))]
+        to: SocketAddr,
+        /// The replica that every request names
+        #[bpaf(argument("ID"))]
+        replica: String,
+    },
+    /// Send streamed load and print what came back and what it cost, as a JSON line
+    #[bpaf(command)]
+    Load {
+        /// Where to
+        #[bpaf(argument("ADDRESS"))]
+        to: SocketAddr,
+        /// Callers at once
+        #[bpaf(argument("N"), fallback(1))]
+        callers: usize,
+        /// Requests of each caller
+        #[bpaf(argument("N"), fallback(10))]
+        requests: usize,
+        /// Tokens of each answer
+        #[bpaf(argument("N"), fallback(100))]
+        tokens: usize,
+        /// The key that each request carries
+        #[bpaf(argument("KEY"))]
+        key: String,
+        /// The model asked for
+        #[bpaf(argument("MODEL"))]
+        model: String,
+        /// The process whose cost is read
+        #[bpaf(argument("PID"))]
+        pid: u32,
+    },
     /// Check a history, given as JSON lines, for every point that must always hold
     ///
     /// Prints a verdict for each point; "no cases" says that the history shows nothing of it.
@@ -100,6 +140,12 @@
     out.flush()
 }
 
+fn announce_one(listening: SocketAddr) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    writeln!(out, "{{\"listening\":\"{listening}\"}}")?;
+    out.flush()
+}
+
 /// Waits until the process is told to end.
 async fn ended() -> io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
@@ -157,6 +203,35 @@
             announce(service.addresses())?;
             ended().await?;
         }
+        Command::Passthrough {
+            listen,
+            to,
+            replica,
+        } => passthrough::run(listen, to, replica, announce_one).await?,
+        Command::Load {
+            to,
+            callers,
+            requests,
+            tokens,
+            key,
+            model,
+            pid,
+        } => {
+            let plan = Plan {
+                to,
+                callers,
+                requests,
+                tokens,
+                key,
+                model,
+                pid,
+            };
+            let report = load::run(plan).await?;
+            println!(
+                "{}",
+                serde_json::to_string(&report).map_err(io::Error::other)?
+            );
+        }
         Command::CheckHistory { files } => return check_files(&files),
         Command::Experiment(experiment) => return Ok(experiment.run()),
     }
