--- /dev/null
+++ b/standin/src/experiment/mod.rs
@@ -0,0 +1,30 @@
+//! Experiments: short loops that drive the pure decisions with fakes and a virtual clock.
+
+pub mod routes;
+
+use std::io;
+use std::process::ExitCode;
+
+use bpaf::Bpaf;
+
+/// One experiment.
+#[derive(Clone, Copy, Debug, Bpaf)]
+#[bpaf(generate(experiment))]
+pub enum Experiment {
+    /// Choice of an engine beside simpler policies
+    #[bpaf(command)]
+    Routes {
+        /// Seed of the draws
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+    },
+}
+
+impl Experiment {
+    /// Runs it; its lines go to standard output.
+    pub fn run(self) -> ExitCode {
+        match self {
+            Self::Routes { seed } => routes::run(seed, &mut io::stdout().lock()),
+        }
+    }
+}
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,2 +1,175 @@
-//! Stand-ins.
-fn main() {}
+//! Runs one stand-in, or checks a history.
+
+use std::fs;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use basilgw::ids::{Generation, UpstreamId};
+use basilgw::units::Bytes;
+use bpaf::Bpaf;
+use standin::engine::{Engine, EngineSettings};
+use standin::experiment::{self, Experiment};
+use standin::history::{self, Bounds, HistoryError};
+use standin::http::Addresses;
+use standin::platform::Platform;
+use standin::service::PlainService;
+use thiserror::Error;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Exit code where a point is violated.
+const VIOLATED: u8 = 1;
+
+/// Exit code where a command failed.
+const FAILED: u8 = 2;
+
+/// Stand-ins for what basilgw meets outside
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// Serve the platform's object API and VM list
+    #[bpaf(command)]
+    Platform {
+        /// Address to listen on
+        #[bpaf(argument("ADDRESS"), fallback(SocketAddr::from(([127, 0, 0, 1], 0))))]
+        listen: SocketAddr,
+    },
+    /// Serve a model engine
+    #[bpaf(command)]
+    Engine {
+        /// Address to listen on
+        #[bpaf(argument("ADDRESS"), fallback(SocketAddr::from(([127, 0, 0, 1], 0))))]
+        listen: SocketAddr,
+        /// Name in the platform's list
+        #[bpaf(argument("ID"))]
+        name: UpstreamId,
+        /// Memory, such as 80GiB
+        #[bpaf(argument("BYTES"), fallback(Bytes(80 << 30)))]
+        memory: Bytes,
+        /// Incarnation
+        #[bpaf(argument("N"), fallback(Generation(1)))]
+        generation: Generation,
+        /// Carry out orders with an old fencing number
+        unfenced: bool,
+        /// Pause between two tokens, in milliseconds
+        #[bpaf(argument("MS"), fallback(5))]
+        pace: u64,
+    },
+    /// Serve a plain service
+    #[bpaf(command)]
+    Service {
+        /// Address to listen on
+        #[bpaf(argument("ADDRESS"), fallback(SocketAddr::from(([127, 0, 0, 1], 0))))]
+        listen: SocketAddr,
+        /// Name in the platform's list
+        #[bpaf(argument("ID"))]
+        name: UpstreamId,
+    },
+    /// Check a history, given as JSON lines, for every point that must always hold
+    ///
+    /// Prints a verdict for each point; "no cases" says that the history shows nothing of it.
+    /// Exits 1 where a point is violated and 2 where the history cannot be checked.
+    #[bpaf(command("check-history"))]
+    CheckHistory {
+        /// Files whose lines are joined
+        #[bpaf(positional("FILE"), some("at least one FILE is needed"))]
+        files: Vec<PathBuf>,
+    },
+    /// Drive the decisions with fakes in virtual time; prints JSON lines
+    #[bpaf(command)]
+    Experiment(#[bpaf(external(experiment::experiment))] Experiment),
+}
+
+/// Why a command failed.
+#[derive(Debug, Error)]
+enum CommandError {
+    /// A socket or a file failed.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// A history cannot be checked.
+    #[error(transparent)]
+    History(#[from] HistoryError),
+}
+
+fn announce(addresses: Addresses) -> io::Result<()> {
+    let line = serde_json::to_string(&addresses)?;
+    let mut out = io::stdout().lock();
+    writeln!(out, "{line}")?;
+    out.flush()
+}
+
+/// Waits until the process is told to end.
+async fn ended() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+fn check_files(files: &[PathBuf]) -> Result<ExitCode, CommandError> {
+    let mut lines = String::new();
+    for file in files {
+        lines += &fs::read_to_string(file)?;
+    }
+    let findings = history::check(history::parse(&lines)?, &Bounds::default())?;
+    print!("{}", findings.summary());
+    let sound = findings.violations.is_empty();
+    Ok(if sound {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(VIOLATED)
+    })
+}
+
+async fn run(command: Command) -> Result<ExitCode, CommandError> {
+    match command {
+        Command::Platform { listen } => {
+            let platform = Platform::bind(listen).await?;
+            announce(platform.addresses())?;
+            ended().await?;
+        }
+        Command::Engine {
+            listen,
+            name,
+            memory,
+            generation,
+            unfenced,
+            pace,
+        } => {
+            let settings = EngineSettings {
+                memory,
+                generation,
+                fenced: !unfenced,
+                pace: Duration::from_millis(pace),
+                ..EngineSettings::new(name)
+            };
+            let engine = Engine::bind(listen, settings).await?;
+            announce(engine.addresses())?;
+            ended().await?;
+        }
+        Command::Service { listen, name } => {
+            let service = PlainService::bind(listen, name).await?;
+            announce(service.addresses())?;
+            ended().await?;
+        }
+        Command::CheckHistory { files } => return check_files(&files),
+        Command::Experiment(experiment) => return Ok(experiment.run()),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run(command().run()).await {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("standin: {error}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
