Limit: hold a share in as many parts from the start, and spread them as VMs come

Cause: the count of parts was taken from the VMs listed when the record was created, so a fleet that was just starting got one part for good. Change: the count depends on the burst alone; a VM that holds several parts hands one to a VM that holds none. A part whose hand-over was tried is not granted from again, as the answer to the write may have been lost after it took effect. The view of the VMs is read by the timer and no more by each request.

--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -4,12 +4,12 @@
 //! share and one for each caller with a share of its own) and the requests that wait for tokens.
 //! A caller's share is held by the same holders, in as many parts, under a name of its own.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::{Duration, Instant};
 
 use super::bucket::Share;
 use super::holder::Holder;
-use super::holding::Local;
+use super::holding::{Holding, Local};
 use super::record::{Record, RecordTimes, StoreCall, StoreResult};
 use super::spender::{LeaseTimes, Sending, Spender};
 use super::vms::LiveVms;
@@ -86,6 +86,9 @@
     callers: BTreeMap<CallerId, Pool>,
     /// Pools of callers that lost their own share; kept, as the numbers of their asks go on.
     parked: BTreeMap<CallerId, Pool>,
+    /// Parts that this VM tried to hand over, with their epochs; never granted from again, as the
+    /// write may have taken effect.
+    given_up: BTreeSet<(usize, Epoch)>,
     queue: VecDeque<Waiting>,
     tickets: u64,
 }
@@ -118,6 +121,7 @@
             whole,
             callers: BTreeMap::new(),
             parked: BTreeMap::new(),
+            given_up: BTreeSet::new(),
             queue: VecDeque::new(),
             tickets: 0,
         };
@@ -257,6 +261,9 @@
     pub fn pump(&mut self, view: &LiveVms, now: Instant, actions: &mut Vec<Action>) {
         let burst = self.shares.whole.burst;
         let call = self.record.call(burst, self.tuning.holders, view, now);
+        if let Some(StoreCall::Write(_, next)) = &call {
+            self.give_up(next);
+        }
         actions.extend(call.map(Action::Store));
         for _ in 0..LOCAL_ROUNDS {
             self.serve(now, actions);
@@ -389,6 +396,7 @@
         if self.record.is_leaving() {
             held.clear();
         }
+        held.retain(|index, epoch| !self.given_up.contains(&(*index, *epoch)));
         let (life, count) = (self.tuning.leases.life, holding.parts.len());
         for pool in self.pools_mut() {
             pool.spender.follow(&holding, view, now);
@@ -396,6 +404,22 @@
         }
     }
 
+    /// Stops granting from the parts that a record about to be written gives to others.
+    fn give_up(&mut self, next: &Holding) {
+        let Some(holding) = self.record.holding() else {
+            return;
+        };
+        let kept = next.held_by(&self.local);
+        let mut lost = holding.held_by(&self.local);
+        lost.retain(|index, epoch| kept.get(index) != Some(epoch));
+        for (index, epoch) in lost {
+            self.given_up.insert((index, epoch));
+            for pool in self.pools_mut() {
+                pool.parts.remove(&index);
+            }
+        }
+    }
+
     fn parts(&self) -> usize {
         self.record
             .holding()
--- a/src/limit/holding.rs
+++ b/src/limit/holding.rs
@@ -38,10 +38,11 @@
     pub parts: Vec<Part>,
 }
 
-/// Parts that a share of `burst` is held in.
-pub fn part_count(burst: Tokens, holders: u32, vms: usize) -> usize {
+/// Parts that a share of `burst` is held in. Does not depend on the VMs, as the count stays while
+/// a fleet grows; a VM alone holds all of them.
+pub fn part_count(burst: Tokens, holders: u32) -> usize {
     let by_burst = burst.0 / MIN_PART_BURST.0;
-    let most = (holders as usize).min(vms).max(1);
+    let most = holders.max(1) as usize;
     usize::try_from(by_burst).unwrap_or(most).clamp(1, most)
 }
 
@@ -116,6 +117,23 @@
         others.then_some(moved)
     }
 
+    /// The record after `local` has handed one of several parts to a VM that holds none; `None`
+    /// where there is no such VM.
+    pub fn spread(&self, account: &ClientAccount, local: &Local, view: &LiveVms) -> Option<Self> {
+        let held = self.held_by(local);
+        let (last, _) = held.last_key_value().filter(|_| held.len() > 1)?;
+        let heir = self.successor(account, *last, local, view, true);
+        if self.parts.iter().any(|part| part.vm == heir.vm) {
+            return None;
+        }
+        let mut next = self.clone();
+        next.parts[*last] = Part {
+            epoch: self.parts[*last].epoch.next(),
+            ..heir
+        };
+        Some(next)
+    }
+
     fn moved<F>(
         &self,
         account: &ClientAccount,
--- a/src/limit/record.rs
+++ b/src/limit/record.rs
@@ -231,23 +231,15 @@
             if self.leaving {
                 return None;
             }
-            let listed = view
-                .vms
-                .values()
-                .filter(|live| live.listed && !live.leaving);
-            let parts = part_count(burst, holders, listed.count());
+            let parts = part_count(burst, holders);
             return Some(Holding::create(&self.account, parts, &self.local, view));
         };
         if self.leaving {
             return holding.release(&self.account, &self.local, view);
         }
-        holding.repair(
-            &self.account,
-            &self.local,
-            view,
-            &self.absence,
-            self.times.lag,
-        )
+        let (absence, lag) = (&self.absence, self.times.lag);
+        let repaired = holding.repair(&self.account, &self.local, view, absence, lag);
+        repaired.or_else(|| holding.spread(&self.account, &self.local, view))
     }
 
     /// This VM's delay before it acts on what every VM sees.
--- a/src/limit/shell.rs
+++ b/src/limit/shell.rs
@@ -19,7 +19,7 @@
 use super::holding::{Holding, Local};
 use super::record::{RecordTimes, StoreCall, StoreResult};
 use super::spender::LeaseTimes;
-use super::vms::VmView;
+use super::vms::{LiveVms, VmView};
 use super::{Grant, Limiter, Reserve};
 use crate::clock::Clock;
 use crate::ids::{ClientAccount, Generation, ObjectKey, VmId};
@@ -32,6 +32,7 @@
 
 const LEAST_TICK_MS: u64 = 5;
 const MOST_TICK_MS: u64 = 200;
+const VIEW_MS: u64 = 100;
 
 /// Sends frames to other VMs; a frame that cannot be sent is lost.
 pub trait LeaseLink: Send + Sync + Debug {
@@ -75,6 +76,8 @@
     parts: Parts,
     tuning: Tuning,
     cells: ArcSwap<Cells>,
+    /// The VMs, read by the timer so that no request pays for it.
+    view: ArcSwap<LiveVms>,
     /// Names of shares, callers' own included, and the accounts they belong to.
     names: ArcSwap<BTreeMap<ClientAccount, ClientAccount>>,
     configuring: Mutex<()>,
@@ -114,6 +117,7 @@
             holders: limits.holders,
         };
         let inner = Arc::new(Inner {
+            view: ArcSwap::new(parts.view.vms()),
             parts,
             tuning,
             cells: ArcSwap::default(),
@@ -244,7 +248,7 @@
     }
 
     fn resize(&self, cell: &Cell, shares: Shares) {
-        let view = self.parts.view.vms();
+        let view = self.view.load_full();
         let now = self.now();
         lock(&cell.state).account.configure(shares, &view, now);
     }
@@ -279,7 +283,7 @@
 
     /// Carries out what an account decides now.
     fn pump(self: &Arc<Self>, cell: &Arc<Cell>) {
-        let view = self.parts.view.vms();
+        let view = self.view.load_full();
         let now = self.now();
         let mut actions = Vec::new();
         let mut state = lock(&cell.state);
@@ -317,7 +321,7 @@
             Some(key) => self.call_store(&key, request).await,
             None => StoreResult::Failed,
         };
-        let view = self.parts.view.vms();
+        let view = self.view.load_full();
         let now = self.now();
         lock(&cell.state).account.stored(result, &view, now);
         self.pump(&cell);
@@ -390,8 +394,13 @@
 }
 
 async fn run_timer(inner: Arc<Inner>) {
+    let mut viewed = inner.now();
     loop {
         let now = inner.now();
+        if now >= viewed + Duration::from_millis(VIEW_MS) {
+            inner.view.store(inner.parts.view.vms());
+            viewed = now;
+        }
         let cells = inner.cells.load_full();
         let mut next = now + Duration::from_millis(MOST_TICK_MS);
         for cell in cells.values() {
