--- a/tests/model_props.rs
+++ b/tests/model_props.rs
@@ -1,101 +1,18 @@
 //! Histories of the steps that carry decisions out, against their two invariants.
 //!
-//! Three VMs run steps against a store and two engines, one of which ignores fencing numbers. A
+//! Two VMs run steps against a store and two engines, one of which ignores fencing numbers. A
 //! history resolves each call in any order: answered, answered stale, lost before or after its
 //! effect, taking effect later, twice, or never; VMs crash and pause between any two calls, engines
 //! restart, and time passes. After each event every loaded replica and adapter must be decided and
 //! reserved, the decided within the maximum, the reserved within the memory.
 
-use std::collections::BTreeMap;
-use std::future::poll_fn;
-use std::sync::{Arc, Mutex};
-use std::task::{Context, Poll, Waker};
-use std::time::{Duration, Instant, SystemTime};
-
-use basilgw::clock::Clock;
-use basilgw::engine::{
-    CacheEvents, EngineControl, EngineError, LoadReport, Order, OrderAnswer, OrderKind,
-    OrderStatus, ReplicaReport,
-};
-use basilgw::ids::{AdapterId, Epoch, Generation, ModelId, ObjectKey, ReplicaId, Version};
-use basilgw::model::decided::{Decided, IntentState, Reserved, engine_key, model_key, replica_id};
-use basilgw::model::evidence::{Evidence, Seen};
-use basilgw::model::flow::{FlowError, Flows, Load, Target, upstream};
-use basilgw::platform::{Instance, InstanceKind, InstanceState, Object, ObjectStore, StoreError};
-use basilgw::schema::engine::ReplicaState;
-use basilgw::units::Bytes;
-use futures_util::future::BoxFuture;
+mod model_steps;
+
+use model_steps::{Act, ENGINES, Event, Fate, VMS, World};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
-const LIFE: Duration = Duration::from_secs(30);
-const MEMORY: Bytes = Bytes(100);
-const WEIGHTS: Bytes = Bytes(40);
-const FLOOR: Bytes = Bytes(5);
-const ADAPTER: Bytes = Bytes(5);
-const VMS: usize = 2;
-const ENGINES: usize = 2;
-const MAXIMA: [u32; 2] = [1, 2];
-
-#[derive(Clone, Copy, Debug)]
-enum Act {
-    Load,
-    Renew,
-    Ready,
-    Unload,
-    Release,
-    Sweep,
-    Attach,
-    Detach,
-    DropAdapter,
-    Expel,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Fate {
-    Answered,
-    Held,
-    Stale,
-    LostAfter,
-    Delayed,
-    LostBefore,
-    Doubled,
-}
-
-#[derive(Clone, Debug)]
-enum Event {
-    Start {
-        vm: usize,
-        act: Act,
-        pick: usize,
-        fates: Vec<Fate>,
-    },
-    Resume {
-        vm: usize,
-        fates: Vec<Fate>,
-    },
-    Late {
-        pick: usize,
-    },
-    Observe {
-        vm: usize,
-    },
-    Report {
-        vm: usize,
-        back: usize,
-    },
-    Crash {
-        vm: usize,
-    },
-    Advance {
-        quarters: u32,
-    },
-    Restart {
-        engine: usize,
-    },
-}
-
 /// Fates of a step's next calls; calls beyond them wait, as in a paused VM.
 fn fates() -> impl Strategy<Value = Vec<Fate>> {
     let fate = prop_oneof![
@@ -129,670 +46,6 @@
     ]
 }
 
-type Slot<T> = Arc<Mutex<Option<T>>>;
-
-#[derive(Debug)]
-enum Call {
-    Get(ObjectKey, Slot<Result<Option<Object>, StoreError>>),
-    Put(Write, Slot<Result<Version, StoreError>>),
-    Order(Sent, Slot<Result<OrderAnswer, EngineError>>),
-}
-
-#[derive(Clone, Debug)]
-struct Write {
-    key: ObjectKey,
-    expected: Version,
-    value: bytes::Bytes,
-}
-
-#[derive(Clone, Debug)]
-struct Sent {
-    engine: usize,
-    order: Order,
-    at: Instant,
-}
-
-#[derive(Debug)]
-struct TestClock(Mutex<Instant>);
-
-impl Clock for TestClock {
-    fn now(&self) -> Instant {
-        *self.0.lock().unwrap()
-    }
-
-    fn wall(&self) -> SystemTime {
-        SystemTime::UNIX_EPOCH
-    }
-}
-
-/// One VM's side of the store and the engines: calls wait until a history resolves them.
-#[derive(Debug)]
-struct Port {
-    calls: Mutex<Vec<Call>>,
-    clock: Arc<TestClock>,
-}
-
-fn ask<T>(slot: Slot<T>) -> BoxFuture<'static, T>
-where
-    T: Send + 'static,
-{
-    Box::pin(poll_fn(move |_| match slot.lock().unwrap().take() {
-        Some(answer) => Poll::Ready(answer),
-        None => Poll::Pending,
-    }))
-}
-
-impl ObjectStore for Port {
-    fn get<'a>(&'a self, key: &'a ObjectKey) -> BoxFuture<'a, Result<Option<Object>, StoreError>> {
-        let slot = Slot::default();
-        let call = Call::Get(key.clone(), Arc::clone(&slot));
-        self.calls.lock().unwrap().push(call);
-        ask(slot)
-    }
-
-    fn put<'a>(
-        &'a self,
-        key: &'a ObjectKey,
-        expected: Version,
-        value: bytes::Bytes,
-    ) -> BoxFuture<'a, Result<Version, StoreError>> {
-        let slot = Slot::default();
-        let key = key.clone();
-        let write = Write {
-            key,
-            expected,
-            value,
-        };
-        self.calls
-            .lock()
-            .unwrap()
-            .push(Call::Put(write, Arc::clone(&slot)));
-        ask(slot)
-    }
-
-    fn delete<'a>(
-        &'a self,
-        _key: &'a ObjectKey,
-        _expected: Version,
-    ) -> BoxFuture<'a, Result<(), StoreError>> {
-        unreachable!("no step deletes")
-    }
-
-    fn watch<'a>(
-        &'a self,
-        _key: &'a ObjectKey,
-        _after: Version,
-        _wait: Duration,
-    ) -> BoxFuture<'a, Result<Option<Object>, StoreError>> {
-        unreachable!("no step watches")
-    }
-}
-
-impl EngineControl for Port {
-    fn order<'a>(
-        &'a self,
-        engine: &'a Instance,
-        order: &'a Order,
-    ) -> BoxFuture<'a, Result<OrderAnswer, EngineError>> {
-        let slot = Slot::default();
-        let sent = Sent {
-            engine: usize::from(engine.vm.as_str() == "e1"),
-            order: order.clone(),
-            at: self.clock.now(),
-        };
-        self.calls
-            .lock()
-            .unwrap()
-            .push(Call::Order(sent, Arc::clone(&slot)));
-        ask(slot)
-    }
-
-    fn report<'a>(
-        &'a self,
-        _engine: &'a Instance,
-    ) -> BoxFuture<'a, Result<LoadReport, EngineError>> {
-        unreachable!("no step reads reports")
-    }
-
-    fn events<'a>(
-        &'a self,
-        _engine: &'a Instance,
-        _from: u64,
-    ) -> BoxFuture<'a, Result<CacheEvents, EngineError>> {
-        unreachable!("no step reads events")
-    }
-}
-
-type Running = (
-    BoxFuture<'static, Result<(), FlowError>>,
-    Option<ReplicaId>,
-    usize,
-);
-
-struct Vm {
-    port: Arc<Port>,
-    flows: Flows,
-    running: Option<Running>,
-    evidence: Evidence,
-    decided: BTreeMap<ModelId, Decided>,
-    reserved: Vec<Reserved>,
-    reports: Vec<Option<Seen>>,
-}
-
-#[derive(Clone, Debug)]
-struct Loaded {
-    model: ModelId,
-    adapters: Vec<AdapterId>,
-}
-
-struct Engine {
-    instance: Instance,
-    loaded: BTreeMap<ReplicaId, Loaded>,
-    fences: BTreeMap<ModelId, Epoch>,
-    history: Vec<(Instant, LoadReport)>,
-}
-
-struct World {
-    clock: Arc<TestClock>,
-    vms: Vec<Vm>,
-    engines: Vec<Engine>,
-    objects: BTreeMap<ObjectKey, Vec<bytes::Bytes>>,
-    late_writes: Vec<Write>,
-    late_orders: Vec<Sent>,
-    nonce: u64,
-}
-
-fn id<T>(text: &str) -> T
-where
-    T: std::str::FromStr,
-    T::Err: std::fmt::Debug,
-{
-    text.parse().unwrap()
-}
-
-fn model(n: usize) -> ModelId {
-    id(&format!("m{n}"))
-}
-
-fn adapter() -> AdapterId {
-    id("a")
-}
-
-impl Vm {
-    fn new(clock: &Arc<TestClock>) -> Self {
-        let port = Arc::new(Port {
-            calls: Mutex::default(),
-            clock: Arc::clone(clock),
-        });
-        let flows = Flows {
-            store: Arc::<Port>::clone(&port),
-            engines: Arc::<Port>::clone(&port),
-            clock: Arc::<TestClock>::clone(clock),
-            life: LIFE,
-        };
-        Self {
-            port,
-            flows,
-            running: None,
-            evidence: Evidence::default(),
-            decided: BTreeMap::new(),
-            reserved: vec![Reserved::default(); ENGINES],
-            reports: vec![None; ENGINES],
-        }
-    }
-
-    /// Whether this VM would take the step by what it saw, as the planner checks it.
-    fn allows(&self, act: Act, target: &Target, engine: usize, state: IntentState) -> bool {
-        let seen = self.reports[engine].as_ref();
-        let replica = &target.replica;
-        match act {
-            Act::Ready => seen.is_some_and(|s| s.has(replica)),
-            Act::Release => {
-                let gone = seen.is_some_and(|s| self.evidence.gone(replica, s, LIFE));
-                state == IntentState::Unloading && gone
-            }
-            Act::DropAdapter => seen.is_some_and(|s| {
-                let evidence = &self.evidence;
-                evidence
-                    .adapter_gone(replica, &adapter(), s, LIFE)
-                    .is_some()
-            }),
-            Act::Attach | Act::Detach => state == IntentState::Ready,
-            _ => true,
-        }
-    }
-
-    fn intents(&self) -> Vec<(Target, usize, IntentState)> {
-        let mut intents = Vec::new();
-        for (model, decided) in &self.decided {
-            for (replica, intent) in &decided.replicas {
-                let target = target(model, replica, WEIGHTS + FLOOR);
-                let engine = usize::from(intent.engine.as_str() == "e1");
-                intents.push((target, engine, intent.state));
-            }
-        }
-        intents
-    }
-}
-
-fn target(model: &ModelId, replica: &ReplicaId, bytes: Bytes) -> Target {
-    Target {
-        model: model.clone(),
-        replica: replica.clone(),
-        version: id("v"),
-        bytes,
-    }
-}
-
-impl World {
-    fn new() -> Self {
-        let clock = Arc::new(TestClock(Mutex::new(Instant::now() + LIFE * 100)));
-        let engines = (0..ENGINES).map(|n| Engine {
-            instance: Instance {
-                address: "".into(),
-                centre: id("dc"),
-                fenced: n == 0,
-                generation: Generation(1),
-                kind: InstanceKind::Engine,
-                memory: Some(MEMORY),
-                service: None,
-                state: InstanceState::Live,
-                vm: id(&format!("e{n}")),
-            },
-            loaded: BTreeMap::new(),
-            fences: BTreeMap::new(),
-            history: Vec::new(),
-        });
-        Self {
-            vms: (0..VMS).map(|_| Vm::new(&clock)).collect(),
-            engines: engines.collect(),
-            clock,
-            objects: BTreeMap::new(),
-            late_writes: Vec::new(),
-            late_orders: Vec::new(),
-            nonce: 0,
-        }
-    }
-
-    fn apply(&mut self, event: Event) {
-        match event {
-            Event::Start {
-                vm,
-                act,
-                pick,
-                fates,
-            } => {
-                self.start(vm, act, pick);
-                self.resume(vm, fates);
-            }
-            Event::Resume { vm, fates } => self.resume(vm, fates),
-            Event::Late { pick } => self.late(pick),
-            Event::Observe { vm } => self.observe(vm),
-            Event::Report { vm, back } => self.report(vm, back),
-            Event::Crash { vm } => {
-                self.abandon(vm);
-                self.vms[vm] = Vm::new(&self.clock);
-            }
-            Event::Advance { quarters } => *self.clock.0.lock().unwrap() += LIFE / 4 * quarters,
-            Event::Restart { engine } => {
-                let engine = &mut self.engines[engine];
-                engine.loaded.clear();
-                engine.instance.generation = engine.instance.generation.next();
-            }
-        }
-        let now = self.clock.now();
-        self.late_orders.retain(|sent| sent.at + LIFE > now);
-        for engine in &mut self.engines {
-            engine.snapshot(now);
-        }
-    }
-
-    /// What a crashed VM had sent may take effect yet.
-    fn abandon(&mut self, vm: usize) {
-        for call in std::mem::take(&mut *self.vms[vm].port.calls.lock().unwrap()) {
-            match call {
-                Call::Put(write, _) => self.late_writes.push(write),
-                Call::Order(sent, _) => self.late_orders.push(sent),
-                Call::Get(..) => {}
-            }
-        }
-    }
-
-    fn start(&mut self, vm: usize, act: Act, pick: usize) {
-        if self.vms[vm].running.is_some() {
-            return;
-        }
-        let Some((future, replica, engine)) = self.flow(vm, act, pick) else {
-            return;
-        };
-        self.vms[vm].running = Some((future, replica, engine));
-        self.poll(vm);
-    }
-
-    #[expect(clippy::too_many_lines, reason = "one arm a step")]
-    fn flow(&mut self, vm: usize, act: Act, pick: usize) -> Option<Running> {
-        let flows = self.vms[vm].flows.clone();
-        if let Act::Load = act {
-            let model = model(pick % MAXIMA.len());
-            let engine = pick / MAXIMA.len() % ENGINES;
-            self.nonce += 1;
-            let load = Load {
-                replica: replica_id(&model, self.nonce).unwrap(),
-                maximum: MAXIMA[pick % MAXIMA.len()],
-                model,
-                version: id("v"),
-                weights: WEIGHTS,
-                floor: FLOOR,
-                memory: MEMORY,
-            };
-            let instance = self.engines[engine].instance.clone();
-            let future = Box::pin(async move { flows.load(&instance, &load).await.map(drop) });
-            return Some((future, None, engine));
-        }
-        let this = &self.vms[vm];
-        if let Act::Sweep | Act::Expel = act {
-            return self.stray(vm, act, pick);
-        }
-        let mut intents = this.intents();
-        intents.retain(|(target, engine, state)| this.allows(act, target, *engine, *state));
-        let (target, engine, _) = intents.get(pick % intents.len().max(1))?.clone();
-        let instance = self.engines[engine].instance.clone();
-        let at = upstream(&instance).unwrap();
-        let seen = this.reports[engine].as_ref();
-        let replica = target.replica.clone();
-        let small = Target {
-            bytes: ADAPTER,
-            ..target.clone()
-        };
-        let future: BoxFuture<'static, Result<(), FlowError>> = match act {
-            Act::Renew => Box::pin(async move { flows.renew(&instance, &target).await.map(drop) }),
-            Act::Ready if seen?.has(&replica) => {
-                Box::pin(async move { flows.ready(&target.model, &target.replica).await.map(drop) })
-            }
-            Act::Unload => {
-                let future = async move { flows.unload(&instance, &target).await.map(drop) };
-                return Some((Box::pin(future), Some(replica), engine));
-            }
-            Act::Release => {
-                Box::pin(async move { flows.release(&target.model, &replica, &at).await })
-            }
-            Act::Attach => {
-                let run = async move { flows.attach(&instance, &small, &adapter(), MEMORY).await };
-                Box::pin(run)
-            }
-            Act::Detach => {
-                Box::pin(async move { flows.detach(&instance, &small, &adapter()).await })
-            }
-            Act::DropAdapter => {
-                let evidence = &this.evidence;
-                let since = evidence.adapter_gone(&replica, &adapter(), seen?, LIFE)?;
-                let run = async move { flows.drop_adapter(&at, &replica, &adapter(), since).await };
-                Box::pin(run)
-            }
-            _ => return None,
-        };
-        Some((future, None, engine))
-    }
-
-    /// Sweeps any hold, or expels any reported replica, whether rightly or not.
-    fn stray(&self, vm: usize, act: Act, pick: usize) -> Option<Running> {
-        let this = &self.vms[vm];
-        let flows = this.flows.clone();
-        let engine = pick % ENGINES;
-        let instance = self.engines[engine].instance.clone();
-        let at = upstream(&instance).unwrap();
-        if let Act::Sweep = act {
-            let holds = &this.reserved[engine].holds;
-            let (replica, hold) = holds.iter().nth(pick / ENGINES)?;
-            let (replica, model) = (replica.clone(), hold.model.clone());
-            let run = async move { flows.sweep(&model, &replica, &at).await };
-            return Some((Box::pin(run), None, engine));
-        }
-        let report = &this.reports[engine].as_ref()?.report;
-        let replica = report.replicas.get(pick / ENGINES)?;
-        let target = target(&replica.model, &replica.replica, replica.bytes);
-        let run = async move { flows.expel(&instance, &target).await };
-        Some((Box::pin(run), None, engine))
-    }
-
-    fn poll(&mut self, vm: usize) {
-        let now = self.clock.now();
-        let this = &mut self.vms[vm];
-        let Some((future, replica, engine)) = &mut this.running else {
-            return;
-        };
-        let mut context = Context::from_waker(Waker::noop());
-        let Poll::Ready(result) = future.as_mut().poll(&mut context) else {
-            return;
-        };
-        let instance = &self.engines[*engine].instance;
-        if let (Some(replica), true, true) = (replica, result.is_ok(), instance.fenced) {
-            this.evidence
-                .unload_accepted(replica, instance.generation, now);
-        }
-        this.running = None;
-    }
-
-    fn resume(&mut self, vm: usize, fates: Vec<Fate>) {
-        self.poll(vm);
-        for fate in fates {
-            self.resolve(vm, fate);
-            if let Fate::Held = fate {
-                return;
-            }
-            self.poll(vm);
-        }
-    }
-
-    fn resolve(&mut self, vm: usize, fate: Fate) {
-        let call = self.vms[vm].port.calls.lock().unwrap().pop();
-        match call {
-            Some(Call::Get(key, slot)) => {
-                *slot.lock().unwrap() = Some(self.get(&key, fate));
-            }
-            Some(Call::Put(write, slot)) => {
-                *slot.lock().unwrap() = Some(self.put(write, fate));
-            }
-            Some(Call::Order(sent, slot)) => {
-                *slot.lock().unwrap() = Some(self.order(sent, fate));
-            }
-            None => {}
-        }
-    }
-
-    fn get(&self, key: &ObjectKey, fate: Fate) -> Result<Option<Object>, StoreError> {
-        let versions = self.objects.get(key).map_or(0, Vec::len);
-        let version = match fate {
-            Fate::Stale => versions.saturating_sub(1),
-            Fate::LostBefore => return Err(StoreError::Unavailable),
-            _ => versions,
-        };
-        let values = self.objects.get(key).filter(|_| version > 0);
-        Ok(values.map(|values| Object {
-            version: Version(version as u64),
-            value: values[version - 1].clone(),
-        }))
-    }
-
-    fn put(&mut self, write: Write, fate: Fate) -> Result<Version, StoreError> {
-        match fate {
-            Fate::LostBefore => Err(StoreError::Unavailable),
-            Fate::Delayed => {
-                self.late_writes.push(write);
-                Err(StoreError::Unknown)
-            }
-            Fate::LostAfter => {
-                drop(self.write(&write));
-                Err(StoreError::Unknown)
-            }
-            _ => self.write(&write),
-        }
-    }
-
-    fn write(&mut self, write: &Write) -> Result<Version, StoreError> {
-        let values = self.objects.entry(write.key.clone()).or_default();
-        let now = Version(values.len() as u64);
-        if now != write.expected {
-            return Err(StoreError::Conflict(now));
-        }
-        values.push(write.value.clone());
-        Ok(now.next())
-    }
-
-    fn order(&mut self, sent: Sent, fate: Fate) -> Result<OrderAnswer, EngineError> {
-        if sent.at + LIFE <= self.clock.now() {
-            return Err(EngineError::Unknown);
-        }
-        match fate {
-            Fate::LostBefore => return Err(EngineError::Unreachable),
-            Fate::Delayed => {
-                self.late_orders.push(sent);
-                return Err(EngineError::Unknown);
-            }
-            Fate::Doubled => self.late_orders.push(sent.clone()),
-            _ => {}
-        }
-        let status = self.engines[sent.engine].carry_out(&sent.order);
-        match fate {
-            Fate::LostAfter => Err(EngineError::Unknown),
-            _ => Ok(OrderAnswer { status }),
-        }
-    }
-
-    fn late(&mut self, pick: usize) {
-        if pick < self.late_writes.len() {
-            let write = self.late_writes.remove(pick);
-            drop(self.write(&write));
-            return;
-        }
-        let orders = self.late_orders.len();
-        if orders > 0 {
-            let sent = self.late_orders[pick % orders].clone();
-            self.engines[sent.engine].carry_out(&sent.order);
-        }
-    }
-
-    fn decided(&self, model: &ModelId) -> Decided {
-        self.value(&model_key(model).unwrap())
-    }
-
-    fn reserved(&self, engine: usize) -> Reserved {
-        let at = upstream(&self.engines[engine].instance).unwrap();
-        self.value(&engine_key(&at).unwrap())
-    }
-
-    fn value<T>(&self, key: &ObjectKey) -> T
-    where
-        T: Default + serde::de::DeserializeOwned,
-    {
-        let newest = self.objects.get(key).and_then(|values| values.last());
-        newest.map_or_else(T::default, |v| serde_json::from_slice(v).unwrap())
-    }
-
-    fn observe(&mut self, vm: usize) {
-        let now = self.clock.now();
-        for n in 0..MAXIMA.len() {
-            let decided = self.decided(&model(n));
-            let this = &mut self.vms[vm];
-            this.evidence.see_decided(&decided, now);
-            this.decided.insert(model(n), decided);
-        }
-        for engine in 0..ENGINES {
-            let reserved = self.reserved(engine);
-            let at = upstream(&self.engines[engine].instance).unwrap();
-            let this = &mut self.vms[vm];
-            this.evidence.see_reserved(&at, &reserved, |_| true, now);
-            this.reserved[engine] = reserved;
-        }
-    }
-
-    fn report(&mut self, vm: usize, back: usize) {
-        for (n, engine) in self.engines.iter().enumerate() {
-            if let Some((taken, report)) = engine.history.iter().rev().nth(back) {
-                self.vms[vm].reports[n] = Some(Seen::new(report.clone(), *taken));
-            }
-        }
-    }
-
-    fn check(&self) {
-        for (n, maximum) in MAXIMA.iter().enumerate() {
-            let decided = self.decided(&model(n));
-            assert!(
-                decided.replicas.len() <= *maximum as usize,
-                "maximum passed"
-            );
-        }
-        for (n, engine) in self.engines.iter().enumerate() {
-            let reserved = self.reserved(n);
-            assert!(reserved.total() <= MEMORY, "memory overcommitted");
-            for (replica, loaded) in &engine.loaded {
-                let decided = self.decided(&loaded.model);
-                let intent = decided.replicas.get(replica);
-                assert!(intent.is_some(), "{replica} is loaded but not decided");
-                let hold = reserved.holds.get(replica);
-                assert!(hold.is_some(), "{replica} is loaded but not reserved");
-                for adapter in &loaded.adapters {
-                    let held = hold.unwrap().adapters.get(adapter);
-                    assert!(held.is_some(), "{adapter} is attached but not reserved");
-                }
-            }
-        }
-    }
-}
-
-impl Engine {
-    fn carry_out(&mut self, order: &Order) -> OrderStatus {
-        let fence = self.fences.entry(order.model.clone()).or_default();
-        if self.instance.fenced && order.fence < *fence {
-            return OrderStatus::Stale;
-        }
-        *fence = order.fence.max(*fence);
-        let present = self.loaded.get_mut(&order.replica);
-        match (order.kind, present, order.adapter.clone()) {
-            (OrderKind::Load, None, _) => {
-                let loaded = Loaded {
-                    model: order.model.clone(),
-                    adapters: Vec::new(),
-                };
-                self.loaded.insert(order.replica.clone(), loaded);
-            }
-            (OrderKind::Unload, Some(_), _) => {
-                self.loaded.remove(&order.replica);
-            }
-            (OrderKind::Attach, Some(loaded), Some(adapter)) => {
-                loaded.adapters = vec![adapter];
-            }
-            (OrderKind::Detach, Some(loaded), _) => loaded.adapters.clear(),
-            (OrderKind::Attach, None, _) => return OrderStatus::Unknown,
-            _ => {}
-        }
-        OrderStatus::Accepted
-    }
-
-    fn snapshot(&mut self, now: Instant) {
-        let replicas = self.loaded.iter().map(|(replica, loaded)| ReplicaReport {
-            adapters: loaded.adapters.clone(),
-            bytes: WEIGHTS + FLOOR,
-            model: loaded.model.clone(),
-            queued: 0,
-            replica: replica.clone(),
-            running: 0,
-            state: ReplicaState::Ready,
-            version: id("v"),
-        });
-        let report = LoadReport {
-            age: 0,
-            checkpoints: Vec::new(),
-            generation: self.instance.generation,
-            leaving: false,
-            memory: MEMORY,
-            replicas: replicas.collect(),
-            used: Bytes::ZERO,
-        };
-        self.history.push((now, report));
-    }
-}
-
 /// Events need no state of their own: any may follow any.
 #[derive(Clone, Debug)]
 struct Any;
@@ -848,3 +101,151 @@
     #[test]
     fn bounds_hold_after_each_event(sequential 1..300 => Steps);
 }
+
+fn done() -> Vec<Fate> {
+    vec![Fate::Answered; 20]
+}
+
+fn act(vm: usize, act: Act) -> Event {
+    let fates = done();
+    Event::Start {
+        vm,
+        act,
+        pick: 0,
+        fates,
+    }
+}
+
+/// A load of the first model, onto the fenced engine or the other, with these fates.
+fn load(vm: usize, fenced: bool, fates: &[Fate]) -> Event {
+    Event::Start {
+        vm,
+        act: Act::Load,
+        pick: if fenced { 0 } else { 2 },
+        fates: fates.to_vec(),
+    }
+}
+
+fn attach(vm: usize, fates: &[Fate]) -> Event {
+    Event::Start {
+        vm,
+        act: Act::Attach,
+        pick: 0,
+        fates: fates.to_vec(),
+    }
+}
+
+fn look(vm: usize) -> [Event; 2] {
+    [Event::Observe { vm }, Event::Report { vm, back: 0 }]
+}
+
+fn pass(quarters: u32) -> Event {
+    Event::Advance { quarters }
+}
+
+/// Applies a history in which each loss of the bounds would need a late order or write.
+fn run<I>(events: I)
+where
+    I: IntoIterator<Item = Event>,
+{
+    let mut world = World::new();
+    for event in events {
+        world.apply(event);
+        world.check();
+    }
+}
+
+const YES: Fate = Fate::Answered;
+
+/// The first model's replica on the engine without fences, ready and seen by VM 0.
+fn ready() -> Vec<Event> {
+    let mut events = vec![load(0, false, &done())];
+    events.extend(look(0));
+    events.push(act(0, Act::Ready));
+    events.extend(look(0));
+    events
+}
+
+#[test]
+fn paused_decider_sends_no_order_after_its_decision_was_taken_back() {
+    let mut events = vec![load(0, false, &[YES, YES, YES, Fate::Held])];
+    events.extend(look(1));
+    events.push(act(1, Act::Unload));
+    events.extend(look(1));
+    events.push(pass(8));
+    events.extend(look(1));
+    events.push(act(1, Act::Release));
+    events.push(Event::Resume {
+        vm: 0,
+        fates: done(),
+    });
+    run(events);
+}
+
+#[test]
+fn order_sent_late_and_carried_out_late_is_still_counted() {
+    let mut events = vec![load(0, false, &[YES, YES, YES, Fate::Held])];
+    events.extend(look(1));
+    events.push(act(1, Act::Unload));
+    events.extend(look(1));
+    events.push(pass(3));
+    let fates = vec![Fate::Delayed];
+    events.push(Event::Resume { vm: 0, fates });
+    events.push(pass(3));
+    events.extend(look(1));
+    events.push(act(1, Act::Release));
+    events.push(Event::Late { pick: 0 });
+    run(events);
+}
+
+#[test]
+fn fenced_engine_refuses_a_load_that_comes_after_its_unload() {
+    let mut events = vec![load(0, true, &[YES, YES, YES, YES, Fate::Delayed])];
+    events.extend(look(0));
+    events.push(act(0, Act::Unload));
+    events.push(pass(1));
+    events.extend(look(0));
+    events.push(act(0, Act::Release));
+    events.push(Event::Late { pick: 0 });
+    run(events);
+}
+
+#[test]
+fn report_from_before_the_unload_proves_nothing() {
+    let mut events = vec![pass(1)];
+    events.push(Event::Report { vm: 0, back: 0 });
+    events.push(load(0, true, &done()));
+    events.push(Event::Observe { vm: 0 });
+    events.push(act(0, Act::Unload));
+    events.push(Event::Observe { vm: 0 });
+    events.push(act(0, Act::Release));
+    run(events);
+}
+
+#[test]
+fn doubled_attach_after_a_detach_is_still_reserved() {
+    let mut events = ready();
+    events.push(attach(0, &[YES, YES, YES, Fate::Doubled]));
+    events.push(act(0, Act::Detach));
+    events.push(pass(1));
+    events.extend(look(0));
+    events.push(act(0, Act::DropAdapter));
+    events.push(Event::Late { pick: 0 });
+    run(events);
+}
+
+#[test]
+fn adapter_attached_again_restarts_the_wait() {
+    let mut events = ready();
+    events.push(attach(0, &done()));
+    events.push(act(0, Act::Detach));
+    events.extend(look(0));
+    events.push(pass(8));
+    events.extend(look(1));
+    events.push(attach(1, &[YES, YES, YES, Fate::Doubled]));
+    events.push(act(1, Act::Detach));
+    events.push(Event::Report { vm: 0, back: 0 });
+    events.push(act(0, Act::DropAdapter));
+    events.push(Event::Late { pick: 0 });
+    run(events);
+}
