--- a/src/model/queue.rs
+++ b/src/model/queue.rs
@@ -97,6 +97,7 @@
     discipline: Discipline,
     lines: BTreeMap<ClientAccount, Line>,
     ring: VecDeque<ClientAccount>,
+    turn: Option<ClientAccount>,
 }
 
 impl Queue {
@@ -127,6 +128,7 @@
             let ticket = first.map(|(_, item)| item.ticket).min()?;
             return self.remove(ticket);
         }
+        self.end_turn(&eligible, now);
         let (rounds, account, place) = self.next_account(&eligible, now)?;
         self.advance(rounds, &account, &eligible);
         let line = self.lines.get_mut(&account)?;
@@ -136,6 +138,24 @@
         Some((account, item))
     }
 
+    /// Moves the account that had its quantum to the end, once the quantum does not reach further.
+    fn end_turn<F>(&mut self, eligible: &F, now: Instant)
+    where
+        F: Fn(&Item) -> bool,
+    {
+        let Some(account) = self.turn.as_ref().filter(|a| self.ring.front() == Some(*a)) else {
+            return;
+        };
+        let served = self.lines.get(account).is_some_and(|line| {
+            let place = line.turn(eligible, now);
+            place.is_some_and(|(lane, at)| line.lanes[lane][at].work.0 <= line.deficit)
+        });
+        if !served {
+            self.ring.rotate_left(1);
+            self.turn = None;
+        }
+    }
+
     /// The account whose turn comes after the fewest rounds, first in the ring where equal.
     fn next_account<F>(
         &self,
@@ -175,6 +195,7 @@
             }
         }
         self.ring.rotate_left(before);
+        self.turn = Some(served.clone());
     }
 
     /// Withdraws a request.
--- a/tests/model_props.rs
+++ b/tests/model_props.rs
@@ -62,7 +62,7 @@
         event().boxed()
     }
 
-    fn apply((): (), _event: &Event) {}
+    fn apply((): (), _transition: &Event) {}
 }
 
 struct Steps;
@@ -75,13 +75,13 @@
         World::new()
     }
 
-    fn apply(mut world: World, (): &(), event: Event) -> World {
-        world.apply(event);
-        world
+    fn apply(mut state: World, (): &(), transition: Event) -> World {
+        state.apply(transition);
+        state
     }
 
-    fn check_invariants(world: &World, (): &()) {
-        world.check();
+    fn check_invariants(state: &World, (): &()) {
+        state.check();
     }
 }
 
--- a/tests/model_steps/mod.rs
+++ b/tests/model_steps/mod.rs
@@ -433,7 +433,6 @@
         self.poll(vm);
     }
 
-    #[expect(clippy::too_many_lines, reason = "one arm a step")]
     fn flow(&mut self, vm: usize, act: Act, pick: usize) -> Option<Running> {
         let flows = self.vms[vm].flows.clone();
         if let Act::Load = act {
@@ -696,8 +695,8 @@
                 let hold = reserved.holds.get(replica);
                 assert!(hold.is_some(), "{replica} is loaded but not reserved");
                 for adapter in &loaded.adapters {
-                    let held = hold.unwrap().adapters.get(adapter);
-                    assert!(held.is_some(), "{adapter} is attached but not reserved");
+                    let entry = hold.unwrap().adapters.get(adapter);
+                    assert!(entry.is_some(), "{adapter} is attached but not reserved");
                 }
             }
         }
