--- a/src/model/adapters.rs
+++ b/src/model/adapters.rs
@@ -2,10 +2,11 @@
 
 use std::time::Instant;
 
+use super::command::Command;
 use super::decided::{AdapterState, Hold, IntentState, Reserved};
 use super::evidence::Seen;
 use super::flow::{Target, upstream};
-use super::plan::{Command, World, memory};
+use super::plan::{World, memory};
 use super::upkeep::find;
 use crate::ids::{AdapterId, ModelId, ReplicaId, UpstreamId};
 use crate::platform::Instance;
--- a/src/model/jobs.rs
+++ b/src/model/jobs.rs
@@ -6,9 +6,9 @@
 
 use futures_util::stream::{self, StreamExt};
 
+use super::command::Command;
 use super::decided::{Decided, Reserved, engine_key, model_key};
 use super::flow::{FlowError, Flows, upstream};
-use super::plan::Command;
 use super::shell::{WakeError, WakeLink};
 use crate::engine::{EngineControl, EngineError, LoadReport};
 use crate::ids::{ModelId, UpstreamId, Version, VmId};
@@ -107,7 +107,7 @@
     let mut commands = batch.into_iter();
     for command in commands.by_ref() {
         engines.extend(engine_of(&command));
-        let result = run(&flows, &command).await;
+        let result = command.run(&flows).await;
         let failed = result.is_err();
         results.push((command, result));
         if failed {
@@ -139,45 +139,3 @@
         Command::Ready { .. } | Command::Withdraw { .. } => None,
     }
 }
-
-async fn run(flows: &Flows, command: &Command) -> Result<(), FlowError> {
-    match command {
-        Command::Load { engine, load, .. } => flows.load(engine, load).await.map(drop),
-        Command::Renew { engine, target } => flows.renew(engine, target).await.map(drop),
-        Command::Ready { model, replica } => flows.ready(model, replica).await.map(drop),
-        Command::Unload { engine, target } => flows.unload(engine, target).await.map(drop),
-        Command::Withdraw { model, replica } => flows.withdraw(model, replica).await.map(drop),
-        Command::Release {
-            model,
-            replica,
-            engine,
-        } => flows.release(model, replica, engine).await,
-        Command::Sweep {
-            model,
-            replica,
-            engine,
-        } => flows.sweep(model, replica, engine).await,
-        Command::Expel { engine, target } => flows.expel(engine, target).await,
-        Command::Attach {
-            engine,
-            target,
-            adapter,
-            memory,
-        } => flows.attach(engine, target, adapter, *memory).await,
-        Command::Detach {
-            engine,
-            target,
-            adapter,
-        } => flows.detach(engine, target, adapter).await,
-        Command::DropAdapter {
-            engine,
-            replica,
-            adapter,
-            since,
-            ..
-        } => {
-            let since = *since;
-            flows.drop_adapter(engine, replica, adapter, since).await
-        }
-    }
-}
--- a/src/model/loader.rs
+++ b/src/model/loader.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::JoinSet;
 
+use super::command::Command;
 use super::decided::{Decided, Reserved};
 use super::desk::Need;
 use super::evict::Usage;
@@ -21,7 +22,7 @@
 use super::jobs::{Done, Read, read_objects, read_report, run_batch, wake};
 use super::owner::owner;
 use super::place::Origin;
-use super::plan::{Command, Plan, Policy, World, plan};
+use super::plan::{Plan, Policy, World, plan};
 use super::shell::{Config, Ports};
 use super::slots::Starts;
 use super::views::{Reports, views};
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -4,6 +4,7 @@
 //! deadline, or is refused at once where the deadline cannot be met.
 
 mod adapters;
+pub mod command;
 pub mod decided;
 pub mod desk;
 pub mod evict;
--- a/src/model/plan.rs
+++ b/src/model/plan.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
+use super::command::Command;
 use super::decided::{Decided, IntentState, Reserved, replica_id};
 use super::desk::Need;
 use super::evict::{Eviction, Usage, worth};
@@ -14,7 +15,7 @@
 use super::place::{Candidate, Origin, Placement, choose, load_time, loads_under_way, source};
 use super::scale::{Waiting, is_idle, replicas_to_add};
 use super::{adapters, upkeep};
-use crate::ids::{AdapterId, Epoch, ModelId, ReplicaId, UpstreamId};
+use crate::ids::{AdapterId, ModelId, ReplicaId, UpstreamId};
 use crate::platform::{Instance, InstanceKind, InstanceState};
 use crate::schema::declaration::{Declaration, Model};
 use crate::units::Bytes;
@@ -82,80 +83,6 @@
     pub now: Instant,
 }
 
-/// Something to carry out; see the method of the same name in [`super::flow::Flows`].
-#[derive(Clone, Debug)]
-#[expect(missing_docs, reason = "fields are the method's arguments")]
-pub enum Command {
-    /// Loads a new replica.
-    Load {
-        engine: Instance,
-        load: Load,
-        origin: Origin,
-    },
-    /// Orders a load again.
-    Renew { engine: Instance, target: Target },
-    /// Records a replica as ready.
-    Ready { model: ModelId, replica: ReplicaId },
-    /// Withdraws a replica and orders its unload.
-    Unload { engine: Instance, target: Target },
-    /// Withdraws a replica of an engine that is not listed.
-    Withdraw { model: ModelId, replica: ReplicaId },
-    /// Forgets a replica that is gone.
-    Release {
-        model: ModelId,
-        replica: ReplicaId,
-        engine: UpstreamId,
-    },
-    /// Gives back a hold without an intent.
-    Sweep {
-        model: ModelId,
-        replica: ReplicaId,
-        engine: UpstreamId,
-    },
-    /// Orders a replica off that nobody decided.
-    Expel { engine: Instance, target: Target },
-    /// Puts an adapter onto a replica.
-    Attach {
-        engine: Instance,
-        target: Target,
-        adapter: AdapterId,
-        memory: Bytes,
-    },
-    /// Takes an adapter off a replica.
-    Detach {
-        engine: Instance,
-        target: Target,
-        adapter: AdapterId,
-    },
-    /// Gives a withdrawn adapter's memory back.
-    DropAdapter {
-        model: ModelId,
-        engine: UpstreamId,
-        replica: ReplicaId,
-        adapter: AdapterId,
-        since: Epoch,
-    },
-}
-
-impl Command {
-    /// The model it is about.
-    pub fn model(&self) -> &ModelId {
-        match self {
-            Self::Load { load, .. } => &load.model,
-            Self::Renew { target, .. }
-            | Self::Unload { target, .. }
-            | Self::Expel { target, .. }
-            | Self::Attach { target, .. }
-            | Self::Detach { target, .. } => &target.model,
-            Self::Ready { model, .. }
-            | Self::Withdraw { model, .. }
-            | Self::Release { model, .. }
-            | Self::Sweep { model, .. }
-            | Self::DropAdapter { model, .. } => model,
-        }
-    }
-}
-
 /// What to do, and when replicas are expected.
 #[derive(Clone, Debug, Default)]
 pub struct Plan {
--- a/src/model/upkeep.rs
+++ b/src/model/upkeep.rs
@@ -1,10 +1,11 @@
 //! Upkeep of what was decided: orders without effect, replicas that came up or went, holds and
 //! replicas that nobody decided. This is also how a VM finishes or undoes what another began.
 
+use super::command::Command;
 use super::decided::{Intent, IntentState};
 use super::evidence::Seen;
 use super::flow::{Target, upstream};
-use super::plan::{Command, World};
+use super::plan::World;
 use crate::ids::{ModelId, ReplicaId, UpstreamId};
 use crate::platform::{Instance, InstanceKind, InstanceState};
 use crate::schema::engine::ReplicaState;
--- /dev/null
+++ b/standin/src/experiment/models.rs
@@ -0,0 +1,133 @@
+//! Cold starts, idle memory and fairness of the models, beside simpler policies.
+//!
+//! The desks, the planner and the steps that serve are driven here in virtual time, against small
+//! fakes of the engines and the store. Calls take no time of their own, reports come 200 ms late,
+//! and a VM that is out of the list is noticed after five seconds. One JSON line a run.
+
+mod farm;
+mod run;
+mod score;
+mod site;
+
+use std::io::Write;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use basilgw::model::evict::Eviction;
+use basilgw::model::place::Placement;
+use basilgw::model::queue::Discipline;
+use serde::Serialize;
+
+use run::Run;
+pub use site::{Site, SiteError};
+
+/// Length of a run.
+const SPAN: Duration = Duration::from_mins(10);
+const FLOOD: [f64; 5] = [5.0, 1.0, 1.0, 1.0, 1.0];
+const EVEN: [f64; 5] = [1.0; 5];
+
+/// How the models are kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Policy {
+    /// What serves.
+    Serving,
+    /// Least recently used is evicted.
+    LeastRecent,
+    /// First come, first loaded and served.
+    FirstCome,
+    /// Loads go to any engine.
+    AnyEngine,
+}
+
+impl Policy {
+    const ALL: [Self; 4] = [
+        Self::Serving,
+        Self::LeastRecent,
+        Self::FirstCome,
+        Self::AnyEngine,
+    ];
+
+    fn eviction(self) -> Eviction {
+        match self {
+            Self::LeastRecent => Eviction::Recent,
+            _ => Eviction::Worth,
+        }
+    }
+
+    fn placement(self) -> Placement {
+        match self {
+            Self::AnyEngine => Placement::Any,
+            _ => Placement::Soonest,
+        }
+    }
+
+    fn discipline(self) -> Discipline {
+        match self {
+            Self::FirstCome => Discipline::Arrival,
+            _ => Discipline::Fair,
+        }
+    }
+}
+
+/// What befalls the site.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum Scenario {
+    /// Nothing.
+    Calm,
+    /// Three times as many bursts.
+    Bursts,
+    /// One account at five times its rate.
+    Flood,
+    /// The weight store at a quarter of its speed for three minutes.
+    SlowStore,
+    /// The VM that orders loads dies in the middle of one, every minute.
+    KilledDecider,
+    /// It is paused in the middle of one for 90 seconds, and goes on.
+    PausedDecider,
+    /// The platform's store is down for a minute.
+    StoreOutage,
+    /// No engine checks fencing numbers.
+    Unfenced,
+}
+
+impl Scenario {
+    const ALL: [Self; 8] = [
+        Self::Calm,
+        Self::Bursts,
+        Self::Flood,
+        Self::SlowStore,
+        Self::KilledDecider,
+        Self::PausedDecider,
+        Self::StoreOutage,
+        Self::Unfenced,
+    ];
+
+    fn factors(self) -> [f64; 5] {
+        match self {
+            Self::Bursts => [3.0; 5],
+            Self::Flood => FLOOD,
+            _ => EVEN,
+        }
+    }
+}
+
+/// Runs all policies in all scenarios.
+pub fn run<W>(site: Site, seed: u64, out: &mut W) -> ExitCode
+where
+    W: Write,
+{
+    for scenario in Scenario::ALL {
+        for policy in Policy::ALL {
+            let line = Run::new(site, seed, scenario, policy).finish();
+            let Ok(text) = serde_json::to_string(&line) else {
+                return ExitCode::FAILURE;
+            };
+            if writeln!(out, "{text}").is_err() {
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/standin/src/experiment/models/run.rs
@@ -0,0 +1,660 @@
+//! One run: requests, desks, the VM that orders loads, and what befalls them.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
+
+use basilgw::clock::Clock;
+use basilgw::ids::{AdapterId, ModelId, ReplicaId, RequestId, UpstreamId, VmId};
+use basilgw::model::Want;
+use basilgw::model::command::Command;
+use basilgw::model::decided::{Decided, Reserved};
+use basilgw::model::desk::{Desk, Need, Outcome};
+use basilgw::model::evict::Usage;
+use basilgw::model::evidence::{Evidence, Seen};
+use basilgw::model::flow::{FlowError, Flows, upstream};
+use basilgw::model::owner::owner;
+use basilgw::model::place::Origin;
+use basilgw::model::plan::{self, World, plan};
+use basilgw::model::queue::Ticket;
+use basilgw::model::slots::Starts;
+use basilgw::model::views::{Reports, views};
+use basilgw::platform::Instance;
+use basilgw::schema::declaration::Declaration;
+use basilgw::units::Bytes;
+use futures_util::future::BoxFuture;
+
+use super::farm::{Farm, VirtualClock};
+use super::score::{Cold, Line, Score, histogram};
+use super::site::{Arrival, FLOOR, Site, Sizes, arrivals, declaration, engines, name};
+use super::{Policy, SPAN, Scenario};
+
+const TICK: Duration = Duration::from_millis(20);
+const REPORT: Duration = Duration::from_millis(100);
+const REPORTS_LATE: usize = 2;
+const LIST_LAG: Duration = Duration::from_secs(5);
+const WAKE_TIMEOUT: Duration = Duration::from_secs(2);
+const RESTART: Duration = Duration::from_secs(10);
+const KILL_EVERY: Duration = Duration::from_mins(1);
+const FAULT_FROM: Duration = Duration::from_mins(3);
+const OUTAGE: Duration = Duration::from_mins(1);
+const SLOW: Duration = Duration::from_mins(3);
+const PAUSE: Duration = Duration::from_secs(90);
+const SLOW_FACTOR: f64 = 4.0;
+const IDLE: Duration = Duration::from_mins(2);
+const LIFE: Duration = Duration::from_secs(30);
+const BANDWIDTH: Bytes = Bytes(4 << 30);
+const SLOTS: usize = 4;
+const ADAPTERS: usize = 32;
+const PACE: Duration = Duration::from_millis(2);
+const DISK_SHARE: usize = 4;
+const WAITING: usize = 4096;
+const LOAD_CALLS: u32 = 6;
+
+type Step = BoxFuture<'static, Result<(), FlowError>>;
+
+/// One VM as the decider of loads.
+#[derive(Default)]
+struct Vm {
+    evidence: Evidence,
+    usage: BTreeMap<ModelId, Usage>,
+    adapters: BTreeMap<AdapterId, Instant>,
+    starts: Option<Starts>,
+    away: Option<(Instant, Instant)>,
+    stuck: Option<Step>,
+}
+
+impl Vm {
+    fn is_away(&self, now: Instant) -> bool {
+        self.away.is_some_and(|(from, to)| from <= now && now < to)
+    }
+}
+
+struct Active {
+    vm: usize,
+    want: Want,
+    replica: ReplicaId,
+}
+
+/// One run.
+pub struct Run {
+    site: Site,
+    seed: u64,
+    scenario: Scenario,
+    kind: Policy,
+    sizes: Sizes,
+    clock: Arc<VirtualClock>,
+    start: Instant,
+    farm: Arc<Farm>,
+    engines: Vec<Instance>,
+    declaration: Declaration,
+    policy: plan::Policy,
+    flows: Flows,
+    vms: Vec<Vm>,
+    desks: Vec<Desk>,
+    came: VecDeque<Arrival>,
+    waiting: BTreeMap<(usize, Ticket), Want>,
+    active: BTreeMap<(Instant, u64), Active>,
+    decided: BTreeMap<ModelId, Decided>,
+    reserved: BTreeMap<UpstreamId, Reserved>,
+    history: VecDeque<Reports>,
+    cold: BTreeMap<ModelId, Cold>,
+    next_fault: Duration,
+    faults: u32,
+    counter: u64,
+    score: Score,
+}
+
+impl Run {
+    /// Sets a run up.
+    pub fn new(site: Site, seed: u64, scenario: Scenario, kind: Policy) -> Self {
+        let sizes = site.sizes();
+        let clock = Arc::new(VirtualClock::new());
+        let engines = engines(sizes, scenario != Scenario::Unfenced);
+        let declaration = declaration(sizes, seed);
+        let farm = Arc::new(Farm::new(&engines, SLOTS, BANDWIDTH, FLOOR));
+        for (n, model) in declaration.models.keys().enumerate() {
+            for (m, engine) in engines.iter().enumerate() {
+                if (n * 7 + m * 3) % (DISK_SHARE * 3) == 0 {
+                    farm.store(&engine.vm, model);
+                }
+            }
+        }
+        let policy = plan::Policy {
+            bandwidth: BANDWIDTH,
+            slots: SLOTS,
+            adapters: ADAPTERS,
+            idle: IDLE,
+            life: LIFE,
+            retry: Duration::from_secs(3),
+            eviction: kind.eviction(),
+            placement: kind.placement(),
+            by_deadline: kind != Policy::FirstCome,
+        };
+        let flows = Flows {
+            store: Arc::<Farm>::clone(&farm),
+            engines: Arc::<Farm>::clone(&farm),
+            clock: Arc::<VirtualClock>::clone(&clock),
+            life: LIFE,
+        };
+        Self {
+            site,
+            seed,
+            scenario,
+            kind,
+            sizes,
+            start: clock.now(),
+            clock,
+            farm,
+            engines,
+            declaration,
+            policy,
+            flows,
+            vms: (0..sizes.vms).map(|_| Vm::default()).collect(),
+            desks: (0..sizes.vms)
+                .map(|_| Desk::new(WAITING, kind.discipline()))
+                .collect(),
+            came: arrivals(sizes, seed, SPAN, scenario.factors()).into(),
+            waiting: BTreeMap::new(),
+            active: BTreeMap::new(),
+            decided: BTreeMap::new(),
+            reserved: BTreeMap::new(),
+            history: VecDeque::new(),
+            cold: BTreeMap::new(),
+            next_fault: FAULT_FROM,
+            faults: 0,
+            counter: 0,
+            score: Score::default(),
+        }
+    }
+
+    /// Runs to the end and gives the figures.
+    pub fn finish(mut self) -> Line {
+        let mut reported = self.start;
+        while self.elapsed() < SPAN + Duration::from_mins(2) {
+            self.clock.advance(TICK);
+            let now = self.clock.now();
+            self.farm.advance(TICK);
+            self.arrive(now);
+            self.complete(now);
+            if reported + REPORT <= now {
+                reported = now;
+                self.befall(now);
+                self.report(now);
+                self.decide(now);
+                self.tick(now);
+                self.measure();
+            }
+        }
+        self.line()
+    }
+
+    fn elapsed(&self) -> Duration {
+        self.clock.now().duration_since(self.start)
+    }
+
+    fn arrive(&mut self, now: Instant) {
+        let elapsed = self.elapsed();
+        while self.came.front().is_some_and(|a| a.at <= elapsed) {
+            let Some(arrival) = self.came.pop_front() else {
+                return;
+            };
+            let vm = (0..self.vms.len())
+                .map(|n| (arrival.vm + n) % self.vms.len())
+                .find(|vm| !self.vms[*vm].is_away(now));
+            self.counter += 1;
+            let want = Want {
+                request: name::<RequestId>("request", self.counter as usize),
+                account: arrival.account,
+                priority: arrival.priority,
+                model: arrival.model,
+                adapter: arrival.adapter,
+                work: arrival.work,
+                deadline: now + arrival.patience,
+            };
+            *self.score.came.entry(want.account.clone()).or_default() += 1;
+            self.note_cold(&want.model, now);
+            self.enter(vm.unwrap_or(arrival.vm), want, now);
+        }
+    }
+
+    fn note_cold(&mut self, model: &ModelId, now: Instant) {
+        if self.farm.is_held(model) || self.cold.contains_key(model) {
+            return;
+        }
+        let weights = self.declaration.models[model].weights;
+        let (origin, best) = self.farm.best_time(model, weights);
+        let cold = Cold {
+            since: now,
+            origin,
+            best,
+        };
+        self.score.wakes.push(cold);
+        self.cold.insert(model.clone(), cold);
+    }
+
+    fn enter(&mut self, vm: usize, want: Want, now: Instant) {
+        let model = want.model.clone();
+        match self.desks[vm].arrive(&want, now) {
+            Ok(ticket) => {
+                self.waiting.insert((vm, ticket), want);
+                let outcomes = self.desks[vm].grant(&model, now);
+                self.answer(vm, outcomes, now);
+            }
+            Err(_) => self.score.refused += 1,
+        }
+    }
+
+    fn answer(&mut self, vm: usize, outcomes: Vec<Outcome>, now: Instant) {
+        for outcome in outcomes {
+            let Some(want) = self.waiting.remove(&(vm, outcome.ticket)) else {
+                continue;
+            };
+            let Ok(replicas) = outcome.result else {
+                self.score.refused += 1;
+                continue;
+            };
+            let ids = replicas.iter().map(|r| &r.id);
+            let Some(replica) = self.farm.begin(ids, want.adapter.as_ref()) else {
+                // The replica left meanwhile: not run, so it is asked for again.
+                self.desks[vm].release(&want, now);
+                self.enter(vm, want, now);
+                continue;
+            };
+            if let Some(cold) = self.cold.remove(&want.model) {
+                self.score.cold.push(now.duration_since(cold.since));
+            }
+            self.counter += 1;
+            let end = now + PACE * want.work.0 as u32;
+            let active = Active { vm, want, replica };
+            self.active.insert((end, self.counter), active);
+        }
+    }
+
+    fn complete(&mut self, now: Instant) {
+        while let Some(entry) = self.active.first_entry() {
+            if entry.key().0 > now {
+                return;
+            }
+            let Active { vm, want, replica } = entry.remove();
+            self.farm.end(&replica);
+            if now <= want.deadline {
+                *self.score.in_time.entry(want.account.clone()).or_default() += 1;
+            } else {
+                self.score.late += 1;
+            }
+            self.desks[vm].release(&want, now);
+            let outcomes = self.desks[vm].grant(&want.model, now);
+            self.answer(vm, outcomes, now);
+        }
+    }
+
+    fn befall(&mut self, now: Instant) {
+        let elapsed = self.elapsed();
+        let within = |span| (FAULT_FROM..FAULT_FROM + span).contains(&elapsed);
+        match self.scenario {
+            Scenario::SlowStore => {
+                self.farm.slow(if within(SLOW) { SLOW_FACTOR } else { 1.0 });
+            }
+            Scenario::StoreOutage => self.farm.set_down(within(OUTAGE)),
+            _ => {}
+        }
+        let mut context = Context::from_waker(Waker::noop());
+        for vm in &mut self.vms {
+            let over = vm.away.is_some_and(|(_, to)| to <= now);
+            if !over {
+                continue;
+            }
+            vm.away = None;
+            // A paused step goes on where it stopped; what it still does is up to its checks.
+            if let Some(mut step) = vm.stuck.take() {
+                let _: Poll<_> = step.as_mut().poll(&mut context);
+            }
+        }
+    }
+
+    fn report(&mut self, now: Instant) {
+        let mut reports = Reports::new();
+        for engine in &self.engines {
+            let (Ok(id), Some(report)) = (upstream(engine), self.farm.report_of(engine)) else {
+                continue;
+            };
+            reports.insert(id, Seen::new(report, now));
+        }
+        self.history.push_back(reports);
+        if self.history.len() > REPORTS_LATE + 1 {
+            self.history.pop_front();
+        }
+        let known = &self.history[0];
+        let none = BTreeMap::new();
+        let views = views(&self.declaration, &self.engines, known, &none, BANDWIDTH);
+        for (n, desk) in self.desks.iter_mut().enumerate() {
+            if self.vms[n].is_away(now) {
+                continue;
+            }
+            for (model, view) in &views {
+                desk.see(model, view.clone(), now);
+            }
+        }
+    }
+
+    /// The VM that acts: the owner, or after a failed wake message one that has waiting requests.
+    fn decider(&self, now: Instant) -> Option<usize> {
+        let gone = |vm: &Vm| vm.is_away(now) && vm.away.is_some_and(|a| a.0 + LIST_LAG <= now);
+        let listed = |n: &usize| !gone(&self.vms[*n]) || self.vms[*n].stuck.is_some();
+        let names: Vec<VmId> = (0..self.vms.len())
+            .filter(listed)
+            .map(|n| name("vm", n))
+            .collect();
+        let chosen = owner(&names)?.clone();
+        let owner = (0..self.vms.len()).find(|n| name::<VmId>("vm", *n) == chosen)?;
+        let Some((from, _)) = self.vms[owner]
+            .away
+            .filter(|_| self.vms[owner].is_away(now))
+        else {
+            return Some(owner);
+        };
+        if from + WAKE_TIMEOUT > now {
+            return None;
+        }
+        (0..self.vms.len()).find(|n| !self.vms[*n].is_away(now) && !self.desks[*n].is_empty())
+    }
+
+    fn decide(&mut self, now: Instant) {
+        let Some(vm) = self.decider(now) else {
+            return;
+        };
+        self.read(vm, now);
+        let needs = self.needs(now);
+        self.note_usage(vm, &needs, now);
+        let plan = self.plan(vm, &needs, now);
+        for (n, desk) in self.desks.iter_mut().enumerate() {
+            let reached = !self.vms[n].is_away(now);
+            for (model, wait) in plan.waits.iter().filter(|_| reached) {
+                desk.expect(model, now + *wait);
+            }
+        }
+        for command in plan.commands {
+            self.carry_out(vm, &command, now);
+            if self.vms[vm].is_away(now) {
+                return;
+            }
+        }
+    }
+
+    fn read(&mut self, vm: usize, now: Instant) {
+        let (Some(decided), Some(reserved)) = (
+            self.farm.objects::<Decided>("models/"),
+            self.farm.objects::<Reserved>("engines/"),
+        ) else {
+            return;
+        };
+        let evidence = &mut self.vms[vm].evidence;
+        for (model, decided) in decided {
+            evidence.see_decided(&decided, now);
+            if let Ok(model) = model.parse() {
+                self.decided.insert(model, decided);
+            }
+        }
+        self.reserved = self
+            .engines
+            .iter()
+            .filter_map(|e| Some((upstream(e).ok()?, Reserved::default())))
+            .collect();
+        for (engine, reserved) in reserved {
+            let Ok(engine) = engine.parse::<UpstreamId>() else {
+                continue;
+            };
+            let known = |replica: &ReplicaId| {
+                let mut all = self.decided.values();
+                all.any(|d| d.replicas.contains_key(replica))
+            };
+            evidence.see_reserved(&engine, &reserved, known, now);
+            self.reserved.insert(engine, reserved);
+        }
+    }
+
+    fn needs(&self, now: Instant) -> BTreeMap<ModelId, Need> {
+        let mut needs: BTreeMap<ModelId, Need> = BTreeMap::new();
+        for (n, desk) in self.desks.iter().enumerate() {
+            if self.vms[n].is_away(now) {
+                continue;
+            }
+            for (model, need) in desk.needs(now) {
+                needs
+                    .entry(model)
+                    .and_modify(|n| n.merge(&need))
+                    .or_insert(need);
+            }
+        }
+        needs
+    }
+
+    fn note_usage(&mut self, vm: usize, needs: &BTreeMap<ModelId, Need>, now: Instant) {
+        let vm = &mut self.vms[vm];
+        let mut used: BTreeSet<&ModelId> = needs.keys().collect();
+        for seen in self.history[0].values() {
+            for replica in &seen.report.replicas {
+                let first = Usage::first(now);
+                vm.usage.entry(replica.model.clone()).or_insert(first);
+                if replica.running > 0 {
+                    used.insert(&replica.model);
+                }
+            }
+        }
+        for model in used {
+            let first = Usage::first(now);
+            vm.usage.entry(model.clone()).or_insert(first).touch(now);
+        }
+        for active in self.active.values() {
+            if let Some(adapter) = &active.want.adapter {
+                vm.adapters.insert(adapter.clone(), now);
+            }
+        }
+        for need in needs.values() {
+            for adapter in need.adapters.keys() {
+                vm.adapters.insert(adapter.clone(), now);
+            }
+        }
+    }
+
+    fn plan(&mut self, vm: usize, needs: &BTreeMap<ModelId, Need>, now: Instant) -> plan::Plan {
+        let starts = self.sizes.starts;
+        let vm = &mut self.vms[vm];
+        let starts = vm.starts.get_or_insert_with(|| Starts::new(starts, now));
+        let world = World {
+            declaration: &self.declaration,
+            engines: &self.engines,
+            decided: &self.decided,
+            reserved: &self.reserved,
+            reports: &self.history[0],
+            needs,
+            usage: &vm.usage,
+            adapter_usage: &vm.adapters,
+            evidence: &vm.evidence,
+            busy: &BTreeSet::new(),
+            pending: &BTreeMap::new(),
+            starting: 0,
+            starts: starts.free(now),
+            policy: &self.policy,
+            now,
+        };
+        plan(&world, rand_free(&mut self.counter))
+    }
+
+    fn carry_out(&mut self, vm: usize, command: &Command, now: Instant) {
+        let fault = self.fault(command);
+        self.farm.set_fuse(fault);
+        let flows = self.flows.clone();
+        let owned = command.clone();
+        let mut step: Step = Box::pin(async move { owned.run(&flows).await });
+        let polled = step.as_mut().poll(&mut Context::from_waker(Waker::noop()));
+        self.farm.set_fuse(None);
+        match polled {
+            Poll::Ready(result) => self.note(vm, command, result.is_ok(), now),
+            Poll::Pending if self.scenario == Scenario::PausedDecider => {
+                self.vms[vm].stuck = Some(step);
+                self.vms[vm].away = Some((now, now + PAUSE));
+            }
+            Poll::Pending => self.kill(vm, now),
+        }
+    }
+
+    /// After how many calls of this command its VM stops, if it does.
+    fn fault(&mut self, command: &Command) -> Option<u32> {
+        let due = self.next_fault <= self.elapsed();
+        let hit = matches!(
+            self.scenario,
+            Scenario::KilledDecider | Scenario::PausedDecider
+        );
+        if !due || !hit || !matches!(command, Command::Load { .. }) {
+            return None;
+        }
+        self.next_fault += KILL_EVERY
+            * if self.scenario == Scenario::PausedDecider {
+                3
+            } else {
+                1
+            };
+        self.faults += 1;
+        Some((self.faults - 1) % LOAD_CALLS)
+    }
+
+    fn kill(&mut self, vm: usize, now: Instant) {
+        self.vms[vm] = Vm {
+            away: Some((now, now + RESTART)),
+            ..Vm::default()
+        };
+        self.desks[vm] = Desk::new(WAITING, self.kind.discipline());
+        let before = self.waiting.len() + self.active.len();
+        self.waiting.retain(|(at, _), _| *at != vm);
+        let farm = &self.farm;
+        self.active.retain(|_, active| {
+            if active.vm == vm {
+                farm.end(&active.replica);
+            }
+            active.vm != vm
+        });
+        let after = self.waiting.len() + self.active.len();
+        self.score.lost_with_vm += (before - after) as u64;
+    }
+
+    fn note(&mut self, vm: usize, command: &Command, done: bool, now: Instant) {
+        let vm = &mut self.vms[vm];
+        match command {
+            Command::Load { load, origin, .. } => {
+                self.score.loads += 1;
+                vm.evidence.sent(&load.replica, now);
+                if *origin == Origin::Remote
+                    && let Some(starts) = &mut vm.starts
+                {
+                    starts.take();
+                }
+            }
+            Command::Renew { target, .. } | Command::Expel { target, .. } => {
+                vm.evidence.sent(&target.replica, now);
+            }
+            Command::Unload { engine, target } => {
+                vm.evidence.sent(&target.replica, now);
+                if done && engine.fenced {
+                    let generation = engine.generation;
+                    vm.evidence
+                        .unload_accepted(&target.replica, generation, now);
+                }
+            }
+            Command::Attach {
+                target, adapter, ..
+            }
+            | Command::Detach {
+                target, adapter, ..
+            } => vm.evidence.sent_adapter(&target.replica, adapter, now),
+            _ => {}
+        }
+    }
+
+    fn tick(&mut self, now: Instant) {
+        for vm in 0..self.desks.len() {
+            if !self.vms[vm].is_away(now) {
+                let outcomes = self.desks[vm].tick(now);
+                self.answer(vm, outcomes, now);
+            }
+        }
+        let needs = self.needs(now);
+        let before = self.cold.len();
+        let farm = &self.farm;
+        self.cold
+            .retain(|model, _| needs.contains_key(model) || !farm.is_held(model));
+        self.score.cold_unserved += (before - self.cold.len()) as u64;
+    }
+
+    /// Checks the bounds against what the engines really hold, and counts idle memory.
+    fn measure(&mut self) {
+        let mut counts: BTreeMap<ModelId, usize> = BTreeMap::new();
+        let mut used: BTreeMap<VmId, u64> = BTreeMap::new();
+        let mut idle = 0.0;
+        let memory = self.engines[0].memory.unwrap_or_default().0;
+        self.farm.each(|engine, _, held| {
+            *counts.entry(held.model.clone()).or_default() += 1;
+            *used.entry(engine.clone()).or_default() += held.bytes.0;
+            if held.is_ready() && held.running == 0 {
+                idle += held.bytes.0 as f64 / memory as f64;
+            }
+        });
+        self.score.idle_seconds += idle * REPORT.as_secs_f64();
+        let decided = self.farm.objects::<Decided>("models/").unwrap_or_default();
+        let decided: BTreeMap<String, Decided> = decided.into_iter().collect();
+        for (model, count) in counts {
+            let maximum = self.declaration.models[&model].maximum as usize;
+            let intents = decided.get(model.as_str()).map(|d| d.replicas.len());
+            let fits = intents.is_none_or(|n| count <= n && n <= maximum);
+            self.score.bounds_passed += u64::from(!fits);
+        }
+        let over = used.values().filter(|bytes| **bytes > memory).count();
+        self.score.bounds_passed += over as u64;
+    }
+
+    fn line(self) -> Line {
+        let best = histogram(&self.score.best(SLOTS, self.sizes.starts));
+        let cold = histogram(&self.score.cold);
+        let shares = self.score.shares();
+        let judged = shares.iter().filter(|(account, _)| {
+            // The flooding account is not the one to be protected.
+            self.scenario != Scenario::Flood || account.as_str() != "account00"
+        });
+        let worst = judged.map(|(_, share)| *share).fold(1.0, f64::min);
+        Line {
+            experiment: "models",
+            site: self.site,
+            seed: self.seed,
+            scenario: self.scenario,
+            policy: self.kind,
+            requests: self.score.came.values().sum(),
+            cold_starts: cold.len(),
+            cold_p50_ms: cold.value_at_quantile(0.5),
+            cold_p99_ms: cold.value_at_quantile(0.99),
+            cold_worst_ms: cold.max(),
+            cold_unserved: self.score.cold_unserved,
+            best_p50_ms: best.value_at_quantile(0.5),
+            best_p99_ms: best.value_at_quantile(0.99),
+            p99_over_best: cold.value_at_quantile(0.99) as f64
+                / best.value_at_quantile(0.99).max(1) as f64,
+            idle_engine_seconds: self.score.idle_seconds as u64,
+            loads: self.score.loads,
+            worst_in_deadline: worst,
+            in_deadline: shares,
+            refused: self.score.refused,
+            late: self.score.late,
+            lost_with_vm: self.score.lost_with_vm,
+            bounds_passed: self.score.bounds_passed,
+        }
+    }
+}
+
+/// Numbers for replicas that are the same again in each run.
+fn rand_free(counter: &mut u64) -> impl FnMut() -> u64 {
+    move || {
+        *counter += 1;
+        *counter
+    }
+}
