Test stale readings of once-records

Cause: two checks against stale readings had no test that failed without them; a third comparison had no effect on any promise.

Change: a stale record of another request no longer stands untested against a false "not run" (the test fails without the check of the version), nor one of another attempt against a lost end. The comparison of an own record's state goes.

--- a/src/once/log.rs
+++ b/src/once/log.rs
@@ -175,7 +175,7 @@
         let Some(record) = decode(&found) else {
             return Step::Refuse(Refusal::unknown(Reason::Internal));
         };
-        if record.attempt == *id && record.state == State::InProgress {
+        if record.attempt == *id {
             return Step::Done(Begin::Run(Attempt {
                 key: key.clone(),
                 id: id.clone(),
--- a/tests/once_log.rs
+++ b/tests/once_log.rs
@@ -160,6 +160,38 @@
     assert_eq!(refusal, Refusal::not_run(Reason::Conflict));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_stale_record_of_another_request_does_not_hide_a_run() {
+    let fleet = Fleet::open();
+    let mut other = once_key(0);
+    other.digest = [2; 32];
+    let Ok(Begin::Run(attempt)) = fleet.logs[0].begin(other).await else {
+        panic!("a new key");
+    };
+    fleet.store.freeze();
+    fleet.logs[0].finish(attempt, End::NotRun).await;
+    let attempt = fleet.run(0).await;
+    fleet.logs[0].finish(attempt, End::Ran(answer("ran"))).await;
+    fleet.store.fail([Fault::None, Fault::Stale]);
+    let repeat = fleet.begin(1, 0).await.expect("a repeat");
+    assert!(matches!(repeat, Begin::Repeat(kept) if kept == answer("ran")));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_stale_record_of_another_attempt_does_not_hide_an_unwritten_end() {
+    let fleet = Fleet::open();
+    let attempt = fleet.run(0).await;
+    fleet.store.freeze();
+    fleet.logs[0].finish(attempt, End::NotRun).await;
+    let attempt = fleet.run(0).await;
+    fleet.store.fail([Fault::LostBefore, Fault::Stale]);
+    let end = End::Ran(answer("ran"));
+    fleet.logs[0].finish(attempt, end).await;
+    assert_eq!(fleet.logs[0].flush().await, 0);
+    let repeat = fleet.begin(1, 0).await.expect("a repeat");
+    assert!(matches!(repeat, Begin::Repeat(kept) if kept == answer("ran")));
+}
+
 #[tokio::test(start_paused = true)]
 async fn accounts_and_routes_do_not_share_keys() {
     let fleet = Fleet::open();
--- a/tests/once_support/mod.rs
+++ b/tests/once_support/mod.rs
@@ -42,6 +42,7 @@
 struct Inner {
     values: Values,
     before: Values,
+    frozen: bool,
     last: u64,
     faults: VecDeque<Fault>,
     late: Vec<Write>,
@@ -55,7 +56,9 @@
         if present != write.expected {
             return Err(StoreError::Conflict(present));
         }
-        self.before = self.values.clone();
+        if !self.frozen {
+            self.before = self.values.clone();
+        }
         self.last += 1;
         let version = Version(self.last);
         match write.value.clone() {
@@ -85,6 +88,13 @@
         self.lock().faults.extend(faults);
     }
 
+    /// Makes stale reads show the present from now on.
+    pub fn freeze(&self) {
+        let mut inner = self.lock();
+        inner.before = inner.values.clone();
+        inner.frozen = true;
+    }
+
     /// Ends all trouble; what is late may yet arrive.
     pub fn heal(&self) {
         self.lock().faults.clear();
