Relay streams by their response's own body, watched from outside

Cause: a profile of 16 streams through one VM is flat, with task switches on top; each chunk crossed a task and a channel of its own. Ruled out: the scan of events and the timers, each under 2% of the samples. Change: the body polls the upstream's answer; one watch a VM ends streams whose key or time is over and frees their slots. The setting upstreams.buffer is gone with the channel.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -18,5 +18,6 @@
 pub use answer::{json, refuse};
 pub use auth::{Principal, Standing, Steady};
 pub use gate::Gate;
+pub use relay::Watch;
 pub use running::{Running, Token};
 pub use serve::{Edge, EdgeParts};
--- a/src/edge/models.rs
+++ b/src/edge/models.rs
@@ -16,7 +16,7 @@
 
 use super::auth::Principal;
 use super::parse::{self, Completion};
-use super::relay::{self, Pump};
+use super::relay;
 use super::running::Token;
 use super::serve::{Arrived, EdgeParts};
 use crate::declare::InForce;
@@ -127,9 +127,10 @@
 
 /// Everything a dispatched call holds until it is over.
 #[derive(Debug)]
-struct Held {
+pub(super) struct Held {
     _token: Token,
-    cost: Cost,
+    /// Its reserved cost.
+    pub cost: Cost,
     turn: Turn,
 }
 
@@ -224,23 +225,19 @@
     arrived: Arrived,
     principal: Principal,
     call: &Completion,
-    mut held: Held,
+    held: Held,
     served: Served,
 ) -> Response {
-    let (inlet, outlet) = relay::channel(parts.buffer);
     let mut response = answer_head(&served);
-    let pump = Pump {
+    let request = relay::Request {
         principal,
-        request: arrived.request,
+        id: arrived.request,
+        serial: arrived.serial,
         deadline: arrived.deadline,
         prompt: call.prompt,
     };
-    let body = served.answer.body;
-    tokio::spawn(async move {
-        held.cost.used = pump.run(body, &inlet).await;
-        drop(held);
-    });
-    *response.body_mut() = Body::from_stream(outlet);
+    let relay = parts.watch.relay(request, served.answer.body, held);
+    *response.body_mut() = Body::from_stream(relay);
     response
 }
 
--- a/src/edge/relay.rs
+++ b/src/edge/relay.rs
@@ -1,24 +1,31 @@
-//! Relaying of answers.
+//! Relaying of streamed answers.
 //!
-//! A streamed answer is pumped by a task of its own through a bounded channel, so that a slow
-//! reader holds a few chunks and nobody else, and so that a withdrawn key, a passed deadline or a
-//! caller that left end the upstream's work however slowly the caller reads. A stream that did not
-//! end with its end mark ends with a visible error event.
+//! The response's own body polls the upstream's, so that a chunk costs no task switch and a slow
+//! reader holds what the kernel and the HTTP library buffer, and nobody else. One [`Watch`] a VM
+//! looks at every stream, however slowly its caller reads: a withdrawn key or a passed deadline
+//! ends the upstream's work and frees its slot at once. A stream that did not end with its end
+//! mark ends with a visible error event.
 
+use std::collections::BTreeMap;
+use std::fmt;
 use std::pin::Pin;
-use std::sync::{Arc, OnceLock};
-use std::task::{Context, Poll};
-use std::time::Instant;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
-use futures_util::{Stream, StreamExt};
+use futures_util::Stream;
+use futures_util::stream::BoxStream;
 use http_body::Frame;
 use serde::Deserialize;
-use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 use volo_http::error::BoxError;
 
 use super::answer::error_answer;
 use super::auth::Principal;
+use super::models::Held;
+use crate::clock::Clock;
+use crate::declare::Board;
 use crate::ids::RequestId;
 use crate::outcome::{Ran, Reason, Refusal};
 use crate::units::Tokens;
@@ -28,53 +35,203 @@
 
 const END_MARK: &[u8] = b"data: [DONE]";
 const EVENT_MARK: &[u8] = b"data: ";
-const TAIL_BYTES: usize = 64;
+const USAGE_MARK: &[u8] = b"\"usage\":";
+const SWEEP: Duration = Duration::from_millis(250);
 
-/// The pump's side of a relayed answer.
+/// What a relay needs to know of its request.
 #[derive(Debug)]
-pub struct Inlet {
-    chunks: mpsc::Sender<Chunk>,
-    last: Arc<OnceLock<Bytes>>,
+pub struct Request {
+    /// Whose key it was.
+    pub principal: Principal,
+    /// Its id.
+    pub id: RequestId,
+    /// Its name within the system.
+    pub serial: RequestId,
+    /// When it must be over.
+    pub deadline: Instant,
+    /// Estimated prompt.
+    pub prompt: Tokens,
 }
 
-/// The caller's side of a relayed answer.
+/// A stream under way, shared by its response and the watch.
 #[derive(Debug)]
-pub struct Outlet {
-    chunks: mpsc::Receiver<Chunk>,
-    last: Arc<OnceLock<Bytes>>,
-    ended: bool,
+struct Shared {
+    request: Request,
+    state: Mutex<State>,
+}
+
+struct State {
+    /// The upstream's answer and what the request holds; gone once either ended.
+    flow: Option<(BoxStream<'static, Result<Bytes, Refusal>>, Held)>,
+    scan: EventScan,
+    /// The error event that is still to be sent.
+    last: Option<Bytes>,
+    waker: Option<Waker>,
+}
+
+impl fmt::Debug for State {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("State")
+            .field("running", &self.flow.is_some())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Ends the upstream's work, settles, and leaves the error for the caller.
+    fn end(&self, state: &mut State, failure: Option<&Refusal>) {
+        let Some((body, mut held)) = state.flow.take() else {
+            return;
+        };
+        drop(body);
+        held.cost.used = state.scan.used(self.request.prompt);
+        state.last = failure.map(|refusal| error_event(refusal, &self.request.id));
+        if let Some(waker) = state.waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Ends the stream if its key or its time is over.
+    fn check(&self, now: Instant) {
+        let reason = if !self.request.principal.in_force() {
+            Reason::Withdrawn
+        } else if now >= self.request.deadline {
+            Reason::Deadline
+        } else {
+            return;
+        };
+        self.end(&mut self.lock(), Some(&Refusal::ran(reason)));
+    }
+
+    fn poll(&self, cx: &mut Context<'_>) -> Poll<Option<Chunk>> {
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        let Some((body, _)) = &mut state.flow else {
+            return Poll::Ready(state.last.take().map(|event| Ok(Frame::data(event))));
+        };
+        let failure = match body.as_mut().poll_next(cx) {
+            Poll::Pending => {
+                if !state
+                    .waker
+                    .as_ref()
+                    .is_some_and(|known| known.will_wake(cx.waker()))
+                {
+                    state.waker = Some(cx.waker().clone());
+                }
+                return Poll::Pending;
+            }
+            Poll::Ready(Some(Ok(chunk))) => {
+                state.scan.feed(&chunk);
+                return Poll::Ready(Some(Ok(Frame::data(chunk))));
+            }
+            Poll::Ready(Some(Err(refusal))) => Some(Refusal {
+                ran: Ran::Yes,
+                ..refusal
+            }),
+            Poll::Ready(None) if state.scan.done() => None,
+            Poll::Ready(None) => Some(Refusal::ran(Reason::UpstreamFailed)),
+        };
+        self.end(state, failure.as_ref());
+        Poll::Ready(state.last.take().map(|event| Ok(Frame::data(event))))
+    }
+}
+
+fn error_event(refusal: &Refusal, request: &RequestId) -> Bytes {
+    let answer = error_answer(refusal, Some(request));
+    let json = serde_json::to_string(&answer).unwrap_or_default();
+    Bytes::from(format!("\nevent: error\ndata: {json}\n\n"))
 }
 
-impl Stream for Outlet {
+/// The body of a streamed response.
+#[derive(Debug)]
+pub struct Relay(Arc<Shared>);
+
+impl Stream for Relay {
     type Item = Chunk;
 
-    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Chunk>> {
-        match self.chunks.poll_recv(cx) {
-            Poll::Ready(None) if !self.ended => {
-                self.ended = true;
-                Poll::Ready(self.last.get().map(|event| Ok(Frame::data(event.clone()))))
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Chunk>> {
+        self.0.poll(cx)
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.0.end(&mut self.0.lock(), None);
+    }
+}
+
+/// Looks at every running stream; ends when dropped.
+#[derive(Debug)]
+pub struct Watch {
+    streams: Arc<Mutex<BTreeMap<RequestId, Weak<Shared>>>>,
+    task: JoinHandle<()>,
+}
+
+impl Watch {
+    /// Starts to look, at each new configuration and in between.
+    pub fn spawn(board: &Board, clock: Arc<dyn Clock>) -> Self {
+        let streams: Arc<Mutex<BTreeMap<RequestId, Weak<Shared>>>> = Arc::default();
+        let watched = Arc::clone(&streams);
+        let mut news = board.subscribe();
+        let task = tokio::spawn(async move {
+            loop {
+                let changed = tokio::time::timeout(SWEEP, news.changed()).await;
+                if matches!(changed, Ok(Err(_))) {
+                    return;
+                }
+                for stream in live(&watched) {
+                    stream.check(clock.now());
+                }
             }
-            other => other,
-        }
+        });
+        Self { streams, task }
+    }
+
+    /// Relays an answer under this watch.
+    pub(super) fn relay(
+        &self,
+        request: Request,
+        body: BoxStream<'static, Result<Bytes, Refusal>>,
+        held: Held,
+    ) -> Relay {
+        let serial = request.serial.clone();
+        let state = State {
+            flow: Some((body, held)),
+            scan: EventScan::default(),
+            last: None,
+            waker: None,
+        };
+        let shared = Arc::new(Shared {
+            request,
+            state: Mutex::new(state),
+        });
+        let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
+        streams.insert(serial, Arc::downgrade(&shared));
+        Relay(shared)
     }
 }
 
-/// Opens a channel that holds at most `chunks` for a slow reader.
-pub fn channel(chunks: usize) -> (Inlet, Outlet) {
-    let (sender, receiver) = mpsc::channel(chunks.max(1));
-    let last = Arc::new(OnceLock::new());
-    let inlet = Inlet {
-        chunks: sender,
-        last: Arc::clone(&last),
-    };
-    (
-        inlet,
-        Outlet {
-            chunks: receiver,
-            last,
-            ended: false,
-        },
-    )
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// The streams that still run; forgets the others.
+fn live(streams: &Mutex<BTreeMap<RequestId, Weak<Shared>>>) -> Vec<Arc<Shared>> {
+    let mut streams = streams.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut found = Vec::with_capacity(streams.len());
+    streams.retain(|_, stream| {
+        let running = stream.upgrade();
+        let kept = running.is_some();
+        found.extend(running);
+        kept
+    });
+    found
 }
 
 /// Follows a stream of server-sent events: counts them and looks for the end mark.
@@ -99,11 +256,19 @@
 impl EventScan {
     /// Looks at one chunk.
     pub fn feed(&mut self, chunk: &[u8]) {
-        self.tail.extend_from_slice(chunk);
-        while let Some(at) = self.tail.iter().position(|&b| b == b'\n') {
-            let line = self.tail.split_to(at + 1);
-            self.feed_line(line.trim_ascii_end());
+        let mut rest = chunk;
+        while let Some(at) = rest.iter().position(|&b| b == b'\n') {
+            let (line, after) = rest.split_at(at);
+            rest = &after[1..];
+            if self.tail.is_empty() {
+                self.feed_line(line.trim_ascii_end());
+                continue;
+            }
+            self.tail.extend_from_slice(line);
+            let whole = self.tail.split();
+            self.feed_line(whole.trim_ascii_end());
         }
+        self.tail.extend_from_slice(rest);
         if self.tail.starts_with(END_MARK) {
             self.done = true;
         }
@@ -119,7 +284,7 @@
         };
         self.events += 1;
         // Only a line that names its usage is worth parsing.
-        if data.windows(TAIL_BYTES.min(8)).any(|w| w == b"\"usage\":") {
+        if data.windows(USAGE_MARK.len()).any(|w| w == USAGE_MARK) {
             self.usage = usage_of(data).or(self.usage);
         }
     }
@@ -140,76 +305,3 @@
     let parsed: WithUsage = serde_json::from_slice(body).ok()?;
     parsed.usage.map(|usage| usage.total_tokens)
 }
-
-/// What a pump needs to know of its request.
-#[derive(Debug)]
-pub struct Pump {
-    /// Whose key it was.
-    pub principal: Principal,
-    /// The request.
-    pub request: RequestId,
-    /// When it must be over.
-    pub deadline: Instant,
-    /// Estimated prompt.
-    pub prompt: Tokens,
-}
-
-impl Pump {
-    /// Moves chunks from an upstream's stream of events to a caller until either ends; answers the
-    /// tokens used.
-    pub async fn run<S>(&self, mut body: S, out: &Inlet) -> Tokens
-    where
-        S: Stream<Item = Result<Bytes, Refusal>> + Unpin,
-    {
-        let mut scan = EventScan::default();
-        if let Err(refusal) = self.relay(&mut body, out, &mut scan).await {
-            self.leave_error(out, &refusal);
-        }
-        scan.used(self.prompt)
-    }
-
-    async fn relay<S>(&self, body: &mut S, out: &Inlet, scan: &mut EventScan) -> Result<(), Refusal>
-    where
-        S: Stream<Item = Result<Bytes, Refusal>> + Unpin,
-    {
-        let withdrawn = self.principal.withdrawn();
-        let expired = tokio::time::sleep_until(self.deadline.into());
-        tokio::pin!(withdrawn, expired);
-        loop {
-            let next = tokio::select! {
-                biased;
-                () = &mut withdrawn => return Err(Refusal::ran(Reason::Withdrawn)),
-                () = &mut expired => return Err(Refusal::ran(Reason::Deadline)),
-                () = out.chunks.closed() => return Ok(()),
-                next = body.next() => next,
-            };
-            let Some(chunk) = next else {
-                return if scan.done() { Ok(()) } else { Err(cut()) };
-            };
-            let chunk = chunk.map_err(|e| Refusal { ran: Ran::Yes, ..e })?;
-            scan.feed(&chunk);
-            tokio::select! {
-                biased;
-                () = &mut withdrawn => return Err(Refusal::ran(Reason::Withdrawn)),
-                () = &mut expired => return Err(Refusal::ran(Reason::Deadline)),
-                sent = out.chunks.send(Ok(Frame::data(chunk))) => {
-                    if sent.is_err() {
-                        return Ok(());
-                    }
-                }
-            }
-        }
-    }
-
-    // Kept beside the channel, so that it reaches a reader whose channel is full, too.
-    fn leave_error(&self, out: &Inlet, refusal: &Refusal) {
-        let answer = error_answer(refusal, Some(&self.request));
-        let json = serde_json::to_string(&answer).unwrap_or_default();
-        let event = format!("\nevent: error\ndata: {json}\n\n");
-        out.last.get_or_init(|| Bytes::from(event));
-    }
-}
-
-fn cut() -> Refusal {
-    Refusal::ran(Reason::UpstreamFailed)
-}
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -15,6 +15,7 @@
 use super::answer::{self, json, refuse};
 use super::auth::{Principal, Standing, authenticate};
 use super::parse;
+use super::relay::Watch;
 use super::running::Running;
 use super::{models, plain};
 use crate::clock::Clock;
@@ -50,8 +51,8 @@
     pub running: Arc<Running>,
     /// Bounds on callers.
     pub callers: CallerSettings,
-    /// Chunks held for a slow reader.
-    pub buffer: usize,
+    /// Looks at running streams.
+    pub watch: Watch,
     /// Counters.
     pub metrics: EdgeMetrics,
     /// Time.
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -25,7 +25,7 @@
 use crate::config::Config;
 use crate::declare::spread::Spreader;
 use crate::declare::{Board, BoardHolder, Feed, FeedBounds, Submitter};
-use crate::edge::{Edge, EdgeParts, Running};
+use crate::edge::{Edge, EdgeParts, Running, Watch};
 use crate::engine::EngineControl;
 use crate::engine::http::HttpEngineControl;
 use crate::error::Error;
@@ -314,7 +314,7 @@
         directory: Arc::clone(&base.directory),
         running: Arc::clone(&base.running),
         callers: base.config.callers.clone(),
-        buffer: base.config.upstreams.buffer as usize,
+        watch: Watch::spawn(&base.board, Arc::clone(&base.clock)),
         metrics: EdgeMetrics::open(&base.metrics)?,
         clock: Arc::clone(&base.clock),
         log: base.log.clone(),
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -316,9 +316,6 @@
     #[doc = "Retries allowed for 100 successes."]
     #[serde(default = "defaults::default_u64::<u32, 10>")]
     pub budget: u32,
-    #[doc = "Chunks held for a slow reader."]
-    #[serde(default = "defaults::default_u64::<u64, 16>")]
-    pub buffer: u64,
     #[doc = "Longest wait for a connection, in milliseconds."]
     #[serde(default = "defaults::default_u64::<u64, 1000>")]
     pub connect: u64,
@@ -339,7 +336,6 @@
     fn default() -> Self {
         Self {
             budget: defaults::default_u64::<u32, 10>(),
-            buffer: defaults::default_u64::<u64, 16>(),
             connect: defaults::default_u64::<u64, 1000>(),
             idle: defaults::default_u64::<u64, 10000>(),
             report: defaults::default_u64::<u64, 500>(),
--- a/tests/route_support/mod.rs
+++ b/tests/route_support/mod.rs
@@ -246,7 +246,6 @@
 pub fn settings() -> UpstreamSettings {
     UpstreamSettings {
         budget: 10,
-        buffer: 16,
         connect: 1000,
         idle: 10_000,
         report: 500,
