--- a/standin/src/experiment/mod.rs
+++ b/standin/src/experiment/mod.rs
@@ -1,5 +1,6 @@
 //! Experiments: short loops that drive the pure decisions with fakes and a virtual clock.
 
+pub mod limits;
 pub mod routes;
 
 use std::io;
@@ -11,6 +12,16 @@
 #[derive(Clone, Copy, Debug, Bpaf)]
 #[bpaf(generate(experiment))]
 pub enum Experiment {
+    /// Limits over all VMs beside simpler designs
+    #[bpaf(command)]
+    Limits {
+        /// Seed of the draws
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+        /// VMs
+        #[bpaf(argument("N"), fallback(9))]
+        vms: usize,
+    },
     /// Choice of an engine beside simpler policies
     #[bpaf(command)]
     Routes {
@@ -24,6 +35,7 @@
     /// Runs it; its lines go to standard output.
     pub fn run(self) -> ExitCode {
         match self {
+            Self::Limits { seed, vms } => limits::run(seed, vms, &mut io::stdout().lock()),
             Self::Routes { seed } => routes::run(seed, &mut io::stdout().lock()),
         }
     }
