--- a/src/limit/link.rs
+++ b/src/limit/link.rs
@@ -9,6 +9,7 @@
 const FIRST_RESEND_MS: u64 = 200;
 const LEAST_PAUSE_MS: u64 = 100;
 const MOST_PAUSE_MS: u64 = 500;
+const SHORT_AGE_MS: u64 = 1_000;
 
 /// Tokens that may be spent until they expire.
 #[derive(Clone, Debug)]
@@ -28,6 +29,14 @@
     pause: Duration,
 }
 
+/// An answer that fell short.
+#[derive(Clone, Copy, Debug)]
+struct Shortage {
+    at: Instant,
+    /// When the part was to have the rest.
+    until: Instant,
+}
+
 /// What is known of one part of a share.
 #[derive(Clone, Debug)]
 pub(super) struct Link {
@@ -37,8 +46,7 @@
     pub(super) order: (u8, u64),
     /// Whether the holder has not answered in time.
     pub(super) silent: bool,
-    /// When the part gives more, where its last answer fell short.
-    pub(super) short: Option<Instant>,
+    short: Option<Shortage>,
     index: u32,
     sequence: u64,
     pending: Option<Pending>,
@@ -77,6 +85,15 @@
         self.ready = now;
     }
 
+    /// When the part is to give more, where it lately fell short.
+    pub(super) fn short_until(&self, now: Instant) -> Option<Instant> {
+        let recent = |short: &Shortage| {
+            let age = now.saturating_duration_since(short.at);
+            age <= Duration::from_millis(SHORT_AGE_MS)
+        };
+        self.short.filter(recent).map(|short| short.until)
+    }
+
     /// Tokens of leases that have not expired.
     pub(super) fn left(&self, now: Instant) -> Tokens {
         let live = self.leases.iter().filter(|lease| lease.expires > now);
@@ -215,7 +232,10 @@
             return;
         }
         let wait = Duration::from_millis(answer.wait.min(u64::from(u32::MAX)));
-        self.short = Some(now + wait);
+        self.short = Some(Shortage {
+            at: now,
+            until: now + wait,
+        });
         let pause = answer.wait.clamp(LEAST_PAUSE_MS, MOST_PAUSE_MS);
         self.ready = now + Duration::from_millis(pause);
     }
--- a/src/limit/spender.rs
+++ b/src/limit/spender.rs
@@ -44,6 +44,13 @@
     pub ask: LeaseAsk,
 }
 
+/// A time over which every answer left all holders short.
+#[derive(Clone, Copy, Debug)]
+struct ShortRun {
+    since: Instant,
+    last: Instant,
+}
+
 /// State of one share at a VM that spends it.
 #[derive(Clone, Debug)]
 pub struct Spender {
@@ -54,7 +61,7 @@
     links: Vec<Link>,
     demand: Demand,
     intake: Demand,
-    short: Option<Instant>,
+    short: Option<ShortRun>,
     debt: Tokens,
     refund: Tokens,
     refunded: Instant,
@@ -187,16 +194,16 @@
         let missing = tokens + self.debt;
         let missing = missing - self.links.iter().map(|link| link.left(now)).sum();
         let least = self.share.time_for(missing)?;
-        let Some(since) = self.short else {
+        let Some(run) = self.short.filter(|_| self.is_short(now)) else {
             return Some(Duration::ZERO);
         };
-        let run = now.saturating_duration_since(since);
-        if run >= Duration::from_millis(SHORT_RUN_MS) {
+        let lasted = now.saturating_duration_since(run.since);
+        if lasted >= Duration::from_millis(SHORT_RUN_MS) {
             let rate = self.intake.per_second(now);
             let expected = Duration::try_from_secs_f64(missing.0 as f64 / rate);
             return Some(least.max(expected.unwrap_or(least)));
         }
-        let waits = self.links.iter().filter_map(|link| link.short);
+        let waits = self.links.iter().filter_map(|link| link.short_until(now));
         let soonest = waits.min().unwrap_or(now);
         Some(least.max(soonest.saturating_duration_since(now)))
     }
@@ -228,11 +235,17 @@
     }
 
     fn note_short(&mut self, now: Instant) {
-        let reachable = self.links.iter().filter(|link| !link.silent);
-        let all_short = reachable
-            .map(|link| link.short)
-            .all(|short| short.is_some());
-        self.short = all_short.then_some(self.short.unwrap_or(now));
+        let gap = Duration::from_millis(SHORT_RUN_MS);
+        let going_on = |run: &ShortRun| now.saturating_duration_since(run.last) <= gap;
+        let since = self.short.filter(going_on).map_or(now, |run| run.since);
+        let run = ShortRun { since, last: now };
+        self.short = self.is_short(now).then_some(run);
+    }
+
+    /// Whether every holder that answers lately fell short.
+    fn is_short(&self, now: Instant) -> bool {
+        let mut reachable = self.links.iter().filter(|link| !link.silent);
+        reachable.all(|link| link.short_until(now).is_some())
     }
 
     /// Time one lease should last; less where the burst fills faster.
--- a/standin/src/experiment/limits.rs
+++ b/standin/src/experiment/limits.rs
@@ -129,6 +129,7 @@
     experiment: &'static str,
     seed: u64,
     vms: usize,
+    holders: u32,
     design: Design,
     scenario: &'static str,
     /// Greatest part of rate x window + burst granted in any window.
@@ -145,14 +146,23 @@
     messages_per_second_vm: f64,
 }
 
-/// Runs every design through every scenario at `vms` VMs.
-pub fn run<W>(seed: u64, vms: usize, out: &mut W) -> ExitCode
+/// The size of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Fleet {
+    /// VMs.
+    pub vms: usize,
+    /// Parts that the product holds the share in.
+    pub holders: u32,
+}
+
+/// Runs every design through every scenario.
+pub fn run<W>(seed: u64, fleet: Fleet, out: &mut W) -> ExitCode
 where
     W: Write,
 {
     for design in [Design::Parts, Design::Owner, Design::Even] {
         for scenario in &SCENARIOS {
-            let line = measure(design, scenario, seed, vms);
+            let line = measure(design, scenario, seed, fleet);
             let written = serde_json::to_string(&line).map(|text| writeln!(out, "{text}"));
             if !matches!(written, Ok(Ok(()))) {
                 return ExitCode::FAILURE;
@@ -162,8 +172,8 @@
     ExitCode::SUCCESS
 }
 
-fn measure(design: Design, scenario: &Scenario, seed: u64, vms: usize) -> Line {
-    let mut world = World::open(setup(design, scenario, vms), seed);
+fn measure(design: Design, scenario: &Scenario, seed: u64, fleet: Fleet) -> Line {
+    let mut world = World::open(setup(design, scenario, fleet), seed);
     world.run();
     let figures = &world.figures;
     let refused = figures.refused as f64 / figures.within.max(1) as f64;
@@ -173,7 +183,8 @@
     Line {
         experiment: "limits",
         seed,
-        vms,
+        vms: fleet.vms,
+        holders: fleet.holders,
         design,
         scenario: scenario.name,
         overshoot,
@@ -183,11 +194,12 @@
         met: overshoot <= 1.0 && judged <= scenario.target,
         requests: figures.within,
         store_calls_per_second: figures.calls as f64 / figures.seconds(),
-        messages_per_second_vm: figures.messages as f64 / figures.seconds() / vms as f64,
+        messages_per_second_vm: figures.messages as f64 / figures.seconds() / fleet.vms as f64,
     }
 }
 
-fn setup(design: Design, scenario: &Scenario, vms: usize) -> Setup {
+fn setup(design: Design, scenario: &Scenario, fleet: Fleet) -> Setup {
+    let Fleet { vms, holders } = fleet;
     let rate = if vms > 100 {
         TOKENS_PER_SECOND_LARGE
     } else {
@@ -210,7 +222,7 @@
                 lag: Duration::from_secs(5),
                 backoff: Duration::from_secs(10),
             },
-            holders: 3,
+            holders,
         },
         load: scenario.load,
         traffic: scenario.traffic,
--- a/standin/src/experiment/mod.rs
+++ b/standin/src/experiment/mod.rs
@@ -21,6 +21,9 @@
         /// VMs
         #[bpaf(argument("N"), fallback(9))]
         vms: usize,
+        /// Parts that a share is held in
+        #[bpaf(argument("N"), fallback(3))]
+        holders: u32,
     },
     /// Choice of an engine beside simpler policies
     #[bpaf(command)]
@@ -35,7 +38,10 @@
     /// Runs it; its lines go to standard output.
     pub fn run(self) -> ExitCode {
         match self {
-            Self::Limits { seed, vms } => limits::run(seed, vms, &mut io::stdout().lock()),
+            Self::Limits { seed, vms, holders } => {
+                let fleet = limits::Fleet { vms, holders };
+                limits::run(seed, fleet, &mut io::stdout().lock())
+            }
             Self::Routes { seed } => routes::run(seed, &mut io::stdout().lock()),
         }
     }
