Limit: end leases as soon as their last token is spent

Cause: a borrower's last two leases stayed open at the holder until the ask after next, so that spent tokens took up the burst and the level stopped short of it; after a holder's death the stock was gone early. Ruled out: the estimate of waiting times (changed before, without effect here). Change: an ask that returns what is left of the last lease, if only nothing, ends it too; an idle lease is returned the same way, and an ask for no tokens carries refunds only.

--- a/src/limit/holder.rs
+++ b/src/limit/holder.rs
@@ -6,9 +6,10 @@
 //! borrower says that it is over; the borrower counts its life from the sending of the ask and so
 //! stops before the holder does. A new holder starts empty.
 //!
-//! Asks of one borrower are numbered without gaps. Ask n says that every lease up to n-2 is over;
-//! an ask for no tokens says that every earlier lease is over. A repeat gets the first answer
-//! again, and an older ask gets none.
+//! Asks of one borrower are numbered without gaps. Ask n says that every lease up to n-2 is over,
+//! and that of n-1 too where it returns what is left of them, if only nothing. An ask for no tokens
+//! also ends all earlier leases; what it returns are unused tokens of settled requests. A repeat
+//! gets the first answer again, and an older ask gets none.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -137,10 +138,8 @@
         let Some(borrower) = self.borrowers.get_mut(from) else {
             return;
         };
-        let last = match ask.tokens {
-            Tokens::ZERO => ask.sequence.saturating_sub(1),
-            _ => ask.sequence.saturating_sub(2),
-        };
+        let all = ask.tokens == Tokens::ZERO || ask.returned.is_some();
+        let last = ask.sequence.saturating_sub(if all { 1 } else { 2 });
         let over = |&mut (sequence, _): &mut (u64, Instant)| sequence <= last;
         let closed: Vec<_> = borrower.open.extract_if(.., over).collect();
         let mut freed = Tokens::ZERO;
--- a/src/limit/link.rs
+++ b/src/limit/link.rs
@@ -139,17 +139,22 @@
         spent
     }
 
-    /// Asks for tokens, and gives back what is left of the lease before the last.
+    /// Asks for tokens and keeps the last lease.
     pub(super) fn ask(&mut self, account: &ClientAccount, tokens: Tokens, now: Instant) {
-        let last = self.sequence.saturating_sub(1);
-        let returned = self.give_up(last, now);
-        self.send(account, tokens, returned, now);
+        self.give_up(self.sequence.saturating_sub(1), now);
+        self.send(account, tokens, None, now);
     }
 
-    /// Gives back all leases and credits unused tokens of settled requests.
-    pub(super) fn close(&mut self, account: &ClientAccount, refund: Tokens, now: Instant) {
-        let returned = self.give_up(self.sequence, now);
-        self.send(account, Tokens::ZERO, returned + refund, now);
+    /// Asks for tokens and gives back all leases, if any are left.
+    pub(super) fn renew(&mut self, account: &ClientAccount, tokens: Tokens, now: Instant) {
+        let left = self.give_up(self.sequence, now);
+        self.send(account, tokens, Some(left), now);
+    }
+
+    /// Ends all leases, and returns unused tokens of settled requests.
+    pub(super) fn refund(&mut self, account: &ClientAccount, unused: Tokens, now: Instant) {
+        self.give_up(self.sequence, now);
+        self.send(account, Tokens::ZERO, Some(unused), now);
     }
 
     fn give_up(&mut self, last: u64, now: Instant) -> Tokens {
@@ -160,13 +165,19 @@
         live.map(|lease| lease.left).sum()
     }
 
-    fn send(&mut self, account: &ClientAccount, tokens: Tokens, returned: Tokens, now: Instant) {
+    fn send(
+        &mut self,
+        account: &ClientAccount,
+        tokens: Tokens,
+        returned: Option<Tokens>,
+        now: Instant,
+    ) {
         self.sequence += 1;
         let ask = LeaseAsk {
             account: account.clone(),
             epoch: self.epoch,
             part: self.index,
-            returned: (returned > Tokens::ZERO).then_some(returned),
+            returned,
             sequence: self.sequence,
             tokens,
         };
--- a/src/limit/spender.rs
+++ b/src/limit/spender.rs
@@ -22,6 +22,12 @@
 /// Part of the time to fill a burst that one lease may cover.
 const BURST_DIVISOR: f64 = 8.0;
 
+/// What is asked for where tokens are only given back.
+const LEAST_ASK: Tokens = Tokens(1);
+
+/// Times a refund must exceed what is left of the leases that end with it.
+const REFUND_FACTOR: u64 = 4;
+
 const DEMAND_SPAN_MS: u64 = 1_000;
 const INTAKE_SPAN_MS: u64 = 2_000;
 const SHORT_RUN_MS: u64 = 1_000;
@@ -269,12 +275,17 @@
         let mut links: Vec<_> = self.links.iter_mut().collect();
         links.sort_by_key(|link| (link.silent, link.order));
         for link in links {
-            let tokens = missing.min(most);
-            if tokens == Tokens::ZERO || !link.is_ready(now) {
+            if missing == Tokens::ZERO || !link.is_ready(now) {
                 continue;
             }
-            link.ask(name, tokens, now);
-            missing = missing - link.coming();
+            let left = link.left(now);
+            if queued > Tokens::ZERO || left == Tokens::ZERO {
+                link.renew(name, (missing + left).min(most), now);
+                missing = missing + left - link.coming();
+            } else {
+                link.ask(name, missing.min(most), now);
+                missing = missing - link.coming();
+            }
         }
     }
 
@@ -290,10 +301,11 @@
                 continue;
             }
             let left = link.left(now);
-            let idle = link.is_idle(self.times.batch, now) && (tight || left > Tokens::ZERO);
-            let refund = self.refund > Tokens::ZERO && self.refund >= left;
-            if idle || refund {
-                link.close(&self.name, std::mem::take(&mut self.refund), now);
+            let idle = link.is_idle(self.times.batch, now);
+            if idle && left > LEAST_ASK {
+                link.renew(&self.name, LEAST_ASK, now);
+            } else if (idle && tight) || self.refund.0 > left.0 * REFUND_FACTOR {
+                link.refund(&self.name, std::mem::take(&mut self.refund), now);
             }
         }
     }
