--- a/standin/src/experiment/mod.rs
+++ b/standin/src/experiment/mod.rs
@@ -1,6 +1,6 @@
 //! Experiments: short loops that drive the pure decisions with fakes and a virtual clock.
 
-pub mod models;
+pub mod limits;
 pub mod routes;
 
 use std::io;
@@ -12,6 +12,19 @@
 #[derive(Clone, Copy, Debug, Bpaf)]
 #[bpaf(generate(experiment))]
 pub enum Experiment {
+    /// Limits over all VMs beside simpler designs
+    #[bpaf(command)]
+    Limits {
+        /// Seed of the draws
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+        /// VMs
+        #[bpaf(argument("N"), fallback(9))]
+        vms: usize,
+        /// Parts that a share is held in
+        #[bpaf(argument("N"), fallback(3))]
+        holders: u32,
+    },
     /// Cold starts, idle memory and fairness of the models beside simpler policies
     #[bpaf(command)]
     Models {
@@ -29,14 +42,43 @@
         #[bpaf(argument("N"), fallback(1))]
         seed: u64,
     },
+    /// Cost of the links between VMs, with sockets, all nodes in one process
+    #[bpaf(command)]
+    Peers {
+        /// Count of VMs
+        #[bpaf(argument("N"), fallback(9))]
+        vms: usize,
+        /// Time measured, after a warm-up
+        #[bpaf(argument("S"), fallback(20))]
+        seconds: u64,
+        /// Bytes of the configuration handed on
+        #[bpaf(argument("BYTES"), fallback(20_000))]
+        size: usize,
+    },
+    /// Time until a revision reaches every VM, in virtual time
+    #[bpaf(command)]
+    Spread {
+        /// Count of VMs
+        #[bpaf(argument("N"), fallback(360))]
+        vms: usize,
+        /// Seed of the draws
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+    },
 }
 
 impl Experiment {
     /// Runs it; its lines go to standard output.
     pub fn run(self) -> ExitCode {
         match self {
+            Self::Limits { seed, vms, holders } => {
+                let fleet = limits::Fleet { vms, holders };
+                limits::run(seed, fleet, &mut io::stdout().lock())
+            }
             Self::Models { site, seed } => models::run(site, seed, &mut io::stdout().lock()),
             Self::Routes { seed } => routes::run(seed, &mut io::stdout().lock()),
+            Self::Peers { vms, seconds, size } => peers::run(vms, seconds, size, &mut io::stdout()),
+            Self::Spread { vms, seed } => spread::run(vms, seed, &mut io::stdout().lock()),
         }
     }
 }
