--- a/standin/src/experiment/mod.rs
+++ b/standin/src/experiment/mod.rs
@@ -1,6 +1,8 @@
 //! Experiments: short loops that drive the pure decisions with fakes and a virtual clock.
 
+pub mod peers;
 pub mod routes;
+pub mod spread;
 
 use std::io;
 use std::process::ExitCode;
@@ -18,6 +20,29 @@
         #[bpaf(argument("N"), fallback(1))]
         seed: u64,
     },
+    /// Cost of the links between VMs, with sockets, all nodes in one process
+    #[bpaf(command)]
+    Peers {
+        /// Count of VMs
+        #[bpaf(argument("N"), fallback(9))]
+        vms: usize,
+        /// Time measured, after a warm-up
+        #[bpaf(argument("S"), fallback(20))]
+        seconds: u64,
+        /// Bytes of the configuration handed on
+        #[bpaf(argument("BYTES"), fallback(20_000))]
+        size: usize,
+    },
+    /// Time until a revision reaches every VM, in virtual time
+    #[bpaf(command)]
+    Spread {
+        /// Count of VMs
+        #[bpaf(argument("N"), fallback(360))]
+        vms: usize,
+        /// Seed of the draws
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+    },
 }
 
 impl Experiment {
@@ -25,6 +50,8 @@
     pub fn run(self) -> ExitCode {
         match self {
             Self::Routes { seed } => routes::run(seed, &mut io::stdout().lock()),
+            Self::Peers { vms, seconds, size } => peers::run(vms, seconds, size, &mut io::stdout()),
+            Self::Spread { vms, seed } => spread::run(vms, seed, &mut io::stdout().lock()),
         }
     }
 }
