--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -6,17 +6,13 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream::{SplitSink, SplitStream};
 use futures_util::{SinkExt, StreamExt};
 use thiserror::Error;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
@@ -24,9 +20,8 @@
 use tokio_tungstenite::tungstenite::{self, Message};
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
-use crate::clock::Clock;
 use crate::peer::frame::{self, FrameError, Kind};
-use crate::peer::metrics::PeerMetrics;
+use crate::peer::meter::{Gauge, Metered};
 use crate::schema::peer::{Frame, Hello};
 use crate::schema::settings::PeerSettings;
 use crate::units;
@@ -129,101 +124,6 @@
     }
 }
 
-/// When a link last heard and last carried something, shared by its halves.
-#[derive(Debug)]
-pub struct Gauge {
-    clock: Arc<dyn Clock>,
-    start: Instant,
-    heard_ms: AtomicU64,
-    used_ms: AtomicU64,
-    metrics: PeerMetrics,
-}
-
-impl Gauge {
-    /// Counts from now on.
-    pub fn open(clock: Arc<dyn Clock>, metrics: PeerMetrics) -> Arc<Self> {
-        Arc::new(Self {
-            start: clock.now(),
-            clock,
-            heard_ms: AtomicU64::new(0),
-            used_ms: AtomicU64::new(0),
-            metrics,
-        })
-    }
-
-    /// Time since the link last heard a byte.
-    pub fn silence(&self) -> Duration {
-        self.since(&self.heard_ms)
-    }
-
-    /// Time since the link was dialled or accepted.
-    pub fn life(&self) -> Duration {
-        Duration::from_millis(self.since_start_ms())
-    }
-
-    fn since_start_ms(&self) -> u64 {
-        let span = self.clock.now().saturating_duration_since(self.start);
-        span.as_millis() as u64
-    }
-
-    fn note(&self, at: &AtomicU64) {
-        at.store(self.since_start_ms(), Ordering::Relaxed);
-    }
-
-    fn since(&self, at: &AtomicU64) -> Duration {
-        let passed = self
-            .since_start_ms()
-            .saturating_sub(at.load(Ordering::Relaxed));
-        Duration::from_millis(passed)
-    }
-}
-
-/// A TCP stream that counts its bytes.
-#[derive(Debug)]
-pub struct Metered {
-    stream: TcpStream,
-    gauge: Arc<Gauge>,
-}
-
-impl AsyncRead for Metered {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let read = buf.filled().len() - before;
-        if read > 0 {
-            self.gauge.note(&self.gauge.heard_ms);
-            self.gauge.metrics.bytes_in.inc_by(read as u64);
-        }
-        poll
-    }
-}
-
-impl AsyncWrite for Metered {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
-        if let Poll::Ready(Ok(written)) = &poll {
-            self.gauge.metrics.bytes_out.inc_by(*written as u64);
-        }
-        poll
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
-    }
-}
-
 /// A link that greeted.
 #[derive(Debug)]
 pub struct Link {
@@ -244,7 +144,7 @@
         gauge: Arc<Gauge>,
     ) -> Result<Self, LinkError> {
         let work = async {
-            let stream = metered(TcpStream::connect(address).await?, &gauge)?;
+            let stream = Metered::open(TcpStream::connect(address).await?, &gauge)?;
             let url = format!("ws://{address}/");
             let config = Some(socket_config(limits));
             let (socket, _) = client_async_with_config(url, stream, config)
@@ -265,7 +165,7 @@
         gauge: Arc<Gauge>,
     ) -> Result<Self, LinkError> {
         let work = async {
-            let stream = metered(stream, &gauge)?;
+            let stream = Metered::open(stream, &gauge)?;
             let socket = accept_async_with_config(stream, Some(socket_config(limits)))
                 .await
                 .map_err(|e| LinkError::from_socket(&e, limits.frame))?;
@@ -313,12 +213,6 @@
     }
 }
 
-fn metered(stream: TcpStream, gauge: &Arc<Gauge>) -> io::Result<Metered> {
-    stream.set_nodelay(true)?;
-    let gauge = Arc::clone(gauge);
-    Ok(Metered { stream, gauge })
-}
-
 fn socket_config(limits: Limits) -> WebSocketConfig {
     let bound = usize::try_from(limits.frame.0).unwrap_or(usize::MAX);
     WebSocketConfig::default()
@@ -337,7 +231,7 @@
     let mut ticks = interval(limits.ping);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        if gauge.since(&gauge.used_ms) > limits.idle {
+        if gauge.idle() > limits.idle {
             // The close frame tells the other side that nothing broke; it is gone where this fails.
             let _ = timeout(limits.silence, sink.close()).await;
             return LinkError::Idle;
@@ -348,10 +242,10 @@
         };
         match &message {
             Message::Ping(_) if gauge.silence() < limits.ping => continue,
-            Message::Ping(_) => gauge.metrics.pings_out.inc(),
+            Message::Ping(_) => gauge.metrics().pings_out.inc(),
             _ => {
-                gauge.note(&gauge.used_ms);
-                gauge.metrics.frames_out.inc();
+                gauge.used();
+                gauge.metrics().frames_out.inc();
             }
         }
         match timeout(limits.silence, sink.send(message)).await {
@@ -379,8 +273,8 @@
         match frame::decode(&bytes, limits.frame) {
             Ok(Frame::Hello(_)) => return FrameError::OutOfPlace(Kind::Hello).into(),
             Ok(frame) => {
-                gauge.note(&gauge.used_ms);
-                gauge.metrics.frames_in.inc();
+                gauge.used();
+                gauge.metrics().frames_in.inc();
                 on_frame(frame);
             }
             Err(error) => return error.into(),
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -5,22 +5,19 @@
 //! wins, so only a newer generation undoes a leaving word. A VM counts as live only while the list
 //! names it or it was itself heard; what others say can make it silent, never keep it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use crate::ids::{DataCentre, Generation, UpstreamId, VmId};
-use crate::platform::{Instance, InstanceKind, InstanceList, InstanceState};
+use crate::peer::record::{HOT_ROUNDS, Record, Word};
+use crate::platform::{Instance, InstanceKind, InstanceList};
 use crate::schema::peer::{Digest, MemberDigest};
 
 /// Time that the word on a vanished VM or upstream is kept.
 pub const RETENTION: Duration = Duration::from_hours(1);
 /// Most VMs and most upstreams remembered.
 pub const MAX_RECORDS: usize = 8192;
-/// Peers that must have lost a VM before their word makes it silent here.
-const WITNESSES: usize = 2;
-/// Rounds in which a new leaving word goes first.
-const HOT_ROUNDS: u32 = 10;
 
 /// What a VM is held to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -70,94 +67,6 @@
     }
 }
 
-/// A generation with its leaving mark; the greater one wins.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-struct Word {
-    generation: Generation,
-    leaving: bool,
-}
-
-#[derive(Clone, Debug)]
-struct Record {
-    word: Word,
-    address: Option<SocketAddr>,
-    centre: Option<DataCentre>,
-    listed: bool,
-    touched: Instant,
-    heard: Option<Instant>,
-    lost: Option<Instant>,
-    hearsay: Option<Instant>,
-    witnesses: BTreeSet<VmId>,
-    claimed: Option<Instant>,
-    hot: u32,
-    told: u64,
-}
-
-impl Record {
-    fn open(now: Instant) -> Self {
-        Self {
-            word: Word::default(),
-            address: None,
-            centre: None,
-            listed: false,
-            touched: now,
-            heard: None,
-            lost: None,
-            hearsay: None,
-            witnesses: BTreeSet::new(),
-            claimed: None,
-            hot: 0,
-            told: 0,
-        }
-    }
-
-    // A new generation starts with a clean sheet: what was seen of the old one says nothing of it.
-    fn merge(&mut self, word: Word, now: Instant) -> bool {
-        if word <= self.word {
-            return false;
-        }
-        if word.generation > self.word.generation {
-            self.heard = None;
-            self.lost = None;
-            self.hearsay = None;
-            self.clear_claims();
-        }
-        self.word = word;
-        self.touched = now;
-        self.hot = if word.leaving { HOT_ROUNDS } else { 0 };
-        word.leaving
-    }
-
-    fn clear_claims(&mut self) {
-        self.witnesses.clear();
-        self.claimed = None;
-    }
-
-    fn state(&self, silence: Duration, now: Instant) -> MemberState {
-        let fresh = |at: Instant| now.saturating_duration_since(at) <= silence;
-        let heard = self.heard.is_some_and(fresh);
-        if !self.listed && !heard {
-            return MemberState::Gone;
-        }
-        if self.word.leaving {
-            return MemberState::Leaving;
-        }
-        if self.lost > self.heard || self.lost_by_peers(silence) {
-            return MemberState::Silent;
-        }
-        MemberState::Live
-    }
-
-    fn lost_by_peers(&self, silence: Duration) -> bool {
-        let Some(claimed) = self.claimed else {
-            return false;
-        };
-        let newest = self.heard.max(self.hearsay);
-        let refuted = newest.is_some_and(|at| at + silence >= claimed);
-        self.witnesses.len() >= WITNESSES && !refuted
-    }
-}
-
 #[derive(Clone, Debug)]
 struct UpstreamRecord {
     word: Word,
@@ -223,14 +132,14 @@
         if instance.generation >= record.word.generation {
             record.address = instance.address.parse().ok();
         }
-        record.merge(word_of(instance), now)
+        record.merge(Word::of(instance), now)
     }
 
     fn list_upstream(&mut self, instance: &Instance, now: Instant) -> bool {
         let Ok(upstream) = instance.vm.as_str().parse() else {
             return false;
         };
-        self.merge_upstream(&upstream, word_of(instance), now)
+        self.merge_upstream(&upstream, Word::of(instance), now)
     }
 
     /// Joins a digest, with all it says of others. Returns whether a leaving word was news.
@@ -454,10 +363,3 @@
     kept: bool,
     told: u64,
 }
-
-fn word_of(instance: &Instance) -> Word {
-    Word {
-        generation: instance.generation,
-        leaving: instance.state == InstanceState::Leaving,
-    }
-}
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -11,8 +11,10 @@
 pub mod gossip;
 pub mod link;
 pub mod membership;
+mod meter;
 pub mod metrics;
 pub mod node;
+mod record;
 mod registry;
 
 pub use contact::Contact;
--- /dev/null
+++ b/src/peer/node/frames.rs
@@ -0,0 +1,85 @@
+//! Sending frames, and handing those that come to their handlers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc::error::TrySendError;
+use tokio::time::timeout;
+
+use super::SendError;
+use super::inner::{Inner, lock};
+use crate::ids::{Generation, VmId};
+use crate::peer::frame::{self, Kind};
+use crate::schema::peer::{Digest, Frame};
+
+impl Inner {
+    pub(super) fn send(self: &Arc<Self>, to: &VmId, frame: &Frame) -> Result<(), SendError> {
+        let sent = self.try_send(to, frame);
+        if sent.is_err() {
+            self.metrics.dropped.inc();
+        }
+        sent
+    }
+
+    pub(super) fn try_send(self: &Arc<Self>, to: &VmId, frame: &Frame) -> Result<(), SendError> {
+        let bytes = frame::encode(frame, self.limits.frame)?;
+        self.link_to(to)?.try_send(bytes).map_err(|e| match e {
+            TrySendError::Full(_) => SendError::Full,
+            TrySendError::Closed(_) => SendError::Closed,
+        })
+    }
+
+    pub(super) async fn send_paced(
+        self: &Arc<Self>,
+        to: &VmId,
+        frame: &Frame,
+        wait: Duration,
+    ) -> Result<(), SendError> {
+        let bytes = frame::encode(frame, self.limits.frame)?;
+        let queue = self.link_to(to)?;
+        match timeout(wait, queue.send(bytes)).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(_)) => Err(SendError::Closed),
+            Err(_) => Err(SendError::Full),
+        }
+    }
+
+    pub(super) fn on_frame(self: &Arc<Self>, from: &VmId, generation: Generation, frame: Frame) {
+        if let Frame::Digest(digest) = &frame {
+            self.on_digest(from, digest);
+        } else {
+            self.with_members(|m, now| m.heard(from, generation, now));
+        }
+        self.dispatch(from, frame);
+    }
+
+    pub(super) fn dispatch(self: &Arc<Self>, from: &VmId, frame: Frame) {
+        let kind = Kind::of(&frame);
+        let handler = self.handlers.load().get(&kind).cloned();
+        let Some(handler) = handler else {
+            if !matches!(kind, Kind::Hello | Kind::Digest) {
+                self.metrics.unhandled.inc();
+            }
+            return;
+        };
+        if let Some(answer) = handler.on_frame(from, frame) {
+            // A failure is counted by `send`; the asker repeats its ask.
+            let _ = self.send(from, &answer);
+        }
+    }
+
+    pub(super) fn on_digest(self: &Arc<Self>, from: &VmId, digest: &Digest) {
+        if digest.vm != *from {
+            self.metrics.rejected.inc();
+            return;
+        }
+        lock(&self.gossip).follow(from);
+        let heard = Duration::from_millis(digest.heard);
+        lock(&self.touch).store_by_peer(heard, self.clock.now());
+        let news = self.with_members(|m, now| m.digest(digest, now));
+        if news {
+            self.publish();
+            self.tell_news(Some(from));
+        }
+    }
+}
--- /dev/null
+++ b/src/peer/node/inner.rs
@@ -0,0 +1,117 @@
+//! State of a node, shared by its tasks.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use tokio::sync::watch;
+
+use super::{BindError, FrameHandler, LocalState, NodeOptions};
+use crate::clock::Clock;
+use crate::peer::contact::{ContactCell, ContactTracker};
+use crate::peer::digest::Own;
+use crate::peer::frame::{Kind, PROTOCOL};
+use crate::peer::gossip::Gossip;
+use crate::peer::link::Limits;
+use crate::peer::membership::{Members, Membership};
+use crate::peer::metrics::PeerMetrics;
+use crate::peer::registry::Links;
+use crate::schema::peer::Hello;
+
+pub(super) type Handlers = BTreeMap<Kind, Arc<dyn FrameHandler>>;
+
+#[derive(Debug)]
+pub(super) struct Inner {
+    pub(super) options: NodeOptions,
+    pub(super) limits: Limits,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(super) state: Arc<dyn LocalState>,
+    pub(super) metrics: PeerMetrics,
+    pub(super) membership: Mutex<Membership>,
+    pub(super) gossip: Mutex<Gossip>,
+    pub(super) links: Mutex<Links>,
+    pub(super) members: ArcSwap<Members>,
+    pub(super) handlers: ArcSwap<Handlers>,
+    pub(super) touch: Mutex<ContactTracker>,
+    pub(super) contact: ContactCell,
+    pub(super) leaving: AtomicBool,
+    pub(super) stopped: watch::Receiver<bool>,
+}
+
+impl Inner {
+    pub(super) fn open(
+        options: NodeOptions,
+        clock: Arc<dyn Clock>,
+        state: Arc<dyn LocalState>,
+        stopped: watch::Receiver<bool>,
+    ) -> Result<Self, BindError> {
+        let limits = Limits::from(&options.settings);
+        let fanout = options.settings.fanout as usize;
+        let gossip = Gossip::open(options.centre.clone(), fanout, options.seed);
+        let membership = Membership::open(options.vm.clone(), limits.silence);
+        let alone = Duration::from_millis(options.settings.alone);
+        let touch = ContactTracker::open(alone, clock.now());
+        Ok(Self {
+            options,
+            limits,
+            clock,
+            state,
+            metrics: PeerMetrics::open()?,
+            membership: Mutex::new(membership),
+            gossip: Mutex::new(gossip),
+            links: Mutex::default(),
+            members: ArcSwap::default(),
+            handlers: ArcSwap::default(),
+            touch: Mutex::new(touch),
+            contact: ContactCell::default(),
+            leaving: AtomicBool::new(false),
+            stopped,
+        })
+    }
+
+    pub(super) fn with_members<F, T>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut Membership, Instant) -> T,
+    {
+        work(&mut lock(&self.membership), self.clock.now())
+    }
+
+    pub(super) fn publish(&self) {
+        let members = self.with_members(|m, now| m.members(now));
+        if **self.members.load() != members {
+            self.members.store(Arc::new(members));
+        }
+    }
+
+    pub(super) fn hello(&self) -> Hello {
+        Hello {
+            protocol: PROTOCOL,
+            vm: self.options.vm.clone(),
+            generation: self.options.generation,
+            centre: self.options.centre.clone(),
+            revision: self.state.revision(),
+        }
+    }
+
+    pub(super) fn own(&self) -> Own {
+        Own {
+            vm: self.options.vm.clone(),
+            generation: self.options.generation,
+            revision: self.state.revision(),
+            heard: self.state.heard(),
+            leaving: self.leaving.load(Ordering::Relaxed),
+        }
+    }
+
+    pub(super) async fn stop(&self) {
+        let mut stopped = self.stopped.clone();
+        // An error says that the node was dropped.
+        let _ = stopped.wait_for(|stop| *stop).await;
+    }
+}
+
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/peer/registry.rs
+++ b/src/peer/registry.rs
@@ -8,7 +8,8 @@
 use tokio::sync::mpsc;
 
 use crate::ids::VmId;
-use crate::peer::link::{Gauge, QUEUE_FRAMES};
+use crate::peer::link::QUEUE_FRAMES;
+use crate::peer::meter::Gauge;
 
 /// Tells two links with the same VM apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
