Wait for the first round before timing what is told at once

Cause: on a loaded machine one run of the spread to nine VMs took over a second. A VM is told at once by its partners and by those it told in a round; the test began once links were being dialled, so a VM whose first digest was still under way was told only in the next round. Ruled out: loss of a message (the revision arrived), a stalled fetch (nothing asked the store). Change: the test waits until every VM was heard by its three partners; the bound stays a third of a round. `links` counts open links alone.

--- a/src/peer/node.rs
+++ b/src/peer/node.rs
@@ -209,9 +209,9 @@
         &self.inner.metrics
     }
 
-    /// Count of VMs with a link now.
+    /// Count of VMs with an open link.
     pub fn links(&self) -> usize {
-        lock(&self.inner.links).len()
+        lock(&self.inner.links).count()
     }
 }
 
--- a/src/peer/registry.rs
+++ b/src/peer/registry.rs
@@ -109,8 +109,9 @@
         open.map(|gauge| gauge.silence()).min()
     }
 
-    /// Count of links.
-    pub(super) fn len(&self) -> usize {
-        self.slots.len()
+    /// Count of open links.
+    pub(super) fn count(&self) -> usize {
+        let open = |slot: &&Slot| slot.open.is_some();
+        self.slots.values().filter(open).count()
     }
 }
--- a/tests/peer_common/mod.rs
+++ b/tests/peer_common/mod.rs
@@ -186,6 +186,12 @@
     peers
 }
 
+/// Waits until the first round is over: each VM was heard by its three partners.
+pub async fn first_round(peers: &[Peer]) {
+    let heard = || -> u64 { peers.iter().map(|p| p.node.metrics().frames_in.get()).sum() };
+    wait("the first round", || heard() >= 3 * peers.len() as u64).await;
+}
+
 /// Waits until a condition holds, and returns how long that took.
 pub async fn wait<F>(what: &str, mut condition: F) -> Duration
 where
--- a/tests/peer_spread.rs
+++ b/tests/peer_spread.rs
@@ -14,7 +14,7 @@
 use basilgw::schema::declaration::{ChunkRef, Head};
 use basilgw::units;
 use bytes::Bytes;
-use peer_common::{Peer, RARE, fleet, open, rare_rounds, settings, vm, wait};
+use peer_common::{Peer, RARE, first_round, fleet, open, rare_rounds, settings, vm, wait};
 
 fn all_hold(peers: &[Peer], revision: u64) -> bool {
     let holds = |p: &Peer| basilgw::peer::LocalState::revision(&*p.holder) == Revision(revision);
@@ -29,7 +29,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_revision_reaches_nine_vms_in_many_parts() {
     let peers = fleet(9, rare_rounds(), 5 * PART_BYTES + 17).await;
-    wait("links", || peers.iter().all(|p| p.node.links() >= 3)).await;
+    first_round(&peers).await;
     for revision in 1..=5 {
         accept(&peers[revision as usize], revision);
         let took = wait("the spread", || all_hold(&peers, revision)).await;
@@ -77,7 +77,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn leaving_words_reach_all() {
     let peers = fleet(9, rare_rounds(), 0).await;
-    wait("links", || peers.iter().all(|p| p.node.links() >= 3)).await;
+    first_round(&peers).await;
     let engine: UpstreamId = "engine-1".parse().unwrap();
     let generation = basilgw::ids::Generation(2);
     peers[0].node.upstream_leaves(&engine, generation);
