Carry parts of a configuration as byte strings

Ruled out: another codec for parts alone; the schema can name the type. Change: `Blob` serialises as a byte string; the bundle's chunks use it too.

--- a/src/declare/spread.rs
+++ b/src/declare/spread.rs
@@ -142,7 +142,7 @@
     from: VmId,
     progress: Instant,
     revision: Revision,
-    parts: BTreeMap<u32, Vec<u8>>,
+    parts: BTreeMap<u32, Bytes>,
 }
 
 /// What one VM knows of the spread.
@@ -241,7 +241,7 @@
         let Some(fetch) = self.fetch.as_mut().filter(|f| f.from == *from) else {
             return Vec::new();
         };
-        if part.part >= part.parts || part.parts > MAX_PARTS || part.bytes.len() > PART_BYTES {
+        if part.part >= part.parts || part.parts > MAX_PARTS || part.bytes.0.len() > PART_BYTES {
             return self.next_source(now);
         }
         // A source that moved on starts again with the newer revision.
@@ -253,7 +253,7 @@
             return Vec::new();
         }
         fetch.progress = now;
-        fetch.parts.insert(part.part, part.bytes);
+        fetch.parts.insert(part.part, part.bytes.0);
         if fetch.parts.len() < part.parts as usize {
             return Vec::new();
         }
--- a/src/declare/spread/bundle.rs
+++ b/src/declare/spread/bundle.rs
@@ -5,11 +5,11 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
-use serde::de::Visitor;
-use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde::{Deserialize, Serialize};
 
 use super::OfferError;
 use crate::ids::ObjectKey;
+use crate::peer::Blob;
 use crate::schema::declaration::{ChunkRef, Head};
 
 const CHUNK_PREFIX: &str = "config/chunk/";
@@ -26,7 +26,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Bundle {
     head: Head,
-    chunks: BTreeMap<ObjectKey, Chunk>,
+    chunks: BTreeMap<ObjectKey, Blob>,
 }
 
 impl Bundle {
@@ -35,7 +35,7 @@
     where
         I: IntoIterator<Item = (ObjectKey, Bytes)>,
     {
-        let chunks = chunks.into_iter().map(|(key, bytes)| (key, Chunk(bytes)));
+        let chunks = chunks.into_iter().map(|(key, bytes)| (key, Blob(bytes)));
         Self {
             head,
             chunks: chunks.collect(),
@@ -92,43 +92,3 @@
         Ok(content)
     }
 }
-
-/// Content of a chunk; a byte string on the wire.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct Chunk(Bytes);
-
-impl Serialize for Chunk {
-    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
-    where
-        S: Serializer,
-    {
-        serializer.serialize_bytes(&self.0)
-    }
-}
-
-impl<'de> Deserialize<'de> for Chunk {
-    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
-    where
-        D: Deserializer<'de>,
-    {
-        deserializer.deserialize_byte_buf(ChunkVisitor)
-    }
-}
-
-struct ChunkVisitor;
-
-impl Visitor<'_> for ChunkVisitor {
-    type Value = Chunk;
-
-    fn expecting(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter.write_str("a byte string")
-    }
-
-    fn visit_bytes<E>(self, v: &[u8]) -> Result<Chunk, E> {
-        Ok(Chunk(Bytes::copy_from_slice(v)))
-    }
-
-    fn visit_byte_buf<E>(self, v: Vec<u8>) -> Result<Chunk, E> {
-        Ok(Chunk(v.into()))
-    }
-}
--- a/src/declare/spread/shell.rs
+++ b/src/declare/spread/shell.rs
@@ -10,7 +10,7 @@
 use super::{Action, ConfigHolder, Event, Export, FETCH_TIMEOUT, PART_BYTES, Spread};
 use crate::clock::Clock;
 use crate::ids::{Revision, VmId};
-use crate::peer::{FrameHandler, Kind, PeerNode};
+use crate::peer::{Blob, FrameHandler, Kind, PeerNode};
 use crate::schema::peer::{ConfigFetch, ConfigPart, Frame};
 
 /// VMs served with a configuration at the same time.
@@ -121,7 +121,7 @@
             revision: export.revision,
             part,
             parts,
-            bytes: slice(&export.bytes, part).to_vec(),
+            bytes: Blob(slice(&export.bytes, part)),
         });
         if node.send_paced(to, &frame, FETCH_TIMEOUT).await.is_err() {
             return;
@@ -129,10 +129,10 @@
     }
 }
 
-fn slice(bytes: &Bytes, part: u32) -> &[u8] {
+fn slice(bytes: &Bytes, part: u32) -> Bytes {
     let start = part as usize * PART_BYTES;
     let end = bytes.len().min(start + PART_BYTES);
-    &bytes[start..end]
+    bytes.slice(start..end)
 }
 
 async fn tick(spreader: Weak<Spreader>) {
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -5,6 +5,7 @@
 //! tell, and both are pure. [`node`] drives them with sockets and a clock. Everything here is soft
 //! state: what must be agreed upon or kept goes through the platform's service.
 
+mod blob;
 pub mod contact;
 pub mod digest;
 pub mod frame;
@@ -17,6 +18,7 @@
 mod record;
 mod registry;
 
+pub use blob::Blob;
 pub use contact::Contact;
 pub use frame::{FrameError, Kind, PROTOCOL};
 pub use membership::{Member, MemberState, Members};
--- a/src/schema/peer.rs
+++ b/src/schema/peer.rs
@@ -13,8 +13,7 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct ConfigPart {
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub bytes: ::std::vec::Vec<u8>,
+    pub bytes: ::basilgw::peer::Blob,
     #[doc = "Index of this part."]
     pub part: u32,
     #[doc = "Count of parts."]
--- a/standin/src/experiment/spread.rs
+++ b/standin/src/experiment/spread.rs
@@ -11,8 +11,7 @@
 use basilgw::declare::spread::{Action, Event, Spread};
 use basilgw::ids::{DataCentre, Generation, IdError, Revision, VmId};
 use basilgw::peer::gossip::Gossip;
-use basilgw::peer::{ConfigPart, Member, MemberState, Members};
-use bytes::Bytes;
+use basilgw::peer::{Blob, ConfigPart, Member, MemberState, Members};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
@@ -226,7 +225,7 @@
                 revision: NEW,
                 part: 0,
                 parts: 1,
-                bytes: Bytes::from_static(b"x").to_vec(),
+                bytes: Blob::default(),
             },
         };
         self.send(to, Happening::Spread(part), now);
--- a/tests/peer_frames.rs
+++ b/tests/peer_frames.rs
@@ -2,7 +2,7 @@
 
 use basilgw::ids::Revision;
 use basilgw::peer::frame::{decode, decode_hello, encode};
-use basilgw::peer::{ConfigFetch, ConfigPart, Frame, FrameError, Hello, Kind, PROTOCOL};
+use basilgw::peer::{Blob, ConfigFetch, ConfigPart, Frame, FrameError, Hello, Kind, PROTOCOL};
 use basilgw::units::Bytes;
 use proptest::prelude::*;
 
@@ -56,7 +56,7 @@
         revision: Revision(1),
         part: 0,
         parts: 1,
-        bytes: vec![200; 2000],
+        bytes: Blob(vec![200; 2000].into()),
     });
     let size = encode(&big, Bytes(10_000)).unwrap();
     assert!(matches!(
@@ -69,6 +69,21 @@
     ));
 }
 
+#[test]
+fn a_part_takes_hardly_more_than_its_bytes() {
+    let part = |bytes: Vec<u8>| {
+        Frame::Config(ConfigPart {
+            revision: Revision(1),
+            part: 0,
+            parts: 1,
+            bytes: Blob(bytes.into()),
+        })
+    };
+    let bytes = encode(&part(vec![200; 900]), BOUND).unwrap();
+    assert!(bytes.len() < 950, "{}", bytes.len());
+    assert_eq!(decode(&bytes, BOUND), Ok(part(vec![200; 900])));
+}
+
 #[test]
 fn bytes_after_a_frame_are_refused() {
     let mut bytes = encode(&fetch(), BOUND).unwrap().to_vec();
--- a/tests/peer_links.rs
+++ b/tests/peer_links.rs
@@ -9,7 +9,7 @@
 
 use basilgw::ids::{Generation, Revision};
 use basilgw::peer::{
-    ConfigPart, Contact, Frame, Hello, MemberState, PROTOCOL, PeerNode, SendError, frame,
+    Blob, ConfigPart, Contact, Frame, Hello, MemberState, PROTOCOL, PeerNode, SendError, frame,
 };
 use basilgw::units::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -178,7 +178,7 @@
         revision: Revision(1),
         part: 0,
         parts: 1,
-        bytes: vec![200; 2_000_000],
+        bytes: Blob(vec![200; 2_000_000].into()),
     }));
     let mut unknown = Vec::new();
     ciborium::into_writer(&serde_json::json!({"novel": 1}), &mut unknown).unwrap();
@@ -209,7 +209,7 @@
         revision: Revision(1),
         part: 0,
         parts: 1,
-        bytes: vec![200; 1000],
+        bytes: Blob(vec![200; 1000].into()),
     });
     let start = Instant::now();
     let results: Vec<_> = (0..200).map(|_| a.node.send(&vm(1), &frame)).collect();
--- a/tests/peer_spread.rs
+++ b/tests/peer_spread.rs
@@ -10,7 +10,7 @@
     Action, Bundle, Event, FETCH_TIMEOUT, OfferError, PART_BYTES, Spread, chunk_key,
 };
 use basilgw::ids::{Revision, UpstreamId};
-use basilgw::peer::{ConfigPart, Frame, MemberState};
+use basilgw::peer::{Blob, ConfigPart, Frame, MemberState};
 use basilgw::schema::declaration::{ChunkRef, Head};
 use basilgw::units;
 use bytes::Bytes;
@@ -66,7 +66,7 @@
         revision: Revision(3),
         part: 0,
         parts: 1,
-        bytes: vec![0; 108],
+        bytes: Blob(vec![0; 108].into()),
     });
     peers[0].node.send(&vm(1), &stale).unwrap();
     wait("the refusal", || peers[1].spreader.stale() == 1).await;
@@ -127,7 +127,7 @@
             revision: Revision(2),
             part,
             parts: 2,
-            bytes: vec![byte],
+            bytes: Blob(vec![byte].into()),
         },
     };
     let mut spread = Spread::open(Revision(1));
