--- a/src/peer/registry.rs
+++ b/src/peer/registry.rs
@@ -8,7 +8,8 @@
 use tokio::sync::mpsc;
 
 use crate::ids::VmId;
-use crate::peer::link::{Gauge, QUEUE_FRAMES};
+use crate::peer::link::QUEUE_FRAMES;
+use crate::peer::meter::Gauge;
 
 /// Tells two links with the same VM apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -108,8 +109,9 @@
         open.map(|gauge| gauge.silence()).min()
     }
 
-    /// Count of links.
-    pub(super) fn len(&self) -> usize {
-        self.slots.len()
+    /// Count of open links.
+    pub(super) fn count(&self) -> usize {
+        let open = |slot: &&Slot| slot.open.is_some();
+        self.slots.values().filter(open).count()
     }
 }
--- a/standin/src/experiment/mod.rs
+++ b/standin/src/experiment/mod.rs
@@ -1,7 +1,10 @@
 //! Experiments: short loops that drive the pure decisions with fakes and a virtual clock.
 
 pub mod limits;
+pub mod models;
+pub mod peers;
 pub mod routes;
+pub mod spread;
 
 use std::io;
 use std::process::ExitCode;
