--- a/standin/src/experiment/models/run.rs
+++ b/standin/src/experiment/models/run.rs
@@ -96,6 +96,7 @@
     came: VecDeque<Arrival>,
     waiting: BTreeMap<(usize, Ticket), Want>,
     active: BTreeMap<(Instant, u64), Active>,
+    again: Vec<(usize, Want)>,
     decided: BTreeMap<ModelId, Decided>,
     reserved: BTreeMap<UpstreamId, Reserved>,
     history: VecDeque<Reports>,
@@ -158,6 +159,7 @@
             came: arrivals(sizes, seed, SPAN, scenario.factors()).into(),
             waiting: BTreeMap::new(),
             active: BTreeMap::new(),
+            again: Vec::new(),
             decided: BTreeMap::new(),
             reserved: BTreeMap::new(),
             history: VecDeque::new(),
@@ -259,7 +261,7 @@
             let Some(replica) = self.farm.begin(ids, want.adapter.as_ref()) else {
                 // The replica left meanwhile: not run, so it is asked for again.
                 self.desks[vm].release(&want, now);
-                self.enter(vm, want, now);
+                self.again.push((vm, want));
                 continue;
             };
             if let Some(cold) = self.cold.remove(&want.model) {
@@ -574,6 +576,9 @@
     }
 
     fn tick(&mut self, now: Instant) {
+        for (vm, want) in std::mem::take(&mut self.again) {
+            self.enter(vm, want, now);
+        }
         for vm in 0..self.desks.len() {
             if !self.vms[vm].is_away(now) {
                 let outcomes = self.desks[vm].tick(now);
