Run requests with an idempotency key in tasks of their own

Cause: a caller that left would have left the record of its request without an outcome, and each user of the once-records would have joined log and dispatcher by itself.

Change: once::run::Runner records, dispatches once, reads the answer whole, records the end and then answers; it goes on without its caller, and a shutdown can wait for it.

After: once_run 5 tests, pass; run inline, as idempotent, or with a wrong end, at least one fails each time.

--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -6,6 +6,7 @@
 pub mod log;
 mod pending;
 pub mod record;
+pub mod run;
 
 use std::fmt::Debug;
 
--- /dev/null
+++ b/src/once/run.rs
@@ -0,0 +1,136 @@
+//! Dispatch of a request that must run at most once.
+//!
+//! Each request runs in a task of its own, from its record to its end, so that a caller who leaves
+//! does not leave the record without an outcome. The answer is read whole and recorded before
+//! its caller gets it; a repeat therefore finds what the first caller was told.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use bytes::BytesMut;
+use futures_util::StreamExt;
+use tokio::sync::Notify;
+
+use super::{Begin, End, OnceKey, OnceLog, Recorded};
+use crate::outcome::{Ran, Reason, Refusal};
+use crate::platform::Instance;
+use crate::route::Answer;
+use crate::route::dispatch::{Dispatcher, Job};
+
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// Runs requests at most once.
+#[derive(Clone, Debug)]
+pub struct Runner {
+    log: Arc<dyn OnceLog>,
+    dispatcher: Dispatcher,
+    running: Arc<Running>,
+}
+
+/// The requests that run.
+#[derive(Debug, Default)]
+struct Running {
+    count: AtomicUsize,
+    changed: Notify,
+}
+
+impl Runner {
+    /// Opens a runner.
+    pub fn open(log: Arc<dyn OnceLog>, dispatcher: Dispatcher) -> Self {
+        Self {
+            log,
+            dispatcher,
+            running: Arc::default(),
+        }
+    }
+
+    /// Runs a request, or answers what became of it before. Goes on if the caller leaves.
+    pub async fn run(
+        &self,
+        among: Vec<Instance>,
+        job: Job,
+        key: OnceKey,
+    ) -> Result<Recorded, Refusal> {
+        let guard = Guard::open(Arc::clone(&self.running));
+        let runner = self.clone();
+        let task = tokio::spawn(async move {
+            let result = runner.run_here(&among, job, key).await;
+            drop(guard);
+            result
+        });
+        task.await
+            .unwrap_or(Err(Refusal::unknown(Reason::Internal)))
+    }
+
+    /// Waits until no request runs.
+    pub async fn drained(&self) {
+        loop {
+            let changed = self.running.changed.notified();
+            if self.running.count.load(Ordering::Acquire) == 0 {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    async fn run_here(
+        &self,
+        among: &[Instance],
+        mut job: Job,
+        key: OnceKey,
+    ) -> Result<Recorded, Refusal> {
+        let attempt = match self.log.begin(key).await? {
+            Begin::Run(attempt) => attempt,
+            Begin::Repeat(answer) => return Ok(answer),
+        };
+        job.idempotent = false;
+        let result = match self.dispatcher.dispatch(among, &job).await {
+            Ok(served) => read_whole(served.answer).await,
+            Err(refusal) => Err(refusal),
+        };
+        self.log.finish(attempt, end_of(&result)).await;
+        result
+    }
+}
+
+async fn read_whole(mut answer: Answer) -> Result<Recorded, Refusal> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = answer.body.next().await {
+        body.extend_from_slice(&chunk?);
+        if body.len() > MAX_ANSWER_BYTES {
+            return Err(Refusal::unknown(Reason::Capacity));
+        }
+    }
+    let media = answer.headers.get(http::header::CONTENT_TYPE);
+    let media = media.and_then(|value| value.to_str().ok());
+    Ok(Recorded {
+        status: answer.status.as_u16(),
+        media: media.unwrap_or_default().into(),
+        body: body.freeze(),
+    })
+}
+
+fn end_of(result: &Result<Recorded, Refusal>) -> End {
+    match result {
+        Ok(answer) => End::Ran(answer.clone()),
+        Err(refusal) if refusal.ran == Ran::No => End::NotRun,
+        Err(_) => End::Unknown,
+    }
+}
+
+/// Counts one running request.
+struct Guard(Arc<Running>);
+
+impl Guard {
+    fn open(running: Arc<Running>) -> Self {
+        running.count.fetch_add(1, Ordering::AcqRel);
+        Self(running)
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.count.fetch_sub(1, Ordering::AcqRel);
+        self.0.changed.notify_waiters();
+    }
+}
--- /dev/null
+++ b/tests/once_run.rs
@@ -0,0 +1,143 @@
+//! A non-idempotent request from its record to its recorded answer, over loopback.
+
+mod once_support;
+mod route_support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use basilgw::clock::SystemClock;
+use basilgw::ids::Generation;
+use basilgw::once::log::{Keeper, StoreLog};
+use basilgw::once::run::Runner;
+use basilgw::once::{OnceKey, Recorded};
+use basilgw::outcome::{Ran, Reason, Refusal};
+use basilgw::platform::InstanceKind;
+use basilgw::route::choose::{Balancer, ChooseSettings};
+use basilgw::route::dispatch::{Dispatcher, Job};
+use basilgw::route::http::HttpTransport;
+use once_support::{Fault, Gone, MemoryStore};
+use route_support::{Act, Upstream, instance, post, settings};
+
+const BOOKED: &str =
+    "HTTP/1.1 201 Created\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\nslot 7";
+
+fn runner(store: &Arc<MemoryStore>, vm: &str) -> Runner {
+    let clock = SystemClock::open();
+    let mut settings = settings();
+    settings.silence = 300;
+    let transport = HttpTransport::open(Arc::clone(&clock), &settings).expect("builds");
+    let choose = ChooseSettings {
+        centre: "dc-a".parse().expect("an id"),
+        budget: 10,
+        seed: 6,
+    };
+    let balancer = Balancer::open(&choose, clock.now());
+    let dispatcher = Dispatcher::open(
+        Arc::new(balancer),
+        Arc::new(transport),
+        Arc::clone(&clock),
+        3,
+    );
+    let keeper = Keeper {
+        vm: vm.parse().expect("an id"),
+        generation: Generation(1),
+    };
+    let log = StoreLog::open(Arc::clone(store) as _, Gone::open(), clock, keeper);
+    Runner::open(log, dispatcher)
+}
+
+async fn book(runner: &Runner, upstream: &Upstream) -> Result<Recorded, Refusal> {
+    let key = OnceKey {
+        account: "club".parse().expect("an id"),
+        route: "book".parse().expect("an id"),
+        key: "k".into(),
+        digest: [1; 32],
+    };
+    let job = Job {
+        request: post("/book", "{}"),
+        // A runner does not believe this.
+        idempotent: true,
+        deadline: Instant::now() + Duration::from_secs(10),
+        prefix: None,
+        replicas: BTreeMap::new(),
+    };
+    let among = ["s1", "s2"].map(|name| instance(name, upstream.address(), InstanceKind::Service));
+    runner.run(among.into(), job, key).await
+}
+
+#[tokio::test]
+async fn repeats_at_two_vms_get_the_one_answer() {
+    let store = Arc::default();
+    let upstream = Upstream::bind(vec![Act::Answer(BOOKED); 4]).await;
+    let (here, there) = (runner(&store, "vm0"), runner(&store, "vm1"));
+    let first = book(&here, &upstream).await.expect("booked");
+    assert_eq!((first.status, &first.body[..]), (201, &b"slot 7"[..]));
+    for runner in [&here, &there] {
+        assert_eq!(book(runner, &upstream).await, Ok(first.clone()));
+    }
+    assert_eq!(upstream.requests(), 1);
+}
+
+#[tokio::test]
+async fn a_request_whose_answer_is_lost_is_unknown_and_stays_so() {
+    let cut = "HTTP/1.1 201 Created\r\nContent-Length: 9\r\n\r\nhalf";
+    for act in [Act::CloseAfterRead, Act::AnswerThenClose(cut), Act::Silent] {
+        let store = Arc::default();
+        let upstream = Upstream::bind(vec![act, Act::Answer(BOOKED)]).await;
+        let (here, there) = (runner(&store, "vm0"), runner(&store, "vm1"));
+        for runner in [&here, &there, &here] {
+            let refusal = book(runner, &upstream).await.expect_err("nobody knows");
+            assert_eq!(refusal.ran, Ran::Unknown, "{act:?}");
+        }
+        assert_eq!(upstream.requests(), 1, "{act:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_declined_request_may_be_sent_again_by_its_caller() {
+    let declined = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    let store = Arc::default();
+    let upstream = Upstream::bind(vec![Act::Answer(declined), Act::Answer(BOOKED)]).await;
+    let (here, there) = (runner(&store, "vm0"), runner(&store, "vm1"));
+    let refusal = book(&here, &upstream).await.expect_err("declined");
+    assert_eq!(refusal.ran, Ran::No);
+    assert_eq!(upstream.requests(), 1);
+    assert_eq!(book(&there, &upstream).await.expect("booked").status, 201);
+}
+
+#[tokio::test]
+async fn nothing_is_sent_while_the_store_is_down() {
+    let store = Arc::<MemoryStore>::default();
+    store.fail([Fault::Down]);
+    let upstream = Upstream::bind(vec![Act::Answer(BOOKED)]).await;
+    let refusal = book(&runner(&store, "vm0"), &upstream)
+        .await
+        .expect_err("down");
+    assert_eq!(
+        (refusal.reason, refusal.ran),
+        (Reason::StoreUnavailable, Ran::No)
+    );
+    assert_eq!(upstream.connections(), 0);
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_does_not_stop_its_request() {
+    let store = Arc::default();
+    // The answer is held back until a second request has come, from elsewhere.
+    let upstream = Upstream::bind(vec![Act::Hold(BOOKED), Act::Hold(BOOKED)]).await;
+    let here = runner(&store, "vm0");
+    tokio::select! {
+        result = book(&here, &upstream) => panic!("held back, but got {result:?}"),
+        () = upstream.arrived(1) => {}
+    }
+    let other = Arc::default();
+    book(&runner(&other, "vm1"), &upstream)
+        .await
+        .expect("booked");
+    here.drained().await;
+    let repeat = book(&here, &upstream).await.expect("recorded");
+    assert_eq!(repeat.status, 201);
+    assert_eq!(upstream.requests(), 2);
+}
