Weigh an upstream's pace, and keep ends that wait apart

A repeat that was given up on could displace, or hide, the end of the attempt that ran, and the next repeat was then told "not run".

Ruled out: an unbounded pace, which an upstream that fails at once would win and a recovered one would never lose; both are tested.

Change: the cost of a candidate is weighed by its smoothed time of good answers beside the others, bounded and fading. Waiting ends are kept by attempt, and one that says more than "not run" comes first. settle.rs leaves log.rs.

--- a/src/once/log.rs
+++ b/src/once/log.rs
@@ -9,20 +9,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::future::BoxFuture;
 
 use super::pending::{Pending, Waiting};
-use super::record::{Kept, Record, State, digest_text, object_key};
+use super::record::{Record, State, digest_text, object_key};
+use super::settle::{MAX_TRIES, READ_PAUSE, Settled, settle, settle_at};
 use super::{Attempt, Begin, End, OnceKey, OnceLog, Recorded, VmLiveness};
 use crate::clock::Clock;
 use crate::ids::{Generation, ObjectKey, Version, VmId};
 use crate::outcome::{Ran, Reason, Refusal};
-use crate::platform::{Object, ObjectStore, StoreError};
+use crate::platform::{ObjectStore, StoreError};
 
-const MAX_TRIES: usize = 4;
-const READ_PAUSE: Duration = Duration::from_millis(20);
 const IN_PROGRESS_RETRY: Duration = Duration::from_secs(1);
 const STORE_RETRY: Duration = Duration::from_secs(2);
 const LOST_LIFE: Duration = Duration::from_mins(1);
@@ -54,15 +52,6 @@
     Again,
 }
 
-/// What became of an end that was to be written.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Settled {
-    /// The record says so, or belongs to another attempt.
-    Written,
-    /// There is no record.
-    Absent,
-}
-
 impl StoreLog {
     /// Opens a log.
     pub fn open(
@@ -83,7 +72,7 @@
     /// Writes the ends that wait, oldest first; the number still waiting. Called now and then.
     pub async fn flush(&self) -> usize {
         for waiting in self.pending.all() {
-            match self.settle(&waiting).await {
+            match settle(&*self.store, &waiting).await {
                 Ok(Settled::Written) => self.pending.remove(&waiting.attempt),
                 Ok(Settled::Absent) => self.forget_if_old(&waiting),
                 Err(_) => break,
@@ -111,7 +100,7 @@
     async fn create(&self, key: OnceKey, object: &ObjectKey) -> Result<Begin, Refusal> {
         let id = attempt_id();
         let record = self.record(&key, id.clone());
-        let value = encode(&record).ok_or(Refusal::not_run(Reason::Internal))?;
+        let value = record.encode().ok_or(Refusal::not_run(Reason::Internal))?;
         let mut progress = Progress::default();
         for _ in 0..MAX_TRIES {
             match self.store.put(object, Version(0), value.clone()).await {
@@ -172,7 +161,7 @@
             return Step::Again;
         }
         progress.conflict(found.version);
-        let Some(record) = decode(&found) else {
+        let Some(record) = Record::decode(&found.value) else {
             return Step::Refuse(Refusal::unknown(Reason::Internal));
         };
         if record.attempt == *id {
@@ -201,7 +190,7 @@
             State::Unknown => Step::Refuse(Refusal::unknown(Reason::UpstreamFailed)),
             State::InProgress if self.is_gone(&record) => {
                 record.state = State::Unknown;
-                let Some(value) = encode(&record) else {
+                let Some(value) = record.encode() else {
                     return Step::Refuse(Refusal::unknown(Reason::Internal));
                 };
                 match self.store.put(object, version, value).await {
@@ -229,7 +218,7 @@
             End::Ran(answer) => Ok(Begin::Repeat(answer.clone())),
             End::Unknown => Err(Refusal::unknown(Reason::UpstreamFailed)),
             End::NotRun => {
-                if self.settle(waiting).await.is_err() {
+                if settle(&*self.store, waiting).await.is_err() {
                     return Err(store_down());
                 }
                 self.pending.remove(&waiting.attempt);
@@ -251,73 +240,13 @@
             end,
             since: self.clock.now(),
         };
+        let record = self.record(&attempt.key, attempt.id);
         self.pending.insert(waiting.clone());
-        if self.settle_at(&attempt.key, &waiting).await == Ok(Settled::Written) {
+        if settle_at(&*self.store, record, &waiting).await == Ok(Settled::Written) {
             self.pending.remove(&waiting.attempt);
         }
     }
 
-    /// Writes an end at the version its attempt created, or at the present one.
-    async fn settle_at(&self, key: &OnceKey, waiting: &Waiting) -> Result<Settled, StoreError> {
-        let state = state_of(&waiting.end);
-        match self.write(key, waiting, state).await {
-            Ok(()) => Ok(Settled::Written),
-            Err(StoreError::Conflict(_) | StoreError::Unknown) => self.settle(waiting).await,
-            Err(error) => Err(error),
-        }
-    }
-
-    async fn write(
-        &self,
-        key: &OnceKey,
-        waiting: &Waiting,
-        state: Option<State>,
-    ) -> Result<(), StoreError> {
-        let Some(state) = state else {
-            return self.store.delete(&waiting.object, waiting.version).await;
-        };
-        let mut record = self.record(key, waiting.attempt.clone());
-        record.state = state;
-        let value = encode(&record).ok_or(StoreError::Malformed)?;
-        let put = self.store.put(&waiting.object, waiting.version, value);
-        put.await.map(|_| ())
-    }
-
-    /// Reads the record and writes the end, if the record is the attempt's own.
-    async fn settle(&self, waiting: &Waiting) -> Result<Settled, StoreError> {
-        for _ in 0..MAX_TRIES {
-            let Some(found) = self.store.get(&waiting.object).await? else {
-                return Ok(Settled::Absent);
-            };
-            if found.version < waiting.version {
-                return Err(StoreError::Unknown);
-            }
-            let mut record = decode(&found).ok_or(StoreError::Malformed)?;
-            if record.attempt != waiting.attempt {
-                return Ok(Settled::Written);
-            }
-            let state = state_of(&waiting.end);
-            if state.as_ref() == Some(&record.state) {
-                return Ok(Settled::Written);
-            }
-            let written = match state {
-                None => self.store.delete(&waiting.object, found.version).await,
-                Some(state) => {
-                    record.state = state;
-                    let value = encode(&record).ok_or(StoreError::Malformed)?;
-                    let put = self.store.put(&waiting.object, found.version, value);
-                    put.await.map(|_| ())
-                }
-            };
-            match written {
-                Err(StoreError::Conflict(_)) => tokio::time::sleep(READ_PAUSE).await,
-                Err(error) => return Err(error),
-                Ok(()) => return Ok(Settled::Written),
-            }
-        }
-        Err(StoreError::Unknown)
-    }
-
     fn record(&self, key: &OnceKey, attempt: CompactString) -> Record {
         Record {
             attempt,
@@ -376,15 +305,6 @@
     }
 }
 
-/// The state that stands for an end; none where the record is to go.
-fn state_of(end: &End) -> Option<State> {
-    match end {
-        End::NotRun => None,
-        End::Ran(answer) => Some(State::Ran(Kept::new(answer))),
-        End::Unknown => Some(State::Unknown),
-    }
-}
-
 fn repeat(answer: Option<Recorded>) -> Step {
     match answer {
         Some(answer) => Step::Done(Begin::Repeat(answer)),
@@ -399,11 +319,3 @@
     let _ = write!(id, "{number:032x}");
     id
 }
-
-fn encode(record: &Record) -> Option<Bytes> {
-    serde_json::to_vec(record).ok().map(Bytes::from)
-}
-
-fn decode(object: &Object) -> Option<Record> {
-    serde_json::from_slice(&object.value).ok()
-}
--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -7,6 +7,7 @@
 mod pending;
 pub mod record;
 pub mod run;
+mod settle;
 
 use std::fmt::Debug;
 
--- a/src/once/pending.rs
+++ b/src/once/pending.rs
@@ -45,12 +45,12 @@
 }
 
 impl Pending {
-    /// Adds an end; an earlier one for the same record gives way.
+    /// Adds an end; an earlier one of the same attempt gives way.
     pub fn insert(&self, waiting: Waiting) {
         let mut inner = self.lock();
         inner
             .entries
-            .retain(|_, entry| entry.object != waiting.object);
+            .retain(|_, entry| entry.attempt != waiting.attempt);
         if inner.entries.len() >= MAX_PENDING {
             inner.entries.pop_first();
         }
@@ -59,11 +59,12 @@
         inner.entries.insert(number, waiting);
     }
 
-    /// The end that waits for a record.
+    /// The end that waits for a record; one that says more than "not run" comes first.
     pub fn find(&self, object: &ObjectKey) -> Option<Waiting> {
         let inner = self.lock();
-        let mut entries = inner.entries.values();
-        entries.find(|entry| entry.object == *object).cloned()
+        let entries = inner.entries.values();
+        let own = entries.filter(|entry| entry.object == *object);
+        own.min_by_key(|entry| entry.end == End::NotRun).cloned()
     }
 
     /// Removes the end of an attempt.
--- a/src/once/record.rs
+++ b/src/once/record.rs
@@ -70,6 +70,18 @@
     Omitted(u64),
 }
 
+impl Record {
+    /// The record as the store keeps it.
+    pub fn encode(&self) -> Option<Bytes> {
+        serde_json::to_vec(self).ok().map(Bytes::from)
+    }
+
+    /// Reads a record.
+    pub fn decode(value: &[u8]) -> Option<Self> {
+        serde_json::from_slice(value).ok()
+    }
+}
+
 impl Kept {
     /// Keeps an answer, without a body above [`MAX_BODY_BYTES`].
     pub fn new(answer: &Recorded) -> Self {
--- a/src/route/choose.rs
+++ b/src/route/choose.rs
@@ -1,7 +1,7 @@
 //! The choice of an upstream.
 //!
 //! Of the fit candidates two are drawn at random and the one with the lower cost is taken: its
-//! estimated load, a share for distance, and a bonus where it is believed to hold the prompt's
+//! estimated load and a share for distance, times its pace beside the others, and a bonus where it is believed to hold the prompt's
 //! prefix and is not loaded far above the average. Fit is what does not leave, was not tried before
 //! and has a breaker that lets a request pass. [`State`] decides; [`Balancer`] shares it.
 
@@ -17,6 +17,7 @@
 use super::budget::Budget;
 use super::leaving::Leaving;
 use super::load::Load;
+use super::pace::Pace;
 use super::{Choice, Chooser, Ending, upstream_of};
 use crate::engine::{CacheEvents, LoadReport};
 use crate::ids::{DataCentre, Generation, UpstreamId};
@@ -46,6 +47,7 @@
     generation: Generation,
     load: Load,
     breaker: Breaker,
+    pace: Option<Pace>,
 }
 
 impl Known {
@@ -54,6 +56,7 @@
             generation,
             load: Load::default(),
             breaker: Breaker::new(now),
+            pace: None,
         }
     }
 }
@@ -76,6 +79,7 @@
     generation: Generation,
     load: f64,
     cost: f64,
+    pace: Option<Pace>,
 }
 
 impl State {
@@ -108,13 +112,22 @@
     }
 
     /// Counts an ending.
-    pub fn finish(&mut self, upstream: &UpstreamId, ending: Ending, now: Instant) {
+    pub fn finish(
+        &mut self,
+        upstream: &UpstreamId,
+        ending: Ending,
+        took: Option<Duration>,
+        now: Instant,
+    ) {
         if ending == Ending::Whole {
             self.budget.on_success();
         }
         if let Some(known) = self.upstreams.get_mut(upstream) {
             known.load.on_finish(now);
             known.breaker.on_ending(ending, now);
+            if let Some(took) = took {
+                known.pace = Some(Pace::after(known.pace, took, now));
+            }
         }
     }
 
@@ -186,14 +199,17 @@
                 continue;
             }
             let load = known.map_or(0.0, |known| known.load.estimate(now));
+            let pace = known.and_then(|known| known.pace);
             let far = instance.centre != self.centre;
             fit.push(Candidate {
                 upstream,
                 generation: instance.generation,
                 load,
                 cost: load + if far { DISTANCE_COST } else { 0.0 },
+                pace,
             });
         }
+        weigh_pace(&mut fit, now);
         fit
     }
 
@@ -241,12 +257,26 @@
         if generation > known.generation {
             known.generation = generation;
             known.breaker = Breaker::new(now);
+            known.pace = None;
             known.load.on_restart();
             self.affinity.forget(upstream);
         }
     }
 }
 
+/// Raises the cost of candidates that answer more slowly than the others, lowers that of faster ones.
+fn weigh_pace(fit: &mut [Candidate], now: Instant) {
+    let paces = fit.iter().filter_map(|candidate| candidate.pace);
+    let (count, total) = paces.fold((0, 0.0), |(count, total), pace| {
+        (count + 1, total + pace.seconds())
+    });
+    let mean = total / f64::from(count.max(1));
+    for candidate in fit {
+        let ratio = candidate.pace.map_or(1.0, |pace| pace.ratio(mean, now));
+        candidate.cost = (candidate.cost + 1.0) * ratio;
+    }
+}
+
 /// The choice, shared by all requests of a VM.
 #[derive(Debug)]
 pub struct Balancer {
@@ -294,8 +324,8 @@
         self.lock().choose(among, choice, now)
     }
 
-    fn finish(&self, upstream: &UpstreamId, ending: Ending, now: Instant) {
-        self.lock().finish(upstream, ending, now);
+    fn finish(&self, upstream: &UpstreamId, ending: Ending, took: Option<Duration>, now: Instant) {
+        self.lock().finish(upstream, ending, took, now);
     }
 
     fn on_leaving(&self, upstream: &UpstreamId, generation: Generation) {
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -135,6 +135,7 @@
                 return Err(error);
             }
         };
+        watch.good = answer.status.is_success();
         if is_failure(answer.status) {
             watch.verdict = Ending::Failed;
         }
@@ -273,8 +274,10 @@
     chooser: Arc<dyn Chooser>,
     clock: Arc<dyn Clock>,
     upstream: UpstreamId,
+    since: Instant,
     /// What a whole answer counts as.
     verdict: Ending,
+    good: bool,
     ended: bool,
 }
 
@@ -284,7 +287,9 @@
             chooser: Arc::clone(&dispatcher.chooser),
             clock: Arc::clone(&dispatcher.clock),
             upstream,
+            since: dispatcher.clock.now(),
             verdict: Ending::Whole,
+            good: false,
             ended: false,
         }
     }
@@ -295,7 +300,9 @@
         }
         self.ended = true;
         let now = self.clock.now();
-        self.chooser.finish(&self.upstream, ending, now);
+        let counts = self.good && ending == Ending::Whole;
+        let took = counts.then(|| now.saturating_duration_since(self.since));
+        self.chooser.finish(&self.upstream, ending, took, now);
     }
 
     fn follow(
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -16,10 +16,11 @@
 mod marked;
 #[cfg(test)]
 mod marked_tests;
+pub mod pace;
 mod whole;
 
 use std::fmt::Debug;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use ::http::{HeaderMap, Method, StatusCode};
 use bytes::Bytes;
@@ -59,8 +60,8 @@
     /// Picks one of `among` and counts a dispatch to it; `None` where none may be used.
     fn choose(&self, among: &[Instance], choice: &Choice, now: Instant) -> Option<UpstreamId>;
 
-    /// Says how a dispatch ended.
-    fn finish(&self, upstream: &UpstreamId, ending: Ending, now: Instant);
+    /// Says how a dispatch ended, and how long it took if its answer was good.
+    fn finish(&self, upstream: &UpstreamId, ending: Ending, took: Option<Duration>, now: Instant);
 
     /// Says that an incarnation of an upstream takes no new work; only a newer one undoes it.
     fn on_leaving(&self, upstream: &UpstreamId, generation: Generation);
--- a/standin/src/experiment/routes.rs
+++ b/standin/src/experiment/routes.rs
@@ -4,18 +4,19 @@
 //! cache events come late, and one engine may be slow. Time is virtual and each seed gives the same
 //! figures again. One JSON line a run.
 
-use std::collections::{BTreeMap, VecDeque};
+mod fakes;
+
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-use basilgw::engine::{CacheEvents, LoadReport, ReplicaReport};
-use basilgw::ids::{Generation, UpstreamId};
-use basilgw::platform::{Instance, InstanceKind, InstanceState};
+use basilgw::engine::CacheEvents;
+use basilgw::ids::UpstreamId;
+use basilgw::platform::Instance;
 use basilgw::route::choose::{ChooseSettings, State};
 use basilgw::route::{Choice, Ending, upstream_of};
-use basilgw::schema::engine::{CacheEvent, ReplicaState};
-use basilgw::units::Bytes;
+use fakes::{Engine, Job, instance, report};
 use hdrhistogram::Histogram;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -31,7 +32,6 @@
 const SNAPSHOT: Duration = Duration::from_millis(50);
 const EVENT_LAG: Duration = Duration::from_secs(1);
 const EVENT_LOSS: f64 = 0.1;
-const CACHED_PREFIXES: usize = 40;
 const PREFIXES: f64 = 400.0;
 const HIT_FACTOR: f64 = 0.6;
 
@@ -106,15 +106,6 @@
     ExitCode::SUCCESS
 }
 
-/// A request.
-#[derive(Clone, Copy, Debug)]
-struct Job {
-    vm: usize,
-    arrived: Instant,
-    service: Duration,
-    prefix: u64,
-}
-
 /// What happens next.
 #[derive(Clone, Copy, Debug)]
 enum Event {
@@ -124,17 +115,6 @@
     Snapshot,
 }
 
-/// An engine that serves some requests at once and the others in order.
-#[derive(Debug, Default)]
-struct Engine {
-    running: usize,
-    queue: VecDeque<Job>,
-    cached: VecDeque<u64>,
-    /// Load at past moments.
-    past: VecDeque<(Instant, u32)>,
-    events: Vec<(Instant, CacheEvent)>,
-}
-
 /// One VM's view.
 #[derive(Debug)]
 struct Router {
@@ -305,7 +285,7 @@
         let span = self.now.saturating_duration_since(job.arrived);
         self.times.saturating_record(span.as_millis() as u64);
         let state = &mut self.routers[job.vm].state;
-        state.finish(&self.names[at], Ending::Whole, self.now);
+        state.finish(&self.names[at], Ending::Whole, Some(span), self.now);
         self.start(at);
     }
 
@@ -340,57 +320,11 @@
     fn snapshot(&mut self) {
         self.schedule(SNAPSHOT, Event::Snapshot);
         for engine in &mut self.engines {
-            let load = engine.load();
-            engine.past.push_back((self.now, load));
-            while engine.past.len() > 64 {
-                engine.past.pop_front();
-            }
+            engine.snapshot(self.now);
         }
     }
 }
 
-impl Engine {
-    fn load(&self) -> u32 {
-        (self.running + self.queue.len()) as u32
-    }
-
-    fn load_at(&self, at: Instant) -> u32 {
-        let past = self.past.iter().rev().find(|(moment, _)| *moment <= at);
-        past.map_or(0, |(_, load)| *load)
-    }
-
-    /// Uses a prefix; whether it was cached.
-    fn touch(&mut self, prefix: u64, now: Instant) -> bool {
-        let held = self.cached.iter().position(|&other| other == prefix);
-        if let Some(held) = held {
-            self.cached.remove(held);
-        } else {
-            self.publish(prefix, true, now);
-        }
-        self.cached.push_back(prefix);
-        if self.cached.len() > CACHED_PREFIXES
-            && let Some(dropped) = self.cached.pop_front()
-        {
-            self.publish(dropped, false, now);
-        }
-        held.is_some()
-    }
-
-    fn publish(&mut self, prefix: u64, stored: bool, now: Instant) {
-        let Ok(replica) = "r".parse() else {
-            return;
-        };
-        let sequence = self.events.len() as u64;
-        let event = CacheEvent {
-            prefix,
-            replica,
-            sequence,
-            stored,
-        };
-        self.events.push((now, event));
-    }
-}
-
 fn choose_settings(near: &Instance, seed: u64) -> ChooseSettings {
     ChooseSettings {
         centre: near.centre.clone(),
@@ -398,39 +332,3 @@
         seed,
     }
 }
-
-fn instance(number: usize) -> Option<Instance> {
-    Some(Instance {
-        address: "127.0.0.1:1".into(),
-        centre: "dc-a".parse().ok()?,
-        fenced: true,
-        generation: Generation(1),
-        kind: InstanceKind::Engine,
-        memory: None,
-        service: None,
-        state: InstanceState::Live,
-        vm: format!("e{number}").parse().ok()?,
-    })
-}
-
-fn report(running: u32, age: Duration) -> Option<LoadReport> {
-    let replica = ReplicaReport {
-        adapters: Vec::new(),
-        bytes: Bytes(1),
-        model: "m".parse().ok()?,
-        queued: 0,
-        replica: "r".parse().ok()?,
-        running,
-        state: ReplicaState::Ready,
-        version: "v".parse().ok()?,
-    };
-    Some(LoadReport {
-        age: age.as_millis() as u64,
-        checkpoints: Vec::new(),
-        generation: Generation(1),
-        leaving: false,
-        memory: Bytes(1),
-        replicas: vec![replica],
-        used: Bytes(1),
-    })
-}
--- a/tests/once_log.rs
+++ b/tests/once_log.rs
@@ -273,6 +273,19 @@
     assert!(matches!(repeat, Begin::Repeat(kept) if kept == answer("kept")));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_repeat_given_up_on_does_not_hide_an_end_that_waits() {
+    let fleet = Fleet::open();
+    let attempt = fleet.run(0).await;
+    fleet.store.fail([Fault::LostBefore]);
+    assert_eq!(fleet.refused(0).await.reason, Reason::InProgress);
+    fleet.store.fail([Fault::Down; 8]);
+    let end = End::Ran(answer("kept"));
+    fleet.logs[0].finish(attempt, end).await;
+    let repeat = fleet.begin(0, 0).await.expect("a repeat without the store");
+    assert!(matches!(repeat, Begin::Repeat(kept) if kept == answer("kept")));
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_answer_too_large_to_keep_is_said_to_have_run() {
     let fleet = Fleet::open();
--- a/tests/route_choose.rs
+++ b/tests/route_choose.rs
@@ -139,7 +139,7 @@
     state.on_cache_events(&id(2), &events, now);
     for _ in 0..3 {
         assert_eq!(state.choose(&among, &with_prefix(7), now), Some(id(2)));
-        state.finish(&id(2), Ending::Whole, now);
+        state.finish(&id(2), Ending::Whole, None, now);
     }
     state.on_report(&id(2), &report(20, 0, 1), now);
     assert_ne!(state.choose(&among, &with_prefix(7), now), Some(id(2)));
@@ -209,6 +209,42 @@
     }
 }
 
+#[test]
+fn a_slower_upstream_gets_less_until_that_is_old_news() {
+    let now = Instant::now();
+    let mut state = state(now);
+    let among = engines(2);
+    for (engine, took) in [(0, 4 * SECOND), (1, SECOND)] {
+        for _ in 0..100 {
+            state.finish(&id(engine), Ending::Whole, Some(took), now);
+        }
+    }
+    // Nothing is learnt of upstreams that were never chosen.
+    for _ in 0..4 {
+        state.choose(&among, &Choice::default(), now);
+    }
+    assert_eq!((state.own(&id(0)), state.own(&id(1))), (2, 2));
+    for (engine, took) in [(0, 4 * SECOND), (1, SECOND)] {
+        for _ in 0..100 {
+            state.finish(&id(engine), Ending::Whole, Some(took), now);
+        }
+    }
+    let mut picks = |now| {
+        for _ in 0..10 {
+            state.choose(&among, &Choice::default(), now);
+        }
+        let own = (state.own(&id(0)), state.own(&id(1)));
+        for engine in [0, 1] {
+            while state.own(&id(engine)) > 0 {
+                state.finish(&id(engine), Ending::Whole, None, now);
+            }
+        }
+        own
+    };
+    assert_eq!(picks(now), (2, 8));
+    assert_eq!(picks(now + 600 * SECOND), (5, 5));
+}
+
 #[test]
 fn a_breaker_opens_tries_once_and_closes() {
     let start = Instant::now();
@@ -242,7 +278,7 @@
     let among = engines(1);
     for _ in 0..3 {
         assert!(state.choose(&among, &Choice::default(), now).is_some());
-        state.finish(&id(0), Ending::Failed, now);
+        state.finish(&id(0), Ending::Failed, None, now);
     }
     assert_eq!(state.choose(&among, &Choice::default(), now), None);
     assert!(state.choose(&engines(2), &Choice::default(), now).is_some());
@@ -324,7 +360,7 @@
                     let count = own.entry(id(at)).or_default();
                     if *count > 0 {
                         *count -= 1;
-                        state.finish(&id(at), ending, now);
+                        state.finish(&id(at), ending, None, now);
                     }
                 }
                 Step::Leave(at, generation) => {
--- a/tests/route_dispatch.rs
+++ b/tests/route_dispatch.rs
@@ -7,12 +7,14 @@
 use std::time::{Duration, Instant};
 
 use basilgw::clock::SystemClock;
-use basilgw::ids::UpstreamId;
+use basilgw::ids::{Generation, UpstreamId};
 use basilgw::outcome::{Ran, Reason, Refusal};
 use basilgw::platform::{Instance, InstanceKind};
 use basilgw::route::choose::{Balancer, ChooseSettings};
 use basilgw::route::dispatch::{Dispatcher, Job, Served};
-use basilgw::route::{Answer, Outgoing, SendError, Transport};
+use basilgw::route::{
+    Answer, Choice, Chooser, Ending, Outgoing, SendError, Transport, upstream_of,
+};
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use futures_util::stream::{self, StreamExt};
@@ -289,6 +291,49 @@
     assert_eq!(bench.sent().len(), 1);
 }
 
+/// A chooser that notes which endings counted as good.
+#[derive(Debug, Default)]
+struct Noting(Mutex<Vec<bool>>);
+
+impl Chooser for Noting {
+    fn choose(&self, among: &[Instance], _choice: &Choice, _now: Instant) -> Option<UpstreamId> {
+        among.first().and_then(upstream_of)
+    }
+
+    fn finish(&self, _: &UpstreamId, _: Ending, took: Option<Duration>, _now: Instant) {
+        self.0.lock().expect("no panic").push(took.is_some());
+    }
+
+    fn on_leaving(&self, _upstream: &UpstreamId, _generation: Generation) {}
+
+    fn may_retry(&self, _now: Instant) -> bool {
+        false
+    }
+}
+
+#[tokio::test]
+async fn only_good_whole_answers_count_as_fast() {
+    for (plan, expected) in [
+        (Plan::Answer(200, 1, false), true),
+        (Plan::Answer(200, 1, true), false),
+        (Plan::Answer(404, 1, false), false),
+        (Plan::Answer(500, 1, false), false),
+        (LOST, false),
+    ] {
+        let mut bench = Bench::open(InstanceKind::Service, &[plan]);
+        let noting = Arc::new(Noting::default());
+        let transport = Arc::clone(&bench.transport);
+        let chooser = Arc::clone(&noting);
+        bench.dispatcher = Dispatcher::open(chooser, transport, SystemClock::open(), 1);
+        let end = match bench.dispatch(false).await {
+            Ok(served) => drain(served).await,
+            Err(refusal) => Err(refusal),
+        };
+        drop(end);
+        assert_eq!(*noting.0.lock().expect("no panic"), [expected], "{plan:?}");
+    }
+}
+
 fn plan() -> impl Strategy<Value = Plan> {
     prop_oneof![
         Just(UNSENT),
