Remember a known other attempt through an outage

Cause: a repeat that had seen another attempt of its request in progress was told "not run" by its next repeat at the same VM if the store was down by then.

Change: a waiting end says whether another attempt is known.

Before: ran no. After: ran unknown; the new test fails without the change.

--- a/src/once/log.rs
+++ b/src/once/log.rs
@@ -138,6 +138,7 @@
                 digest: digest_text(key),
                 version: Version(0),
                 end: End::NotRun,
+                rival: progress.seen > Version(0),
                 since: self.clock.now(),
             });
         }
@@ -219,7 +220,7 @@
             End::Unknown => Err(Refusal::unknown(Reason::UpstreamFailed)),
             End::NotRun => {
                 if settle(&*self.store, waiting).await.is_err() {
-                    return Err(store_down());
+                    return Err(store_down(waiting.rival));
                 }
                 self.pending.remove(&waiting.attempt);
                 let object = waiting.object.clone();
@@ -238,6 +239,7 @@
             digest: digest_text(&attempt.key),
             version: attempt.version,
             end,
+            rival: false,
             since: self.clock.now(),
         };
         let record = self.record(&attempt.key, attempt.id);
@@ -285,16 +287,18 @@
 
     /// The refusal where the store fails now.
     fn refusal(&self) -> Refusal {
-        if self.seen > Version(0) {
-            // An earlier attempt of the same request exists, and may have run.
-            return Refusal::unknown(Reason::StoreUnavailable).retry_after(STORE_RETRY);
-        }
-        store_down()
+        store_down(self.seen > Version(0))
     }
 }
 
-fn store_down() -> Refusal {
-    Refusal::not_run(Reason::StoreUnavailable).retry_after(STORE_RETRY)
+/// The refusal where the store fails; a known other attempt may have run.
+fn store_down(rival: bool) -> Refusal {
+    let refusal = if rival {
+        Refusal::unknown(Reason::StoreUnavailable)
+    } else {
+        Refusal::not_run(Reason::StoreUnavailable)
+    };
+    refusal.retry_after(STORE_RETRY)
 }
 
 fn in_progress() -> Refusal {
--- a/src/once/pending.rs
+++ b/src/once/pending.rs
@@ -28,6 +28,8 @@
     pub version: Version,
     /// The end.
     pub end: End,
+    /// Whether another attempt of the same request is known.
+    pub rival: bool,
     /// When it came to wait.
     pub since: Instant,
 }
--- a/tests/once_log.rs
+++ b/tests/once_log.rs
@@ -286,6 +286,20 @@
     assert!(matches!(repeat, Begin::Repeat(kept) if kept == answer("kept")));
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_known_other_attempt_is_not_forgotten_in_an_outage() {
+    let fleet = Fleet::open();
+    fleet.run(1).await;
+    fleet.store.fail([Fault::LostBefore]);
+    assert_eq!(fleet.refused(0).await.reason, Reason::InProgress);
+    fleet.store.fail([Fault::Down]);
+    let refusal = fleet.refused(0).await;
+    assert_eq!(
+        (refusal.reason, refusal.ran),
+        (Reason::StoreUnavailable, Ran::Unknown)
+    );
+}
+
 #[tokio::test(start_paused = true)]
 async fn an_answer_too_large_to_keep_is_said_to_have_run() {
     let fleet = Fleet::open();
