Read answers with one timer each

Cause: each chunk registered and removed a timer.

Change: reading.rs polls the body itself and moves one timer when it goes off early; the dispatcher's stream is a plain struct.

--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -6,12 +6,14 @@
 //! answer was handed on; what fails after that fails visibly.
 
 use std::collections::BTreeMap;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use ::http::{HeaderName, HeaderValue, StatusCode};
 use bytes::Bytes;
-use futures_util::stream::{self, BoxStream, StreamExt};
+use futures_util::stream::{self, BoxStream, Stream, StreamExt};
 
 use super::{Answer, Choice, Chooser, Ending, Outgoing, SendError, Transport};
 use crate::clock::Clock;
@@ -310,18 +312,33 @@
         first: Option<Bytes>,
         rest: BoxStream<'static, Result<Bytes, Refusal>>,
     ) -> BoxStream<'static, Result<Bytes, Refusal>> {
-        let first = stream::iter(first.map(Ok));
-        let body = first.chain(rest).boxed();
-        stream::unfold((self, body), |(mut watch, mut body)| async {
-            let item = body.next().await;
-            match &item {
-                Some(Ok(_)) => {}
-                Some(Err(refusal)) => watch.end(ending_for(refusal.reason)),
-                None => watch.end(watch.verdict),
-            }
-            item.map(|item| (item, (watch, body)))
-        })
-        .boxed()
+        let watch = self;
+        Followed { watch, first, rest }.boxed()
+    }
+}
+
+/// An answer's body whose end its watch is told.
+struct Followed {
+    watch: Watch,
+    first: Option<Bytes>,
+    rest: BoxStream<'static, Result<Bytes, Refusal>>,
+}
+
+impl Stream for Followed {
+    type Item = Result<Bytes, Refusal>;
+
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let this = self.get_mut();
+        if let Some(first) = this.first.take() {
+            return Poll::Ready(Some(Ok(first)));
+        }
+        let polled = this.rest.poll_next_unpin(cx);
+        match &polled {
+            Poll::Pending | Poll::Ready(Some(Ok(_))) => {}
+            Poll::Ready(Some(Err(refusal))) => this.watch.end(ending_for(refusal.reason)),
+            Poll::Ready(None) => this.watch.end(this.watch.verdict),
+        }
+        polled
     }
 }
 
--- a/src/route/http.rs
+++ b/src/route/http.rs
@@ -15,23 +15,22 @@
 use std::time::{Duration, Instant};
 
 use ::http::{HeaderValue, StatusCode, header};
-use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::future::BoxFuture;
-use futures_util::stream::{self, BoxStream, StreamExt};
-use http_body_util::BodyExt;
+use futures_util::stream::StreamExt;
 use thiserror::Error;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 use volo::net::Address;
 use volo_http::body::Body;
 use volo_http::client::{Client, ClientBuilder};
 use volo_http::error::ClientError;
 
 use super::marked::{Mark, MarkedBody};
+use super::reading::{Bounds, Reading};
 use super::whole::EndMark;
 use super::{Answer, Outgoing, SendError, Transport};
 use crate::clock::Clock;
-use crate::outcome::{Reason, Refusal};
+use crate::outcome::Reason;
 use crate::platform::{Instance, InstanceKind};
 use crate::schema::settings::UpstreamSettings;
 
@@ -111,22 +110,25 @@
             .address
             .parse()
             .or(Err(SendError::Unsent(Reason::Internal)))?;
-        let engine = to.kind == InstanceKind::Engine;
-        let silence = Duration::from_millis(self.settings.silence);
-        let left = deadline.saturating_duration_since(self.clock.now());
-        if left.is_zero() {
+        let bounds = Bounds {
+            engine: to.kind == InstanceKind::Engine,
+            deadline,
+            silence: Duration::from_millis(self.settings.silence),
+        };
+        let now = self.clock.now();
+        if now >= deadline {
             return Err(SendError::Unsent(Reason::Deadline));
         }
         let client = self.client(&to.address, request.fresh)?;
         let method = request.method.clone();
         let mark = Mark::default();
         let sending = start(&client, socket, request, mark.clone());
-        let (bound, reason) = first_bound(engine, left, silence);
-        let response = match timeout(bound, sending).await {
+        let (due, reason) = bounds.first(now);
+        let response = match timeout_at(due.into(), sending).await {
             Ok(Ok(response)) => response,
             Ok(Err(_failed)) => return Err(lost(&mark, Reason::UpstreamFailed)),
             Err(_elapsed) => {
-                self.distrust(&to.address);
+                distrust(&self.pools, &to.address);
                 return Err(lost(&mark, reason));
             }
         };
@@ -134,28 +136,17 @@
         if said_not_run(parts.status, &parts.headers) {
             return Err(SendError::Declined);
         }
-        let mark = EndMark::open(&method, parts.status, &parts.headers, engine);
-        let reading = Reading {
-            body,
-            mark,
-            silence,
-            engine,
-            begun: false,
-            deadline,
-            clock: Arc::clone(&self.clock),
-            pools: Arc::clone(&self.pools),
-            address: to.address.clone(),
-        };
+        let mark = EndMark::open(&method, parts.status, &parts.headers, bounds.engine);
+        let pools = Arc::clone(&self.pools);
+        let address = to.address.clone();
+        let on_silence = Box::new(move || distrust(&pools, &address));
+        let clock = Arc::clone(&self.clock);
         Ok(Answer {
             status: parts.status,
             headers: parts.headers,
-            body: reading.into_stream(),
+            body: Reading::open(body, mark, bounds, clock, on_silence).boxed(),
         })
     }
-
-    fn distrust(&self, address: &CompactString) {
-        distrust(&self.pools, address);
-    }
 }
 
 impl Transport for HttpTransport {
@@ -204,17 +195,6 @@
     }
 }
 
-/// How long an answer may take to begin, and what it means if it takes longer.
-///
-/// An engine may be quiet until its first token, a plain service not for longer than the bound.
-fn first_bound(engine: bool, left: Duration, silence: Duration) -> (Duration, Reason) {
-    if engine || left <= silence {
-        (left, Reason::Deadline)
-    } else {
-        (silence, Reason::UpstreamSilent)
-    }
-}
-
 fn said_not_run(status: StatusCode, headers: &::http::HeaderMap) -> bool {
     let said = headers.get(NOT_RUN).is_some_and(|value| value == "1");
     said && status == StatusCode::SERVICE_UNAVAILABLE
@@ -224,66 +204,3 @@
     let mut pools = pools.lock().unwrap_or_else(PoisonError::into_inner);
     pools.remove(address);
 }
-
-/// An answer being read.
-struct Reading {
-    body: Body,
-    mark: EndMark,
-    silence: Duration,
-    engine: bool,
-    begun: bool,
-    deadline: Instant,
-    clock: Arc<dyn Clock>,
-    pools: Pools,
-    address: CompactString,
-}
-
-impl Reading {
-    fn into_stream(self) -> BoxStream<'static, Result<Bytes, Refusal>> {
-        stream::unfold(Some(self), |reading| async {
-            let mut reading = reading?;
-            match reading.next().await {
-                Ok(Some(chunk)) => Some((Ok(chunk), Some(reading))),
-                Ok(None) => None,
-                Err(refusal) => Some((Err(refusal), None)),
-            }
-        })
-        .boxed()
-    }
-
-    async fn next(&mut self) -> Result<Option<Bytes>, Refusal> {
-        loop {
-            let (bound, reason) = self.bound();
-            let Ok(frame) = timeout(bound, self.body.frame()).await else {
-                distrust(&self.pools, &self.address);
-                return Err(Refusal::unknown(reason));
-            };
-            let Some(frame) = frame else {
-                return self.end();
-            };
-            let frame = frame.or(Err(Refusal::unknown(Reason::UpstreamFailed)))?;
-            let Ok(chunk) = frame.into_data() else {
-                continue;
-            };
-            self.begun = true;
-            self.mark.push(&chunk);
-            return Ok(Some(chunk));
-        }
-    }
-
-    /// How long the next chunk may take, and what it means if it takes longer.
-    fn bound(&self) -> (Duration, Reason) {
-        if self.begun {
-            return (self.silence, Reason::UpstreamSilent);
-        }
-        let left = self.deadline.saturating_duration_since(self.clock.now());
-        first_bound(self.engine, left, self.silence)
-    }
-
-    fn end(&self) -> Result<Option<Bytes>, Refusal> {
-        if self.mark.is_whole() {
-            return Ok(None);
-        }
-        Err(Refusal::unknown(Reason::UpstreamFailed))
-    }
-}
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -17,6 +17,7 @@
 #[cfg(test)]
 mod marked_tests;
 pub mod pace;
+mod reading;
 mod whole;
 
 use std::fmt::Debug;
--- /dev/null
+++ b/src/route/reading.rs
@@ -0,0 +1,163 @@
+//! An answer being read, with bounds on silence.
+//!
+//! The stream is pulled by its reader, and a pause counts only while the reader waits. One timer
+//! serves the whole answer: it is moved when it goes off early, not with each chunk.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures_util::stream::Stream;
+use http_body::Body as _;
+use tokio::time::Sleep;
+use volo_http::body::Body;
+
+use super::whole::EndMark;
+use crate::clock::Clock;
+use crate::outcome::{Reason, Refusal};
+
+/// How long an answer may be silent.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Whether it comes from a model engine.
+    pub engine: bool,
+    /// When it must have begun.
+    pub deadline: Instant,
+    /// Longest pause.
+    pub silence: Duration,
+}
+
+impl Bounds {
+    /// Until when an answer that has not begun may take, and what it means if it takes longer.
+    ///
+    /// An engine may be quiet until its first token, a plain service not for longer than the bound.
+    pub fn first(&self, now: Instant) -> (Instant, Reason) {
+        let silent = now + self.silence;
+        if self.engine || self.deadline <= silent {
+            (self.deadline, Reason::Deadline)
+        } else {
+            (silent, Reason::UpstreamSilent)
+        }
+    }
+}
+
+/// Called when an answer went silent.
+pub type OnSilence = Box<dyn Fn() + Send + Sync>;
+
+/// An answer being read.
+pub struct Reading {
+    body: Body,
+    mark: EndMark,
+    bounds: Bounds,
+    clock: Arc<dyn Clock>,
+    on_silence: OnSilence,
+    begun: bool,
+    ended: bool,
+    /// When the present pause is too long, and what it means then.
+    due: Option<(Instant, Reason)>,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl Reading {
+    /// Starts to read.
+    pub fn open(
+        body: Body,
+        mark: EndMark,
+        bounds: Bounds,
+        clock: Arc<dyn Clock>,
+        on_silence: OnSilence,
+    ) -> Self {
+        Self {
+            body,
+            mark,
+            bounds,
+            clock,
+            on_silence,
+            begun: false,
+            ended: false,
+            due: None,
+            timer: None,
+        }
+    }
+
+    /// The next chunk, or the end.
+    fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Refusal>>> {
+        loop {
+            let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) else {
+                return self
+                    .poll_silence(cx)
+                    .map(|reason| Some(Err(Refusal::unknown(reason))));
+            };
+            let Some(frame) = frame else {
+                return Poll::Ready(self.end());
+            };
+            let Ok(frame) = frame else {
+                return Poll::Ready(Some(Err(Refusal::unknown(Reason::UpstreamFailed))));
+            };
+            let Ok(chunk) = frame.into_data() else {
+                continue;
+            };
+            self.due = None;
+            self.begun = true;
+            self.mark.push(&chunk);
+            return Poll::Ready(Some(Ok(chunk)));
+        }
+    }
+
+    /// Ready once the present pause is too long.
+    fn poll_silence(&mut self, cx: &mut Context<'_>) -> Poll<Reason> {
+        let now = self.clock.now();
+        let (due, reason) = match self.due {
+            Some(due) => due,
+            None => *self.due.insert(self.bound(now)),
+        };
+        if now >= due {
+            (self.on_silence)();
+            return Poll::Ready(reason);
+        }
+        let at = due.into();
+        let timer = self
+            .timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep_until(at)));
+        if timer.deadline() > at {
+            timer.as_mut().reset(at);
+        }
+        while timer.as_mut().poll(cx).is_ready() {
+            timer.as_mut().reset(at);
+            if self.clock.now() >= due {
+                (self.on_silence)();
+                return Poll::Ready(reason);
+            }
+        }
+        Poll::Pending
+    }
+
+    fn bound(&self, now: Instant) -> (Instant, Reason) {
+        if self.begun {
+            (now + self.bounds.silence, Reason::UpstreamSilent)
+        } else {
+            self.bounds.first(now)
+        }
+    }
+
+    fn end(&self) -> Option<Result<Bytes, Refusal>> {
+        let cut = Refusal::unknown(Reason::UpstreamFailed);
+        (!self.mark.is_whole()).then_some(Err(cut))
+    }
+}
+
+impl Stream for Reading {
+    type Item = Result<Bytes, Refusal>;
+
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let this = self.get_mut();
+        if this.ended {
+            return Poll::Ready(None);
+        }
+        let polled = this.poll_chunk(cx);
+        this.ended = matches!(polled, Poll::Ready(None | Some(Err(_))));
+        polled
+    }
+}
