--- a/src/once/mod.rs
+++ b/src/once/mod.rs
@@ -6,6 +6,8 @@
 pub mod log;
 mod pending;
 pub mod record;
+pub mod run;
+mod settle;
 
 use std::fmt::Debug;
 
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -6,12 +6,14 @@
 //! answer was handed on; what fails after that fails visibly.
 
 use std::collections::BTreeMap;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use ::http::{HeaderName, HeaderValue, StatusCode};
 use bytes::Bytes;
-use futures_util::stream::{self, BoxStream, StreamExt};
+use futures_util::stream::{self, BoxStream, Stream, StreamExt};
 
 use super::{Answer, Choice, Chooser, Ending, Outgoing, SendError, Transport};
 use crate::clock::Clock;
@@ -135,6 +137,7 @@
                 return Err(error);
             }
         };
+        watch.good = answer.status.is_success();
         if is_failure(answer.status) {
             watch.verdict = Ending::Failed;
         }
@@ -273,8 +276,10 @@
     chooser: Arc<dyn Chooser>,
     clock: Arc<dyn Clock>,
     upstream: UpstreamId,
+    since: Instant,
     /// What a whole answer counts as.
     verdict: Ending,
+    good: bool,
     ended: bool,
 }
 
@@ -284,7 +289,9 @@
             chooser: Arc::clone(&dispatcher.chooser),
             clock: Arc::clone(&dispatcher.clock),
             upstream,
+            since: dispatcher.clock.now(),
             verdict: Ending::Whole,
+            good: false,
             ended: false,
         }
     }
@@ -295,7 +302,9 @@
         }
         self.ended = true;
         let now = self.clock.now();
-        self.chooser.finish(&self.upstream, ending, now);
+        let counts = self.good && ending == Ending::Whole;
+        let took = counts.then(|| now.saturating_duration_since(self.since));
+        self.chooser.finish(&self.upstream, ending, took, now);
     }
 
     fn follow(
@@ -303,18 +312,33 @@
         first: Option<Bytes>,
         rest: BoxStream<'static, Result<Bytes, Refusal>>,
     ) -> BoxStream<'static, Result<Bytes, Refusal>> {
-        let first = stream::iter(first.map(Ok));
-        let body = first.chain(rest).boxed();
-        stream::unfold((self, body), |(mut watch, mut body)| async {
-            let item = body.next().await;
-            match &item {
-                Some(Ok(_)) => {}
-                Some(Err(refusal)) => watch.end(ending_for(refusal.reason)),
-                None => watch.end(watch.verdict),
-            }
-            item.map(|item| (item, (watch, body)))
-        })
-        .boxed()
+        let watch = self;
+        Followed { watch, first, rest }.boxed()
+    }
+}
+
+/// An answer's body whose end its watch is told.
+struct Followed {
+    watch: Watch,
+    first: Option<Bytes>,
+    rest: BoxStream<'static, Result<Bytes, Refusal>>,
+}
+
+impl Stream for Followed {
+    type Item = Result<Bytes, Refusal>;
+
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let this = self.get_mut();
+        if let Some(first) = this.first.take() {
+            return Poll::Ready(Some(Ok(first)));
+        }
+        let polled = this.rest.poll_next_unpin(cx);
+        match &polled {
+            Poll::Pending | Poll::Ready(Some(Ok(_))) => {}
+            Poll::Ready(Some(Err(refusal))) => this.watch.end(ending_for(refusal.reason)),
+            Poll::Ready(None) => this.watch.end(this.watch.verdict),
+        }
+        polled
     }
 }
 
--- a/standin/src/experiment/mod.rs
+++ b/standin/src/experiment/mod.rs
@@ -5,11 +5,13 @@
 pub mod peers;
 pub mod routes;
 pub mod spread;
+pub mod transport;
 
 use std::io;
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
+use thiserror::Error;
 
 /// One experiment.
 #[derive(Clone, Copy, Debug, Bpaf)]
@@ -45,6 +47,9 @@
         #[bpaf(argument("N"), fallback(1))]
         seed: u64,
     },
+    /// What the dispatcher adds to a bare client
+    #[bpaf(command)]
+    Transport,
     /// Cost of the links between VMs, with sockets, all nodes in one process
     #[bpaf(command)]
     Peers {
@@ -80,8 +85,44 @@
             }
             Self::Models { site, seed } => models::run(site, seed, &mut io::stdout().lock()),
             Self::Routes { seed } => routes::run(seed, &mut io::stdout().lock()),
+            Self::Transport => transport::run(&mut io::stdout().lock()),
             Self::Peers { vms, seconds, size } => peers::run(vms, seconds, size, &mut io::stdout()),
             Self::Spread { vms, seed } => spread::run(vms, seed, &mut io::stdout().lock()),
         }
     }
 }
+
+/// Why an experiment failed.
+#[derive(Debug, Error)]
+pub enum ExperimentError {
+    /// A socket or a file failed.
+    #[error("input or output failed")]
+    Io(#[from] std::io::Error),
+    /// A line cannot be written.
+    #[error("a line cannot be written")]
+    Json(#[from] serde_json::Error),
+    /// A fixed name is not an identifier.
+    #[error("a name is not an identifier")]
+    Id(#[from] basilgw::ids::IdError),
+    /// The transport cannot be opened.
+    #[error("the transport cannot be opened")]
+    Open(#[from] basilgw::route::http::OpenError),
+    /// The bare client failed.
+    #[error("the client failed")]
+    Client(#[from] volo_http::error::ClientError),
+    /// The dispatcher refused.
+    #[error("the request was refused")]
+    Refused(#[from] basilgw::outcome::Refusal),
+    /// A stream was cut.
+    #[error("a stream was cut")]
+    Cut,
+    /// A task ended early.
+    #[error("a task ended early")]
+    Task(#[from] tokio::task::JoinError),
+    /// A histogram cannot be made.
+    #[error("a histogram cannot be made")]
+    Histogram(#[from] hdrhistogram::CreationError),
+    /// The processor time cannot be read.
+    #[error("the processor time cannot be read")]
+    Cpu,
+}
