--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -2,6 +2,8 @@
 //!
 //! A request is sent once, on a connection of its own, and never again by itself.
 
+use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,7 +18,7 @@
 use tokio::time::{Instant, timeout_at};
 use volo_http::body::Body;
 use volo_http::client::Client;
-use volo_http::error::client::ErrorKind;
+use volo_http::error::ClientError;
 use volo_http::response::Response;
 
 use crate::engine::answer::digest;
@@ -258,9 +260,7 @@
         }
         let response: Response<Body> = match timeout_at(until, request.send()).await {
             Err(_) => return (Outcome::Silent, None),
-            Ok(Err(error)) if matches!(error.kind(), ErrorKind::Connect) => {
-                return (Outcome::Unreachable, None);
-            }
+            Ok(Err(error)) if is_unsent(&error) => return (Outcome::Unreachable, None),
             Ok(Err(_)) => return (Outcome::Broken, None),
             Ok(Ok(response)) => response,
         };
@@ -282,6 +282,12 @@
     }
 }
 
+/// Whether no connection could be made. The client reports that as a failed request whose source
+/// is the socket's own error; once connected, the source is one of HTTP.
+fn is_unsent(error: &ClientError) -> bool {
+    error.source().is_some_and(<dyn Error>::is::<io::Error>)
+}
+
 enum End {
     Whole,
     Cut,
