Run real VM processes among stand-ins, and meet steps with faults

An environment starts VMs as processes with gates on their edges to callers, peers and the store; a cell of the matrix runs traffic of all kinds, takes a step, meets a fault at a seeded moment and has the joined history checked.

--- a/standin/src/history/index.rs
+++ b/standin/src/history/index.rs
@@ -48,6 +48,7 @@
     /// Runs of requests that no caller sent.
     pub(super) orphans: Vec<(RequestId, Run)>,
     turns: BTreeMap<VmId, Vec<(Micros, Turn)>>,
+    stopping: BTreeMap<VmId, Micros>,
 }
 
 /// The time from one moment to another, zero where the other came first.
@@ -125,6 +126,10 @@
             }
             Event::Started { vm } | Event::Healed { vm } => {
                 self.turn(vm, entry.at, Turn::Recovery);
+                self.stopping.remove(vm);
+            }
+            Event::Stopping { vm } => {
+                self.stopping.insert(vm.clone(), entry.at);
             }
             _ => {}
         }
@@ -143,6 +148,12 @@
             || inside.into_iter().any(|(_, turn)| *turn == Turn::Trouble)
     }
 
+    /// Whether a VM may already refuse connections at a moment, as it shuts down.
+    pub(super) fn closed(&self, vm: &VmId, at: Micros, linger: Duration) -> bool {
+        let since = self.stopping.get(vm);
+        since.is_some_and(|since| at >= after(*since, linger))
+    }
+
     /// Requests of one account under one idempotency key.
     pub(super) fn same_key<'a>(
         &'a self,
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,9 +1,9 @@
 //! Runs one stand-in, or checks a history.
 
-use std::fs;
+use std::fs::{self, File};
 use std::io::{self, Write};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -16,6 +16,7 @@
 use standin::experiment::{self, Experiment};
 use standin::history::{self, Bounds, HistoryError};
 use standin::http::Addresses;
+use standin::matrix::{self, Cell, Fault, Outcome, Step};
 use standin::platform::Platform;
 use standin::service::PlainService;
 use thiserror::Error;
@@ -24,6 +25,9 @@
 /// Exit code where a point is violated.
 const VIOLATED: u8 = 1;
 
+/// Violations of one cell that are shown.
+const SHOWN_VIOLATIONS: usize = 4;
+
 /// Exit code where a command failed.
 const FAILED: u8 = 2;
 
@@ -107,6 +111,26 @@
         #[bpaf(argument("PID"))]
         pid: u32,
     },
+    /// Meet every step with every fault, in real VM processes, and check the histories
+    ///
+    /// Prints a line a cell, a table and a summary. Exits 1 where a cell failed or broke off.
+    #[bpaf(command)]
+    Matrix {
+        /// The basilgw program
+        #[bpaf(argument("FILE"), fallback("target/debug/basilgw".into()))]
+        gateway: PathBuf,
+        /// Seed of the traffic and of the faults' moments
+        #[bpaf(argument("N"), fallback(1))]
+        seed: u64,
+        /// Run only the cells that CI runs
+        subset: bool,
+        /// Run only cells whose step and fault hold this text, such as Booking/KillVm
+        #[bpaf(argument("TEXT"), fallback(String::new()))]
+        only: String,
+        /// Write the history of each failed cell to this directory
+        #[bpaf(argument("DIRECTORY"), optional)]
+        histories: Option<PathBuf>,
+    },
     /// Check a history, given as JSON lines, for every point that must always hold
     ///
     /// Prints a verdict for each point; "no cases" says that the history shows nothing of it.
@@ -172,6 +196,48 @@
     })
 }
 
+fn tell(cell: &Cell) {
+    println!("{:?}/{:?}: {}", cell.step, cell.fault, cell.mark());
+    match &cell.outcome {
+        Outcome::Checked(findings) => {
+            for (point, at, violation) in findings.violations.iter().take(SHOWN_VIOLATIONS) {
+                println!("    {} {point:?}: {violation}", at.0);
+            }
+        }
+        Outcome::Broken(error) => println!("    {error}"),
+    }
+}
+
+fn keep(cell: &Cell, directory: &Path) -> Result<(), CommandError> {
+    fs::create_dir_all(directory)?;
+    let name = format!("{:?}-{:?}.jsonl", cell.step, cell.fault);
+    let mut file = File::create(directory.join(name))?;
+    for entry in &cell.history {
+        let line = serde_json::to_string(entry).map_err(io::Error::from)?;
+        writeln!(file, "{line}")?;
+    }
+    Ok(())
+}
+
+async fn run_matrix(
+    gateway: PathBuf,
+    seed: u64,
+    cells: Vec<(Step, Fault)>,
+    histories: Option<PathBuf>,
+) -> Result<ExitCode, CommandError> {
+    let (tally, cells) = matrix::run(gateway, &cells, seed, tell).await;
+    if let Some(directory) = histories {
+        let failed = cells.iter().filter(|cell| !cell.is_sound());
+        for cell in failed {
+            keep(cell, &directory)?;
+        }
+    }
+    print!("{}", matrix::table(&cells));
+    println!("seed {seed}: {tally}");
+    let sound = tally.is_sound();
+    Ok(ExitCode::from(if sound { 0 } else { VIOLATED }))
+}
+
 async fn run(command: Command) -> Result<ExitCode, CommandError> {
     match command {
         Command::Platform { listen } => {
@@ -232,6 +298,21 @@
                 serde_json::to_string(&report).map_err(io::Error::other)?
             );
         }
+        Command::Matrix {
+            gateway,
+            seed,
+            subset,
+            only,
+            histories,
+        } => {
+            let mut cells = if subset {
+                matrix::SUBSET.to_vec()
+            } else {
+                matrix::all()
+            };
+            cells.retain(|(step, fault)| format!("{step:?}/{fault:?}").contains(&only));
+            return run_matrix(gateway, seed, cells, histories).await;
+        }
         Command::CheckHistory { files } => return check_files(&files),
         Command::Experiment(experiment) => return Ok(experiment.run()),
     }
