--- a/standin/src/env/vm.rs
+++ b/standin/src/env/vm.rs
@@ -247,24 +247,27 @@
     /// Where it does not end in time.
     pub async fn ended(&self, within: Duration) -> Result<(), EnvError> {
         let until = Instant::now() + within;
-        loop {
-            let mut process = lock(&self.process);
-            let done = match &mut process.child {
-                Some(child) => child.try_wait()?.is_some(),
-                None => true,
-            };
-            if done {
-                process.child = None;
-                let vm = self.id.clone();
-                self.driver.record(Event::Stopped { vm });
-                return Ok(());
-            }
-            drop(process);
+        while !self.has_ended()? {
             if Instant::now() > until {
                 return Err(self.slow("end"));
             }
             sleep(POLL_PAUSE).await;
         }
+        let vm = self.id.clone();
+        self.driver.record(Event::Stopped { vm });
+        Ok(())
+    }
+
+    fn has_ended(&self) -> io::Result<bool> {
+        let mut process = lock(&self.process);
+        let ended = match &mut process.child {
+            Some(child) => child.try_wait()?.is_some(),
+            None => true,
+        };
+        if ended {
+            process.child = None;
+        }
+        Ok(ended)
     }
 
     /// Changes what passes on its edges to the store and from its peers; a VM with anything but
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -197,7 +197,13 @@
 }
 
 fn tell(cell: &Cell) {
-    println!("{:?}/{:?}: {}", cell.step, cell.fault, cell.mark());
+    let (whole, refused, other) = cell.ends();
+    println!(
+        "{:?}/{:?}: {}; requests: {whole} whole, {refused} refused, {other} otherwise",
+        cell.step,
+        cell.fault,
+        cell.mark()
+    );
     match &cell.outcome {
         Outcome::Checked(findings) => {
             for (point, at, violation) in findings.violations.iter().take(SHOWN_VIOLATIONS) {
--- a/standin/src/matrix/cell.rs
+++ b/standin/src/matrix/cell.rs
@@ -12,7 +12,9 @@
 use super::step::{Step, chat};
 use super::traffic;
 use crate::env::{EnvError, Environment};
-use crate::history::{Bounds, Entry, Findings, HistoryError, Point, check};
+use crate::history::{
+    Bounds, Entry, Event, Findings, HistoryError, Outcome as Ended, Point, check,
+};
 
 const VMS: usize = 3;
 const WARM_UP: Duration = Duration::from_secs(1);
@@ -71,6 +73,19 @@
         matches!(&self.outcome, Outcome::Checked(found) if found.violations.is_empty())
     }
 
+    /// How its requests ended: whole, refused, and any other way.
+    pub fn ends(&self) -> (usize, usize, usize) {
+        let ends = self.history.iter().filter_map(|entry| match &entry.event {
+            Event::Answered { outcome, .. } => Some(outcome),
+            _ => None,
+        });
+        ends.fold((0, 0, 0), |(whole, refused, other), end| match end {
+            Ended::Whole { .. } => (whole + 1, refused, other),
+            Ended::Refused { .. } => (whole, refused + 1, other),
+            _ => (whole, refused, other + 1),
+        })
+    }
+
     /// What the table shows of it: points shown, or points violated.
     pub fn mark(&self) -> String {
         match &self.outcome {
