Cells with more models than fit, and streams longer than the withdrawal's bound

Cause: idle unloads and evictions never came about in a cell, and a stream ended by itself before a withdrawn key had to stop working. The VMs' settings now name the load bandwidth that the stand-in has; with the default every cold start was refused as over its deadline.

--- a/standin/src/env/mod.rs
+++ b/standin/src/env/mod.rs
@@ -22,7 +22,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, timeout};
 
-pub use site::Site;
+pub use site::{RARE_MODELS, Site};
 pub use vm::{Ports, Vm};
 
 use crate::caller::{Caller, OpenError, Target};
--- a/standin/src/env/site.rs
+++ b/standin/src/env/site.rs
@@ -17,7 +17,10 @@
 const FLOOR: Bytes = Bytes(1 << 30);
 const ADAPTER: Bytes = Bytes(64 << 20);
 
-/// Two accounts with keys, three models, an adapter and three routes.
+/// Models that are mostly idle; with the others they are more than the engines hold.
+pub const RARE_MODELS: [&str; 3] = ["review", "rare-1", "rare-2"];
+
+/// Two accounts with keys, some models, an adapter and three routes.
 #[derive(Clone, Debug)]
 pub struct Site {
     /// A key of account `club`.
@@ -112,7 +115,7 @@
             (
                 id("federation"),
                 account(
-                    &["draft", "review", "private"],
+                    &["draft", "private", "review", "rare-1", "rare-2"],
                     &[("federation-1", &federation)],
                 ),
             ),
@@ -122,15 +125,13 @@
             version: id("1"),
             weights: ADAPTER,
         };
+        let mut models: BTreeMap<ModelId, Model> =
+            [(id("draft"), model(2)), (id("private"), model(1))].into();
+        models.extend(RARE_MODELS.map(|name| (id(name), model(1))));
         let declaration = Declaration {
             accounts: accounts.into(),
             adapters: [(id("team-a"), adapter)].into(),
-            models: [
-                (id("draft"), model(2)),
-                (id("review"), model(1)),
-                (id("private"), model(1)),
-            ]
-            .into(),
+            models,
             routes: [
                 (id("bookings"), route("/bookings", false, false)),
                 (id("slots"), route("/slots", true, false)),
--- a/standin/src/env/vm.rs
+++ b/standin/src/env/vm.rs
@@ -74,7 +74,7 @@
          [upstreams]\nsilence = 1000\nreport = 100\n\
          [peers]\nping = 200\nsilence = 1000\ndigest = 200\nalone = 2000\n\
          [limits]\nbatch = 200\nlife = 1000\n\
-         [models]\nstarts = 50\norder = 1000\n\
+         [models]\nstarts = 50\norder = 1000\nidle = 800\nbandwidth = 20000000000\n\
          [shutdown]\nlinger = 300\nbound = 20000\n"
     )
 }
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -127,7 +127,7 @@
         /// Run only cells whose step and fault hold this text, such as Booking/KillVm
         #[bpaf(argument("TEXT"), fallback(String::new()))]
         only: String,
-        /// Write the history of each failed cell to this directory
+        /// Write the history of each cell to this directory
         #[bpaf(argument("DIRECTORY"), optional)]
         histories: Option<PathBuf>,
     },
@@ -233,8 +233,7 @@
 ) -> Result<ExitCode, CommandError> {
     let (tally, cells) = matrix::run(gateway, &cells, seed, tell).await;
     if let Some(directory) = histories {
-        let failed = cells.iter().filter(|cell| !cell.is_sound());
-        for cell in failed {
+        for cell in &cells {
             keep(cell, &directory)?;
         }
     }
--- a/standin/src/matrix/step.rs
+++ b/standin/src/matrix/step.rs
@@ -10,14 +10,14 @@
 use tokio::time::sleep;
 
 use crate::caller::{Ask, Credential};
-use crate::env::{EnvError, Environment};
+use crate::env::{EnvError, Environment, RARE_MODELS};
 
 const BURST_REQUESTS: usize = 60;
 const BURST_TOKENS: u64 = 200;
-const COLD_REQUESTS: usize = 8;
+const COLD_REQUESTS: usize = 12;
 const BOOKINGS: usize = 6;
-const STREAM_TOKENS: u64 = 600;
-const STREAM_DEADLINE: Duration = Duration::from_secs(8);
+const STREAM_TOKENS: u64 = 1200;
+const STREAM_DEADLINE: Duration = Duration::from_secs(10);
 const STREAM_HEAD_START: Duration = Duration::from_millis(300);
 
 /// A step.
@@ -25,7 +25,7 @@
 pub enum Step {
     /// Requests are served.
     Serving,
-    /// First requests for an idle model meet at all VMs.
+    /// First requests for idle models, more than fit, meet at all VMs.
     Loading,
     /// One account asks for several times its share.
     Leasing,
@@ -59,9 +59,9 @@
         match self {
             Self::Serving => Ok(()),
             Self::Loading => {
-                let model = "review";
                 let asks = (0..COLD_REQUESTS).map(|n| {
                     let request = name("cold", n);
+                    let model = RARE_MODELS[n % RARE_MODELS.len()];
                     chat(request, &env.site.federation, model, 8, false)
                 });
                 send_all(env, asks.collect()).await;
--- a/standin/src/matrix/traffic.rs
+++ b/standin/src/matrix/traffic.rs
@@ -12,10 +12,10 @@
 
 use super::step::{booking, chat};
 use crate::caller::Ask;
-use crate::env::Environment;
+use crate::env::{Environment, RARE_MODELS};
 
 const WORKERS: u64 = 4;
-const KINDS: u32 = 9;
+const KINDS: u32 = 10;
 const SHORT_TOKENS: u64 = 8;
 const DEADLINE: Duration = Duration::from_secs(2);
 const SHORTEST_PAUSE_MS: u64 = 20;
@@ -79,6 +79,11 @@
         4 => chat(request, &site.spare, "draft", SHORT_TOKENS, true),
         5 => adapted(env, request),
         6 | 7 => chat(request, &site.federation, "draft", SHORT_TOKENS, false),
+        8 => {
+            let last = name.bytes().last().unwrap_or_default();
+            let model = RARE_MODELS[usize::from(last) % RARE_MODELS.len()];
+            chat(request, &site.federation, model, SHORT_TOKENS, false)
+        }
         _ => chat(request, &site.club, "draft", SHORT_TOKENS, true),
     };
     match kind {
