--- a/tests/route_support/mod.rs
+++ b/tests/route_support/mod.rs
@@ -21,6 +21,7 @@
 use tokio::time::timeout;
 
 const BOUND: Duration = Duration::from_secs(10);
+const DRIP_PAUSE: Duration = Duration::from_millis(100);
 const FLOOD_BYTES: usize = 64 << 20;
 
 /// What the upstream does with one request.
@@ -38,6 +39,8 @@
     AnswerThenClose(&'static str),
     /// Answers and says no more.
     AnswerThenSilent(&'static str),
+    /// Answers and then says a text a number of times, with pauses.
+    Drip(&'static str, &'static str, u32),
     /// Reads the request and says nothing.
     Silent,
     /// Answers with a large body as fast as it is taken.
@@ -185,6 +188,14 @@
                 write(&mut stream, text).await;
                 until_closed(&mut stream).await
             }
+            Some(Act::Drip(text, part, count)) => {
+                let mut open = write(&mut stream, text).await;
+                for _ in 0..count {
+                    tokio::time::sleep(DRIP_PAUSE).await;
+                    open &= write(&mut stream, part).await;
+                }
+                open
+            }
             Some(Act::Silent) => until_closed(&mut stream).await,
             Some(Act::Flood) => flood(&mut stream, shared).await,
             Some(Act::CloseBeforeRead | Act::CloseAfterRead) | None => false,
--- a/tests/route_transport.rs
+++ b/tests/route_transport.rs
@@ -236,23 +236,29 @@
 
 #[tokio::test]
 async fn a_pooled_connection_is_not_trusted_after_another_went_silent() {
-    // Two connections of one pool; one goes silent, the idle other must not be used.
-    let script = vec![Act::Hold(OK), Act::Hold(OK), Act::Silent, Act::Answer(OK)];
-    let upstream = Upstream::bind(script).await;
-    let transport = transport();
-    let both = tokio::join!(
-        send(&transport, &upstream, false),
-        send(&transport, &upstream, false)
-    );
-    read(both.0.expect("answered")).await.expect("whole");
-    read(both.1.expect("answered")).await.expect("whole");
-    assert_eq!(upstream.connections(), 2);
-    settle().await;
-    let silent = send(&transport, &upstream, false).await;
-    assert_eq!(silent.err(), Some(SendError::Lost(Reason::UpstreamSilent)));
-    let next = send(&transport, &upstream, false).await.expect("answered");
-    read(next).await.expect("whole");
-    assert_eq!(upstream.connections(), 3);
+    let begun = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf";
+    for silent in [Act::Silent, Act::AnswerThenSilent(begun)] {
+        // Two connections of one pool; one goes silent, the idle other must not be used.
+        let script = vec![Act::Hold(OK), Act::Hold(OK), silent, Act::Answer(OK)];
+        let upstream = Upstream::bind(script).await;
+        let transport = transport();
+        let both = tokio::join!(
+            send(&transport, &upstream, false),
+            send(&transport, &upstream, false)
+        );
+        read(both.0.expect("answered")).await.expect("whole");
+        read(both.1.expect("answered")).await.expect("whole");
+        assert_eq!(upstream.connections(), 2);
+        settle().await;
+        let refusal = match send(&transport, &upstream, false).await {
+            Ok(answer) => read(answer).await.expect_err("silent"),
+            Err(error) => error.into(),
+        };
+        assert_eq!(refusal, Refusal::unknown(Reason::UpstreamSilent));
+        let next = send(&transport, &upstream, false).await.expect("answered");
+        read(next).await.expect("whole");
+        assert_eq!(upstream.connections(), 3, "{silent:?}");
+    }
 }
 
 #[tokio::test]
@@ -264,6 +270,34 @@
     assert_eq!(arrivals, 1);
 }
 
+#[tokio::test]
+async fn a_pause_of_the_reader_is_not_silence() {
+    let begun = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf";
+    let upstream = Upstream::bind(vec![Act::AnswerThenSilent(begun)]).await;
+    let transport = transport();
+    let answer = send(&transport, &upstream, true).await.expect("a head");
+    let mut body = answer.body;
+    assert_eq!(body.next().await, Some(Ok("half".into())));
+    tokio::time::sleep(SHORT).await;
+    let start = Instant::now();
+    let end = body.next().await;
+    assert_eq!(end, Some(Err(Refusal::unknown(Reason::UpstreamSilent))));
+    assert!(start.elapsed() >= Duration::from_millis(290));
+    assert_eq!(body.next().await, None);
+}
+
+#[tokio::test]
+async fn an_answer_that_flows_may_outlast_silence_and_deadline() {
+    let head = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n";
+    let upstream = Upstream::bind(vec![Act::Drip(head, "x", 8)]).await;
+    let to = instance("s1", upstream.address(), InstanceKind::Service);
+    let transport = transport();
+    let deadline = Instant::now() + SHORT;
+    let sent = transport.send(&to, post("/x", "{}"), deadline).await;
+    assert_eq!(read(sent.expect("a head")).await, Ok(vec![b'x'; 8]));
+    assert!(Instant::now() > deadline);
+}
+
 #[tokio::test]
 async fn an_engine_may_be_quiet_until_its_first_token_and_no_longer_than_the_deadline() {
     let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
