Refuse paths that cannot be sent

Cause: a malformed path failed in the HTTP client and counted against the upstream, so a caller could have opened its breaker.

Change: such a request is malformed before an upstream is chosen; the new test fails without the check.

--- a/src/route/headers.rs
+++ b/src/route/headers.rs
@@ -4,6 +4,7 @@
 //! then searched for anything shaped like a key, as sent and with percent and JSON escapes undone;
 //! a request that holds one is malformed and goes nowhere.
 
+use ::http::uri::PathAndQuery;
 use ::http::{HeaderMap, HeaderName, Method};
 use bytes::Bytes;
 
@@ -32,7 +33,8 @@
 const KEY_PREFIX: &[u8] = b"bk_";
 const KEY_DIGITS: usize = 64;
 
-/// Builds an upstream's request from a caller's; malformed where a key would travel along.
+/// Builds an upstream's request from a caller's; malformed where a key would travel along, or where
+/// the path cannot be sent.
 pub fn forward(
     method: Method,
     path: &str,
@@ -40,6 +42,11 @@
     body: Bytes,
 ) -> Result<Outgoing, Refusal> {
     let headers = select(headers, &FORWARDED);
+    // A path that cannot be sent must not count as a failure of an upstream.
+    let sendable = path.starts_with('/') && path.parse::<PathAndQuery>().is_ok();
+    if !sendable {
+        return Err(Refusal::not_run(Reason::Malformed));
+    }
     let in_headers = headers.values().any(|value| holds_key(value.as_bytes()));
     if in_headers || holds_key(path.as_bytes()) || holds_key(&body) {
         return Err(Refusal::not_run(Reason::Malformed));
--- a/tests/route_keys.rs
+++ b/tests/route_keys.rs
@@ -162,6 +162,16 @@
     assert!(!contains(&received, "bk_"));
 }
 
+#[test]
+fn a_path_that_cannot_be_sent_is_malformed() {
+    let forward = |path| forward(Method::GET, path, &HeaderMap::new(), Bytes::new());
+    for path in ["", "x", "*", "http://other/x", "/a b", "/a\r\nHost: b"] {
+        let refused = forward(path).expect_err("malformed");
+        assert_eq!(refused, Refusal::not_run(Reason::Malformed), "{path:?}");
+    }
+    forward("//other/x?y=%20").expect("a path");
+}
+
 #[test]
 fn answers_return_by_an_allow_list() {
     let mut headers = HeaderMap::new();
