--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -11,7 +11,7 @@
 use super::holder::Holder;
 use super::holding::{Holding, Local};
 use super::record::{Record, RecordTimes, StoreCall, StoreResult};
-use super::spender::{LeaseTimes, Sending, Spender};
+use super::spender::{LeaseTimes, Queued, Sending, Spender};
 use super::vms::LiveVms;
 use crate::ids::{CallerId, ClientAccount, Epoch, VmId};
 use crate::outcome::{Reason, Refusal};
@@ -383,9 +383,14 @@
         Some(whole.max(own))
     }
 
-    fn queued(&self, caller: Option<&CallerId>) -> Tokens {
+    fn queued(&self, caller: Option<&CallerId>) -> Queued {
         let among = |one: &&Waiting| caller.is_none_or(|caller| one.caller == *caller);
-        self.queue.iter().filter(among).map(|one| one.tokens).sum()
+        let mut waiting = self.queue.iter().filter(among).map(|one| one.tokens);
+        let first = waiting.next().unwrap_or_default();
+        Queued {
+            first,
+            all: first + waiting.sum(),
+        }
     }
 
     fn follow(&mut self, view: &LiveVms, now: Instant) {
--- a/src/limit/holder.rs
+++ b/src/limit/holder.rs
@@ -15,6 +15,7 @@
 use std::time::{Duration, Instant};
 
 use super::bucket::{Amount, Bucket, Share};
+use super::demand::Demand;
 use super::peaks::Peaks;
 use crate::ids::VmId;
 use crate::schema::peer::{LeaseAnswer, LeaseAsk, LeaseRefusal};
@@ -26,6 +27,11 @@
 /// Part of a lease's life that its holder adds, against clocks that run at unequal speeds.
 const DRIFT_DIVISOR: u32 = 32;
 
+/// Part of a part's burst above which an ask is met in pieces.
+const LARGE_DIVISOR: u64 = 2;
+
+const UNMET_SPAN_MS: u64 = 1_000;
+
 #[derive(Clone, Debug)]
 struct Borrower {
     answer: LeaseAnswer,
@@ -39,6 +45,7 @@
     life: Duration,
     bucket: Bucket,
     peaks: Peaks,
+    unmet: Demand,
     leased: Amount,
     leases: BTreeMap<(Instant, VmId, u64), Tokens>,
     borrowers: BTreeMap<VmId, Borrower>,
@@ -53,6 +60,7 @@
             life,
             bucket: Bucket::empty(share.rate, now),
             peaks: Peaks::open(share.burst.into(), span, now),
+            unmet: Demand::open(Duration::from_millis(UNMET_SPAN_MS), now),
             leased: Amount::ZERO,
             leases: BTreeMap::new(),
             borrowers: BTreeMap::new(),
@@ -91,17 +99,25 @@
         if ask.tokens == Tokens::ZERO {
             self.refund(ask.returned.unwrap_or_default());
         }
-        let answer = self.grant(ask);
+        let answer = self.grant(ask, now);
         self.record(from, &answer, now);
         Some(answer)
     }
 
-    fn grant(&mut self, ask: &LeaseAsk) -> LeaseAnswer {
-        let tokens = self.bucket.draw(ask.tokens);
+    /// Gives all that is asked for or nothing, so that tokens are not scattered in pieces too small
+    /// to use; what is large beside the part comes in pieces.
+    fn grant(&mut self, ask: &LeaseAsk, now: Instant) -> LeaseAnswer {
+        let enough = ask.tokens <= self.bucket.level().floor();
+        let large = ask.tokens.0 > self.share.burst.0 / LARGE_DIVISOR;
+        let tokens = if enough || large {
+            self.bucket.draw(ask.tokens)
+        } else {
+            Tokens::ZERO
+        };
         let short = ask.tokens.saturating_sub(tokens);
         let wait = match short {
             Tokens::ZERO => Some(Duration::ZERO),
-            _ => self.bucket.time_for(short),
+            _ => self.expected_wait(ask.tokens, now),
         };
         let empty = tokens == Tokens::ZERO && short > Tokens::ZERO;
         LeaseAnswer {
@@ -116,6 +132,15 @@
         }
     }
 
+    /// Time until `tokens` can be given, behind what others lately asked for in vain.
+    fn expected_wait(&mut self, tokens: Tokens, now: Instant) -> Option<Duration> {
+        let span = Duration::from_millis(UNMET_SPAN_MS);
+        let before = self.unmet.per_second(now) * span.as_secs_f64();
+        self.unmet.add(tokens.0 as f64, now);
+        let wanted = tokens + Tokens(before as u64);
+        self.bucket.time_for(wanted - self.bucket.level().floor())
+    }
+
     fn record(&mut self, from: &VmId, answer: &LeaseAnswer, now: Instant) {
         let entry = self.borrowers.entry(from.clone());
         let borrower = entry.or_insert_with(|| Borrower {
--- a/src/limit/spender.rs
+++ b/src/limit/spender.rs
@@ -41,6 +41,15 @@
     pub life: Duration,
 }
 
+/// Tokens that requests wait for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Queued {
+    /// The first request's.
+    pub first: Tokens,
+    /// All requests'.
+    pub all: Tokens,
+}
+
 /// An ask and the VM it goes to.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Sending {
@@ -164,10 +173,10 @@
         self.refund = self.refund + unused;
     }
 
-    /// The asks to send now, where `queued` tokens are waited for.
-    pub fn plan(&mut self, queued: Tokens, now: Instant) -> Vec<Sending> {
+    /// The asks to send now, where requests wait for tokens.
+    pub fn plan(&mut self, queued: Queued, now: Instant) -> Vec<Sending> {
         self.want_more(queued, now);
-        if queued == Tokens::ZERO {
+        if queued.all == Tokens::ZERO {
             self.give_back(now);
         }
         let life = self.times.life;
@@ -260,8 +269,14 @@
         self.times.batch.as_secs_f64().min(fill / BURST_DIVISOR)
     }
 
-    fn want_more(&mut self, queued: Tokens, now: Instant) {
-        let ahead = Tokens((self.demand.per_second(now) * self.batch_seconds()) as u64);
+    /// Asks for what is queued and a stock ahead; in a shortage for the first request alone.
+    fn want_more(&mut self, queued: Queued, now: Instant) {
+        let stock = Tokens((self.demand.per_second(now) * self.batch_seconds()) as u64);
+        let (queued, ahead) = if self.is_short(now) {
+            (queued.first, Tokens::ZERO)
+        } else {
+            (queued.all, stock)
+        };
         let left: Tokens = self.links.iter().map(|link| link.left(now)).sum();
         let coming: Tokens = self.links.iter().map(Link::coming).sum();
         let owed = queued + self.debt;
--- a/standin/src/experiment/limits/designs.rs
+++ b/standin/src/experiment/limits/designs.rs
@@ -7,7 +7,7 @@
 use basilgw::limit::account::{Account, Action, Admission, Shares, Ticket, Tuning};
 use basilgw::limit::holder::Holder;
 use basilgw::limit::holding::{Holding, Local, Part, rank};
-use basilgw::limit::spender::Spender;
+use basilgw::limit::spender::{Queued, Spender};
 use basilgw::limit::{LiveVms, Share, StoreCall, StoreResult};
 use basilgw::outcome::{Reason, Refusal};
 use basilgw::schema::peer::{LeaseAnswer, LeaseAsk};
@@ -116,8 +116,12 @@
         Admission::Waiting(ticket)
     }
 
-    fn tokens(&self) -> Tokens {
-        self.waiting.iter().map(|&(_, tokens, _)| tokens).sum()
+    fn queued(&self) -> Queued {
+        let tokens = |&(_, tokens, _): &(_, Tokens, _)| tokens;
+        Queued {
+            first: self.waiting.front().map(tokens).unwrap_or_default(),
+            all: self.waiting.iter().map(tokens).sum(),
+        }
     }
 
     fn serve<F>(&mut self, now: Instant, mut spend: F, actions: &mut Vec<Action>)
@@ -388,7 +392,7 @@
             let spender = &mut self.spender;
             self.queue
                 .serve(now, |tokens| spender.spend(tokens, now), actions);
-            let queued = self.queue.tokens();
+            let queued = self.queue.queued();
             let mut answered = false;
             for sending in self.spender.plan(queued, now) {
                 if sending.to != self.local.vm {
--- a/tests/limit_leases.rs
+++ b/tests/limit_leases.rs
@@ -8,7 +8,7 @@
 use basilgw::ids::{ClientAccount, Epoch, Generation, VmId};
 use basilgw::limit::holder::Holder;
 use basilgw::limit::holding::{Holding, Local, Part};
-use basilgw::limit::spender::{LeaseTimes, Spender};
+use basilgw::limit::spender::{LeaseTimes, Queued, Spender};
 use basilgw::limit::{LiveVms, Share};
 use basilgw::schema::peer::{LeaseAnswer, LeaseAsk};
 use basilgw::units::{TokenRate, Tokens};
@@ -129,7 +129,11 @@
     }
 
     fn plan(&mut self, at: usize, queued: u64) {
-        let sendings = self.spenders[at].plan(Tokens(queued), self.now);
+        let queued = Queued {
+            first: Tokens(queued),
+            all: Tokens(queued),
+        };
+        let sendings = self.spenders[at].plan(queued, self.now);
         let asks = sendings.into_iter().map(|sending| (at, sending.ask));
         self.asks.extend(asks);
     }
