--- a/tests/limit_leases.rs
+++ b/tests/limit_leases.rs
@@ -31,6 +31,8 @@
     Spend(usize, u64),
     /// Settles one of the last grants; its refund may go out at once.
     Settle(usize, u64, bool),
+    /// The share changes to half, or back to the whole.
+    Resize(bool),
 }
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
@@ -47,6 +49,7 @@
         4 => (0_usize..2, spent).prop_map(|(at, tokens)| Step::Spend(at, tokens)),
         2 => (0_usize..4, 0_u64..120, any::<bool>())
             .prop_map(|(at, part, prompt)| Step::Settle(at, part, prompt)),
+        1 => any::<bool>().prop_map(Step::Resize),
     ];
     prop::collection::vec(step, 1..60)
 }
@@ -125,6 +128,14 @@
             Step::Answer(at, keep) => self.answer(at, keep),
             Step::Spend(at, tokens) => self.spend(at, tokens),
             Step::Settle(at, part, prompt) => self.settle(at, part, prompt),
+            Step::Resize(half) => self.resize(if half { share().part(2) } else { share() }),
+        }
+    }
+
+    fn resize(&mut self, share: Share) {
+        self.holder.resize(share, self.now);
+        for spender in &mut self.spenders {
+            spender.resize(share);
         }
     }
 
