--- a/tests/limit_leases.rs
+++ b/tests/limit_leases.rs
@@ -8,7 +8,7 @@
 use basilgw::ids::{ClientAccount, Epoch, Generation, VmId};
 use basilgw::limit::holder::Holder;
 use basilgw::limit::holding::{Holding, Local, Part};
-use basilgw::limit::spender::{LeaseTimes, Spender};
+use basilgw::limit::spender::{LeaseTimes, Queued, Spender};
 use basilgw::limit::{LiveVms, Share};
 use basilgw::schema::peer::{LeaseAnswer, LeaseAsk};
 use basilgw::units::{TokenRate, Tokens};
@@ -31,9 +31,12 @@
     Spend(usize, u64),
     /// Settles one of the last grants; its refund may go out at once.
     Settle(usize, u64, bool),
+    /// The share changes to half, or back to the whole.
+    Resize(bool),
 }
 
-fn steps() -> impl Strategy<Value = Vec<Step>> {
+/// Steps, with changes of the share `resizes` times in about 20.
+fn steps(resizes: u32) -> impl Strategy<Value = Vec<Step>> {
     let spans = [1, 30, 100, 500, 1_000, 1_900, 2_100];
     let pass = prop_oneof![1 => 1_u64..2_000, 4 => prop::sample::select(spans.to_vec())];
     let queued = prop_oneof![2 => 1_u64..2_500, 2 => Just(2_500), 1 => Just(0)];
@@ -47,6 +50,7 @@
         4 => (0_usize..2, spent).prop_map(|(at, tokens)| Step::Spend(at, tokens)),
         2 => (0_usize..4, 0_u64..120, any::<bool>())
             .prop_map(|(at, part, prompt)| Step::Settle(at, part, prompt)),
+        resizes => any::<bool>().prop_map(Step::Resize),
     ];
     prop::collection::vec(step, 1..60)
 }
@@ -59,6 +63,8 @@
 }
 
 struct Bench {
+    /// Whether spending counts as demand, so that a stock is asked for.
+    stock: bool,
     now: Instant,
     holder: Holder,
     spenders: Vec<Spender>,
@@ -104,9 +110,10 @@
 }
 
 impl Bench {
-    fn open() -> Self {
+    fn open(stock: bool) -> Self {
         let now = Instant::now();
         Self {
+            stock,
             now,
             holder: Holder::open(share(), LIFE, now),
             spenders: (0..2).map(|at| spender(at, now)).collect(),
@@ -125,11 +132,23 @@
             Step::Answer(at, keep) => self.answer(at, keep),
             Step::Spend(at, tokens) => self.spend(at, tokens),
             Step::Settle(at, part, prompt) => self.settle(at, part, prompt),
+            Step::Resize(half) => self.resize(if half { share().part(2) } else { share() }),
+        }
+    }
+
+    fn resize(&mut self, share: Share) {
+        self.holder.resize(share, self.now);
+        for spender in &mut self.spenders {
+            spender.resize(share);
         }
     }
 
     fn plan(&mut self, at: usize, queued: u64) {
-        let sendings = self.spenders[at].plan(Tokens(queued), self.now);
+        let queued = Queued {
+            first: Tokens(queued),
+            all: Tokens(queued),
+        };
+        let sendings = self.spenders[at].plan(queued, self.now);
         let asks = sendings.into_iter().map(|sending| (at, sending.ask));
         self.asks.extend(asks);
     }
@@ -166,6 +185,9 @@
     fn spend(&mut self, at: usize, most: u64) {
         let spender = &mut self.spenders[at];
         let tokens = spender.available(self.now).min(Tokens(most));
+        if self.stock {
+            spender.want(tokens, self.now);
+        }
         if spender.spend(tokens, self.now) {
             self.grants.push(Grant {
                 spender: at,
@@ -209,16 +231,31 @@
     }
 }
 
+fn run(steps: &[Step], stock: bool) -> Result<(), TestCaseError> {
+    let mut bench = Bench::open(stock);
+    for step in steps {
+        bench.step(step);
+        let over = bench.overshoot();
+        prop_assert_eq!(over, 0, "thousandths of a token above the bound");
+    }
+    Ok(())
+}
+
 proptest! {
     #![proptest_config(config())]
 
     #[test]
-    fn hoarded_leases_stay_in_the_bound(steps in steps()) {
-        let mut bench = Bench::open();
-        for step in &steps {
-            bench.step(step);
-            let over = bench.overshoot();
-            prop_assert_eq!(over, 0, "thousandths of a token above the bound");
-        }
+    fn hoarded_leases_stay_in_the_bound(steps in steps(0)) {
+        run(&steps, false)?;
+    }
+
+    #[test]
+    fn a_stock_stays_in_the_bound(steps in steps(0)) {
+        run(&steps, true)?;
+    }
+
+    #[test]
+    fn a_changed_share_stays_in_the_bound(steps in steps(1)) {
+        run(&steps, false)?;
     }
 }
