Ask a stalled source again, and the store at the same time

Cause: a fetch that stalled once took its source off the list; a VM with one source then waited for a digest of the next round. Change: a source is given up after three stalls, the least stalled one goes first, and each stall also looks at the store, since the source may be gone for good.

--- a/src/declare/spread.rs
+++ b/src/declare/spread.rs
@@ -3,12 +3,13 @@
 //! [`Spread`] is a pure state machine. A VM that holds a newer revision announces it at once; one
 //! that hears of a newer revision fetches it from the VM that told, and announces it in turn once
 //! it holds it, so that whoever announces a revision can serve it. A source that is too slow, or
-//! whose configuration is refused, is replaced by another, and by the store where none is left.
+//! whose configuration is refused, is replaced by another, and the store is looked at as well.
 //! Revisions only go up.
 
 mod bundle;
 mod shell;
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::fmt::Debug;
 use std::time::{Duration, Instant};
@@ -28,6 +29,8 @@
 pub const MAX_PARTS: u32 = 2048;
 /// Time without a part after which another source is asked.
 pub const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// Fetches from one source that may stall before it is given up.
+const MAX_STALLS: u32 = 3;
 /// Sources remembered.
 const MAX_SOURCES: usize = 8;
 
@@ -137,6 +140,13 @@
     Reread,
 }
 
+/// A peer that told of a newer revision.
+#[derive(Clone, Copy, Debug)]
+struct Source {
+    revision: Revision,
+    stalls: u32,
+}
+
 #[derive(Clone, Debug)]
 struct Fetch {
     from: VmId,
@@ -149,7 +159,7 @@
 #[derive(Clone, Debug)]
 pub struct Spread {
     held: Revision,
-    sources: BTreeMap<VmId, Revision>,
+    sources: BTreeMap<VmId, Source>,
     fetch: Option<Fetch>,
     stale: u64,
 }
@@ -199,7 +209,7 @@
     fn hold(&mut self, revision: Revision) {
         self.held = self.held.max(revision);
         let held = self.held;
-        self.sources.retain(|_, offered| *offered > held);
+        self.sources.retain(|_, source| source.revision > held);
         let sources = &self.sources;
         self.fetch.take_if(|f| !sources.contains_key(&f.from));
     }
@@ -212,7 +222,12 @@
         if revision == self.held || !room {
             return Vec::new();
         }
-        self.sources.insert(from, revision);
+        let source = Source {
+            revision,
+            stalls: 0,
+        };
+        let known = self.sources.entry(from).or_insert(source);
+        known.revision = known.revision.max(revision);
         self.start(now).into_iter().collect()
     }
 
@@ -220,7 +235,8 @@
         if self.fetch.is_some() {
             return None;
         }
-        let (from, _) = self.sources.iter().max_by_key(|(_, revision)| **revision)?;
+        let best = |(_, source): &(&VmId, &Source)| (Reverse(source.stalls), source.revision);
+        let (from, _) = self.sources.iter().max_by_key(best)?;
         self.fetch = Some(Fetch {
             from: from.clone(),
             progress: now,
@@ -242,7 +258,9 @@
             return Vec::new();
         };
         if part.part >= part.parts || part.parts > MAX_PARTS || part.bytes.0.len() > PART_BYTES {
-            return self.next_source(now);
+            self.sources.remove(from);
+            self.fetch = None;
+            return self.start_or_reread(now);
         }
         // A source that moved on starts again with the newer revision.
         if part.revision > fetch.revision {
@@ -291,17 +309,17 @@
 
     fn tick(&mut self, now: Instant) -> Vec<Action> {
         let late = |f: &Fetch| now.saturating_duration_since(f.progress) >= FETCH_TIMEOUT;
-        if self.fetch.as_ref().is_some_and(late) {
-            return self.next_source(now);
-        }
-        Vec::new()
-    }
-
-    fn next_source(&mut self, now: Instant) -> Vec<Action> {
-        if let Some(fetch) = self.fetch.take() {
-            self.sources.remove(&fetch.from);
+        let Some(fetch) = self.fetch.take_if(|f| late(f)) else {
+            return Vec::new();
+        };
+        if let Some(source) = self.sources.get_mut(&fetch.from) {
+            source.stalls += 1;
         }
-        self.start_or_reread(now)
+        self.sources.retain(|_, source| source.stalls < MAX_STALLS);
+        // The source may be gone for good, and the store within reach.
+        let mut actions = vec![Action::Reread];
+        actions.extend(self.start(now));
+        actions
     }
 
     fn start_or_reread(&mut self, now: Instant) -> Vec<Action> {
--- a/tests/peer_spread.rs
+++ b/tests/peer_spread.rs
@@ -91,7 +91,7 @@
 }
 
 #[test]
-fn a_source_that_stalls_or_lies_is_replaced_and_then_the_store_asked() {
+fn a_source_that_stalls_or_lies_is_replaced_and_the_store_asked() {
     let now = Instant::now();
     let heard = |index, revision| Event::Heard {
         from: vm(index),
@@ -106,12 +106,17 @@
     assert_eq!(spread.step(heard(2, 6), now), []);
     assert_eq!(spread.step(heard(3, 4), now), [Action::Hint { to: vm(3) }]);
     let late = now + FETCH_TIMEOUT;
-    assert_eq!(spread.step(Event::Tick, late), [fetch(2)]);
+    assert_eq!(spread.step(Event::Tick, late), [Action::Reread, fetch(2)]);
     let lie = Event::Offered {
         from: vm(2),
         result: Err(OfferError::Invalid),
     };
-    assert_eq!(spread.step(lie, late), [Action::Reread]);
+    assert_eq!(spread.step(lie, late), [fetch(1)]);
+    assert_eq!(spread.step(Event::Tick, late), []);
+    let later = late + FETCH_TIMEOUT;
+    assert_eq!(spread.step(Event::Tick, later), [Action::Reread, fetch(1)]);
+    let last = later + FETCH_TIMEOUT;
+    assert_eq!(spread.step(Event::Tick, last), [Action::Reread]);
     assert_eq!(spread.step(Event::Accepted(Revision(5)), late), []);
     assert_eq!(spread.held(), Revision(5));
     let announce = Action::Announce { except: None };
