--- a/src/limit/spender.rs
+++ b/src/limit/spender.rs
@@ -22,6 +22,12 @@
 /// Part of the time to fill a burst that one lease may cover.
 const BURST_DIVISOR: f64 = 8.0;
 
+/// What is asked for where tokens are only given back.
+const LEAST_ASK: Tokens = Tokens(1);
+
+/// Times a refund must exceed what is left of the leases that end with it.
+const REFUND_FACTOR: u64 = 4;
+
 const DEMAND_SPAN_MS: u64 = 1_000;
 const INTAKE_SPAN_MS: u64 = 2_000;
 const SHORT_RUN_MS: u64 = 1_000;
@@ -44,6 +50,13 @@
     pub ask: LeaseAsk,
 }
 
+/// A time over which every answer left all holders short.
+#[derive(Clone, Copy, Debug)]
+struct ShortRun {
+    since: Instant,
+    last: Instant,
+}
+
 /// State of one share at a VM that spends it.
 #[derive(Clone, Debug)]
 pub struct Spender {
@@ -54,7 +67,7 @@
     links: Vec<Link>,
     demand: Demand,
     intake: Demand,
-    short: Option<Instant>,
+    short: Option<ShortRun>,
     debt: Tokens,
     refund: Tokens,
     refunded: Instant,
@@ -187,16 +200,16 @@
         let missing = tokens + self.debt;
         let missing = missing - self.links.iter().map(|link| link.left(now)).sum();
         let least = self.share.time_for(missing)?;
-        let Some(since) = self.short else {
+        let Some(run) = self.short.filter(|_| self.is_short(now)) else {
             return Some(Duration::ZERO);
         };
-        let run = now.saturating_duration_since(since);
-        if run >= Duration::from_millis(SHORT_RUN_MS) {
+        let lasted = now.saturating_duration_since(run.since);
+        if lasted >= Duration::from_millis(SHORT_RUN_MS) {
             let rate = self.intake.per_second(now);
             let expected = Duration::try_from_secs_f64(missing.0 as f64 / rate);
             return Some(least.max(expected.unwrap_or(least)));
         }
-        let waits = self.links.iter().filter_map(|link| link.short);
+        let waits = self.links.iter().filter_map(|link| link.short_until(now));
         let soonest = waits.min().unwrap_or(now);
         Some(least.max(soonest.saturating_duration_since(now)))
     }
@@ -228,11 +241,17 @@
     }
 
     fn note_short(&mut self, now: Instant) {
-        let reachable = self.links.iter().filter(|link| !link.silent);
-        let all_short = reachable
-            .map(|link| link.short)
-            .all(|short| short.is_some());
-        self.short = all_short.then_some(self.short.unwrap_or(now));
+        let gap = Duration::from_millis(SHORT_RUN_MS);
+        let going_on = |run: &ShortRun| now.saturating_duration_since(run.last) <= gap;
+        let since = self.short.filter(going_on).map_or(now, |run| run.since);
+        let run = ShortRun { since, last: now };
+        self.short = self.is_short(now).then_some(run);
+    }
+
+    /// Whether every holder that answers lately fell short.
+    fn is_short(&self, now: Instant) -> bool {
+        let mut reachable = self.links.iter().filter(|link| !link.silent);
+        reachable.all(|link| link.short_until(now).is_some())
     }
 
     /// Time one lease should last; less where the burst fills faster.
@@ -256,12 +275,17 @@
         let mut links: Vec<_> = self.links.iter_mut().collect();
         links.sort_by_key(|link| (link.silent, link.order));
         for link in links {
-            let tokens = missing.min(most);
-            if tokens == Tokens::ZERO || !link.is_ready(now) {
+            if missing == Tokens::ZERO || !link.is_ready(now) {
                 continue;
             }
-            link.ask(name, tokens, now);
-            missing = missing - link.coming();
+            let left = link.left(now);
+            if queued > Tokens::ZERO || left == Tokens::ZERO {
+                link.renew(name, (missing + left).min(most), now);
+                missing = missing + left - link.coming();
+            } else {
+                link.ask(name, missing.min(most), now);
+                missing = missing - link.coming();
+            }
         }
     }
 
@@ -277,10 +301,11 @@
                 continue;
             }
             let left = link.left(now);
-            let idle = link.is_idle(self.times.batch, now) && (tight || left > Tokens::ZERO);
-            let refund = self.refund > Tokens::ZERO && self.refund >= left;
-            if idle || refund {
-                link.close(&self.name, std::mem::take(&mut self.refund), now);
+            let idle = link.is_idle(self.times.batch, now);
+            if idle && left > LEAST_ASK {
+                link.renew(&self.name, LEAST_ASK, now);
+            } else if (idle && tight) || self.refund.0 > left.0 * REFUND_FACTOR {
+                link.refund(&self.name, std::mem::take(&mut self.refund), now);
             }
         }
     }
--- a/src/once/pending.rs
+++ b/src/once/pending.rs
@@ -28,6 +28,8 @@
     pub version: Version,
     /// The end.
     pub end: End,
+    /// Whether another attempt of the same request is known.
+    pub rival: bool,
     /// When it came to wait.
     pub since: Instant,
 }
@@ -45,12 +47,12 @@
 }
 
 impl Pending {
-    /// Adds an end; an earlier one for the same record gives way.
+    /// Adds an end; an earlier one of the same attempt gives way.
     pub fn insert(&self, waiting: Waiting) {
         let mut inner = self.lock();
         inner
             .entries
-            .retain(|_, entry| entry.object != waiting.object);
+            .retain(|_, entry| entry.attempt != waiting.attempt);
         if inner.entries.len() >= MAX_PENDING {
             inner.entries.pop_first();
         }
@@ -59,11 +61,12 @@
         inner.entries.insert(number, waiting);
     }
 
-    /// The end that waits for a record.
+    /// The end that waits for a record; one that says more than "not run" comes first.
     pub fn find(&self, object: &ObjectKey) -> Option<Waiting> {
         let inner = self.lock();
-        let mut entries = inner.entries.values();
-        entries.find(|entry| entry.object == *object).cloned()
+        let entries = inner.entries.values();
+        let own = entries.filter(|entry| entry.object == *object);
+        own.min_by_key(|entry| entry.end == End::NotRun).cloned()
     }
 
     /// Removes the end of an attempt.
