Make room for an adapter by giving up an idle replica

Cause: an adapter whose replica stands on a full engine could only displace another adapter of the same replica; where there was none, its requests waited until their deadline. Ruled out: admission estimates and queue bounds, since no request without an adapter was refused for want of memory. Change: the planner gives up idle replicas on that engine first, and only then another adapter. Test adapter_without_room_displaces_an_idle_model, failing before, passing after. Left: a detached adapter's memory returns only after two order lives, also at fenced engines.

--- a/src/model/adapters.rs
+++ b/src/model/adapters.rs
@@ -13,16 +13,39 @@
 use crate::schema::engine::{ReplicaReport, ReplicaState};
 use crate::units::Bytes;
 
-/// Adds the commands that adapters need.
-pub(super) fn commands(world: &World<'_>, out: &mut Vec<Command>) {
+/// An adapter that lacks memory on the engine of its replica.
+#[derive(Debug)]
+pub(super) struct Shortage {
+    /// The replica's model.
+    pub(super) model: ModelId,
+    /// The engine.
+    pub(super) engine: UpstreamId,
+    /// Size of the adapter.
+    pub(super) bytes: Bytes,
+    /// Takes another adapter off, where no replica can go.
+    pub(super) instead: Option<Command>,
+}
+
+enum Step {
+    Attach(Command),
+    Lacks(Shortage),
+}
+
+/// Adds the commands that adapters need; gives those that lack memory.
+pub(super) fn commands(world: &World<'_>, out: &mut Vec<Command>) -> Vec<Shortage> {
+    let mut shortages = Vec::new();
     let mut free = world.policy.adapters.saturating_sub(in_flight(world));
     for (model, adapter) in wanted(world) {
         if free == 0 {
             break;
         }
-        if let Some(command) = attach(world, model, adapter) {
-            free -= usize::from(matches!(command, Command::Attach { .. }));
-            out.push(command);
+        match attach(world, model, adapter) {
+            Some(Step::Attach(command)) => {
+                free -= 1;
+                out.push(command);
+            }
+            Some(Step::Lacks(shortage)) => shortages.push(shortage),
+            None => {}
         }
     }
     for (engine, reserved) in world.reserved {
@@ -32,6 +55,7 @@
             }
         }
     }
+    shortages
 }
 
 /// Adapters waited for, the earliest deadline first.
@@ -109,7 +133,7 @@
     places
 }
 
-fn attach(world: &World<'_>, model: &ModelId, adapter: &AdapterId) -> Option<Command> {
+fn attach(world: &World<'_>, model: &ModelId, adapter: &AdapterId) -> Option<Step> {
     let declared = world.declaration.adapters.get(adapter)?;
     if &declared.model != model {
         return None;
@@ -129,14 +153,19 @@
     };
     let place = places.iter().max_by_key(|p| (held(p), p.free))?;
     if !held(place) && place.free < declared.weights {
-        return detach_oldest(world, model, place);
+        return Some(Step::Lacks(Shortage {
+            model: model.clone(),
+            engine: upstream(place.engine).ok()?,
+            bytes: declared.weights,
+            instead: detach_oldest(world, model, place),
+        }));
     }
-    Some(Command::Attach {
+    Some(Step::Attach(Command::Attach {
         engine: place.engine.clone(),
         target: target(model, place, declared.weights),
         adapter: adapter.clone(),
         memory: memory(place.engine, place.seen),
-    })
+    }))
 }
 
 fn target(model: &ModelId, place: &Place<'_>, bytes: Bytes) -> Target {
--- a/src/model/plan.rs
+++ b/src/model/plan.rs
@@ -111,7 +111,8 @@
 {
     let mut planner = Planner::new(world, nonce);
     upkeep::commands(world, &mut planner.plan.commands);
-    adapters::commands(world, &mut planner.plan.commands);
+    let shortages = adapters::commands(world, &mut planner.plan.commands);
+    planner.relieve(shortages);
     planner.scale_up();
     planner.scale_down();
     planner.plan
@@ -297,6 +298,25 @@
         SETTLE
     }
 
+    /// Gives up idle replicas on engines where adapters lack memory.
+    fn relieve(&mut self, shortages: Vec<adapters::Shortage>) {
+        for shortage in shortages {
+            let place = self.rooms.iter().position(|r| r.id == shortage.engine);
+            let Some(at) = place else {
+                continue;
+            };
+            let room = &mut self.rooms[at];
+            if room.free + room.coming >= shortage.bytes {
+                room.coming = room.coming.saturating_sub(shortage.bytes);
+                continue;
+            }
+            match self.victims(at, &shortage.model, shortage.bytes) {
+                Some((_, targets)) => self.evict(at, shortage.bytes, targets),
+                None => self.plan.commands.extend(shortage.instead),
+            }
+        }
+    }
+
     fn evict(&mut self, at: usize, size: Bytes, targets: Vec<Target>) {
         let room = &mut self.rooms[at];
         let freed: Bytes = targets.iter().map(|t| t.bytes).sum();
--- a/tests/model_shell.rs
+++ b/tests/model_shell.rs
@@ -144,3 +144,21 @@
     serve(&models, 1, "s").await;
     assert_eq!(site.engines.loads.lock().unwrap().len(), 2);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn adapter_without_room_displaces_an_idle_model() {
+    let declared = declaration(
+        &[("m1", model(500, 1, 4)), ("m2", model(480, 1, 4))],
+        &[("a1", "m1")],
+    );
+    let site = Site::new(vec![engine("e1", 1000, true)], &["vm1"], declared);
+    let models = site.spawn("vm1", LIFE, IDLE);
+    serve(&models, 1, "r").await;
+    let other = want("s1", "m2", LONG);
+    models.acquire(other.clone()).await.expect("served");
+    models.release(&other);
+    let mut with_adapter = want("r2", "m1", LONG);
+    with_adapter.adapter = Some(id("a1"));
+    models.acquire(with_adapter).await.expect("served");
+    assert_eq!(site.engines.used(), Bytes(515));
+}
