Rest after a failed batch or scan of the store

Cause: a failed batch freed its model at once and a failed scan was due again at once, so the loader asked a store that was down as fast as it answered. Ruled out: retries inside one step, which give up on the first unavailable answer. Change: a failed model and a failed scan rest 200 ms, doubling up to 5 s, with a random part.

--- a/src/model/loader.rs
+++ b/src/model/loader.rs
@@ -33,6 +33,8 @@
 
 const SCAN: Duration = Duration::from_secs(5);
 const TICK: Duration = Duration::from_millis(20);
+const REST: Duration = Duration::from_millis(200);
+const MAX_REST: Duration = Duration::from_secs(5);
 const ASK_PAUSE: Duration = Duration::from_millis(500);
 const ASK_LIFE: Duration = Duration::from_secs(2);
 const FALLBACK: Duration = Duration::from_secs(5);
@@ -71,6 +73,10 @@
     usage: BTreeMap<ModelId, Usage>,
     adapter_usage: BTreeMap<AdapterId, Instant>,
     busy: BTreeSet<ModelId>,
+    rests: BTreeMap<ModelId, Instant>,
+    failures: BTreeMap<ModelId, u32>,
+    scan_failures: u32,
+    scan_after: Instant,
     pending: BTreeMap<ReplicaId, (UpstreamId, Bytes, Origin)>,
     reading: BTreeSet<UpstreamId>,
     asked: BTreeMap<UpstreamId, Instant>,
@@ -103,6 +109,10 @@
             usage: BTreeMap::new(),
             adapter_usage: BTreeMap::new(),
             busy: BTreeSet::new(),
+            rests: BTreeMap::new(),
+            failures: BTreeMap::new(),
+            scan_failures: 0,
+            scan_after: now,
             pending: BTreeMap::new(),
             reading: BTreeSet::new(),
             asked: BTreeMap::new(),
@@ -142,6 +152,7 @@
         let now = self.ports.clock.now();
         self.declaration = self.ports.catalog.current();
         self.read_reports(now);
+        self.wake_rested(now);
         self.note_usage(now);
         let own = self.front.with(|desk| desk.needs(now));
         let mut plan = Plan::default();
@@ -193,7 +204,7 @@
 
     fn scan(&mut self, now: Instant) {
         let due = self.scanned.is_none_or(|at| at + SCAN <= now);
-        if !due || self.scanning {
+        if !due || self.scanning || self.scan_after > now {
             return;
         }
         self.scanning = true;
@@ -233,7 +244,11 @@
                 self.scanning = false;
                 if self.take_read(read, now) {
                     self.scanned = Some(now);
+                    self.scan_failures = 0;
                     self.forget_gone();
+                } else {
+                    self.scan_after = now + rest(self.scan_failures);
+                    self.scan_failures += 1;
                 }
             }
             Done::Batch {
@@ -241,11 +256,12 @@
                 results,
                 read,
             } => {
+                let failed = results.iter().any(|(_, result)| result.is_err());
                 for (command, result) in results {
                     self.finish_command(&command, result.as_ref().err(), now);
                 }
                 self.take_read(read, now);
-                self.busy.remove(&model);
+                self.end_batch(model, failed, now);
             }
             Done::Woken { model, result } => match result {
                 Ok(answer) => {
@@ -260,6 +276,25 @@
         }
     }
 
+    /// Frees a model for its next batch, after a failure only when it has rested.
+    fn end_batch(&mut self, model: ModelId, failed: bool, now: Instant) {
+        if !failed {
+            self.failures.remove(&model);
+            self.busy.remove(&model);
+            return;
+        }
+        let failures = self.failures.entry(model.clone()).or_default();
+        self.rests.insert(model, now + rest(*failures));
+        *failures += 1;
+    }
+
+    fn wake_rested(&mut self, now: Instant) {
+        let over = self.rests.extract_if(.., |_, until| *until <= now);
+        for (model, _) in over {
+            self.busy.remove(&model);
+        }
+    }
+
     fn finish_command(
         &mut self,
         command: &Command,
@@ -581,6 +616,12 @@
     }
 }
 
+/// A pause after so many failures; its random part keeps VMs from returning at once.
+fn rest(failures: u32) -> Duration {
+    let pause = REST * 2_u32.saturating_pow(failures.min(8));
+    pause.min(MAX_REST).mul_f64(0.5 + rand::random::<f64>())
+}
+
 fn answer(plan: &Plan, ask: &WakeAsk) -> WakeAnswer {
     let wait = plan.waits.get(&ask.model).copied().unwrap_or_default();
     let wait = wait.as_millis() as u64;
--- a/tests/model_fakes/mod.rs
+++ b/tests/model_fakes/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the fakes")]
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -26,10 +26,12 @@
 pub struct FakeStore {
     pub objects: Mutex<BTreeMap<ObjectKey, (Version, bytes::Bytes)>>,
     pub down: AtomicBool,
+    pub calls: AtomicU32,
 }
 
 impl FakeStore {
     fn check(&self) -> Result<(), StoreError> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
         if self.down.load(Ordering::Relaxed) {
             return Err(StoreError::Unavailable);
         }
--- a/tests/model_shell.rs
+++ b/tests/model_shell.rs
@@ -162,3 +162,23 @@
     models.acquire(with_adapter).await.expect("served");
     assert_eq!(site.engines.used(), Bytes(515));
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn outage_of_the_store_is_not_answered_by_a_storm() {
+    let site = one_model(1, &["vm1"], true);
+    site.store.down.store(true, Ordering::Relaxed);
+    let models = site.spawn("vm1", LIFE, IDLE);
+    let waiting = models.acquire(want("r1", "m1", LONG));
+    let watched = async {
+        until("two seconds", {
+            let end = Instant::now() + Duration::from_secs(2);
+            move || Instant::now() >= end
+        })
+        .await;
+        let calls = site.store.calls.load(Ordering::Relaxed);
+        assert!(calls <= 30, "{calls} calls in two seconds");
+        site.store.down.store(false, Ordering::Relaxed);
+    };
+    let (served, ()) = futures_util::future::join(waiting, watched).await;
+    assert!(served.is_ok(), "{served:?}");
+}
