--- a/standin/src/experiment/mod.rs
+++ b/standin/src/experiment/mod.rs
@@ -21,6 +21,9 @@
         /// Seed of the draws
         #[bpaf(argument("N"), fallback(1))]
         seed: u64,
+        /// Only this scenario, such as busy_flood
+        #[bpaf(argument("NAME"), optional)]
+        scenario: Option<models::Scenario>,
     },
     /// Choice of an engine beside simpler policies
     #[bpaf(command)]
@@ -35,7 +38,11 @@
     /// Runs it; its lines go to standard output.
     pub fn run(self) -> ExitCode {
         match self {
-            Self::Models { site, seed } => models::run(site, seed, &mut io::stdout().lock()),
+            Self::Models {
+                site,
+                seed,
+                scenario,
+            } => models::run(site, seed, scenario, &mut io::stdout().lock()),
             Self::Routes { seed } => routes::run(seed, &mut io::stdout().lock()),
         }
     }
--- a/standin/src/experiment/models.rs
+++ b/standin/src/experiment/models.rs
@@ -11,6 +11,7 @@
 
 use std::io::Write;
 use std::process::ExitCode;
+use std::str::FromStr;
 use std::time::Duration;
 
 use basilgw::model::evict::Eviction;
@@ -73,13 +74,15 @@
 /// What befalls the site.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
-enum Scenario {
+pub enum Scenario {
     /// Nothing.
     Calm,
     /// Three times as many bursts.
     Bursts,
     /// One account at five times its rate.
     Flood,
+    /// One account at five times its rate, where all send as much as in bursts.
+    BusyFlood,
     /// The weight store at a quarter of its speed for three minutes.
     SlowStore,
     /// The VM that orders loads dies in the middle of one, every minute.
@@ -93,10 +96,11 @@
 }
 
 impl Scenario {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 9] = [
         Self::Calm,
         Self::Bursts,
         Self::Flood,
+        Self::BusyFlood,
         Self::SlowStore,
         Self::KilledDecider,
         Self::PausedDecider,
@@ -108,17 +112,36 @@
         match self {
             Self::Bursts => [3.0; 5],
             Self::Flood => FLOOD,
+            Self::BusyFlood => FLOOD.map(|factor| factor * 3.0),
             _ => EVEN,
         }
     }
 }
 
-/// Runs all policies in all scenarios.
-pub fn run<W>(site: Site, seed: u64, out: &mut W) -> ExitCode
+impl FromStr for Scenario {
+    type Err = ScenarioError;
+
+    fn from_str(text: &str) -> Result<Self, ScenarioError> {
+        let named = |scenario: &Self| {
+            let name = serde_json::to_value(scenario).unwrap_or_default();
+            name.as_str() == Some(text)
+        };
+        Self::ALL.into_iter().find(named).ok_or(ScenarioError)
+    }
+}
+
+/// The name is not a scenario's.
+#[derive(Clone, Copy, Debug, thiserror::Error)]
+#[error("the scenario is not known")]
+pub struct ScenarioError;
+
+/// Runs all policies in all scenarios, or in one.
+pub fn run<W>(site: Site, seed: u64, only: Option<Scenario>, out: &mut W) -> ExitCode
 where
     W: Write,
 {
-    for scenario in Scenario::ALL {
+    let chosen = |s: &Scenario| only.is_none_or(|one| one == *s);
+    for scenario in Scenario::ALL.into_iter().filter(chosen) {
         for policy in Policy::ALL {
             let line = Run::new(site, seed, scenario, policy).finish();
             let Ok(text) = serde_json::to_string(&line) else {
--- a/standin/src/experiment/models/run.rs
+++ b/standin/src/experiment/models/run.rs
@@ -625,7 +625,8 @@
         let shares = self.score.shares();
         let judged = shares.iter().filter(|(account, _)| {
             // The flooding account is not the one to be protected.
-            self.scenario != Scenario::Flood || account.as_str() != "account00"
+            !matches!(self.scenario, Scenario::Flood | Scenario::BusyFlood)
+                || account.as_str() != "account00"
         });
         let worst = judged.map(|(_, share)| *share).fold(1.0, f64::min);
         Line {
