Cells whose faults and shares bite: more faulty requests, wider shares, restarts of one VM

Cause: deliberate breaks of withdrawal, leaving and whole answers were not caught by their cells; the streams were refused over the rate (a new holder starts empty), and five faulty requests were often all retried.

--- a/standin/src/env/mod.rs
+++ b/standin/src/env/mod.rs
@@ -254,13 +254,23 @@
     /// Where one does not in time.
     pub async fn all_ready(&self) -> Result<(), EnvError> {
         for vm in self.vms.iter().filter(|vm| vm.is_running()) {
-            let until = Instant::now() + READY_TIMEOUT;
-            while !is_ready(vm.ports()).await {
-                if Instant::now() > until {
-                    return Err(vm.slow("become ready"));
-                }
-                sleep(POLL_PAUSE).await;
+            self.ready(vm).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until a VM takes callers.
+    ///
+    /// # Errors
+    ///
+    /// Where it does not in time.
+    pub async fn ready(&self, vm: &Vm) -> Result<(), EnvError> {
+        let until = Instant::now() + READY_TIMEOUT;
+        while !is_ready(vm.ports()).await {
+            if Instant::now() > until {
+                return Err(vm.slow("become ready"));
             }
+            sleep(POLL_PAUSE).await;
         }
         Ok(())
     }
--- a/standin/src/env/site.rs
+++ b/standin/src/env/site.rs
@@ -11,8 +11,8 @@
 use crate::history::Event;
 use crate::record::Recorder;
 
-const RATE: f64 = 500.0;
-const BURST: Tokens = Tokens(5000);
+const RATE: f64 = 5000.0;
+const BURST: Tokens = Tokens(10_000);
 const WEIGHTS: Bytes = Bytes(6 << 30);
 const FLOOR: Bytes = Bytes(1 << 30);
 const ADAPTER: Bytes = Bytes(64 << 20);
--- a/standin/src/env/vm.rs
+++ b/standin/src/env/vm.rs
@@ -284,6 +284,12 @@
         }
     }
 
+    /// Records that it started anew and takes callers.
+    pub fn record_started(&self) {
+        let vm = self.id.clone();
+        self.driver.record(Event::Started { vm });
+    }
+
     /// Records that it may fail its callers for now.
     pub fn record_trouble(&self) {
         let vm = self.id.clone();
--- a/standin/src/history/index.rs
+++ b/standin/src/history/index.rs
@@ -124,10 +124,11 @@
             Event::Killed { vm } | Event::Stopped { vm } | Event::Disturbed { vm } => {
                 self.turn(vm, entry.at, Turn::Trouble);
             }
-            Event::Started { vm } | Event::Healed { vm } => {
+            Event::Started { vm } => {
                 self.turn(vm, entry.at, Turn::Recovery);
                 self.stopping.remove(vm);
             }
+            Event::Healed { vm } => self.turn(vm, entry.at, Turn::Recovery),
             Event::Stopping { vm } => {
                 self.stopping.insert(vm.clone(), entry.at);
             }
--- a/standin/src/matrix/fault.rs
+++ b/standin/src/matrix/fault.rs
@@ -6,7 +6,7 @@
 use crate::platform::Faults;
 
 /// Requests that a request's fault meets at each upstream.
-const FAULTY_REQUESTS: u32 = 5;
+const FAULTY_REQUESTS: u32 = 15;
 
 /// Pause before each answer of a slow store, in milliseconds.
 const SLOW_MS: u64 = 300;
@@ -97,8 +97,8 @@
             Self::KillVm => {
                 vm.restart().await?;
                 env.register()?;
-                env.all_ready().await?;
-                vm.record_healed();
+                env.ready(vm).await?;
+                vm.record_started();
             }
             Self::PauseVm => vm.resume()?,
             Self::CutVm | Self::CutOneWay => vm.cut(Mode::Pass, Mode::Pass),
--- a/standin/src/matrix/step.rs
+++ b/standin/src/matrix/step.rs
@@ -12,8 +12,8 @@
 use crate::caller::{Ask, Credential};
 use crate::env::{EnvError, Environment, RARE_MODELS};
 
-const BURST_REQUESTS: usize = 60;
-const BURST_TOKENS: u64 = 200;
+const BURST_REQUESTS: usize = 120;
+const BURST_TOKENS: u64 = 400;
 const COLD_REQUESTS: usize = 12;
 const BOOKINGS: usize = 6;
 const STREAM_TOKENS: u64 = 1200;
