Run keyed calls through the once runner, and write ends that wait

Cause: the edge had a second copy of the runner's logic, and ends that the store refused were never written later. The runner now says whether an answer came from the record; the drain writes what waits before the exit.

--- a/src/edge/plain.rs
+++ b/src/edge/plain.rs
@@ -8,7 +8,6 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use compact_str::CompactString;
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, HeaderValue, Method, StatusCode};
 use slog::info;
@@ -21,7 +20,8 @@
 use super::running::Token;
 use super::serve::{Arrived, EdgeParts};
 use crate::ids::{ClientAccount, RouteId};
-use crate::once::{Attempt, Begin, End, OnceKey, Recorded};
+use crate::once::OnceKey;
+use crate::once::run::Outcome;
 use crate::outcome::{Ran, Reason, Refusal};
 use crate::route::dispatch::Job;
 use crate::route::headers;
@@ -178,60 +178,35 @@
     route: &Route,
     job: Job,
     once: Option<OnceKey>,
-    held: Held,
+    mut held: Held,
 ) -> Result<Response, Refusal> {
     let Some(key) = once else {
         return call(parts, arrived, route, &job, held).await;
     };
-    match parts.once.begin(key).await? {
-        Begin::Repeat(recorded) => Ok(replay(recorded)),
-        Begin::Run(attempt) => run(parts, arrived, route, &job, attempt, held).await,
-    }
-}
-
-async fn run(
-    parts: &EdgeParts,
-    arrived: &Arrived,
-    route: &Route,
-    job: &Job,
-    attempt: Attempt,
-    held: Held,
-) -> Result<Response, Refusal> {
-    let outcome = call(parts, arrived, route, job, held).await;
-    let (end, outcome) = match outcome {
-        Ok(response) => {
-            let (recorded, response) = record(response).await?;
-            (End::Ran(recorded), Ok(response))
-        }
-        Err(refusal) if refusal.ran == Ran::No => (End::NotRun, Err(refusal)),
-        Err(refusal) => (End::Unknown, Err(refusal)),
-    };
-    parts.once.finish(attempt, end).await;
-    outcome
-}
-
-async fn record(response: Response) -> Result<(Recorded, Response), Refusal> {
-    let (head, body) = response.into_parts();
-    let body = volo_http::body::BodyConversion::into_bytes(body).await;
-    let body = body.or(Err(Refusal::unknown(Reason::Internal)))?;
-    let media = head.headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
-    let recorded = Recorded {
-        status: head.status.as_u16(),
-        media: CompactString::new(media.unwrap_or_default()),
-        body: body.clone(),
-    };
-    Ok((recorded, Response::from_parts(head, Body::from(body))))
+    let among = parts.directory.listing().services(&route.service);
+    let outcome = parts.runner.run(among, job, key).await;
+    let ran = outcome
+        .as_ref()
+        .map_or_else(|refusal| refusal.ran, |_| Ran::Yes);
+    charge(&mut held, route, ran);
+    let outcome = outcome?;
+    info!(parts.log, "request_ran_once";
+        "request" => %arrived.request, "service" => %route.service,
+        "repeated" => outcome.repeated);
+    Ok(recorded(outcome))
 }
 
-fn replay(recorded: Recorded) -> Response {
-    let mut response = Response::new(Body::from(recorded.body));
-    *response.status_mut() = StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::OK);
-    if let Ok(media) = HeaderValue::from_str(&recorded.media) {
+fn recorded(outcome: Outcome) -> Response {
+    let answer = outcome.answer;
+    let mut response = Response::new(Body::from(answer.body));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    if let Ok(media) = HeaderValue::from_str(&answer.media) {
         response.headers_mut().insert(CONTENT_TYPE, media);
     }
-    response
-        .headers_mut()
-        .insert("x-repeated", HeaderValue::from_static("1"));
+    if outcome.repeated {
+        let headers = response.headers_mut();
+        headers.insert("x-repeated", HeaderValue::from_static("1"));
+    }
     response
 }
 
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -24,7 +24,7 @@
 use crate::limit::Limiter;
 use crate::metrics::EdgeMetrics;
 use crate::model::Placer;
-use crate::once::OnceLog;
+use crate::once::run::Runner;
 use crate::outcome::{Reason, Refusal};
 use crate::platform::Directory;
 use crate::route::dispatch::Dispatcher;
@@ -41,8 +41,8 @@
     pub limiter: Arc<dyn Limiter>,
     /// Replicas.
     pub placer: Arc<dyn Placer>,
-    /// Records of requests that must run once.
-    pub once: Arc<dyn OnceLog>,
+    /// Runs requests that must run once.
+    pub runner: Runner,
     /// Sends requests to upstreams.
     pub dispatcher: Dispatcher,
     /// Upstreams and VMs.
--- a/src/once/run.rs
+++ b/src/once/run.rs
@@ -19,6 +19,15 @@
 
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+/// What became of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outcome {
+    /// The answer.
+    pub answer: Recorded,
+    /// Whether it comes from the record of an earlier request.
+    pub repeated: bool,
+}
+
 /// Runs requests at most once.
 #[derive(Clone, Debug)]
 pub struct Runner {
@@ -50,7 +59,7 @@
         among: Vec<Instance>,
         job: Job,
         key: OnceKey,
-    ) -> Result<Recorded, Refusal> {
+    ) -> Result<Outcome, Refusal> {
         let guard = Guard::open(Arc::clone(&self.running));
         let runner = self.clone();
         let task = tokio::spawn(async move {
@@ -78,10 +87,15 @@
         among: &[Instance],
         mut job: Job,
         key: OnceKey,
-    ) -> Result<Recorded, Refusal> {
+    ) -> Result<Outcome, Refusal> {
         let attempt = match self.log.begin(key).await? {
             Begin::Run(attempt) => attempt,
-            Begin::Repeat(answer) => return Ok(answer),
+            Begin::Repeat(answer) => {
+                return Ok(Outcome {
+                    answer,
+                    repeated: true,
+                });
+            }
         };
         job.idempotent = false;
         let result = match self.dispatcher.dispatch(among, &job).await {
@@ -89,7 +103,10 @@
             Err(refusal) => Err(refusal),
         };
         self.log.finish(attempt, end_of(&result)).await;
-        result
+        result.map(|answer| Outcome {
+            answer,
+            repeated: false,
+        })
     }
 }
 
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -18,7 +18,7 @@
 
 use self::engines::{CacheFeed, ReportTap};
 use self::servers::Drain;
-use self::tasks::{follow_board, follow_list};
+use self::tasks::{flush_records, follow_board, follow_list};
 use self::views::{Catalogue, Engines, LeaseFrames, Leases, Own, Reachable, Status, Vms};
 use self::wake::{Waker, Wakes, Woken};
 use crate::clock::{Clock, SystemClock};
@@ -36,6 +36,7 @@
 use crate::metrics::{EdgeMetrics, Metrics};
 use crate::model::{self, Models, Ports};
 use crate::once::log::{Keeper, StoreLog};
+use crate::once::run::Runner;
 use crate::ops::{Ops, OpsParts};
 use crate::peer::{Kind, NodeOptions, PeerNode};
 use crate::platform::http::PlatformClient;
@@ -73,9 +74,9 @@
 /// Modules that talk to other VMs.
 struct Fleet {
     node: Arc<PeerNode>,
-    vms: Arc<Vms>,
     limits: Arc<Limits>,
     models: Arc<Models>,
+    once: Arc<StoreLog>,
     _tasks: Tasks,
 }
 
@@ -204,6 +205,8 @@
     let models = open_models(base, routes, &node);
     let holder = BoardHolder::open(Arc::clone(&base.board), base.feed.early());
     let spreader = Spreader::spawn(&node, holder, Arc::clone(&base.clock));
+    let once = open_once(base, &vms);
+    let records = flush_records(Arc::clone(&once));
     let board = follow_board(Arc::clone(&base.board), Arc::clone(&limits), spreader);
     let list = follow_list(
         Arc::clone(&base.directory),
@@ -213,13 +216,26 @@
     );
     Ok(Fleet {
         node,
-        vms,
         limits,
         models,
-        _tasks: Tasks(vec![board, list]),
+        once,
+        _tasks: Tasks(vec![board, list, records]),
     })
 }
 
+fn open_once(base: &Base, vms: &Arc<Vms>) -> Arc<StoreLog> {
+    let keeper = Keeper {
+        vm: base.config.vm.clone(),
+        generation: base.generation,
+    };
+    StoreLog::open(
+        Arc::clone(&base.store),
+        Arc::clone(vms) as Arc<dyn crate::once::VmLiveness>,
+        Arc::clone(&base.clock),
+        keeper,
+    )
+}
+
 async fn open_node(base: &Base, routes: &Routes) -> Result<Arc<PeerNode>, Error> {
     let options = NodeOptions {
         vm: base.config.vm.clone(),
@@ -288,28 +304,20 @@
 }
 
 fn open_edge(base: &Base, routes: &Routes, fleet: &Fleet) -> Result<Edge, Error> {
-    let keeper = Keeper {
-        vm: base.config.vm.clone(),
-        generation: base.generation,
-    };
-    let once = StoreLog::open(
-        Arc::clone(&base.store),
-        Arc::clone(&fleet.vms) as Arc<dyn crate::once::VmLiveness>,
-        Arc::clone(&base.clock),
-        keeper,
-    );
     let dispatcher = Dispatcher::open(
         Arc::clone(&routes.balancer) as Arc<dyn crate::route::Chooser>,
         Arc::clone(&routes.transport) as Arc<dyn Transport>,
         Arc::clone(&base.clock),
         base.config.upstreams.retries,
     );
+    let once = Arc::clone(&fleet.once) as Arc<dyn crate::once::OnceLog>;
+    let runner = Runner::open(once, dispatcher.clone());
     Ok(Edge::open(EdgeParts {
         board: Arc::clone(&base.board),
         standing: Arc::new(Reachable(Arc::clone(&fleet.node))),
         limiter: Arc::clone(&fleet.limits) as Arc<dyn crate::limit::Limiter>,
         placer: Arc::clone(&fleet.models) as Arc<dyn crate::model::Placer>,
-        once,
+        runner,
         dispatcher,
         directory: Arc::clone(&base.directory),
         running: Arc::clone(&base.running),
@@ -357,8 +365,13 @@
         log: base.log.clone(),
     };
     let (node, limits) = (Arc::clone(&fleet.node), Arc::clone(&fleet.limits));
+    let once = Arc::clone(&fleet.once);
     async move {
         drain.run(|| node.leave()).await;
+        let unwritten = once.flush().await;
+        if unwritten > 0 {
+            warn!(drain.log, "records_not_written"; "count" => unwritten);
+        }
         if !limits.leave(HANDOVER).await {
             warn!(drain.log, "shares_not_handed_over");
         }
--- a/src/run/tasks.rs
+++ b/src/run/tasks.rs
@@ -1,18 +1,22 @@
 //! Tasks that carry news from one module to the others.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::task::JoinHandle;
 
 use crate::declare::Board;
 use crate::declare::spread::Spreader;
 use crate::limit::Limits;
+use crate::once::log::StoreLog;
 use crate::peer::PeerNode;
 use crate::platform::{Directory, InstanceList, InstanceState, Listing};
 use crate::route::choose::Balancer;
 use crate::route::http::HttpTransport;
 use crate::route::{Chooser, upstream_of};
 
+const FLUSH_PAUSE: Duration = Duration::from_secs(1);
+
 /// Brings each new revision to the limits and to the peers.
 pub fn follow_board(
     board: Arc<Board>,
@@ -34,6 +38,16 @@
     })
 }
 
+/// Writes ends of requests that must run once, where the store failed before.
+pub fn flush_records(once: Arc<StoreLog>) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(FLUSH_PAUSE).await;
+            once.flush().await;
+        }
+    })
+}
+
 /// Brings each reading of the platform's list to the links and to the choice of upstreams, and
 /// each word that an upstream leaves from one to the other.
 pub fn follow_list(
