Serve only once the newest configuration that can be learned is held

Cause: a starting VM served with the first configuration it got; a store that recovers may read stale while a peer holds a newer revision. Change: keys are trusted, and the VM is ready, once a configuration is in force, no peer has told of a newer one, and a peer was heard, or none is listed, or peers.silence has passed.

--- a/src/declare/spread.rs
+++ b/src/declare/spread.rs
@@ -21,7 +21,7 @@
 use crate::schema::peer::ConfigPart;
 
 pub use bundle::{Bundle, chunk_key};
-pub use shell::Spreader;
+pub use shell::{Outlook, Spreader};
 
 /// Bytes of configuration in one part.
 pub const PART_BYTES: usize = 32 << 10;
@@ -162,6 +162,7 @@
     sources: BTreeMap<VmId, Source>,
     fetch: Option<Fetch>,
     stale: u64,
+    told: bool,
 }
 
 impl Spread {
@@ -172,6 +173,7 @@
             sources: BTreeMap::new(),
             fetch: None,
             stale: 0,
+            told: false,
         }
     }
 
@@ -180,6 +182,16 @@
         self.held
     }
 
+    /// Whether some peer said what it holds.
+    pub fn is_told(&self) -> bool {
+        self.told
+    }
+
+    /// Whether a peer told of a newer revision than the one held.
+    pub fn is_behind(&self) -> bool {
+        !self.sources.is_empty()
+    }
+
     /// Count of parts refused because they were not newer than what is held.
     pub fn stale(&self) -> u64 {
         self.stale
@@ -215,6 +227,7 @@
     }
 
     fn heard(&mut self, from: VmId, revision: Revision, now: Instant) -> Vec<Action> {
+        self.told = true;
         if revision < self.held {
             return vec![Action::Hint { to: from }];
         }
--- a/src/declare/spread/shell.rs
+++ b/src/declare/spread/shell.rs
@@ -17,6 +17,15 @@
 const MAX_SERVED: usize = 8;
 const TICK: Duration = Duration::from_millis(250);
 
+/// What is known of peers' revisions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outlook {
+    /// Whether some peer said what it holds.
+    pub told: bool,
+    /// Whether a peer told of a newer revision than the one held.
+    pub behind: bool,
+}
+
 /// Spreads the configuration over one peer node.
 #[derive(Debug)]
 pub struct Spreader {
@@ -55,6 +64,15 @@
         self.step(Event::Accepted(revision));
     }
 
+    /// What is known of peers' revisions: whether any was told, and whether one is newer.
+    pub fn outlook(&self) -> Outlook {
+        let spread = self.spread.lock().unwrap_or_else(PoisonError::into_inner);
+        Outlook {
+            told: spread.is_told(),
+            behind: spread.is_behind(),
+        }
+    }
+
     /// Count of parts refused because they were not newer than what is held.
     pub fn stale(&self) -> u64 {
         let spread = self.spread.lock();
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -10,6 +10,7 @@
 mod wake;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use slog::{Logger, info, warn};
@@ -25,7 +26,7 @@
 use crate::config::Config;
 use crate::declare::spread::Spreader;
 use crate::declare::{Board, BoardHolder, Feed, FeedBounds, Submitter};
-use crate::edge::{Edge, EdgeParts, Running, Watch};
+use crate::edge::{Edge, EdgeParts, Running, Standing, Watch};
 use crate::engine::EngineControl;
 use crate::engine::http::HttpEngineControl;
 use crate::error::Error;
@@ -77,6 +78,7 @@
     limits: Arc<Limits>,
     models: Arc<Models>,
     once: Arc<StoreLog>,
+    standing: Arc<dyn Standing>,
     _tasks: Tasks,
 }
 
@@ -207,6 +209,7 @@
     let spreader = Spreader::spawn(&node, holder, Arc::clone(&base.clock));
     let once = open_once(base, &vms);
     let records = flush_records(Arc::clone(&once));
+    let standing = open_standing(base, &node, &spreader);
     let board = follow_board(Arc::clone(&base.board), Arc::clone(&limits), spreader);
     let list = follow_list(
         Arc::clone(&base.directory),
@@ -219,10 +222,24 @@
         limits,
         models,
         once,
+        standing,
         _tasks: Tasks(vec![board, list, records]),
     })
 }
 
+fn open_standing(base: &Base, node: &Arc<PeerNode>, spreader: &Arc<Spreader>) -> Arc<dyn Standing> {
+    let silence = Duration::from_millis(base.config.peers.silence);
+    Arc::new(Reachable {
+        node: Arc::clone(node),
+        spreader: Arc::clone(spreader),
+        directory: Arc::clone(&base.directory),
+        board: Arc::clone(&base.board),
+        clock: Arc::clone(&base.clock),
+        patience: base.clock.now() + silence,
+        settled: AtomicBool::new(false),
+    })
+}
+
 fn open_once(base: &Base, vms: &Arc<Vms>) -> Arc<StoreLog> {
     let keeper = Keeper {
         vm: base.config.vm.clone(),
@@ -314,7 +331,7 @@
     let runner = Runner::open(once, dispatcher.clone());
     Ok(Edge::open(EdgeParts {
         board: Arc::clone(&base.board),
-        standing: Arc::new(Reachable(Arc::clone(&fleet.node))),
+        standing: Arc::clone(&fleet.standing),
         limiter: Arc::clone(&fleet.limits) as Arc<dyn crate::limit::Limiter>,
         placer: Arc::clone(&fleet.models) as Arc<dyn crate::model::Placer>,
         runner,
@@ -339,6 +356,7 @@
         config: base.config.clone(),
         board: Arc::clone(&base.board),
         heard: base.feed.heard(),
+        standing: Arc::clone(&fleet.standing),
         node: Arc::clone(&fleet.node),
         directory: Arc::clone(&base.directory),
         running: Arc::clone(&base.running),
--- a/src/run/views.rs
+++ b/src/run/views.rs
@@ -1,10 +1,12 @@
 //! What one module shows another: VMs, health, status.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
 
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::declare::spread::Spreader;
 use crate::declare::{Board, Heard};
 use crate::edge::{Running, Standing};
 use crate::ids::{Generation, Revision, UpstreamId, VmId};
@@ -132,13 +134,45 @@
     }
 }
 
-/// Trusts keys unless this VM is cut off alone.
+/// Trusts keys once this VM holds the newest configuration it can learn of, and unless it is cut
+/// off alone.
 #[derive(Debug)]
-pub struct Reachable(pub Arc<PeerNode>);
+pub struct Reachable {
+    /// Links to other VMs.
+    pub node: Arc<PeerNode>,
+    /// What peers hold.
+    pub spreader: Arc<Spreader>,
+    /// The platform's list.
+    pub directory: Arc<Directory>,
+    /// The configuration in force.
+    pub board: Arc<Board>,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// When peers that have said nothing are no longer waited for.
+    pub patience: Instant,
+    /// Set once and for ever.
+    pub settled: AtomicBool,
+}
+
+impl Reachable {
+    fn is_settled(&self) -> bool {
+        if self.settled.load(Ordering::Relaxed) {
+            return true;
+        }
+        let outlook = self.spreader.outlook();
+        if self.board.current().head.is_none() || outlook.behind {
+            return false;
+        }
+        let alone = self.directory.listing().gateways().count() <= 1;
+        let settled = outlook.told || alone || self.clock.now() >= self.patience;
+        self.settled.fetch_or(settled, Ordering::Relaxed);
+        settled
+    }
+}
 
 impl Standing for Reachable {
     fn keys_trusted(&self) -> bool {
-        self.0.contact() != Contact::Alone
+        self.is_settled() && self.node.contact() != Contact::Alone
     }
 }
 
@@ -220,6 +254,8 @@
     pub board: Arc<Board>,
     /// When the store was last heard.
     pub heard: Arc<Heard>,
+    /// Whether keys are trusted.
+    pub standing: Arc<dyn Standing>,
     /// Links to other VMs.
     pub node: Arc<PeerNode>,
     /// The platform's list.
@@ -231,7 +267,7 @@
 impl StatusSource for Status {
     fn status(&self) -> StatusReport {
         let held = self.board.current().head.is_some();
-        let trusted = self.node.contact() != Contact::Alone;
+        let trusted = self.standing.keys_trusted();
         let leaving = self.running.leaving();
         let upstreams = self.directory.listing().instances.len();
         StatusReport {
--- a/tests/once_run.rs
+++ b/tests/once_run.rs
@@ -64,7 +64,8 @@
         replicas: BTreeMap::new(),
     };
     let among = ["s1", "s2"].map(|name| instance(name, upstream.address(), InstanceKind::Service));
-    runner.run(among.into(), job, key).await
+    let outcome = runner.run(among.into(), job, key).await;
+    outcome.map(|outcome| outcome.answer)
 }
 
 #[tokio::test]
