--- a/src/limit/account.rs
+++ b/src/limit/account.rs
@@ -8,10 +8,10 @@
 use std::time::{Duration, Instant};
 
 use super::bucket::Share;
-use super::holder::Holder;
 use super::holding::{Holding, Local};
+use super::pool::Pool;
 use super::record::{Record, RecordTimes, StoreCall, StoreResult};
-use super::spender::{LeaseTimes, Queued, Sending, Spender};
+use super::spender::{LeaseTimes, Queued, Sending};
 use super::vms::LiveVms;
 use crate::ids::{CallerId, ClientAccount, Epoch, VmId};
 use crate::outcome::{Reason, Refusal};
@@ -93,15 +93,6 @@
     tickets: u64,
 }
 
-/// A share's spender and the parts of it that this VM holds.
-#[derive(Clone, Debug)]
-struct Pool {
-    name: ClientAccount,
-    share: Share,
-    spender: Spender,
-    parts: BTreeMap<usize, (Epoch, Holder)>,
-}
-
 impl Account {
     /// An account that knows its shares but not yet its holders.
     pub fn open(
@@ -440,42 +431,6 @@
     }
 }
 
-impl Pool {
-    fn open(
-        name: ClientAccount,
-        local: &Local,
-        share: Share,
-        tuning: Tuning,
-        now: Instant,
-    ) -> Self {
-        Self {
-            spender: Spender::open(name.clone(), local.clone(), share, tuning.leases, now),
-            name,
-            share,
-            parts: BTreeMap::new(),
-        }
-    }
-
-    fn resize(&mut self, share: Share, parts: usize, now: Instant) {
-        self.share = share;
-        self.spender.resize(share);
-        for (_, holder) in self.parts.values_mut() {
-            holder.resize(share.part(parts), now);
-        }
-    }
-
-    /// Opens the parts that this VM now holds, empty, and drops those it holds no more.
-    fn hold(&mut self, held: &BTreeMap<usize, Epoch>, count: usize, life: Duration, now: Instant) {
-        self.parts
-            .retain(|index, (epoch, _)| held.get(index) == Some(epoch));
-        let share = self.share.part(count);
-        for (index, epoch) in held {
-            let part = self.parts.entry(*index);
-            part.or_insert_with(|| (*epoch, Holder::open(share, life, now)));
-        }
-    }
-}
-
 /// The name under which a caller's own share is leased.
 pub fn caller_share(account: &ClientAccount, caller: &CallerId) -> ClientAccount {
     let mut hasher = blake3::Hasher::new();
--- a/src/limit/mod.rs
+++ b/src/limit/mod.rs
@@ -23,6 +23,7 @@
 pub mod holding;
 mod link;
 mod peaks;
+mod pool;
 mod record;
 pub mod shell;
 pub mod spender;
--- /dev/null
+++ b/src/limit/pool.rs
@@ -0,0 +1,62 @@
+//! One share at one VM: its spender, and the parts of it that this VM holds.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::account::Tuning;
+use super::bucket::Share;
+use super::holder::Holder;
+use super::holding::Local;
+use super::spender::Spender;
+use crate::ids::{ClientAccount, Epoch};
+
+/// A share's spender and the parts of it that this VM holds.
+#[derive(Clone, Debug)]
+pub(super) struct Pool {
+    pub(super) name: ClientAccount,
+    pub(super) share: Share,
+    pub(super) spender: Spender,
+    pub(super) parts: BTreeMap<usize, (Epoch, Holder)>,
+}
+
+impl Pool {
+    pub(super) fn open(
+        name: ClientAccount,
+        local: &Local,
+        share: Share,
+        tuning: Tuning,
+        now: Instant,
+    ) -> Self {
+        Self {
+            spender: Spender::open(name.clone(), local.clone(), share, tuning.leases, now),
+            name,
+            share,
+            parts: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn resize(&mut self, share: Share, parts: usize, now: Instant) {
+        self.share = share;
+        self.spender.resize(share);
+        for (_, holder) in self.parts.values_mut() {
+            holder.resize(share.part(parts), now);
+        }
+    }
+
+    /// Opens the parts that this VM now holds, empty, and drops those it holds no more.
+    pub(super) fn hold(
+        &mut self,
+        held: &BTreeMap<usize, Epoch>,
+        count: usize,
+        life: Duration,
+        now: Instant,
+    ) {
+        self.parts
+            .retain(|index, (epoch, _)| held.get(index) == Some(epoch));
+        let share = self.share.part(count);
+        for (index, epoch) in held {
+            let part = self.parts.entry(*index);
+            part.or_insert_with(|| (*epoch, Holder::open(share, life, now)));
+        }
+    }
+}
--- a/src/limit/shell.rs
+++ b/src/limit/shell.rs
@@ -153,7 +153,8 @@
         self.inner.pump(&cell);
     }
 
-    /// Hands this VM's parts over, as it shuts down; `false` where `bound` passed first.
+    /// Hands this VM's parts over, as it shuts down; `false` where no other VM can take them or
+    /// `bound` passed first.
     pub async fn leave(&self, bound: Duration) -> bool {
         let end = self.inner.now() + bound;
         let cells = self.inner.cells.load_full();
@@ -163,7 +164,7 @@
         }
         let held = |cell: &Arc<Cell>| lock(&cell.state).account.is_holder();
         while cells.values().any(held) {
-            if self.inner.now() >= end {
+            if self.inner.now() >= end || !self.inner.has_heir() {
                 return false;
             }
             tokio::time::sleep(Duration::from_millis(LEAST_TICK_MS)).await;
@@ -193,6 +194,13 @@
         self.parts.clock.now()
     }
 
+    /// Whether another VM stays that could take this one's parts.
+    fn has_heir(&self) -> bool {
+        let view = self.view.load();
+        let mut others = view.vms.iter().filter(|(vm, _)| **vm != self.parts.vm);
+        others.any(|(_, live)| live.listed && !live.leaving)
+    }
+
     fn cell_of(&self, share: &ClientAccount) -> Option<Arc<Cell>> {
         let names = self.names.load();
         let account = names.get(share)?;
--- a/src/limit/vms.rs
+++ b/src/limit/vms.rs
@@ -26,7 +26,7 @@
 pub struct LiveVms {
     /// The VMs by name.
     pub vms: BTreeMap<VmId, LiveVm>,
-    /// When the platform's list was last read, at the time that the list itself gives.
+    /// When the platform's list was last read; `None` before the first reading.
     pub listed: Option<Instant>,
 }
 
--- a/tests/limit_shell.rs
+++ b/tests/limit_shell.rs
@@ -280,6 +280,17 @@
         .expect("served by others' parts");
 }
 
+#[tokio::test]
+async fn a_leaving_vm_without_others_does_not_wait() {
+    let vms = open(1, &Arc::default());
+    vms[0].configure(&declaration(5_000.0, 6_000, None));
+    let granted = vms[0].reserve(ask(500, WAIT)).await;
+    granted.expect("within the rate");
+    let begun = Instant::now();
+    assert!(!vms[0].leave(WAIT).await, "nobody can take its parts");
+    assert!(begun.elapsed() < WAIT, "{:?}", begun.elapsed());
+}
+
 #[tokio::test]
 async fn a_vm_that_cannot_learn_the_holders_refuses_at_once() {
     let store = Arc::new(Store::default());
