--- a/src/edge/gate.rs
+++ b/src/edge/gate.rs
@@ -17,6 +17,8 @@
 use volo::net::conn::Conn;
 use volo::net::incoming::{Incoming, MakeIncoming};
 
+use super::answer::error_answer;
+use crate::outcome::{Reason, Refusal};
 use crate::schema::settings::CallerSettings;
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
@@ -24,13 +26,6 @@
 const READY_QUEUE: usize = 64;
 const RECHECK: Duration = Duration::from_millis(5);
 
-const TIMEOUT: &[u8] = b"HTTP/1.1 408 Request Timeout\r\ncontent-type: application/json\r\n\
-    connection: close\r\ncontent-length: 87\r\n\r\n\
-    {\"error\":{\"code\":\"timeout\",\"message\":\"the request took too long to arrive\",\"ran\":\"no\"}}";
-const TOO_LARGE: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n\
-    content-type: application/json\r\nconnection: close\r\ncontent-length: 86\r\n\r\n\
-    {\"error\":{\"code\":\"header_too_large\",\"message\":\"the request head is too large\",\"ran\":\"no\"}}";
-
 /// A bound listener whose connections have sent a request's head.
 #[derive(Debug)]
 pub struct Gate {
@@ -124,7 +119,7 @@
 
 async fn admit(mut stream: TcpStream, bounds: Bounds, pass: mpsc::Sender<TcpStream>) {
     let arrived = tokio::time::timeout(bounds.slow, await_head(&stream, bounds.head)).await;
-    let answer = match arrived.unwrap_or(Head::Slow) {
+    let reason = match arrived.unwrap_or(Head::Slow) {
         Head::Arrived => {
             // Small chunks of a stream must not wait for the acknowledgement of earlier ones.
             let nodelay = stream.set_nodelay(true);
@@ -135,13 +130,26 @@
             return;
         }
         Head::Closed => return,
-        Head::Slow => TIMEOUT,
-        Head::TooLarge => TOO_LARGE,
+        Head::Slow => Reason::Timeout,
+        Head::TooLarge => Reason::HeaderTooLarge,
     };
-    let written = tokio::time::timeout(bounds.slow, stream.write_all(answer)).await;
+    let answer = raw_answer(reason);
+    let writing = stream.write_all(answer.as_bytes());
+    let written = tokio::time::timeout(bounds.slow, writing).await;
     drop(written);
 }
 
+/// An answer for a connection that never reached the HTTP server.
+fn raw_answer(reason: Reason) -> String {
+    let answer = error_answer(&Refusal::not_run(reason), None);
+    let body = serde_json::to_string(&answer).unwrap_or_default();
+    let (status, length) = (reason.status(), body.len());
+    format!(
+        "HTTP/1.1 {status} Refused\r\ncontent-type: application/json\r\n\
+         connection: close\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
 async fn await_head(stream: &TcpStream, most: usize) -> Head {
     let mut buffer = vec![0; most + HEAD_END.len()];
     let mut seen = 0_usize;
--- a/src/model/loader.rs
+++ b/src/model/loader.rs
@@ -54,6 +54,13 @@
     until: Instant,
 }
 
+/// Objects that a scan reads.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Covered {
+    models: BTreeSet<ModelId>,
+    engines: BTreeSet<UpstreamId>,
+}
+
 type AskKey = (ModelId, Option<AdapterId>, RequestId);
 
 /// The state of the task.
@@ -86,6 +93,8 @@
     starts: Starts,
     scanned: Option<Instant>,
     scanning: bool,
+    /// What the last scan covered.
+    covered: Option<Covered>,
     touched: Instant,
     jobs: JoinSet<Done>,
 }
@@ -121,6 +130,7 @@
             fallback: BTreeMap::new(),
             scanned: None,
             scanning: false,
+            covered: None,
             touched: now,
             jobs: JoinSet::new(),
         }
@@ -203,11 +213,15 @@
     }
 
     fn scan(&mut self, now: Instant) {
-        let due = self.scanned.is_none_or(|at| at + SCAN <= now);
+        let covered = self.to_cover();
+        let aged = self.scanned.is_none_or(|at| at + SCAN <= now);
+        // A model or an engine that is new must not wait for the next regular scan.
+        let due = aged || self.covered.as_ref() != Some(&covered);
         if !due || self.scanning || self.scan_after > now {
             return;
         }
         self.scanning = true;
+        self.covered = Some(covered);
         let mut models: BTreeSet<ModelId> = self.declaration.models.keys().cloned().collect();
         models.extend(self.decided.keys().cloned());
         for reserved in self.reserved.values() {
@@ -226,6 +240,14 @@
         });
     }
 
+    fn to_cover(&self) -> Covered {
+        let listed = self.ports.fleet.engines();
+        Covered {
+            models: self.declaration.models.keys().cloned().collect(),
+            engines: listed.iter().filter_map(|e| upstream(e).ok()).collect(),
+        }
+    }
+
     fn finish(&mut self, done: Done) {
         let now = self.ports.clock.now();
         match done {
