Lease from an account whose share is small

Cause: a deliberate break that gave every holder the whole share was not caught, as engines, not the share, bounded what ran in Leasing/Nothing.

--- a/standin/src/env/site.rs
+++ b/standin/src/env/site.rs
@@ -13,6 +13,8 @@
 
 const RATE: f64 = 5000.0;
 const BURST: Tokens = Tokens(10_000);
+const CROWD_RATE: f64 = 100.0;
+const CROWD_BURST: Tokens = Tokens(1000);
 const WEIGHTS: Bytes = Bytes(6 << 30);
 const FLOOR: Bytes = Bytes(1 << 30);
 const ADAPTER: Bytes = Bytes(64 << 20);
@@ -20,7 +22,7 @@
 /// Models that are mostly idle; with the others they are more than the engines hold.
 pub const RARE_MODELS: [&str; 3] = ["review", "rare-1", "rare-2"];
 
-/// Two accounts with keys, some models, an adapter and three routes.
+/// Three accounts with keys, some models, an adapter and three routes.
 #[derive(Clone, Debug)]
 pub struct Site {
     /// A key of account `club`.
@@ -29,6 +31,8 @@
     pub spare: Credential,
     /// A key of account `federation`, which alone reaches model `private`.
     pub federation: Credential,
+    /// A key of account `crowd`, whose share is small.
+    pub crowd: Credential,
     keys: BTreeMap<&'static str, Key>,
     declaration: Declaration,
 }
@@ -103,8 +107,15 @@
 impl Site {
     /// The site, with new keys.
     pub fn new() -> Self {
-        let (club, spare, federation) = (Key::mint(), Key::mint(), Key::mint());
+        let (club, spare) = (Key::mint(), Key::mint());
+        let (federation, crowd) = (Key::mint(), Key::mint());
+        let small = Account {
+            rate: TokenRate::new(CROWD_RATE).unwrap_or_default(),
+            burst: CROWD_BURST,
+            ..account(&["draft"], &[("crowd-1", &crowd)])
+        };
         let accounts = [
+            (id("crowd"), small),
             (
                 id("club"),
                 account(
@@ -143,10 +154,12 @@
             club: credential("club-1", "club", &club),
             spare: credential("club-2", "club", &spare),
             federation: credential("federation-1", "federation", &federation),
+            crowd: credential("crowd-1", "crowd", &crowd),
             keys: [
                 ("club-1", club),
                 ("club-2", spare),
                 ("federation-1", federation),
+                ("crowd-1", crowd),
             ]
             .into(),
             declaration,
--- a/standin/src/matrix/step.rs
+++ b/standin/src/matrix/step.rs
@@ -12,8 +12,10 @@
 use crate::caller::{Ask, Credential};
 use crate::env::{EnvError, Environment, RARE_MODELS};
 
-const BURST_REQUESTS: usize = 120;
-const BURST_TOKENS: u64 = 400;
+const BURST_REQUESTS: usize = 30;
+const BURSTS: usize = 8;
+const BURST_PAUSE: Duration = Duration::from_millis(400);
+const BURST_TOKENS: u64 = 40;
 const COLD_REQUESTS: usize = 12;
 const BOOKINGS: usize = 6;
 const STREAM_TOKENS: u64 = 1200;
@@ -68,11 +70,14 @@
                 Ok(())
             }
             Self::Leasing => {
-                let asks = (0..BURST_REQUESTS).map(|n| {
-                    let request = name("burst", n);
-                    chat(request, &env.site.club, "draft", BURST_TOKENS, false)
-                });
-                send_all(env, asks.collect()).await;
+                for burst in 0..BURSTS {
+                    let asks = (0..BURST_REQUESTS).map(|n| {
+                        let request = name("burst", burst * BURST_REQUESTS + n);
+                        chat(request, &env.site.crowd, "draft", BURST_TOKENS, false)
+                    });
+                    send_all(env, asks.collect()).await;
+                    sleep(BURST_PAUSE).await;
+                }
                 Ok(())
             }
             Self::Applying => {
