--- a/standin/src/env/site.rs
+++ b/standin/src/env/site.rs
@@ -13,8 +13,8 @@
 
 const RATE: f64 = 5000.0;
 const BURST: Tokens = Tokens(10_000);
-const CROWD_RATE: f64 = 100.0;
-const CROWD_BURST: Tokens = Tokens(1000);
+const CROWD_RATE: f64 = 300.0;
+const CROWD_BURST: Tokens = Tokens(3000);
 const WEIGHTS: Bytes = Bytes(6 << 30);
 const FLOOR: Bytes = Bytes(1 << 30);
 const ADAPTER: Bytes = Bytes(64 << 20);
