--- a/src/model/loader.rs
+++ b/src/model/loader.rs
@@ -4,6 +4,9 @@
 //! otherwise it asks the owner. Slow calls run as jobs beside the loop, at most one batch of
 //! commands a model.
 
+mod asks;
+mod objects;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -19,14 +22,14 @@
 use super::evidence::{Evidence, Seen};
 use super::flow::{Flows, upstream};
 use super::front::Front;
-use super::jobs::{Done, Read, read_objects, read_report, run_batch, wake};
+use super::jobs::{Done, read_report, run_batch};
 use super::owner::owner;
 use super::place::Origin;
 use super::plan::{Plan, Policy, World, plan};
 use super::shell::{Config, Ports};
 use super::slots::Starts;
 use super::views::{Reports, views};
-use crate::ids::{AdapterId, ModelId, ReplicaId, RequestId, UpstreamId, Version, VmId};
+use crate::ids::{AdapterId, ModelId, ObjectKey, ReplicaId, RequestId, UpstreamId, Version, VmId};
 use crate::schema::declaration::Declaration;
 use crate::schema::peer::{WakeAnswer, WakeAsk};
 use crate::units::{Bytes, Tokens};
@@ -67,7 +70,7 @@
     declaration: Arc<Declaration>,
     decided: BTreeMap<ModelId, Decided>,
     reserved: BTreeMap<UpstreamId, Reserved>,
-    versions: BTreeMap<crate::ids::ObjectKey, Version>,
+    versions: BTreeMap<ObjectKey, Version>,
     reports: Reports,
     evidence: Evidence,
     usage: BTreeMap<ModelId, Usage>,
@@ -143,7 +146,7 @@
             let plan = self.step();
             for (ask, reply) in replies.drain(..) {
                 // An asker that left needs no answer.
-                drop(reply.send(answer(&plan, &ask)));
+                drop(reply.send(asks::answer(&plan, &ask)));
             }
         }
     }
@@ -202,30 +205,6 @@
         }
     }
 
-    fn scan(&mut self, now: Instant) {
-        let due = self.scanned.is_none_or(|at| at + SCAN <= now);
-        if !due || self.scanning || self.scan_after > now {
-            return;
-        }
-        self.scanning = true;
-        let mut models: BTreeSet<ModelId> = self.declaration.models.keys().cloned().collect();
-        models.extend(self.decided.keys().cloned());
-        for reserved in self.reserved.values() {
-            models.extend(reserved.holds.values().map(|h| h.model.clone()));
-        }
-        for seen in self.reports.values() {
-            models.extend(seen.report.replicas.iter().map(|r| r.model.clone()));
-        }
-        let listed = self.ports.fleet.engines();
-        let mut engines: BTreeSet<UpstreamId> = self.reserved.keys().cloned().collect();
-        engines.extend(listed.iter().filter_map(|e| upstream(e).ok()));
-        let flows = self.flows.clone();
-        self.jobs.spawn(async move {
-            let read = read_objects(&flows, models, engines).await;
-            Done::Scan(read)
-        });
-    }
-
     fn finish(&mut self, done: Done) {
         let now = self.ports.clock.now();
         match done {
@@ -338,70 +317,6 @@
         }
     }
 
-    /// Takes objects in that are not older than what is known; `false` where some were not read.
-    fn take_read(&mut self, read: Read, now: Instant) -> bool {
-        for (model, version, decided) in read.models {
-            if self.is_news(super::decided::model_key(&model), version) {
-                self.evidence.see_decided(&decided, now);
-                self.decided.insert(model, decided);
-            }
-        }
-        for (engine, version, reserved) in read.engines {
-            if self.is_news(super::decided::engine_key(&engine), version) {
-                self.reserved.insert(engine, reserved);
-            }
-        }
-        self.note_engines(now);
-        self.show();
-        read.whole
-    }
-
-    fn is_news(
-        &mut self,
-        key: Result<crate::ids::ObjectKey, crate::ids::IdError>,
-        version: Version,
-    ) -> bool {
-        let Ok(key) = key else {
-            return false;
-        };
-        let known = self.versions.entry(key).or_default();
-        if version < *known {
-            return false;
-        }
-        *known = version;
-        true
-    }
-
-    fn note_engines(&mut self, now: Instant) {
-        let decided = &self.decided;
-        for (engine, reserved) in &self.reserved {
-            let known = |replica: &ReplicaId| {
-                let hold = reserved.holds.get(replica);
-                let model = hold.and_then(|h| decided.get(&h.model));
-                model.is_some_and(|d| d.replicas.contains_key(replica))
-            };
-            self.evidence.see_reserved(engine, reserved, known, now);
-        }
-        let intents = decided.values().flat_map(|d| d.replicas.values());
-        let engines: Vec<UpstreamId> = intents.map(|i| i.engine.clone()).collect();
-        let fleet = self.ports.fleet.engines();
-        let listed = |id: &UpstreamId| fleet.iter().any(|e| e.vm.as_str() == id.as_str());
-        self.evidence.see_listed(&engines, listed, now);
-    }
-
-    fn forget_gone(&mut self) {
-        let decided = self.decided.values().flat_map(|d| d.replicas.keys());
-        let held = self.reserved.values().flat_map(|r| r.holds.keys());
-        let reports = self.reports.values().flat_map(|s| &s.report.replicas);
-        let mut known: BTreeSet<&ReplicaId> = decided.chain(held).collect();
-        known.extend(reports.map(|r| &r.replica));
-        known.extend(self.pending.keys());
-        self.evidence.retain(|replica| known.contains(replica));
-        let engines = self.ports.fleet.engines();
-        let listed = |id: &UpstreamId| engines.iter().any(|e| e.vm.as_str() == id.as_str());
-        self.reports.retain(|id, _| listed(id));
-    }
-
     fn show(&mut self) {
         let now = self.ports.clock.now();
         let engines = self.ports.fleet.engines();
@@ -452,25 +367,6 @@
         }
     }
 
-    fn take_ask(&mut self, asked: Asked) -> (WakeAsk, oneshot::Sender<WakeAnswer>) {
-        let now = self.ports.clock.now();
-        let Asked { ask, reply } = asked;
-        self.touch(&ask.model, ask.adapter.as_ref(), now);
-        if ask.work > Tokens::ZERO {
-            let deadline = now + Duration::from_millis(ask.deadline);
-            let mut need = Need::empty(deadline);
-            need.requests = 1;
-            need.work = ask.work;
-            if let Some(adapter) = &ask.adapter {
-                need.want_adapter(adapter, deadline);
-            }
-            let key = (ask.model.clone(), ask.adapter.clone(), ask.request.clone());
-            let until = now + ASK_LIFE;
-            self.remote.insert(key, Remote { need, until });
-        }
-        (ask, reply)
-    }
-
     fn plan(&mut self, own: &BTreeMap<ModelId, Need>, now: Instant) -> Plan {
         if self.scanned.is_none() {
             return Plan::default();
@@ -568,52 +464,6 @@
             }
         }
     }
-
-    /// Asks the owner for what waits here.
-    fn ask_owner(&mut self, own: &BTreeMap<ModelId, Need>, now: Instant) {
-        for (model, need) in own {
-            if need.requests > 0 {
-                self.ask(model, None, need.work.max(Tokens(1)), need.deadline, now);
-            }
-            for (adapter, deadline) in &need.adapters {
-                self.ask(model, Some(adapter.clone()), Tokens(1), *deadline, now);
-            }
-        }
-    }
-
-    fn ask(
-        &mut self,
-        model: &ModelId,
-        adapter: Option<AdapterId>,
-        work: Tokens,
-        deadline: Instant,
-        now: Instant,
-    ) {
-        let Some(owner) = self.owner() else {
-            return;
-        };
-        let key = (model.clone(), adapter.clone());
-        let last = self.own_asks.get(&key);
-        if last.is_some_and(|at| *at + ASK_PAUSE > now) {
-            return;
-        }
-        if work > Tokens::ZERO {
-            self.own_asks.insert(key, now);
-        }
-        let Ok(request) = self.config.vm.as_str().parse() else {
-            return;
-        };
-        let ask = WakeAsk {
-            account: None,
-            adapter,
-            deadline: deadline.saturating_duration_since(now).as_millis() as u64,
-            model: model.clone(),
-            request,
-            work,
-        };
-        let link = Arc::clone(&self.ports.wake);
-        self.jobs.spawn(wake(link, owner, ask));
-    }
 }
 
 /// A pause after so many failures; its random part keeps VMs from returning at once.
@@ -621,13 +471,3 @@
     let pause = REST * 2_u32.saturating_pow(failures.min(8));
     pause.min(MAX_REST).mul_f64(0.5 + rand::random::<f64>())
 }
-
-fn answer(plan: &Plan, ask: &WakeAsk) -> WakeAnswer {
-    let wait = plan.waits.get(&ask.model).copied().unwrap_or_default();
-    let wait = wait.as_millis() as u64;
-    WakeAnswer {
-        accepted: wait <= ask.deadline,
-        request: ask.request.clone(),
-        wait,
-    }
-}
--- /dev/null
+++ b/src/model/loader/asks.rs
@@ -0,0 +1,93 @@
+//! Asks between VMs: what waits elsewhere, and what is asked of the owner.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::oneshot;
+
+use super::{ASK_LIFE, ASK_PAUSE, Asked, Loader, Remote};
+use crate::ids::{AdapterId, ModelId};
+use crate::model::desk::Need;
+use crate::model::jobs::wake;
+use crate::model::plan::Plan;
+use crate::schema::peer::{WakeAnswer, WakeAsk};
+use crate::units::Tokens;
+
+impl Loader {
+    pub(super) fn take_ask(&mut self, asked: Asked) -> (WakeAsk, oneshot::Sender<WakeAnswer>) {
+        let now = self.ports.clock.now();
+        let Asked { ask, reply } = asked;
+        self.touch(&ask.model, ask.adapter.as_ref(), now);
+        if ask.work > Tokens::ZERO {
+            let deadline = now + Duration::from_millis(ask.deadline);
+            let mut need = Need::empty(deadline);
+            need.requests = 1;
+            need.work = ask.work;
+            if let Some(adapter) = &ask.adapter {
+                need.want_adapter(adapter, deadline);
+            }
+            let key = (ask.model.clone(), ask.adapter.clone(), ask.request.clone());
+            let until = now + ASK_LIFE;
+            self.remote.insert(key, Remote { need, until });
+        }
+        (ask, reply)
+    }
+
+    /// Asks the owner for what waits here.
+    pub(super) fn ask_owner(&mut self, own: &BTreeMap<ModelId, Need>, now: Instant) {
+        for (model, need) in own {
+            if need.requests > 0 {
+                self.ask(model, None, need.work.max(Tokens(1)), need.deadline, now);
+            }
+            for (adapter, deadline) in &need.adapters {
+                self.ask(model, Some(adapter.clone()), Tokens(1), *deadline, now);
+            }
+        }
+    }
+
+    pub(super) fn ask(
+        &mut self,
+        model: &ModelId,
+        adapter: Option<AdapterId>,
+        work: Tokens,
+        deadline: Instant,
+        now: Instant,
+    ) {
+        let Some(owner) = self.owner() else {
+            return;
+        };
+        let key = (model.clone(), adapter.clone());
+        let last = self.own_asks.get(&key);
+        if last.is_some_and(|at| *at + ASK_PAUSE > now) {
+            return;
+        }
+        if work > Tokens::ZERO {
+            self.own_asks.insert(key, now);
+        }
+        let Ok(request) = self.config.vm.as_str().parse() else {
+            return;
+        };
+        let ask = WakeAsk {
+            account: None,
+            adapter,
+            deadline: deadline.saturating_duration_since(now).as_millis() as u64,
+            model: model.clone(),
+            request,
+            work,
+        };
+        let link = Arc::clone(&self.ports.wake);
+        self.jobs.spawn(wake(link, owner, ask));
+    }
+}
+
+/// What the plan says to an ask.
+pub(super) fn answer(plan: &Plan, ask: &WakeAsk) -> WakeAnswer {
+    let wait = plan.waits.get(&ask.model).copied().unwrap_or_default();
+    let wait = wait.as_millis() as u64;
+    WakeAnswer {
+        accepted: wait <= ask.deadline,
+        request: ask.request.clone(),
+        wait,
+    }
+}
--- /dev/null
+++ b/src/model/loader/objects.rs
@@ -0,0 +1,96 @@
+//! What the loader knows of the platform's objects.
+
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+use super::{Loader, SCAN};
+use crate::ids::{IdError, ModelId, ObjectKey, ReplicaId, UpstreamId, Version};
+use crate::model::decided::{engine_key, model_key};
+use crate::model::flow::upstream;
+use crate::model::jobs::{Done, Read, read_objects};
+
+impl Loader {
+    pub(super) fn scan(&mut self, now: Instant) {
+        let due = self.scanned.is_none_or(|at| at + SCAN <= now);
+        if !due || self.scanning || self.scan_after > now {
+            return;
+        }
+        self.scanning = true;
+        let mut models: BTreeSet<ModelId> = self.declaration.models.keys().cloned().collect();
+        models.extend(self.decided.keys().cloned());
+        for reserved in self.reserved.values() {
+            models.extend(reserved.holds.values().map(|h| h.model.clone()));
+        }
+        for seen in self.reports.values() {
+            models.extend(seen.report.replicas.iter().map(|r| r.model.clone()));
+        }
+        let listed = self.ports.fleet.engines();
+        let mut engines: BTreeSet<UpstreamId> = self.reserved.keys().cloned().collect();
+        engines.extend(listed.iter().filter_map(|e| upstream(e).ok()));
+        let flows = self.flows.clone();
+        self.jobs.spawn(async move {
+            let read = read_objects(&flows, models, engines).await;
+            Done::Scan(read)
+        });
+    }
+
+    /// Takes objects in that are not older than what is known; `false` where some were not read.
+    pub(super) fn take_read(&mut self, read: Read, now: Instant) -> bool {
+        for (model, version, decided) in read.models {
+            if self.is_news(model_key(&model), version) {
+                self.evidence.see_decided(&decided, now);
+                self.decided.insert(model, decided);
+            }
+        }
+        for (engine, version, reserved) in read.engines {
+            if self.is_news(engine_key(&engine), version) {
+                self.reserved.insert(engine, reserved);
+            }
+        }
+        self.note_engines(now);
+        self.show();
+        read.whole
+    }
+
+    pub(super) fn is_news(&mut self, key: Result<ObjectKey, IdError>, version: Version) -> bool {
+        let Ok(key) = key else {
+            return false;
+        };
+        let known = self.versions.entry(key).or_default();
+        if version < *known {
+            return false;
+        }
+        *known = version;
+        true
+    }
+
+    pub(super) fn note_engines(&mut self, now: Instant) {
+        let decided = &self.decided;
+        for (engine, reserved) in &self.reserved {
+            let known = |replica: &ReplicaId| {
+                let hold = reserved.holds.get(replica);
+                let model = hold.and_then(|h| decided.get(&h.model));
+                model.is_some_and(|d| d.replicas.contains_key(replica))
+            };
+            self.evidence.see_reserved(engine, reserved, known, now);
+        }
+        let intents = decided.values().flat_map(|d| d.replicas.values());
+        let engines: Vec<UpstreamId> = intents.map(|i| i.engine.clone()).collect();
+        let fleet = self.ports.fleet.engines();
+        let listed = |id: &UpstreamId| fleet.iter().any(|e| e.vm.as_str() == id.as_str());
+        self.evidence.see_listed(&engines, listed, now);
+    }
+
+    pub(super) fn forget_gone(&mut self) {
+        let decided = self.decided.values().flat_map(|d| d.replicas.keys());
+        let held = self.reserved.values().flat_map(|r| r.holds.keys());
+        let reports = self.reports.values().flat_map(|s| &s.report.replicas);
+        let mut known: BTreeSet<&ReplicaId> = decided.chain(held).collect();
+        known.extend(reports.map(|r| &r.replica));
+        known.extend(self.pending.keys());
+        self.evidence.retain(|replica| known.contains(replica));
+        let engines = self.ports.fleet.engines();
+        let listed = |id: &UpstreamId| engines.iter().any(|e| e.vm.as_str() == id.as_str());
+        self.reports.retain(|id, _| listed(id));
+    }
+}
--- a/standin/src/experiment/mod.rs
+++ b/standin/src/experiment/mod.rs
@@ -21,7 +21,7 @@
         /// Seed of the draws
         #[bpaf(argument("N"), fallback(1))]
         seed: u64,
-        /// Only this scenario, such as busy_flood
+        /// Only this scenario, such as bursts
         #[bpaf(argument("NAME"), optional)]
         scenario: Option<models::Scenario>,
     },
