Take a declined request for what it is, not for the engine's leaving

Ruled out: the breaker (one failure does not open it), the report (it said not leaving). Change: the answer marks nothing; the list, the report and peers do.

--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -132,7 +132,6 @@
         let mut answer = match sent {
             Ok(answer) => answer,
             Err(error) => {
-                self.note_word(upstream, instance, error);
                 watch.end(ending_of(error));
                 return Err(error);
             }
@@ -172,12 +171,6 @@
         }
     }
 
-    fn note_word(&self, upstream: &UpstreamId, instance: &Instance, error: SendError) {
-        if error == SendError::Declined && instance.kind == InstanceKind::Engine {
-            self.chooser.on_leaving(upstream, instance.generation);
-        }
-    }
-
     fn may_repeat(&self, job: &Job, failure: &Failure, tries: u32) -> bool {
         let now = self.clock.now();
         if now >= job.deadline || tries >= self.tries {
--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -50,7 +50,7 @@
     #[serde(default = "defaults::default_u64::<u64, 500>")]
     pub batch: u64,
     #[doc = "Parts an account's share is held in."]
-    #[serde(default = "defaults::default_u64::<u32, 3>")]
+    #[serde(default = "defaults::default_u64::<u32, 5>")]
     pub holders: u32,
     #[doc = "Life of a lease of tokens, in milliseconds."]
     #[serde(default = "defaults::default_u64::<u64, 2000>")]
@@ -60,7 +60,7 @@
     fn default() -> Self {
         Self {
             batch: defaults::default_u64::<u64, 500>(),
-            holders: defaults::default_u64::<u32, 3>(),
+            holders: defaults::default_u64::<u32, 5>(),
             life: defaults::default_u64::<u64, 2000>(),
         }
     }
