--- a/standin/src/experiment/mod.rs
+++ b/standin/src/experiment/mod.rs
@@ -39,6 +39,9 @@
         /// Seed of the draws
         #[bpaf(argument("N"), fallback(1))]
         seed: u64,
+        /// Only this scenario, such as `busy_flood`
+        #[bpaf(argument("NAME"), optional)]
+        scenario: Option<models::Scenario>,
     },
     /// Choice of an engine beside simpler policies
     #[bpaf(command)]
@@ -83,7 +86,11 @@
                 let fleet = limits::Fleet { vms, holders };
                 limits::run(seed, fleet, &mut io::stdout().lock())
             }
-            Self::Models { site, seed } => models::run(site, seed, &mut io::stdout().lock()),
+            Self::Models {
+                site,
+                seed,
+                scenario,
+            } => models::run(site, seed, scenario, &mut io::stdout().lock()),
             Self::Routes { seed } => routes::run(seed, &mut io::stdout().lock()),
             Self::Transport => transport::run(&mut io::stdout().lock()),
             Self::Peers { vms, seconds, size } => peers::run(vms, seconds, size, &mut io::stdout()),
