Cut declarations into parts of 48 kB instead of 700 kB

Ruled out: an object an entry (a watch or a scan each), one part (passes the store's bound). Change: parts of at most 48 kB; the head's list of parts grows with their number, so the sum is least near the square root of size times entry length.

--- a/src/declare/chunk.rs
+++ b/src/declare/chunk.rs
@@ -14,7 +14,7 @@
 use crate::units::Bytes as Size;
 
 const KEY_PREFIX: &str = "config/chunk/";
-const PART_BYTES: usize = 700_000;
+const PART_BYTES: usize = 48_000;
 const MAX_PARTS: u32 = 1024;
 
 /// Why parts do not form a declaration.
