--- a/src/schema/settings.rs
+++ b/src/schema/settings.rs
@@ -323,7 +323,7 @@
     #[serde(default = "defaults::default_u64::<u64, 10000>")]
     pub idle: u64,
     #[doc = "Pause between two readings of a load report, in milliseconds."]
-    #[serde(default = "defaults::default_u64::<u64, 500>")]
+    #[serde(default = "defaults::default_u64::<u64, 1000>")]
     pub report: u64,
     #[doc = "Most tries of an idempotent request."]
     #[serde(default = "defaults::default_u64::<u32, 3>")]
@@ -338,7 +338,7 @@
             budget: defaults::default_u64::<u32, 10>(),
             connect: defaults::default_u64::<u64, 1000>(),
             idle: defaults::default_u64::<u64, 10000>(),
-            report: defaults::default_u64::<u64, 500>(),
+            report: defaults::default_u64::<u64, 1000>(),
             retries: defaults::default_u64::<u32, 3>(),
             silence: defaults::default_u64::<u64, 10000>(),
         }
