--- a/tests/model_shell.rs
+++ b/tests/model_shell.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use basilgw::ids::Version;
 use basilgw::model::{Models, Placer};
 use basilgw::outcome::{Ran, Reason};
 use basilgw::units::Bytes;
@@ -182,3 +183,18 @@
     let (served, ()) = futures_util::future::join(waiting, watched).await;
     assert!(served.is_ok(), "{served:?}");
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn unreadable_object_keeps_only_its_engine_from_use() {
+    let site = one_model(1, &["vm1"], true);
+    let garbage = (Version(1), bytes::Bytes::from_static(b"?"));
+    let mut objects = site.store.objects.lock().unwrap();
+    objects.insert(id("engines/e1"), garbage);
+    drop(objects);
+    let models = site.spawn("vm1", LIFE, IDLE);
+    let replicas = models
+        .acquire(want("r1", "m1", LONG))
+        .await
+        .expect("served");
+    assert_eq!(replicas[0].upstream, id("e2"));
+}
