--- a/tests/model_shell.rs
+++ b/tests/model_shell.rs
@@ -188,9 +188,10 @@
 async fn unreadable_object_keeps_only_its_engine_from_use() {
     let site = one_model(1, &["vm1"], true);
     let garbage = (Version(1), bytes::Bytes::from_static(b"?"));
-    let mut objects = site.store.objects.lock().unwrap();
-    objects.insert(id("engines/e1"), garbage);
-    drop(objects);
+    {
+        let mut objects = site.store.objects.lock().unwrap();
+        objects.insert(id("engines/e1"), garbage);
+    }
     let models = site.spawn("vm1", LIFE, IDLE);
     let replicas = models
         .acquire(want("r1", "m1", LONG))
