--- a/operators/python/basilgw.py
+++ b/operators/python/basilgw.py
@@ -15,12 +15,14 @@
 are those of ``schema/declaration.json``.
 """
 
+import hashlib
 import json
 import sys
 
 MIB = 1 << 20
 GIB = 1 << 30
 
+USUAL_CALLERS = (("drafts", "interactive"), ("reviews", "review"), ("checks", "background"))
 PRIORITIES = ("interactive", "review", "background")
 
 
@@ -81,6 +83,12 @@
             caller["burst"] = burst
         self._accounts[account]["callers"][name] = caller
 
+    def usual_callers(self, account, hash_of):
+        """Adds a caller of each priority, whose key's hash is ``hash_of(key's public name)``."""
+        for name, priority in USUAL_CALLERS:
+            key = f"{account}-{name}"
+            self.caller(account, name, priority=priority, keys={key: hash_of(key)})
+
     def as_dict(self):
         """The declaration as plain values."""
         return {
@@ -94,3 +102,8 @@
         """Prints the declaration as JSON, the same text for the same declaration."""
         json.dump(self.as_dict(), file or sys.stdout, indent=2, sort_keys=True)
         (file or sys.stdout).write("\n")
+
+
+def example_hash(name):
+    """A stand-in for the hash that ``basilgw mint-key`` prints; for examples only."""
+    return hashlib.sha256(name.encode()).hexdigest()
--- a/operators/python/heatline.py
+++ b/operators/python/heatline.py
@@ -1,8 +1,6 @@
 """Declaration of Heatline: 40 models, 90 adapters, an entries and draws service, 5 accounts."""
 
-import hashlib
-
-from basilgw import GIB, MIB, Declaration
+from basilgw import GIB, MIB, Declaration, example_hash
 
 ACCOUNTS = {
     "clubs": (6000, 60_000),
@@ -13,11 +11,6 @@
 }
 
 
-def example_hash(name):
-    """A stand-in for the hash that ``basilgw mint-key`` prints."""
-    return hashlib.sha256(name.encode()).hexdigest()
-
-
 def build():
     site = Declaration()
     models = [f"seeding-{n:02}" for n in range(40)]
@@ -39,9 +32,7 @@
             adapters=adapters,
             routes=["entries", "draws"],
         )
-        for caller, priority in (("drafts", "interactive"), ("reviews", "review"), ("checks", "background")):
-            key = f"{account}-{caller}"
-            site.caller(account, caller, priority=priority, keys={key: example_hash(key)})
+        site.usual_callers(account, example_hash)
     return site
 
 
--- a/operators/python/orbitalny_most.py
+++ b/operators/python/orbitalny_most.py
@@ -1,8 +1,6 @@
 """Declaration of Orbitalny Most: 30 models, 40 adapters, a booking service, 5 client accounts."""
 
-import hashlib
-
-from basilgw import GIB, MIB, Declaration
+from basilgw import GIB, MIB, Declaration, example_hash
 
 ACCOUNTS = {
     "integrators": (4000, 40_000),
@@ -13,11 +11,6 @@
 }
 
 
-def example_hash(name):
-    """A stand-in for the hash that ``basilgw mint-key`` prints."""
-    return hashlib.sha256(name.encode()).hexdigest()
-
-
 def build():
     site = Declaration()
     models = [f"manifest-{n:02}" for n in range(30)]
@@ -38,9 +31,7 @@
             adapters=adapters,
             routes=["slots", "bookings"],
         )
-        for caller, priority in (("drafts", "interactive"), ("reviews", "review"), ("checks", "background")):
-            key = f"{account}-{caller}"
-            site.caller(account, caller, priority=priority, keys={key: example_hash(key)})
+        site.usual_callers(account, example_hash)
     return site
 
 
