--- a/src/log.rs
+++ b/src/log.rs
@@ -22,11 +22,6 @@
     Logger::root(drain, o!("vm" => vm.to_string()))
 }
 
-/// A log that writes nothing, for tests and offline commands.
-pub fn discard() -> Logger {
-    Logger::root(slog::Discard, o!())
-}
-
 fn least(level: Option<LogSettingsLevel>) -> Level {
     match level {
         Some(LogSettingsLevel::Error) => Level::Error,
--- a/tests/edge.rs
+++ b/tests/edge.rs
@@ -265,6 +265,20 @@
     assert!(spent < WITHDRAWAL_BOUND, "took {spent:?}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_body_that_trickles_in_is_given_up_at_its_bound() {
+    let env = open(1).await;
+    let key = format!("authorization: Bearer {}\r\n", env.site.club.secret);
+    let whole = request("/v1/completions", &key, r#"{"model":"draft","prompt":"x"}"#);
+    // The last bytes never come; callers.slow is 10 s here.
+    let answer = exchange(env.target(0).address, &whole[..whole.len() - 4]).await;
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(
+        answer.contains("\"code\":\"timeout\"") && answer.contains("\"ran\":\"no\""),
+        "{answer}"
+    );
+}
+
 #[tokio::test]
 async fn a_burst_of_connections_waits_without_being_dropped() {
     const BURST: usize = 400;
