--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Regenerates the committed sources. Needs `cargo install cargo-typify --locked --version 0.8.0`.
 
-SCHEMAS := caller declaration engine peer platform settings
+SCHEMAS := caller declaration engine mesh peer platform settings
 
 .PHONY: schema
 schema:
--- a/src/declare/apply.rs
+++ b/src/declare/apply.rs
@@ -17,7 +17,7 @@
 use super::validate::{DeclarationFault, validate};
 use crate::clock::Clock;
 use crate::ids::{ChangeId, KeyId, ObjectKey, Revision, Text, Version};
-use crate::platform::{ObjectStore, StoreError};
+use crate::store::{ObjectStore, StoreError};
 use crate::schema::declaration::{AuditEntry, Declaration, Head};
 
 const HEAD_KEY: &str = "config/head";
--- a/src/declare/audit.rs
+++ b/src/declare/audit.rs
@@ -8,7 +8,7 @@
 
 use super::apply::{ApplyError, head_key};
 use crate::ids::{ObjectKey, Version};
-use crate::platform::{ObjectStore, StoreError};
+use crate::store::{ObjectStore, StoreError};
 use crate::schema::declaration::{AuditEntry, Head};
 
 const PAGE_ENTRIES: usize = 64;
--- a/src/declare/feed.rs
+++ b/src/declare/feed.rs
@@ -18,7 +18,7 @@
 use super::chunk::{self, Chunk, ChunkError};
 use crate::clock::Clock;
 use crate::ids::{Revision, Version};
-use crate::platform::{ObjectStore, StoreError};
+use crate::store::{ObjectStore, StoreError};
 use crate::schema::declaration::{ChunkRef, Head};
 
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -26,7 +26,7 @@
 use crate::model::Placer;
 use crate::once::run::Runner;
 use crate::outcome::{Reason, Refusal};
-use crate::platform::Directory;
+use crate::store::Directory;
 use crate::route::dispatch::Dispatcher;
 use crate::schema::settings::CallerSettings;
 
--- a/src/engine/http.rs
+++ b/src/engine/http.rs
@@ -12,7 +12,7 @@
 
 use super::{CacheEvents, EngineControl, EngineError, LoadReport, Order, OrderAnswer};
 use crate::clock::Clock;
-use crate::platform::Instance;
+use crate::store::Instance;
 use crate::route::{Outgoing, SendError, Transport};
 
 const MAX_ANSWER_BYTES: usize = 4 << 20;
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -10,7 +10,7 @@
 use futures_util::future::BoxFuture;
 use thiserror::Error;
 
-use crate::platform::Instance;
+use crate::store::Instance;
 pub use crate::schema::engine::{
     CacheEvents, LoadReport, Order, OrderAnswer, OrderKind, OrderStatus, ReplicaReport,
 };
--- a/src/error.rs
+++ b/src/error.rs
@@ -9,7 +9,7 @@
 use crate::ops::FailedCode;
 use crate::ops::client::OpsError;
 use crate::peer::BindError;
-use crate::platform::StoreError;
+use crate::store::StoreError;
 use crate::route::http::OpenError;
 use crate::settings::SettingsFault;
 
--- /dev/null
+++ b/src/gateway/adapters.rs
@@ -0,0 +1,94 @@
+//! Which adapters are loaded on which engines.
+//!
+//! An adapter comes within milliseconds, so it is loaded when it is asked for; the engine that
+//! holds the model with the most free places takes it, and where none has one, the adapter that
+//! is asked for least makes way.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::ids::{AdapterId, ModelId, UpstreamId};
+
+use super::call::Target;
+use super::demand::Want;
+use super::place::Seat;
+use super::table::Engines;
+
+/// Adapters that may be on their way to an engine at once.
+const MOST_COMING: usize = 4;
+
+/// An order on an adapter.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AdapterMove {
+    /// Load it.
+    Load(ModelId, AdapterId),
+    /// Drop it.
+    Unload(ModelId, AdapterId),
+}
+
+/// The adapters of an engine on their way, and what each held one is asked for.
+#[derive(Clone, Debug, Default)]
+pub struct Coming(pub BTreeSet<(ModelId, AdapterId)>);
+
+/// Plans one move for an adapter that nobody holds; `None` where there is no room.
+pub fn plan_adapter(
+    seats: &BTreeMap<UpstreamId, Seat>,
+    coming: &BTreeMap<UpstreamId, Coming>,
+    engines: &Engines,
+    demand: &BTreeMap<Target, Want>,
+    wanted: (&ModelId, &AdapterId),
+) -> Option<(UpstreamId, AdapterMove)> {
+    let (model, adapter) = wanted;
+    let kind = engines.models.get(model)?;
+    let mut best: Option<(usize, UpstreamId, AdapterMove)> = None;
+    for (id, seat) in seats {
+        // An engine that carries out an order answers every other one with a conflict.
+        if seat.busy || !seat.holds.models.contains_key(model) {
+            continue;
+        }
+        let on_way = coming.get(id).map_or(0, |coming| coming.0.len());
+        let held: usize = seat.holds.models.values().map(BTreeSet::len).sum();
+        let room = free_mb(seat, engines) - on_way as f64 * kind.adapter_mb;
+        let fits = room >= kind.adapter_mb && held + on_way < engines.adapter_slots;
+        if on_way >= MOST_COMING {
+            continue;
+        }
+        let step = match fits {
+            true => AdapterMove::Load(model.clone(), adapter.clone()),
+            false => match least_wanted(seat, demand) {
+                Some((m, a)) => AdapterMove::Unload(m, a),
+                None => continue,
+            },
+        };
+        let cost = held + on_way + if fits { 0 } else { engines.adapter_slots };
+        if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+            best = Some((cost, id.clone(), step));
+        }
+    }
+    best.map(|(_, id, step)| (id, step))
+}
+
+fn free_mb(seat: &Seat, engines: &Engines) -> f64 {
+    let sizes = seat.holds.models.iter().map(|(model, adapters)| {
+        let kind = engines.models.get(model);
+        kind.map_or(0.0, |k| k.size_mb + adapters.len() as f64 * k.adapter_mb)
+    });
+    let loading = seat.loading.as_ref().and_then(|m| engines.models.get(m));
+    engines.room_mb - sizes.sum::<f64>() - loading.map_or(0.0, |kind| kind.size_mb)
+}
+
+fn least_wanted(
+    seat: &Seat,
+    demand: &BTreeMap<Target, Want>,
+) -> Option<(ModelId, AdapterId)> {
+    let rate = |model: &ModelId, adapter: &AdapterId| {
+        let target = Target {
+            model: model.clone(),
+            adapter: Some(adapter.clone()),
+        };
+        demand.get(&target).map_or(0.0, |want| want.rate)
+    };
+    let held = seat.holds.models.iter();
+    let held = held.flat_map(|(m, adapters)| adapters.iter().map(move |a| (m, a)));
+    held.min_by(|a, b| rate(a.0, a.1).total_cmp(&rate(b.0, b.1)))
+        .map(|(m, a)| (m.clone(), a.clone()))
+}
--- /dev/null
+++ b/src/gateway/answer.rs
@@ -0,0 +1,73 @@
+//! Answers of the gateway's own.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::{CompactString, format_compact};
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::{Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use serde::Serialize;
+
+use crate::outcome::{ErrorCode, Ran, Reason, Refusal};
+
+use super::relay::Cut;
+
+/// A body towards a caller.
+pub type CallerBody = UnsyncBoxBody<Bytes, Cut>;
+
+/// Longest time that a caller is told to wait.
+const MAX_RETRY: Duration = Duration::from_secs(30);
+
+#[derive(Debug, Serialize)]
+struct Said<'a> {
+    error: ErrorCode,
+    message: &'a str,
+    ran: Ran,
+}
+
+/// A body that is whole.
+pub fn whole(bytes: Bytes) -> CallerBody {
+    Full::new(bytes).map_err(|never: Infallible| match never {}).boxed_unsync()
+}
+
+/// The status of a refusal; one that promises that the request did not run is only given where
+/// that is so.
+pub fn status(refusal: &Refusal) -> StatusCode {
+    let status = match (refusal.ran, refusal.reason) {
+        (Ran::No, Reason::Deadline | Reason::UpstreamFailed | Reason::UpstreamSilent) => 503,
+        (Ran::No, reason) => reason.status(),
+        (_, Reason::Deadline | Reason::UpstreamSilent) => 504,
+        (_, _) => 502,
+    };
+    StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY)
+}
+
+/// The answer to a request that was refused or failed.
+pub fn refuse(refusal: &Refusal) -> Response<CallerBody> {
+    let message = CompactString::from(refusal.to_string());
+    let said = Said {
+        error: refusal.reason.code(),
+        message: &message,
+        ran: refusal.ran,
+    };
+    // The type has nothing that cannot be written.
+    let bytes = serde_json::to_vec(&said).unwrap_or_default();
+    let mut response = Response::new(whole(Bytes::from(bytes)));
+    *response.status_mut() = status(refusal);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(wait) = refusal.retry {
+        let seconds = wait.min(MAX_RETRY).as_secs_f64();
+        let text = format_compact!("{seconds:.3}");
+        if let Ok(value) = HeaderValue::from_str(&text) {
+            headers.insert(RETRY_AFTER, value);
+        }
+    }
+    if refusal.reason == Reason::Malformed {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
--- /dev/null
+++ b/src/gateway/demand.rs
@@ -0,0 +1,110 @@
+//! Demand for models and adapters: what this VM sees, and what all VMs tell the one that gives
+//! orders, when rare models are asked for and demand moves between models.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use crate::ids::VmId;
+
+use super::call::Target;
+
+/// Time constant of a rate.
+const RATE_TIME: Duration = Duration::from_secs(6);
+/// Rates below this count as no demand, in requests a second.
+const LEAST_RATE: f64 = 0.004;
+/// What a VM has not repeated for this long no longer counts.
+const TOLD_TIME: Duration = Duration::from_secs(3);
+
+/// Demand for one target.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Want {
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests that wait for it to be loaded.
+    pub waiting: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    rate: f64,
+    at: Instant,
+    waiting: u32,
+}
+
+/// What one VM sees.
+#[derive(Debug, Default)]
+pub struct Local(BTreeMap<Target, Seen>);
+
+impl Local {
+    /// Counts a request.
+    pub fn on_request(&mut self, target: &Target, now: Instant) {
+        let seen = self.seen(target, now);
+        seen.rate = decayed(seen, now) + 1.0 / RATE_TIME.as_secs_f64();
+        seen.at = now;
+    }
+
+    /// Counts a request that begins to wait; true for the first one.
+    pub fn on_wait(&mut self, target: &Target, now: Instant) -> bool {
+        let seen = self.seen(target, now);
+        seen.waiting += 1;
+        seen.waiting == 1
+    }
+
+    /// Counts a request that no longer waits.
+    pub fn on_waited(&mut self, target: &Target) {
+        if let Some(seen) = self.0.get_mut(target) {
+            seen.waiting = seen.waiting.saturating_sub(1);
+        }
+    }
+
+    /// Demand now; what has faded is forgotten.
+    pub fn wants(&mut self, now: Instant) -> BTreeMap<Target, Want> {
+        self.0
+            .retain(|_, seen| seen.waiting > 0 || decayed(seen, now) > LEAST_RATE);
+        let wants = self.0.iter().map(|(target, seen)| {
+            let want = Want {
+                rate: decayed(seen, now),
+                waiting: seen.waiting,
+            };
+            (target.clone(), want)
+        });
+        wants.collect()
+    }
+
+    fn seen(&mut self, target: &Target, now: Instant) -> &mut Seen {
+        self.0.entry(target.clone()).or_insert(Seen {
+            rate: 0.0,
+            at: now,
+            waiting: 0,
+        })
+    }
+}
+
+fn decayed(seen: &Seen, now: Instant) -> f64 {
+    let span = now.saturating_duration_since(seen.at).as_secs_f64();
+    seen.rate * (-span / RATE_TIME.as_secs_f64()).exp()
+}
+
+/// What all VMs told.
+#[derive(Debug, Default)]
+pub struct Told(BTreeMap<(VmId, Target), (Want, Instant)>);
+
+impl Told {
+    /// Takes a VM's word.
+    pub fn on_want(&mut self, vm: &VmId, target: Target, want: Want, now: Instant) {
+        self.0.insert((vm.clone(), target), (want, now));
+    }
+
+    /// Demand over all VMs.
+    pub fn sum(&mut self, now: Instant) -> BTreeMap<Target, Want> {
+        self.0
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < TOLD_TIME);
+        let mut sums: BTreeMap<Target, Want> = BTreeMap::new();
+        for ((_, target), (want, _)) in &self.0 {
+            let sum = sums.entry(target.clone()).or_default();
+            sum.rate += want.rate;
+            sum.waiting += want.waiting;
+        }
+        sums
+    }
+}
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,248 @@
+//! Follows the configuration and the upstreams' registrations in the platform's store.
+//!
+//! Each kind is listed once and then followed from where the list ended. Waits are short, so that
+//! a connection gone silent is noticed; a lost history or any failure leads to a new list.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use rand::RngExt;
+use slog::{info, warn};
+use tokio::task::JoinHandle;
+
+use crate::store::StoreError;
+
+use super::border::{Change, Changes, Item, Listing, Mark, Source};
+use super::state::Gateway;
+use super::table::Table;
+use super::upstream::Entry;
+
+/// Wait for a change of the configuration; each answer renews the trust in keys.
+const TABLE_WAIT: Duration = Duration::from_millis(1000);
+/// Wait for a change of registrations.
+const ENTRY_WAIT: Duration = Duration::from_millis(2500);
+/// An answer that is this much later than the wait will not come.
+const LATE: Duration = Duration::from_millis(600);
+/// First and longest pause after a failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(60);
+const MAX_PAUSE: Duration = Duration::from_millis(500);
+/// Failures over at least this time may have let registrations lapse.
+const OUTAGE: Duration = Duration::from_millis(800);
+
+/// What is done with what a kind's objects say.
+trait Taker<T>: Send + Sync {
+    const KIND: &'static str;
+    const WAIT: Duration;
+
+    fn on_list(&self, items: Vec<Item<T>>);
+    fn on_change(&self, change: Change<T>);
+    fn on_answer(&self, asked: crate::clock::BootTime);
+    fn on_return(&self);
+}
+
+/// Follows the configuration.
+pub fn spawn_table(gateway: &Arc<Gateway>, source: Arc<dyn Source<Table>>) -> JoinHandle<()> {
+    let follower = Follower::new(gateway, source, TableTaker(Arc::clone(gateway)));
+    tokio::spawn(follower.run())
+}
+
+/// Follows the upstreams' registrations.
+pub fn spawn_entries(gateway: &Arc<Gateway>, source: Arc<dyn Source<Entry>>) -> JoinHandle<()> {
+    let follower = Follower::new(gateway, source, EntryTaker(Arc::clone(gateway)));
+    tokio::spawn(follower.run())
+}
+
+struct Follower<T, K> {
+    gateway: Arc<Gateway>,
+    source: Arc<dyn Source<T>>,
+    taker: K,
+    failing: Option<Instant>,
+    failures: u32,
+}
+
+impl<T, K> Follower<T, K>
+where
+    T: Send + 'static,
+    K: Taker<T>,
+{
+    fn new(gateway: &Arc<Gateway>, source: Arc<dyn Source<T>>, taker: K) -> Self {
+        Self {
+            gateway: Arc::clone(gateway),
+            source,
+            taker,
+            failing: None,
+            failures: 0,
+        }
+    }
+
+    async fn run(mut self) {
+        let mut at = None;
+        loop {
+            let result = match at {
+                None => self.list().await,
+                Some(mark) => self.follow(mark).await,
+            };
+            match result {
+                Ok(mark) => at = Some(mark),
+                Err(StoreError::HistoryGone) => {
+                    info!(self.gateway.log, "store_history_gone"; "kind" => K::KIND);
+                    at = None;
+                }
+                Err(e) => {
+                    self.on_failure(&e);
+                    at = None;
+                    self.pause().await;
+                }
+            }
+        }
+    }
+
+    async fn list(&mut self) -> Result<Mark, StoreError> {
+        let asked = self.gateway.clock.boot();
+        let listing = tokio::time::timeout(LATE, self.source.list()).await;
+        let Listing { items, at } = listing.unwrap_or(Err(StoreError::Unavailable))?;
+        self.on_success();
+        self.taker.on_list(items);
+        self.taker.on_answer(asked);
+        Ok(at)
+    }
+
+    async fn follow(&mut self, mark: Mark) -> Result<Mark, StoreError> {
+        let asked = self.gateway.clock.boot();
+        let changes = self.source.changes(mark, K::WAIT);
+        let changes = tokio::time::timeout(K::WAIT + LATE, changes).await;
+        let Changes { changes, at } = changes.unwrap_or(Err(StoreError::Unavailable))?;
+        self.on_success();
+        for change in changes {
+            self.taker.on_change(change);
+        }
+        self.taker.on_answer(asked);
+        Ok(at)
+    }
+
+    fn on_success(&mut self) {
+        let Some(since) = self.failing.take() else {
+            return;
+        };
+        let away = self.gateway.clock.now().saturating_duration_since(since);
+        info!(self.gateway.log, "store_regained"; "kind" => K::KIND, "failures" => self.failures,
+            "away_ms" => away.as_millis() as u64);
+        self.failures = 0;
+        if away >= OUTAGE {
+            self.taker.on_return();
+        }
+    }
+
+    fn on_failure(&mut self, error: &StoreError) {
+        self.failures += 1;
+        if self.failing.is_none() {
+            self.failing = Some(self.gateway.clock.now());
+            warn!(self.gateway.log, "store_lost"; "kind" => K::KIND, "error" => %error);
+        }
+    }
+
+    async fn pause(&self) {
+        let doublings = self.failures.saturating_sub(1).min(4);
+        let most = (FIRST_PAUSE * 2u32.pow(doublings)).min(MAX_PAUSE);
+        let share = rand::rng().random_range(0.5..1.0);
+        tokio::time::sleep(most.mul_f64(share)).await;
+    }
+}
+
+struct TableTaker(Arc<Gateway>);
+
+impl TableTaker {
+    fn take(&self, item: Item<Table>) {
+        match item {
+            (_, Ok(table)) => self.0.take_table(table),
+            (name, Err(e)) => {
+                warn!(self.0.log, "configuration_unreadable"; "name" => %name, "error" => %e);
+            }
+        }
+    }
+}
+
+impl Taker<Table> for TableTaker {
+    const KIND: &'static str = "configuration";
+    const WAIT: Duration = TABLE_WAIT;
+
+    fn on_list(&self, items: Vec<Item<Table>>) {
+        items.into_iter().for_each(|item| self.take(item));
+    }
+
+    fn on_change(&self, change: Change<Table>) {
+        match change {
+            Change::Set(item) => self.take(item),
+            Change::Removed(name) => {
+                warn!(self.0.log, "configuration_removed"; "name" => %name);
+            }
+        }
+    }
+
+    fn on_answer(&self, asked: crate::clock::BootTime) {
+        self.0.trust().on_answer(asked);
+    }
+
+    fn on_return(&self) {}
+}
+
+struct EntryTaker(Arc<Gateway>);
+
+impl EntryTaker {
+    fn readable(&self, item: Item<Entry>) -> Option<Entry> {
+        match item {
+            (_, Ok(entry)) => Some(entry),
+            (name, Err(e)) => {
+                warn!(self.0.log, "registration_unreadable"; "name" => %name, "error" => %e);
+                None
+            }
+        }
+    }
+}
+
+impl Taker<Entry> for EntryTaker {
+    const KIND: &'static str = "registrations";
+    const WAIT: Duration = ENTRY_WAIT;
+
+    fn on_list(&self, items: Vec<Item<Entry>>) {
+        let readable = items.into_iter().filter_map(|item| self.readable(item));
+        let entries: Vec<_> = readable.collect();
+        info!(self.0.log, "registrations_listed"; "count" => entries.len());
+        self.0.with_fleet(|fleet, now| fleet.on_list(entries, now));
+    }
+
+    fn on_change(&self, change: Change<Entry>) {
+        match change {
+            Change::Set(item) => {
+                let name = item.0.clone();
+                if let Some(entry) = self.readable(item) {
+                    info!(self.0.log, "upstream_told"; "upstream" => %entry.id,
+                        "born" => entry.born, "leaving" => entry.leaving,
+                        "models" => entry.holds.models.len());
+                    self.0.with_fleet(|fleet, _| fleet.on_entry(entry));
+                } else if let Ok(id) = name.parse() {
+                    self.0.with_fleet(|fleet, now| fleet.on_removed(&id, now));
+                }
+            }
+            Change::Removed(name) => {
+                info!(self.0.log, "upstream_removed"; "upstream" => %name);
+                if let Ok(id) = name.parse() {
+                    self.0.with_fleet(|fleet, now| fleet.on_removed(&id, now));
+                }
+            }
+        }
+    }
+
+    fn on_answer(&self, _asked: crate::clock::BootTime) {
+        // Publishes what changes by time alone.
+        let now = self.0.clock.now();
+        let expired = self.0.read_fleet(|fleet| fleet.next_expiry().is_some_and(|at| at <= now));
+        if expired {
+            self.0.with_fleet(|_, _| ());
+        }
+    }
+
+    fn on_return(&self) {
+        self.0.with_fleet(|fleet, now| fleet.on_return(now));
+    }
+}
--- /dev/null
+++ b/src/gateway/place.rs
@@ -0,0 +1,263 @@
+//! Which models are loaded on which engines, when most models are rare and together barely fit.
+//!
+//! Every model that is asked for should be held somewhere; the first replica of a model is worth
+//! its whole demand, a further one a small part of it. A load goes where the weights are closest
+//! (memory, disk, weight store) and where it drives out the least. Loads from the weight store are
+//! few, so they go to models that nobody holds first.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use crate::ids::{ModelId, UpstreamId};
+
+use super::demand::Want;
+use super::table::{Engines, Model};
+use super::upstream::Holdings;
+
+/// Worth of a further replica, as a share of the demand per replica.
+const SPARE_SHARE: f64 = 0.15;
+/// Worth of a model that nobody asks for, in requests a second: it may be asked for next.
+const IDLE_WORTH: f64 = 0.01;
+/// Each waiting request counts as this many requests a second.
+const WAITING_RATE: f64 = 0.5;
+/// What is driven out must be worth less than this share of what comes.
+const SWAP_SHARE: f64 = 0.7;
+/// A model stays at least this long once loaded.
+const LEAST_STAY: Duration = Duration::from_secs(3);
+/// Requests a second that one replica serves before another is wanted.
+const REPLICA_RATE: f64 = 8.0;
+
+/// One engine as the planner sees it.
+#[derive(Clone, Debug, Default)]
+pub struct Seat {
+    /// What it holds.
+    pub holds: Holdings,
+    /// The model that it is loading.
+    pub loading: Option<ModelId>,
+    /// Whether it carries out an order, and takes no other.
+    pub busy: bool,
+    /// When models came to be held, where this VM saw it.
+    pub since: BTreeMap<ModelId, Instant>,
+}
+
+/// Where the weights for a load lie.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Tier {
+    /// The engine's memory.
+    Memory,
+    /// The engine's disk.
+    Disk,
+    /// The weight store.
+    Store,
+}
+
+/// An order to an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Move {
+    /// Load a model.
+    Load(ModelId, Tier),
+    /// Drop a model.
+    Unload(ModelId),
+}
+
+/// Where an engine has a model's weights.
+pub fn tier(holds: &Holdings, model: &ModelId) -> Tier {
+    if holds.in_memory.contains(model) {
+        return Tier::Memory;
+    }
+    match holds.on_disk.contains(model) {
+        true => Tier::Disk,
+        false => Tier::Store,
+    }
+}
+
+/// How long a load takes.
+pub fn load_time(model: &Model, tier: Tier) -> Duration {
+    match tier {
+        Tier::Memory => model.from_memory,
+        Tier::Disk => model.from_disk,
+        Tier::Store => model.from_store,
+    }
+}
+
+/// Plans moves; at most one an engine, and at most `store_loads` from the weight store.
+pub fn plan(
+    seats: &BTreeMap<UpstreamId, Seat>,
+    engines: &Engines,
+    demand: &BTreeMap<ModelId, Want>,
+    mut store_loads: usize,
+    now: Instant,
+) -> BTreeMap<UpstreamId, Move> {
+    let mut moves = BTreeMap::new();
+    let mut copies = count_copies(seats, engines);
+    let mut wanted = wanted(engines, demand, &copies);
+    wanted.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let mut coming: BTreeSet<ModelId> = BTreeSet::new();
+    for (worth, model) in wanted {
+        if coming.contains(&model) {
+            continue;
+        }
+        let site = Site {
+            seats,
+            engines,
+            demand,
+            copies: &copies,
+            now,
+        };
+        let Some((seat, step)) = site.best(&model, worth, &moves, store_loads) else {
+            continue;
+        };
+        if let Move::Load(_, Tier::Store) = step {
+            store_loads -= 1;
+        }
+        if let Move::Unload(dropped) = &step {
+            if let Some(count) = copies.get_mut(dropped) {
+                *count = count.saturating_sub(1);
+            }
+        }
+        coming.insert(model);
+        moves.insert(seat, step);
+    }
+    moves
+}
+
+fn count_copies(
+    seats: &BTreeMap<UpstreamId, Seat>,
+    engines: &Engines,
+) -> BTreeMap<ModelId, usize> {
+    let mut copies: BTreeMap<ModelId, usize> =
+        engines.models.keys().map(|m| (m.clone(), 0)).collect();
+    for seat in seats.values() {
+        let held = seat.holds.models.keys();
+        for model in held.chain(seat.loading.as_ref()) {
+            *copies.entry(model.clone()).or_default() += 1;
+        }
+    }
+    copies
+}
+
+fn rate(demand: &BTreeMap<ModelId, Want>, model: &ModelId) -> f64 {
+    let want = demand.get(model).copied().unwrap_or_default();
+    want.rate + f64::from(want.waiting) * WAITING_RATE
+}
+
+/// Worth of a model's replica number `count` (from 1).
+fn worth(rate: f64, count: usize) -> f64 {
+    if count <= 1 {
+        return rate + IDLE_WORTH;
+    }
+    let needed = (rate / REPLICA_RATE).ceil();
+    let full = if (count as f64) <= needed { 1.0 } else { SPARE_SHARE };
+    rate * full / count as f64
+}
+
+/// Models that want one more replica, with its worth.
+fn wanted(
+    engines: &Engines,
+    demand: &BTreeMap<ModelId, Want>,
+    copies: &BTreeMap<ModelId, usize>,
+) -> Vec<(f64, ModelId)> {
+    let next = engines.models.keys().map(|model| {
+        let count = copies.get(model).copied().unwrap_or_default();
+        (worth(rate(demand, model), count + 1), model.clone())
+    });
+    next.filter(|(worth, _)| *worth > 0.0).collect()
+}
+
+struct Site<'a> {
+    seats: &'a BTreeMap<UpstreamId, Seat>,
+    engines: &'a Engines,
+    demand: &'a BTreeMap<ModelId, Want>,
+    copies: &'a BTreeMap<ModelId, usize>,
+    now: Instant,
+}
+
+impl Site<'_> {
+    /// The best engine for one more replica, and the first move towards it.
+    fn best(
+        &self,
+        model: &ModelId,
+        worth: f64,
+        taken: &BTreeMap<UpstreamId, Move>,
+        store_loads: usize,
+    ) -> Option<(UpstreamId, Move)> {
+        let kind = self.engines.models.get(model)?;
+        let mut best: Option<(f64, UpstreamId, Move)> = None;
+        for (id, seat) in self.seats {
+            let held = seat.holds.models.contains_key(model);
+            if seat.busy || held || taken.contains_key(id) {
+                continue;
+            }
+            let tier = tier(&seat.holds, model);
+            if tier == Tier::Store && store_loads == 0 {
+                continue;
+            }
+            let Some((drop, loss)) = self.room(seat, kind, worth) else {
+                continue;
+            };
+            let step = match drop {
+                Some(victim) => Move::Unload(victim),
+                None => Move::Load(model.clone(), tier),
+            };
+            let cost = load_time(kind, tier).as_secs_f64() * worth + loss;
+            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, id.clone(), step));
+            }
+        }
+        best.map(|(_, id, step)| (id, step))
+    }
+
+    /// The model to drop first to make room, if any must go, and what all drops lose; `None`
+    /// where room would cost too much.
+    fn room(&self, seat: &Seat, kind: &Model, gain: f64) -> Option<(Option<ModelId>, f64)> {
+        let mut free = self.engines.room_mb - self.used(seat);
+        if free >= kind.size_mb {
+            return Some((None, 0.0));
+        }
+        let mut victims = self.victims(seat);
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut loss = 0.0;
+        let mut first = None;
+        for (worth, model) in victims {
+            loss += worth;
+            if loss > gain * SWAP_SHARE {
+                return None;
+            }
+            free += self.size(seat, &model);
+            first.get_or_insert(model);
+            if free >= kind.size_mb {
+                return Some((first, loss));
+            }
+        }
+        None
+    }
+
+    fn victims(&self, seat: &Seat) -> Vec<(f64, ModelId)> {
+        let settled = |model: &ModelId| {
+            let since = seat.since.get(model);
+            since.is_none_or(|at| self.now.saturating_duration_since(*at) >= LEAST_STAY)
+        };
+        let models = seat.holds.models.keys().filter(|model| settled(model));
+        let worths = models.map(|model| {
+            let count = self.copies.get(model).copied().unwrap_or(1);
+            (worth(rate(self.demand, model), count), model.clone())
+        });
+        worths.collect()
+    }
+
+    fn used(&self, seat: &Seat) -> f64 {
+        let held: f64 = seat.holds.models.keys().map(|m| self.size(seat, m)).sum();
+        let loading = seat.loading.as_ref().and_then(|m| self.engines.models.get(m));
+        held + loading.map_or(0.0, |kind| kind.size_mb)
+    }
+
+    /// Size of a held model with its adapters.
+    fn size(&self, seat: &Seat, model: &ModelId) -> f64 {
+        let Some(kind) = self.engines.models.get(model) else {
+            // A model that the configuration no longer names still takes room.
+            return self.engines.room_mb;
+        };
+        let adapters = seat.holds.models.get(model).map_or(0, BTreeSet::len);
+        kind.size_mb + adapters as f64 * kind.adapter_mb
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,557 @@
+//! A request from its head to the beginning of its answer.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use slog::{info, warn};
+use thiserror::Error;
+
+use crate::edge::Token;
+use crate::ids::{ServiceId, UpstreamId};
+use crate::outcome::{Ran, Reason, Refusal};
+use crate::units::Tokens;
+
+use super::answer::{self, CallerBody};
+use super::border::Sending;
+use super::call::{Call, Size, Target, Whole};
+use super::choose::{self, NoEngine};
+use super::exchange::{self, Answer, Declined, Lost, Outgoing, Sent};
+use super::fleet::of_service;
+use super::place;
+use super::state::Gateway;
+use super::stream;
+use super::table::{Account, Kind, Route, Table};
+use super::upstream::Upstream;
+
+/// Requests that one VM works on at once.
+const MOST_RUNNING: usize = 3000;
+/// When to come back to a VM that cannot serve; the balancer then names another one.
+const ELSEWHERE_RETRY: Duration = Duration::from_millis(200);
+/// When to come back for a place at an engine.
+const PLACE_RETRY: Duration = Duration::from_millis(300);
+/// Connections tried before a request is given up.
+const MOST_CONNECTS: usize = 4;
+/// A request that may be repeated waits this many objectives for an answer to begin.
+const SILENCE_GOALS: u32 = 3;
+const LEAST_SILENCE: Duration = Duration::from_millis(900);
+/// Callers of a stream leave after two seconds without an event, or this many objectives, or this
+/// many of the longest pauses, whichever is longest.
+const LEAST_PATIENCE: Duration = Duration::from_secs(2);
+const PATIENCE_GOALS: u32 = 4;
+const PATIENCE_GAPS: u32 = 8;
+/// Time for an order to reach an engine and its outcome to be heard, beside the load itself.
+const ORDER_TIME: Duration = Duration::from_millis(150);
+
+/// An answer that must not look complete.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("the answer was cut")]
+pub struct Cut;
+
+/// A request that was admitted.
+#[derive(Debug)]
+pub struct Task {
+    /// State of the VM.
+    pub gateway: Arc<Gateway>,
+    /// Request.
+    pub whole: Whole,
+    /// Route.
+    pub route: Arc<Route>,
+    /// Service that serves it.
+    pub service: ServiceId,
+    /// Account whose key it carries.
+    pub account: Option<Arc<Account>>,
+    /// When it arrived.
+    pub began: Instant,
+    /// When it must be answered.
+    pub deadline: Instant,
+    _token: Token,
+}
+
+/// What has been tried for a request.
+#[derive(Debug, Default)]
+pub struct Tries {
+    /// Upstreams that it was sent to, or that could not be reached.
+    pub tried: BTreeSet<UpstreamId>,
+    /// Upstreams that it was sent to.
+    pub sent: u32,
+    /// Connections that did not come about.
+    unsent: usize,
+    /// Whether it may have run.
+    pub ran: bool,
+    /// An upstream's own failure, given to the caller if nothing better comes.
+    failure: Option<WholeAnswer>,
+}
+
+/// An upstream's answer, read whole.
+#[derive(Debug)]
+struct WholeAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl From<WholeAnswer> for Response<CallerBody> {
+    fn from(failure: WholeAnswer) -> Self {
+        let mut response = Self::new(answer::whole(failure.body));
+        *response.status_mut() = failure.status;
+        *response.headers_mut() = failure.headers;
+        response
+    }
+}
+
+impl Tries {
+    fn refusal(&self, reason: Reason) -> Refusal {
+        match self.ran {
+            true => Refusal::unknown(reason),
+            false => Refusal::not_run(reason),
+        }
+    }
+}
+
+/// Answers a request.
+pub async fn serve(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Response<CallerBody> {
+    let (head, body) = request.into_parts();
+    let chunked = head.headers.contains_key(TRANSFER_ENCODING);
+    let both = chunked && head.headers.contains_key(CONTENT_LENGTH);
+    let call = match gateway.dialect.read_call(&head) {
+        Ok(call) if !both => call,
+        Ok(_) => return answer::refuse(&Refusal::not_run(Reason::Malformed)),
+        Err(fault) => {
+            warn!(gateway.log, "request_malformed"; "fault" => %fault);
+            return answer::refuse(&Refusal::not_run(Reason::Malformed));
+        }
+    };
+    let id = call.id.clone();
+    let began = gateway.clock.now();
+    let mut response = match admit(gateway, call, body, began).await {
+        Ok(response) => response,
+        Err(refusal) => {
+            let spent = gateway.clock.now().saturating_duration_since(began);
+            info!(gateway.log, "request_refused"; "request" => %id, "reason" => %refusal.reason,
+                "ran" => ?refusal.ran, "spent_ms" => spent.as_millis() as u64,
+                "retry_ms" => refusal.retry.map(|wait| wait.as_millis() as u64));
+            let mut response = answer::refuse(&refusal);
+            response.headers_mut().extend(gateway.dialect.label(&id));
+            response
+        }
+    };
+    // A request with chunks may hide a second one behind its end, so nothing after it is read.
+    if chunked || !gateway.ready() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+async fn admit(
+    gateway: &Arc<Gateway>,
+    call: Call,
+    body: Incoming,
+    began: Instant,
+) -> Result<Response<CallerBody>, Refusal> {
+    let token = gateway.running.enter(MOST_RUNNING)?;
+    let table = gateway.table.load_full();
+    let not_ready = || Refusal::not_run(Reason::NotReady).retry_after(ELSEWHERE_RETRY);
+    let table = table.ok_or_else(not_ready)?;
+    // What is not known to be fresh must neither let a key in nor turn a new one away.
+    if table.keys.is_some() && !gateway.trusted() {
+        return Err(not_ready());
+    }
+    let found = table.route(&call.host, call.uri.path());
+    let route = found.ok_or(Refusal::not_run(Reason::UnknownRoute))?;
+    let account = authenticate(&table, route, &call)?;
+    let budget = call.budget.unwrap_or(route.timeout).min(route.timeout);
+    let draw = choose::hash(call.id.as_str().as_bytes(), 0);
+    let service = route.service(draw).ok_or_else(not_ready)?.clone();
+    let deadline = began + budget;
+    let body = read_body(body, table.bounds.body_bytes, budget).await?;
+    let size = call.size.map(Size::total);
+    let tokens = account.as_ref().map_or(Tokens::ZERO, |a| a.cost(size));
+    if let Some(account) = &account {
+        gateway
+            .admit(account, tokens)
+            .map_err(|wait| Refusal::not_run(Reason::OverRate).retry_after(wait))?;
+    }
+    let task = Task {
+        gateway: Arc::clone(gateway),
+        route: Arc::clone(route),
+        service,
+        account: account.clone(),
+        began,
+        deadline,
+        whole: Whole { call, body },
+        _token: token,
+    };
+    let outcome = Arc::new(task).run().await;
+    if let (Err(refusal), Some(account)) = (&outcome, &account) {
+        if refusal.ran == Ran::No {
+            gateway.give_back(account, tokens);
+        }
+    }
+    outcome
+}
+
+fn authenticate(
+    table: &Table,
+    route: &Route,
+    call: &Call,
+) -> Result<Option<Arc<Account>>, Refusal> {
+    if table.keys.is_none() {
+        return Ok(None);
+    }
+    let account = call.key.as_ref().and_then(|key| table.account(key));
+    match account {
+        Some(account) => Ok(Some(Arc::clone(account))),
+        None if route.open => Ok(None),
+        None => Err(Refusal::not_run(Reason::Unauthorized)),
+    }
+}
+
+async fn read_body(body: Incoming, most: usize, within: Duration) -> Result<Bytes, Refusal> {
+    let read = tokio::time::timeout(within, Limited::new(body, most).collect()).await;
+    let read = read.map_err(|_late| Refusal::not_run(Reason::Timeout))?;
+    match read {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(Refusal::not_run(Reason::TooLarge)),
+        Err(_broken) => Err(Refusal::not_run(Reason::Malformed)),
+    }
+}
+
+impl Task {
+    /// Time that is left.
+    pub fn left(&self) -> Duration {
+        let now = self.gateway.clock.now();
+        self.deadline.saturating_duration_since(now)
+    }
+
+    async fn run(self: Arc<Self>) -> Result<Response<CallerBody>, Refusal> {
+        let gateway = &self.gateway;
+        gateway.count_request(&self.service);
+        if let Some(target) = &self.whole.call.target {
+            let now = gateway.clock.now();
+            gateway.demand().on_request(target, now);
+        }
+        let mut tries = Tries::default();
+        loop {
+            if self.left().is_zero() {
+                return self.give_up(tries, Reason::Deadline, PLACE_RETRY);
+            }
+            let upstream = match self.choose(&tries) {
+                Ok(upstream) => upstream,
+                Err(NoEngine::Unusable) => {
+                    return self.give_up(tries, Reason::Capacity, PLACE_RETRY);
+                }
+                Err(NoEngine::NoModel | NoEngine::NoAdapter) => {
+                    self.wait_for_model(&tries).await?;
+                    continue;
+                }
+            };
+            if self.account.is_some() && !gateway.trusted() {
+                return self.give_up(tries, Reason::NotReady, ELSEWHERE_RETRY);
+            }
+            if tries.sent > 0 && !gateway.take_repeat(&self.service) {
+                return self.give_up(tries, Reason::UpstreamFailed, PLACE_RETRY);
+            }
+            if let Some(response) = self.attempt(&upstream, &mut tries).await? {
+                return Ok(response);
+            }
+        }
+    }
+
+    /// The final answer once nothing more is tried.
+    fn give_up(
+        &self,
+        tries: Tries,
+        reason: Reason,
+        retry: Duration,
+    ) -> Result<Response<CallerBody>, Refusal> {
+        let refusal = tries.refusal(reason);
+        if let Some(failure) = tries.failure {
+            return Ok(failure.into());
+        }
+        Err(match refusal.ran {
+            Ran::No => refusal.retry_after(retry),
+            _ => refusal,
+        })
+    }
+
+    /// The engine that takes the request next.
+    ///
+    /// # Errors
+    ///
+    /// [`NoEngine`].
+    pub fn choose(&self, tries: &Tries) -> Result<Upstream, NoEngine> {
+        let gateway = &self.gateway;
+        let upstreams = gateway.upstreams.load();
+        let call = &self.whole.call;
+        let now = gateway.clock.now();
+        let fit = of_service(&upstreams, &self.service);
+        let chosen = choose::choose(fit, call, &gateway.centre, &tries.tried, now);
+        chosen.cloned()
+    }
+
+    /// Sends the request once; an answer that is worth waiting for after is left in `tries`.
+    async fn attempt(
+        self: &Arc<Self>,
+        upstream: &Upstream,
+        tries: &mut Tries,
+    ) -> Result<Option<Response<CallerBody>>, Refusal> {
+        let gateway = &self.gateway;
+        let more = tries.sent + 1 < self.route.attempts;
+        let sent = self.send(upstream, None, more).await;
+        let now = gateway.clock.now();
+        let entry = &upstream.entry;
+        tries.tried.insert(entry.id.clone());
+        let lost = match sent {
+            Sent::Unsent(e) => {
+                info!(gateway.log, "upstream_unreachable"; "request" => %self.whole.call.id,
+                    "upstream" => %entry.id, "error" => %e);
+                upstream.pulse.on_failure(now);
+                tries.unsent += 1;
+                if tries.unsent < MOST_CONNECTS {
+                    return Ok(None);
+                }
+                let refusal = tries.refusal(Reason::Capacity);
+                return Err(refusal.retry_after(PLACE_RETRY));
+            }
+            Sent::NotRun(why) => {
+                tries.sent += 1;
+                self.note_declined(upstream, why);
+                if tries.sent < self.route.attempts {
+                    return Ok(None);
+                }
+                let refusal = tries.refusal(Reason::Capacity);
+                return Err(refusal.retry_after(PLACE_RETRY));
+            }
+            Sent::Answered(answer) => {
+                tries.sent += 1;
+                tries.ran = true;
+                match self.take(upstream, answer, tries).await {
+                    Ok(response) => return Ok(response),
+                    Err(lost) => lost,
+                }
+            }
+            Sent::Unknown(lost) => {
+                tries.sent += 1;
+                tries.ran = true;
+                lost
+            }
+        };
+        warn!(gateway.log, "answer_lost"; "request" => %self.whole.call.id,
+            "upstream" => %entry.id, "why" => %lost, "sent" => tries.sent);
+        upstream.pulse.on_failure(now);
+        if self.route.kind.repeats() && tries.sent < self.route.attempts {
+            return Ok(None);
+        }
+        if let Some(failure) = tries.failure.take() {
+            return Ok(Some(failure.into()));
+        }
+        Err(tries.refusal(match (lost, self.left().is_zero()) {
+            (_, true) => Reason::Deadline,
+            (Lost::Silent, _) => Reason::UpstreamSilent,
+            _ => Reason::UpstreamFailed,
+        }))
+    }
+
+    /// Sends the request to one upstream; `more` says that another may be tried after it.
+    pub async fn send(&self, upstream: &Upstream, after: Option<u64>, more: bool) -> Sent {
+        let gateway = &self.gateway;
+        let call = &self.whole.call;
+        let left = self.left();
+        let account = self.account.as_deref();
+        let rank = account.and_then(|a| a.priority);
+        let sending = Sending {
+            upstream: upstream.entry.id.clone(),
+            account: account.map(|account| account.name.clone()),
+            left,
+            rank: rank.unwrap_or(self.route.priority),
+            after: after.or(call.resumed),
+        };
+        let running = upstream.pulse.begin();
+        let request = match gateway.dialect.write_request(&self.whole, &sending) {
+            Ok(request) => request,
+            Err(e) => {
+                warn!(gateway.log, "request_unwritable"; "request" => %call.id, "error" => %e);
+                return Sent::NotRun(Declined::Other);
+            }
+        };
+        let silence = (self.route.goal * SILENCE_GOALS).max(LEAST_SILENCE);
+        let patience = match more && self.route.kind.repeats() {
+            true => silence.min(left),
+            false => left,
+        };
+        let outgoing = Outgoing {
+            to: upstream.entry.address,
+            upstream: &upstream.entry.id,
+            id: &call.id,
+            request,
+            patience,
+        };
+        exchange::send(&gateway.dialect, outgoing, running).await
+    }
+
+    /// Takes an upstream's word that it did not run the request.
+    pub fn note_declined(&self, upstream: &Upstream, why: Declined) {
+        let gateway = &self.gateway;
+        let entry = &upstream.entry;
+        info!(gateway.log, "request_declined"; "request" => %self.whole.call.id,
+            "upstream" => %entry.id, "why" => ?why);
+        match (why, &self.whole.call.target) {
+            (Declined::Elsewhere, _) => {
+                gateway.with_fleet(|fleet, _| fleet.on_leaving(&entry.id, entry.born));
+            }
+            (Declined::Missing, Some(target)) => {
+                let adapter = target.adapter.as_ref();
+                gateway.with_fleet(|fleet, now| {
+                    fleet.on_word(&entry.id, &target.model, adapter, false, now);
+                });
+            }
+            _ => {}
+        }
+    }
+
+    /// Makes the caller's answer of an upstream's; `None` where another upstream is tried first.
+    async fn take(
+        self: &Arc<Self>,
+        upstream: &Upstream,
+        mut answer: Answer,
+        tries: &mut Tries,
+    ) -> Result<Option<Response<CallerBody>>, Lost> {
+        let status = answer.head.status;
+        let streams = matches!(self.route.kind, Kind::Streaming { .. });
+        if streams && status == StatusCode::OK {
+            upstream.pulse.on_success();
+            let task = Arc::clone(self);
+            let tries = std::mem::take(tries);
+            return Ok(Some(stream::forward(task, upstream.clone(), answer, tries)));
+        }
+        if promises(status) {
+            upstream.pulse.on_failure(self.gateway.clock.now());
+            return Err(Lost::Wrong);
+        }
+        let headers = self.gateway.dialect.forward_answer(&answer.head);
+        let Some(body) = answer.read_small(self.left()).await? else {
+            let mut response = Response::new(stream::forward_plain(Arc::clone(self), answer));
+            *response.status_mut() = status;
+            *response.headers_mut() = headers;
+            return Ok(Some(response));
+        };
+        let whole = WholeAnswer {
+            status,
+            headers,
+            body,
+        };
+        if !status.is_server_error() {
+            upstream.pulse.on_success();
+            return Ok(Some(whole.into()));
+        }
+        upstream.pulse.on_failure(self.gateway.clock.now());
+        if tries.sent < self.route.attempts && self.route.kind == Kind::Idempotent {
+            tries.failure = Some(whole);
+            return Ok(None);
+        }
+        Ok(Some(whole.into()))
+    }
+
+    /// Waits until an engine holds what is asked for.
+    async fn wait_for_model(&self, tries: &Tries) -> Result<(), Refusal> {
+        let gateway = &self.gateway;
+        let Some(target) = &self.whole.call.target else {
+            return Err(tries.refusal(Reason::Capacity).retry_after(PLACE_RETRY));
+        };
+        let until = self.deadline.min(self.began + patience(&self.route));
+        let begun = gateway.clock.now();
+        let load = self.load_time(target);
+        let refuse = |reason| match tries.refusal(reason) {
+            refusal if refusal.ran == Ran::No => refusal.retry_after(load),
+            refusal => refusal,
+        };
+        if begun + load > until {
+            return Err(refuse(Reason::Capacity));
+        }
+        let _waiting = Waiting::begin(gateway, target);
+        loop {
+            let changed = gateway.changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            let missing = self.choose(tries).err();
+            if !matches!(missing, Some(NoEngine::NoModel | NoEngine::NoAdapter)) {
+                return Ok(());
+            }
+            let now = gateway.clock.now();
+            let left = until.saturating_duration_since(now);
+            if left.is_zero() || tokio::time::timeout(left, changed).await.is_err() {
+                return Err(refuse(Reason::Deadline));
+            }
+        }
+    }
+
+    /// The least time until an engine could hold what is asked for.
+    fn load_time(&self, target: &Target) -> Duration {
+        let table = self.gateway.table.load();
+        let engines = table.as_ref().and_then(|t| t.engines(&self.service));
+        let Some(model) = engines.and_then(|e| e.models.get(&target.model)) else {
+            return ORDER_TIME;
+        };
+        let upstreams = self.gateway.upstreams.load();
+        let times = of_service(&upstreams, &self.service).map(|upstream| {
+            let holds = &upstream.entry.holds;
+            match holds.models.contains_key(&target.model) {
+                true => Duration::ZERO,
+                false => place::load_time(model, place::tier(holds, &target.model)),
+            }
+        });
+        times.min().unwrap_or(model.from_store) + ORDER_TIME
+    }
+}
+
+/// Statuses that promise that a request did not run, which an upstream's own failure does not.
+fn promises(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
+/// How long a caller waits for the first event.
+fn patience(route: &Route) -> Duration {
+    match route.kind {
+        Kind::Streaming { gap, .. } => LEAST_PATIENCE
+            .max(route.goal * PATIENCE_GOALS)
+            .max(gap * PATIENCE_GAPS),
+        _ => route.timeout,
+    }
+}
+
+/// Counts a waiting request while it lives.
+#[derive(Debug)]
+struct Waiting<'a> {
+    gateway: &'a Gateway,
+    target: &'a Target,
+}
+
+impl<'a> Waiting<'a> {
+    fn begin(gateway: &'a Gateway, target: &'a Target) -> Self {
+        let now = gateway.clock.now();
+        if gateway.demand().on_wait(target, now) {
+            gateway.wants_due.notify_one();
+            gateway.orders_due.notify_one();
+        }
+        Self { gateway, target }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.gateway.demand().on_waited(self.target);
+    }
+}
--- /dev/null
+++ b/src/gateway/serve.rs
@@ -0,0 +1,168 @@
+//! The listeners of a VM: callers, and the balancer's question whether new callers may come.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use slog::warn;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+use crate::listen;
+
+use super::answer::{self, CallerBody};
+use super::relay;
+use super::state::Gateway;
+
+/// Idle bound while no configuration is known.
+const FIRST_IDLE: Duration = Duration::from_secs(15);
+/// Head bound while no configuration is known, in bytes.
+const FIRST_HEAD_BYTES: usize = 16 * 1024;
+/// The HTTP library's least buffer, in bytes.
+const LEAST_BUFFER_BYTES: usize = 8 * 1024;
+/// A connection is kept a little longer than the bound, so that a caller within it wins the race.
+const IDLE_GRACE: Duration = Duration::from_millis(500);
+/// Pause after a failed accept, which otherwise would be tried in a tight loop.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Answers callers on a listener.
+///
+/// # Errors
+///
+/// Where the address cannot be bound.
+pub fn spawn(gateway: &Arc<Gateway>, at: SocketAddr) -> io::Result<JoinHandle<()>> {
+    let listener = listen::bind(at)?;
+    let gateway = Arc::clone(gateway);
+    Ok(tokio::spawn(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(serve_connection(Arc::clone(&gateway), stream));
+                }
+                Err(e) => pause_after(&gateway, &e).await,
+            }
+        }
+    }))
+}
+
+/// Answers the balancer on a listener.
+///
+/// # Errors
+///
+/// Where the address cannot be bound.
+pub fn spawn_ready(gateway: &Arc<Gateway>, at: SocketAddr) -> io::Result<JoinHandle<()>> {
+    let listener = listen::bind(at)?;
+    Ok(tokio::spawn(answer_ready(Arc::clone(gateway), listener)))
+}
+
+async fn answer_ready(gateway: Arc<Gateway>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                pause_after(&gateway, &e).await;
+                continue;
+            }
+        };
+        let gateway = Arc::clone(&gateway);
+        let service = service_fn(move |_request: Request<Incoming>| {
+            let ready = gateway.ready();
+            async move { Ok::<_, Infallible>(ready_answer(ready)) }
+        });
+        tokio::spawn(async move {
+            // The balancer asks again on a new connection.
+            let _ended = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn ready_answer(ready: bool) -> Response<CallerBody> {
+    let mut response = Response::new(answer::whole(Bytes::new()));
+    if !ready {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+async fn pause_after(gateway: &Gateway, error: &io::Error) {
+    warn!(gateway.log, "accept_failed"; "error" => %error);
+    tokio::time::sleep(ACCEPT_PAUSE).await;
+}
+
+/// When a connection was last in use.
+#[derive(Debug)]
+struct Use {
+    running: AtomicUsize,
+    since: Mutex<Instant>,
+}
+
+impl Use {
+    fn idle_since(&self) -> Option<Instant> {
+        let idle = self.running.load(Ordering::Relaxed) == 0;
+        idle.then(|| *self.since.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn end(&self, now: Instant) {
+        *self.since.lock().unwrap_or_else(PoisonError::into_inner) = now;
+        self.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream) {
+    // Without it small events wait for the caller's acknowledgement; the default still works.
+    let _default = stream.set_nodelay(true);
+    let usage = Arc::new(Use {
+        running: AtomicUsize::new(0),
+        since: Mutex::new(gateway.clock.now()),
+    });
+    let service = service_fn(|request| {
+        let gateway = Arc::clone(&gateway);
+        let usage = Arc::clone(&usage);
+        async move {
+            usage.running.fetch_add(1, Ordering::Relaxed);
+            let response = relay::serve(&gateway, request).await;
+            usage.end(gateway.clock.now());
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let table = gateway.table.load();
+    let head = table.as_ref().map_or(FIRST_HEAD_BYTES, |t| t.bounds.head_bytes);
+    drop(table);
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(head.max(LEAST_BUFFER_BYTES));
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    loop {
+        let wait = idle_left(&gateway, &usage);
+        tokio::select! {
+            // A caller that leaves or sends what is no request ends its connection only.
+            _ended = connection.as_mut() => return,
+            () = tokio::time::sleep(wait) => {
+                if idle_left(&gateway, &usage).is_zero() {
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    }
+}
+
+/// Time until the connection has idled for too long.
+fn idle_left(gateway: &Gateway, usage: &Use) -> Duration {
+    let table = gateway.table.load();
+    let bound = table.as_ref().map_or(FIRST_IDLE, |t| t.bounds.idle_time) + IDLE_GRACE;
+    match usage.idle_since() {
+        Some(since) => (since + bound).saturating_duration_since(gateway.clock.now()),
+        None => bound,
+    }
+}
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,254 @@
+//! What a VM knows while it serves.
+//!
+//! The request path reads the configuration and the upstreams through atomic snapshots; the locks
+//! here are held for a few instructions and never across a wait.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use slog::{Logger, info};
+use tokio::sync::Notify;
+
+use crate::clock::Clock;
+use crate::edge::Running;
+use crate::ids::{ClientAccount, DataCentre, ServiceId, VmId};
+use crate::units::Tokens;
+
+use super::allowance::Allowance;
+use super::border::Dialect;
+use super::demand::Local;
+use super::fleet::{Fleet, Snapshot};
+use super::repeats::{RepeatBound, Repeats};
+use super::table::{Account, Table};
+use super::trust::Trust;
+
+/// What a VM is told at its start.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    /// Longest that a withdrawn key may work.
+    pub withdrawal: Duration,
+    /// Bound on repeats.
+    pub repeats: RepeatBound,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
+}
+
+/// The state of a VM.
+#[derive(Debug)]
+pub struct Gateway {
+    /// This VM.
+    pub vm: VmId,
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// Spelling of requests and answers.
+    pub dialect: Arc<dyn Dialect>,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// Log.
+    pub log: Logger,
+    /// Requests that run.
+    pub running: Arc<Running>,
+    /// The configuration in force.
+    pub table: ArcSwapOption<Table>,
+    /// Upstreams in use.
+    pub upstreams: ArcSwap<Snapshot>,
+    /// Told when upstreams in use change.
+    pub changed: Notify,
+    /// Told when the VM that gives orders should hear what this one wants.
+    pub wants_due: Notify,
+    /// Told when orders may be due.
+    pub orders_due: Notify,
+    bounds: Bounds,
+    fleet: Mutex<Fleet>,
+    trust: Mutex<Trust>,
+    demand: Mutex<Local>,
+    allowances: Mutex<BTreeMap<ClientAccount, Allowance>>,
+    repeats: Mutex<BTreeMap<ServiceId, Repeats>>,
+    part: Mutex<f64>,
+}
+
+/// What a VM is made of.
+#[derive(Debug)]
+pub struct Parts {
+    /// This VM.
+    pub vm: VmId,
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// Spelling of requests and answers.
+    pub dialect: Arc<dyn Dialect>,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+    /// Log.
+    pub log: Logger,
+    /// Bounds.
+    pub bounds: Bounds,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Gateway {
+    /// Opens the state, which knows nothing yet.
+    pub fn open(parts: Parts) -> Arc<Self> {
+        let trust = Trust::new(parts.bounds.withdrawal);
+        Arc::new(Self {
+            vm: parts.vm,
+            centre: parts.centre,
+            dialect: parts.dialect,
+            clock: parts.clock,
+            log: parts.log,
+            running: Running::open(),
+            table: ArcSwapOption::empty(),
+            upstreams: ArcSwap::default(),
+            changed: Notify::new(),
+            wants_due: Notify::new(),
+            orders_due: Notify::new(),
+            bounds: parts.bounds,
+            fleet: Mutex::default(),
+            trust: Mutex::new(trust),
+            demand: Mutex::default(),
+            allowances: Mutex::default(),
+            repeats: Mutex::default(),
+            part: Mutex::new(1.0),
+        })
+    }
+
+    /// Changes what is known of upstreams and publishes the outcome.
+    pub fn with_fleet<F, R>(&self, change: F) -> R
+    where
+        F: FnOnce(&mut Fleet, Instant) -> R,
+    {
+        let now = self.clock.now();
+        let mut fleet = lock(&self.fleet);
+        let result = change(&mut fleet, now);
+        self.upstreams.store(Arc::new(fleet.snapshot(now)));
+        drop(fleet);
+        self.changed.notify_waiters();
+        result
+    }
+
+    /// Reads what is known of upstreams.
+    pub fn read_fleet<F, R>(&self, read: F) -> R
+    where
+        F: FnOnce(&Fleet) -> R,
+    {
+        read(&lock(&self.fleet))
+    }
+
+    /// Demand of this VM.
+    pub fn demand(&self) -> MutexGuard<'_, Local> {
+        lock(&self.demand)
+    }
+
+    /// Freshness of the configuration.
+    pub fn trust(&self) -> MutexGuard<'_, Trust> {
+        lock(&self.trust)
+    }
+
+    /// Whether keys may be trusted now.
+    pub fn trusted(&self) -> bool {
+        self.trust().holds(self.clock.boot())
+    }
+
+    /// Whether new callers may come.
+    pub fn ready(&self) -> bool {
+        let fresh = self.trust().ready(self.clock.boot());
+        let known = self.table.load().is_some() && self.read_fleet(|fleet| fleet.read);
+        fresh && known && !self.running.leaving()
+    }
+
+    /// Takes a configuration; an older one than that in force is dropped.
+    pub fn take_table(&self, table: Table) {
+        let in_force = self.table.load();
+        if in_force.as_ref().is_some_and(|old| old.version >= table.version) {
+            return;
+        }
+        info!(self.log, "configuration_taken"; "version" => table.version,
+            "routes" => table.routes.values().map(Vec::len).sum::<usize>(),
+            "services" => table.services.len());
+        self.change_allowances(&table);
+        self.table.store(Some(Arc::new(table)));
+    }
+
+    fn change_allowances(&self, table: &Table) {
+        let now = self.clock.now();
+        let full = self.bounds.first_start && self.table.load().is_none();
+        let mut allowances = lock(&self.allowances);
+        for (name, account) in table.accounts() {
+            let Some(rate) = account.rate else {
+                allowances.remove(name);
+                continue;
+            };
+            match allowances.get_mut(name) {
+                Some(allowance) => allowance.change(rate, account.burst, now),
+                None => {
+                    let allowance = Allowance::open(rate, account.burst, full, now);
+                    allowances.insert(name.clone(), allowance);
+                }
+            }
+        }
+    }
+
+    /// Takes tokens of an account.
+    ///
+    /// # Errors
+    ///
+    /// When to come back.
+    pub fn admit(&self, account: &Account, tokens: Tokens) -> Result<(), Duration> {
+        let part = *lock(&self.part);
+        let now = self.clock.now();
+        match lock(&self.allowances).get_mut(&account.name) {
+            Some(allowance) => allowance.admit(tokens, now, part),
+            None => Ok(()),
+        }
+    }
+
+    /// Gives back the tokens of a request that did not run.
+    pub fn give_back(&self, account: &Account, tokens: Tokens) {
+        if let Some(allowance) = lock(&self.allowances).get_mut(&account.name) {
+            allowance.give_back(tokens);
+        }
+    }
+
+    /// Tokens admitted since the start, by account.
+    pub fn admitted(&self) -> BTreeMap<ClientAccount, Tokens> {
+        let allowances = lock(&self.allowances);
+        let used = allowances.iter().filter(|(_, a)| a.admitted > Tokens::ZERO);
+        used.map(|(name, a)| (name.clone(), a.admitted)).collect()
+    }
+
+    /// Takes what another VM admitted since it last said so; below zero where it gave some back.
+    pub fn take_elsewhere(&self, account: &ClientAccount, tokens: i64) {
+        if let Some(allowance) = lock(&self.allowances).get_mut(account) {
+            allowance.on_elsewhere(tokens);
+        }
+    }
+
+    /// Sets this VM's part of the rates, for as long as some VMs are not heard.
+    pub fn set_part(&self, part: f64) {
+        *lock(&self.part) = part;
+    }
+
+    /// Counts a request for a service.
+    pub fn count_request(&self, service: &ServiceId) {
+        let now = self.clock.now();
+        let mut repeats = lock(&self.repeats);
+        let entry = repeats.entry(service.clone());
+        entry
+            .or_insert_with(|| Repeats::new(self.bounds.repeats))
+            .on_request(now);
+    }
+
+    /// Takes a repeat for a service, if one is left.
+    pub fn take_repeat(&self, service: &ServiceId) -> bool {
+        let now = self.clock.now();
+        let mut repeats = lock(&self.repeats);
+        let entry = repeats.entry(service.clone());
+        entry
+            .or_insert_with(|| Repeats::new(self.bounds.repeats))
+            .take(now)
+    }
+}
--- /dev/null
+++ b/src/gateway/steer.rs
@@ -0,0 +1,572 @@
+//! Gives orders to engines while this VM holds the lease.
+//!
+//! An engine accepts an order only if it has accepted exactly as many before as the order says, so
+//! of two orders sent on the same count at most one is carried out, however late one arrives. What
+//! an order needs is reserved before it is sent, and stays reserved until a report newer than the
+//! order shows what became of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use slog::{info, warn};
+use tokio::task::{JoinHandle, JoinSet};
+
+use crate::clock::BootTime;
+use crate::ids::{AdapterId, Epoch, ModelId, ObjectKey, ServiceId, UpstreamId, Version};
+use crate::schema::mesh::HoldWord;
+use crate::store::{ObjectStore, StoreError};
+
+use super::adapters::{AdapterMove, Coming, plan_adapter};
+use super::border::{Act, Control, ControlError, Order, OrderAnswer, Report};
+use super::call::Target;
+use super::ceiling::Ceiling;
+use super::demand::Want;
+use super::lease::{Lease, Record, Step};
+use super::mesh::Mesh;
+use super::place::{Move, Seat, Tier, plan};
+use super::state::Gateway;
+use super::table::Engines;
+use super::upstream::Entry;
+
+/// Pause between rounds, where nothing asks for one sooner.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for an engine's answer to a question or an order.
+const ANSWER_TIME: Duration = Duration::from_millis(400);
+/// Longest wait for the store's answer on the lease.
+const STORE_TIME: Duration = Duration::from_millis(700);
+/// Pause between questions to an engine that carries out an order.
+const BUSY_PAUSE: Duration = Duration::from_millis(200);
+/// Pause before an engine that could not be asked is asked again.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Loads from the weight store that go on at full speed at once.
+const STORE_LOADS_AT_ONCE: usize = 4;
+/// Between the word that a model goes and the order, so that no request is on its way to it.
+const WORD_LEAD: Duration = Duration::from_millis(40);
+/// Time for an adapter to arrive from the store.
+const ADAPTER_TIME: Duration = Duration::from_millis(15);
+/// Adapter orders in one round.
+const ADAPTERS_PER_ROUND: usize = 16;
+
+/// An engine as the giver of orders knows it.
+#[derive(Debug)]
+struct Desk {
+    entry: Arc<Entry>,
+    /// The newest report and when it was asked for.
+    report: Option<Report>,
+    /// Whether the report may miss an order.
+    stale: bool,
+    /// When the engine is to be asked again.
+    ask: Option<Instant>,
+    /// The order being carried out.
+    doing: Option<Act>,
+    since: BTreeMap<ModelId, Instant>,
+}
+
+/// The giver of orders.
+#[derive(Debug)]
+pub struct Steer {
+    gateway: Arc<Gateway>,
+    mesh: Arc<Mesh>,
+    control: Arc<dyn Control>,
+    store: Arc<dyn ObjectStore>,
+    key: ObjectKey,
+    lease: Lease,
+    desks: BTreeMap<UpstreamId, Desk>,
+    ceiling: Ceiling,
+    epoch: Option<Epoch>,
+}
+
+/// What the giver of orders is made of.
+#[derive(Debug)]
+pub struct SteerParts {
+    /// State of the VM.
+    pub gateway: Arc<Gateway>,
+    /// Words to the other VMs.
+    pub mesh: Arc<Mesh>,
+    /// Orders to engines.
+    pub control: Arc<dyn Control>,
+    /// The store that holds the lease.
+    pub store: Arc<dyn ObjectStore>,
+    /// Its object.
+    pub key: ObjectKey,
+    /// Length of a lease.
+    pub length: Duration,
+}
+
+/// Starts to contend for the lease and to give orders while it is held.
+pub fn spawn(parts: SteerParts) -> JoinHandle<()> {
+    let boot = parts.gateway.clock.boot();
+    let now = parts.gateway.clock.now();
+    let steer = Steer {
+        lease: Lease::new(parts.gateway.vm.clone(), parts.length, boot),
+        gateway: parts.gateway,
+        mesh: parts.mesh,
+        control: parts.control,
+        store: parts.store,
+        key: parts.key,
+        desks: BTreeMap::new(),
+        ceiling: Ceiling::open(now),
+        epoch: None,
+    };
+    tokio::spawn(steer.run())
+}
+
+impl Steer {
+    async fn run(mut self) {
+        loop {
+            if !self.gateway.running.leaving() {
+                self.hold_lease().await;
+            }
+            self.note_lease();
+            if let Some(epoch) = self.epoch {
+                self.round(epoch).await;
+            }
+            let gateway = Arc::clone(&self.gateway);
+            let woken = async {
+                tokio::select! {
+                    () = gateway.changed.notified() => {}
+                    () = gateway.orders_due.notified(), if self.epoch.is_some() => {}
+                }
+            };
+            // Either wakes it: time, or news.
+            let _woken = tokio::time::timeout(ROUND_PAUSE, woken).await;
+        }
+    }
+
+    async fn hold_lease(&mut self) {
+        let now = self.gateway.clock.now();
+        let boot = self.gateway.clock.boot();
+        if let Some(version) = self.mesh.lease_heard() {
+            self.lease.on_word(version, boot);
+        }
+        match self.lease.step(self.mesh.led(now), boot) {
+            Step::Rest => {}
+            Step::Read => self.read_lease().await,
+            Step::Write(version, record) => self.write_lease(version, record, boot).await,
+        }
+    }
+
+    async fn read_lease(&mut self) {
+        let read = tokio::time::timeout(STORE_TIME, self.store.get(&self.key)).await;
+        let read = read.unwrap_or(Err(StoreError::Unknown));
+        let boot = self.gateway.clock.boot();
+        match read {
+            Ok(Some(object)) => match serde_json::from_slice(&object.value) {
+                Ok(record) => self.lease.on_read(Some((object.version, record)), boot),
+                Err(e) => {
+                    warn!(self.gateway.log, "lease_unreadable"; "error" => %e);
+                    self.lease.on_failure(boot);
+                }
+            },
+            Ok(None) => self.lease.on_read(None, boot),
+            Err(e) => {
+                warn!(self.gateway.log, "lease_unread"; "error" => %e);
+                self.lease.on_failure(boot);
+            }
+        }
+    }
+
+    async fn write_lease(&mut self, version: Version, record: Record, sent: BootTime) {
+        let value = match serde_json::to_vec(&record) {
+            Ok(value) => value.into(),
+            Err(e) => {
+                warn!(self.gateway.log, "lease_unwritable"; "error" => %e);
+                return;
+            }
+        };
+        let put = self.store.put(&self.key, version, value);
+        let put = tokio::time::timeout(STORE_TIME, put).await;
+        let boot = self.gateway.clock.boot();
+        match put.unwrap_or(Err(StoreError::Unknown)) {
+            Ok(version) => self.lease.on_written(version, sent),
+            Err(StoreError::Conflict(_)) => self.lease.on_conflict(boot),
+            Err(e) => {
+                warn!(self.gateway.log, "lease_unwritten"; "error" => %e);
+                self.lease.on_failure(boot);
+            }
+        }
+    }
+
+    fn note_lease(&mut self) {
+        let boot = self.gateway.clock.boot();
+        let epoch = self.lease.epoch(boot);
+        let told = epoch.map(|epoch| (epoch, self.lease.version()));
+        self.mesh.set_lease(told);
+        if epoch == self.epoch {
+            return;
+        }
+        self.epoch = epoch;
+        self.desks.clear();
+        self.ceiling = Ceiling::open(self.gateway.clock.now());
+        match epoch {
+            Some(epoch) => info!(self.gateway.log, "lease_gained"; "epoch" => %epoch),
+            None => info!(self.gateway.log, "lease_lost"),
+        }
+    }
+
+    async fn round(&mut self, epoch: Epoch) {
+        let Some(table) = self.gateway.table.load_full() else {
+            return;
+        };
+        self.take_entries();
+        self.ask_engines().await;
+        let demand = self.mesh.demand();
+        for (service, kind) in &table.services {
+            if let Some(engines) = &kind.engines {
+                self.place_models(service, engines, &demand, epoch).await;
+                self.place_adapters(service, engines, &demand, epoch).await;
+            }
+        }
+    }
+
+    fn take_entries(&mut self) {
+        let table = self.gateway.table.load();
+        let now = self.gateway.clock.now();
+        let entries = self.gateway.read_fleet(|fleet| fleet.registered());
+        let serves = |entry: &Entry| {
+            let table = table.as_ref();
+            !entry.leaving && table.is_some_and(|t| t.engines(&entry.service).is_some())
+        };
+        let entries: BTreeMap<_, _> = entries
+            .into_iter()
+            .filter(|entry| serves(entry))
+            .map(|entry| (entry.id.clone(), entry))
+            .collect();
+        self.desks.retain(|id, _| entries.contains_key(id));
+        for (id, entry) in entries {
+            match self.desks.get_mut(&id) {
+                Some(desk) if desk.entry.born == entry.born => {
+                    if !Arc::ptr_eq(&desk.entry, &entry) {
+                        desk.entry = entry;
+                        desk.ask = Some(now);
+                    }
+                }
+                _ => {
+                    self.desks.insert(id, Desk::open(entry, now));
+                }
+            }
+        }
+    }
+
+    /// Asks the engines whose state is not known.
+    async fn ask_engines(&mut self) {
+        let now = self.gateway.clock.now();
+        let due = self.desks.iter().filter(|(_, d)| d.ask.is_some_and(|at| at <= now));
+        let mut asked = JoinSet::new();
+        for (id, desk) in due {
+            let control = Arc::clone(&self.control);
+            let at = desk.entry.address;
+            let id = id.clone();
+            asked.spawn(async move {
+                let report = tokio::time::timeout(ANSWER_TIME, control.report(at)).await;
+                (id, report.unwrap_or(Err(ControlError::Silent)))
+            });
+        }
+        while let Some(done) = asked.join_next().await {
+            let Ok((id, report)) = done else { continue };
+            let now = self.gateway.clock.now();
+            if let Some(desk) = self.desks.get_mut(&id) {
+                match report {
+                    Ok(report) => desk.take_report(report, now),
+                    Err(e) => {
+                        info!(self.gateway.log, "engine_unasked"; "engine" => %id, "error" => %e);
+                        desk.ask = Some(now + RETRY_PAUSE);
+                    }
+                }
+            }
+        }
+    }
+
+    fn seats(&self, service: &ServiceId) -> BTreeMap<UpstreamId, Seat> {
+        let desks = self.desks.iter().filter(|(_, d)| d.entry.service == *service);
+        desks.map(|(id, desk)| (id.clone(), desk.seat())).collect()
+    }
+
+    async fn place_models(
+        &mut self,
+        service: &ServiceId,
+        engines: &Engines,
+        demand: &BTreeMap<Target, Want>,
+        epoch: Epoch,
+    ) {
+        let now = self.gateway.clock.now();
+        let seats = self.seats(service);
+        let mut models: BTreeMap<ModelId, Want> = BTreeMap::new();
+        for (target, want) in demand {
+            let sum = models.entry(target.model.clone()).or_default();
+            sum.rate += want.rate;
+            if target.adapter.is_none() || !held_somewhere(&seats, &target.model) {
+                sum.waiting += want.waiting;
+            }
+        }
+        let free = self.ceiling.free(engines.load_rate, now);
+        let loading = self.desks.values().filter(|d| d.loads_from_store()).count();
+        let store_loads = free.min(STORE_LOADS_AT_ONCE.saturating_sub(loading));
+        let moves = plan(&seats, engines, &models, store_loads, now);
+        for (id, step) in moves {
+            let act = match step {
+                Move::Load(model, tier) => {
+                    if tier == Tier::Store {
+                        self.ceiling.take();
+                    }
+                    Act::Load(whole(model))
+                }
+                Move::Unload(model) => Act::Unload(whole(model)),
+            };
+            self.order(&id, act, epoch).await;
+        }
+    }
+
+    async fn place_adapters(
+        &mut self,
+        service: &ServiceId,
+        engines: &Engines,
+        demand: &BTreeMap<Target, Want>,
+        epoch: Epoch,
+    ) {
+        let mut wanted: Vec<_> = demand
+            .iter()
+            .filter_map(|(target, want)| Some((target, target.adapter.as_ref()?, want)))
+            .collect();
+        wanted.sort_by(|a, b| {
+            let rates = b.2.rate.total_cmp(&a.2.rate);
+            b.2.waiting.cmp(&a.2.waiting).then(rates)
+        });
+        let mut orders = 0;
+        for (target, adapter, want) in wanted {
+            let seats = self.seats(service);
+            let coming = self.coming(service);
+            let there = |s: &Seat| s.holds.serve(target);
+            let arrives = |c: &Coming| c.0.contains(&(target.model.clone(), adapter.clone()));
+            if seats.values().any(there) || coming.values().any(arrives) {
+                continue;
+            }
+            if want.waiting == 0 && orders > 0 {
+                break;
+            }
+            let pair = (&target.model, adapter);
+            let Some((id, step)) = plan_adapter(&seats, &coming, engines, demand, pair) else {
+                continue;
+            };
+            let act = match step {
+                AdapterMove::Load(model, adapter) => Act::Load(part(model, adapter)),
+                AdapterMove::Unload(model, adapter) => Act::Unload(part(model, adapter)),
+            };
+            self.order(&id, act, epoch).await;
+            orders += 1;
+            if orders >= ADAPTERS_PER_ROUND {
+                break;
+            }
+        }
+    }
+
+    fn coming(&self, service: &ServiceId) -> BTreeMap<UpstreamId, Coming> {
+        let desks = self.desks.iter().filter(|(_, d)| d.entry.service == *service);
+        desks.map(|(id, desk)| (id.clone(), desk.coming())).collect()
+    }
+
+    /// Gives one order, if this VM still may.
+    async fn order(&mut self, id: &UpstreamId, act: Act, epoch: Epoch) {
+        if let Act::Unload(target) = &act {
+            self.tell(id, target, false, epoch).await;
+            tokio::time::sleep(WORD_LEAD).await;
+        }
+        let boot = self.gateway.clock.boot();
+        if self.lease.epoch(boot) != Some(epoch) {
+            return;
+        }
+        let Some(desk) = self.desks.get_mut(id) else {
+            return;
+        };
+        let Some(report) = &desk.report else { return };
+        let order = Order {
+            act: act.clone(),
+            after: report.accepted,
+            holder: self.gateway.vm.clone(),
+            epoch,
+        };
+        let at = desk.entry.address;
+        let sent = self.control.order(at, id, &order);
+        let sent = tokio::time::timeout(ANSWER_TIME, sent).await;
+        let answer = sent.unwrap_or(Err(ControlError::Silent));
+        let now = self.gateway.clock.now();
+        info!(self.gateway.log, "order_given"; "engine" => %id, "act" => ?act,
+            "after" => order.after, "epoch" => %epoch, "answer" => ?answer);
+        desk.take_answer(&act, answer, now);
+        let held = desk.entry.holds.clone();
+        if answer == Ok(OrderAnswer::Fenced) {
+            self.lease.on_conflict(boot);
+        }
+        if let (Ok(OrderAnswer::Accepted | OrderAnswer::Holds), Act::Load(target)) = (answer, &act)
+        {
+            if target.adapter.is_some() && !held.serve(target) {
+                self.tell_later(id, target, epoch);
+            }
+        }
+    }
+
+    /// Tells that an adapter is held, once it has had time to arrive.
+    fn tell_later(&self, id: &UpstreamId, target: &Target, epoch: Epoch) {
+        let Some(word) = self.word(id, target, true) else {
+            return;
+        };
+        let mesh = Arc::clone(&self.mesh);
+        tokio::spawn(async move {
+            tokio::time::sleep(ADAPTER_TIME).await;
+            mesh.notify(epoch, vec![word]).await;
+        });
+    }
+
+    async fn tell(&self, id: &UpstreamId, target: &Target, present: bool, epoch: Epoch) {
+        if let Some(word) = self.word(id, target, present) {
+            self.mesh.notify(epoch, vec![word]).await;
+        }
+    }
+
+    fn word(&self, id: &UpstreamId, target: &Target, present: bool) -> Option<HoldWord> {
+        let desk = self.desks.get(id)?;
+        Some(HoldWord {
+            engine: id.clone(),
+            born: desk.entry.born,
+            model: target.model.clone(),
+            adapter: target.adapter.clone(),
+            present,
+        })
+    }
+}
+
+fn whole(model: ModelId) -> Target {
+    Target {
+        model,
+        adapter: None,
+    }
+}
+
+fn part(model: ModelId, adapter: AdapterId) -> Target {
+    Target {
+        model,
+        adapter: Some(adapter),
+    }
+}
+
+fn held_somewhere(seats: &BTreeMap<UpstreamId, Seat>, model: &ModelId) -> bool {
+    seats.values().any(|seat| seat.holds.models.contains_key(model))
+}
+
+impl Desk {
+    fn open(entry: Arc<Entry>, now: Instant) -> Self {
+        Self {
+            entry,
+            report: None,
+            stale: true,
+            ask: Some(now),
+            doing: None,
+            since: BTreeMap::new(),
+        }
+    }
+
+    fn seat(&self) -> Seat {
+        let report = self.report.as_ref();
+        let loading = match &self.doing {
+            Some(Act::Load(target)) if target.adapter.is_none() => Some(target.model.clone()),
+            _ => None,
+        };
+        Seat {
+            holds: report.map_or_else(|| self.entry.holds.clone(), |r| r.holds.clone()),
+            busy: self.stale || report.is_none_or(|r| r.busy) || self.doing.is_some(),
+            loading,
+            since: self.since.clone(),
+        }
+    }
+
+    fn coming(&self) -> Coming {
+        let coming = self.report.iter().flat_map(|r| r.coming.iter());
+        let pairs = coming.filter_map(|t| Some((t.model.clone(), t.adapter.clone()?)));
+        Coming(pairs.collect::<BTreeSet<_>>())
+    }
+
+    fn loads_from_store(&self) -> bool {
+        let Some(Act::Load(target)) = &self.doing else {
+            return false;
+        };
+        let report = self.report.as_ref();
+        target.adapter.is_none()
+            && report.is_some_and(|r| super::place::tier(&r.holds, &target.model) == Tier::Store)
+    }
+
+    /// Takes a report; one older than the last order accepted says nothing new.
+    fn take_report(&mut self, report: Report, now: Instant) {
+        if report.born.is_some_and(|born| born != self.entry.born) {
+            self.ask = Some(now + RETRY_PAUSE);
+            return;
+        }
+        let known = self.report.as_ref().map_or(0, |r| r.accepted);
+        if report.accepted < known {
+            self.ask = Some(now + BUSY_PAUSE);
+            return;
+        }
+        for model in report.holds.models.keys() {
+            let held = self.report.as_ref();
+            if held.is_some_and(|r| !r.holds.models.contains_key(model)) {
+                self.since.insert(model.clone(), now);
+            }
+        }
+        self.since.retain(|model, _| report.holds.models.contains_key(model));
+        if !report.busy {
+            self.doing = None;
+        }
+        self.stale = false;
+        self.ask = match report.busy || !report.coming.is_empty() {
+            true => Some(now + BUSY_PAUSE),
+            false => None,
+        };
+        self.report = Some(report);
+    }
+
+    fn take_answer(&mut self, act: &Act, answer: Result<OrderAnswer, ControlError>, now: Instant) {
+        let Some(report) = &mut self.report else {
+            return;
+        };
+        match answer {
+            Ok(OrderAnswer::Accepted | OrderAnswer::Holds) => {
+                // An adapter that no request uses goes at once, which counts as an order too.
+                let dropped = matches!(act, Act::Unload(target) if target.adapter.is_some());
+                if answer == Ok(OrderAnswer::Accepted) || dropped {
+                    report.accepted += 1;
+                }
+                match act {
+                    Act::Load(target) | Act::Unload(target) if target.adapter.is_none() => {
+                        self.doing = Some(act.clone());
+                        self.ask = Some(now + BUSY_PAUSE);
+                    }
+                    Act::Load(target) => {
+                        let adapters = report.holds.models.get_mut(&target.model);
+                        if let (Some(adapters), Some(a)) = (adapters, &target.adapter) {
+                            adapters.insert(a.clone());
+                        }
+                        self.ask = Some(now + BUSY_PAUSE);
+                    }
+                    Act::Unload(target) => {
+                        let adapters = report.holds.models.get_mut(&target.model);
+                        if let (Some(adapters), Some(a)) = (adapters, &target.adapter) {
+                            adapters.remove(a);
+                        }
+                        self.ask = Some(now + BUSY_PAUSE);
+                    }
+                }
+            }
+            // Whether it was accepted, and what came before, only a report tells.
+            Ok(OrderAnswer::Conflict) | Err(ControlError::Silent | ControlError::Malformed) => {
+                self.stale = true;
+                self.doing = Some(act.clone());
+                self.ask = Some(now);
+            }
+            Ok(OrderAnswer::Fenced | OrderAnswer::Invalid | OrderAnswer::Elsewhere
+                | OrderAnswer::Refused) | Err(ControlError::Unreachable) => {
+                self.ask = Some(now + RETRY_PAUSE);
+                self.stale = true;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/stream.rs
@@ -0,0 +1,168 @@
+//! The rest of an answer: events forwarded whole, and gone on with at another engine after a cut.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use http::Response;
+use http::header::CONTENT_LENGTH;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use slog::{info, warn};
+
+use super::answer::CallerBody;
+use super::events::Events;
+use super::exchange::{Answer, Lost, Piece, Sent};
+use super::relay::{Cut, Task, Tries};
+use super::table::Kind;
+use super::upstream::Upstream;
+
+/// A stream that another engine could go on with is given up after this long without an event;
+/// its callers leave after two seconds.
+const SILENCE: Duration = Duration::from_millis(900);
+
+/// Forwards the events of an answer.
+pub fn forward(
+    task: Arc<Task>,
+    upstream: Upstream,
+    answer: Answer,
+    tries: Tries,
+) -> Response<CallerBody> {
+    let status = answer.head.status;
+    let mut headers = task.gateway.dialect.forward_answer(&answer.head);
+    // An engine that goes on with the stream may send it in other portions.
+    headers.remove(CONTENT_LENGTH);
+    let events = Events::after(task.whole.call.resumed);
+    let stream = Stream {
+        task,
+        upstream,
+        answer,
+        tries,
+        events,
+    };
+    let mut response = Response::new(body_of(Some(stream), next_event));
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Forwards a body that is too large to be read whole first.
+pub fn forward_plain(task: Arc<Task>, answer: Answer) -> CallerBody {
+    body_of(Some((task, answer)), next_piece)
+}
+
+fn body_of<S, F, R>(state: Option<S>, next: F) -> CallerBody
+where
+    S: Send + 'static,
+    F: Fn(S) -> R + Send + Copy + 'static,
+    R: Future<Output = Option<(Result<Bytes, Cut>, Option<S>)>> + Send + 'static,
+{
+    let frames = unfold(state, move |state| async move {
+        let (bytes, state) = next(state?).await?;
+        Some((bytes.map(Frame::data), state))
+    });
+    BodyExt::boxed_unsync(StreamBody::new(frames))
+}
+
+async fn next_piece(
+    (task, mut answer): (Arc<Task>, Answer),
+) -> Option<(Result<Bytes, Cut>, Option<(Arc<Task>, Answer)>)> {
+    match answer.next(task.left()).await {
+        Piece::Bytes(bytes) => Some((Ok(bytes), Some((task, answer)))),
+        Piece::End => None,
+        Piece::Lost(_) => Some((Err(Cut), None)),
+    }
+}
+
+async fn next_event(mut stream: Stream) -> Option<(Result<Bytes, Cut>, Option<Stream>)> {
+    match stream.next().await {
+        Ok(Some(bytes)) => Some((Ok(bytes), Some(stream))),
+        Ok(None) => None,
+        Err(cut) => Some((Err(cut), None)),
+    }
+}
+
+/// A stream on its way.
+#[derive(Debug)]
+struct Stream {
+    task: Arc<Task>,
+    upstream: Upstream,
+    answer: Answer,
+    tries: Tries,
+    events: Events,
+}
+
+impl Stream {
+    /// The next whole events; `None` at the end of the stream.
+    async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
+        loop {
+            let left = self.task.left();
+            let patience = match self.resumable() {
+                true => SILENCE.min(left),
+                false => left,
+            };
+            let lost = match self.answer.next(patience).await {
+                Piece::Bytes(bytes) => match self.events.push(&bytes) {
+                    Ok(whole) if whole.is_empty() => continue,
+                    Ok(whole) => return Ok(Some(whole)),
+                    Err(_fault) => Lost::Wrong,
+                },
+                Piece::End if self.events.whole() => return Ok(None),
+                Piece::End => Lost::Broken,
+                Piece::Lost(lost) => lost,
+            };
+            self.resume(lost).await?;
+        }
+    }
+
+    fn resumable(&self) -> bool {
+        let resumes = matches!(
+            self.task.route.kind,
+            Kind::Streaming { resumable: true, .. }
+        );
+        resumes && self.tries.sent < self.task.route.attempts
+    }
+
+    /// Goes on at another engine after the last whole event.
+    async fn resume(&mut self, lost: Lost) -> Result<(), Cut> {
+        let task = Arc::clone(&self.task);
+        let gateway = &task.gateway;
+        let id = &task.whole.call.id;
+        warn!(gateway.log, "stream_lost"; "request" => %id, "why" => %lost,
+            "upstream" => %self.upstream.entry.id, "event" => self.events.last,
+            "left_ms" => task.left().as_millis() as u64);
+        self.upstream.pulse.on_failure(gateway.clock.now());
+        self.events.drop_rest();
+        while self.resumable() && !task.left().is_zero() {
+            let trusted = task.account.is_none() || gateway.trusted();
+            let Ok(upstream) = task.choose(&self.tries) else {
+                break;
+            };
+            if !trusted || !gateway.take_repeat(&task.service) {
+                break;
+            }
+            self.tries.tried.insert(upstream.entry.id.clone());
+            match task.send(&upstream, self.events.last, false).await {
+                Sent::Answered(answer) if answer.head.status.is_success() => {
+                    info!(gateway.log, "stream_resumed"; "request" => %id,
+                        "upstream" => %upstream.entry.id, "event" => self.events.last);
+                    self.tries.sent += 1;
+                    self.answer = answer;
+                    self.upstream = upstream;
+                    return Ok(());
+                }
+                Sent::Unsent(_) => upstream.pulse.on_failure(gateway.clock.now()),
+                Sent::NotRun(why) => {
+                    self.tries.sent += 1;
+                    task.note_declined(&upstream, why);
+                }
+                Sent::Answered(_) | Sent::Unknown(_) => {
+                    self.tries.sent += 1;
+                    upstream.pulse.on_failure(gateway.clock.now());
+                }
+            }
+        }
+        Err(Cut)
+    }
+}
--- a/src/limit/shell.rs
+++ b/src/limit/shell.rs
@@ -24,7 +24,7 @@
 use crate::clock::Clock;
 use crate::ids::{ClientAccount, Generation, ObjectKey, VmId};
 use crate::outcome::{Reason, Refusal};
-use crate::platform::{ObjectStore, StoreError};
+use crate::store::{ObjectStore, StoreError};
 use crate::schema::declaration::{self, Declaration};
 use crate::schema::peer::{Frame, LeaseAnswer, LeaseAsk};
 use crate::schema::settings::{LimitSettings, PlatformSettings};
--- a/src/log.rs
+++ b/src/log.rs
@@ -22,6 +22,20 @@
     Logger::root(drain, o!("vm" => vm.to_string()))
 }
 
+/// Opens the log of a VM on standard output, where the platform collects it.
+///
+/// What does not fit into the queue is dropped and counted, so that a reader that does not read
+/// never holds up a request.
+pub fn open_stdout(vm: &VmId) -> Logger {
+    let json = slog_json::Json::default(io::stdout()).fuse();
+    let queue = slog_async::Async::new(json)
+        .chan_size(QUEUE_RECORDS)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build();
+    let drain = queue.filter_level(Level::Info).fuse();
+    Logger::root(drain, o!("vm" => vm.to_string()))
+}
+
 fn least(level: Option<LogSettingsLevel>) -> Level {
     match level {
         Some(LogSettingsLevel::Error) => Level::Error,
--- a/src/model/adapters.rs
+++ b/src/model/adapters.rs
@@ -9,7 +9,7 @@
 use super::plan::{World, memory};
 use super::upkeep::find;
 use crate::ids::{AdapterId, ModelId, ReplicaId, UpstreamId};
-use crate::platform::Instance;
+use crate::store::Instance;
 use crate::schema::engine::{ReplicaReport, ReplicaState};
 use crate::units::Bytes;
 
--- a/src/model/command.rs
+++ b/src/model/command.rs
@@ -3,7 +3,7 @@
 use super::flow::{FlowError, Flows, Load, Target};
 use super::place::Origin;
 use crate::ids::{AdapterId, Epoch, ModelId, ReplicaId, UpstreamId};
-use crate::platform::Instance;
+use crate::store::Instance;
 use crate::units::Bytes;
 
 /// Something to carry out; see the method of the same name in [`super::flow::Flows`].
--- a/src/model/flow.rs
+++ b/src/model/flow.rs
@@ -24,7 +24,7 @@
 use crate::ids::{
     AdapterId, Epoch, IdError, ModelId, ObjectKey, ReplicaId, UpstreamId, Version, VersionId,
 };
-use crate::platform::{Instance, ObjectStore, StoreError};
+use crate::store::{Instance, ObjectStore, StoreError};
 use crate::units::Bytes;
 
 const MAX_TRIES: u32 = 8;
--- a/src/model/jobs.rs
+++ b/src/model/jobs.rs
@@ -12,7 +12,7 @@
 use super::shell::{WakeError, WakeLink};
 use crate::engine::{EngineControl, EngineError, LoadReport};
 use crate::ids::{ModelId, UpstreamId, Version, VmId};
-use crate::platform::{Instance, StoreError};
+use crate::store::{Instance, StoreError};
 use crate::schema::peer::{WakeAnswer, WakeAsk};
 
 const READS_AT_ONCE: usize = 16;
--- a/src/model/shell.rs
+++ b/src/model/shell.rs
@@ -23,7 +23,7 @@
 use crate::engine::EngineControl;
 use crate::ids::{ModelId, VmId};
 use crate::outcome::{Reason, Refusal};
-use crate::platform::{Instance, ObjectStore};
+use crate::store::{Instance, ObjectStore};
 use crate::schema::declaration::Declaration;
 use crate::schema::peer::{WakeAnswer, WakeAsk};
 use crate::schema::settings::ModelSettings;
--- a/src/model/upkeep.rs
+++ b/src/model/upkeep.rs
@@ -7,7 +7,7 @@
 use super::flow::{Target, upstream};
 use super::plan::World;
 use crate::ids::{ModelId, ReplicaId, UpstreamId};
-use crate::platform::{Instance, InstanceKind, InstanceState};
+use crate::store::{Instance, InstanceKind, InstanceState};
 use crate::schema::engine::ReplicaState;
 use crate::units::Bytes;
 
--- a/src/model/views.rs
+++ b/src/model/views.rs
@@ -10,7 +10,7 @@
 use super::place::{Origin, load_time};
 use crate::engine::ReplicaReport;
 use crate::ids::{ModelId, UpstreamId};
-use crate::platform::{Instance, InstanceState};
+use crate::store::{Instance, InstanceState};
 use crate::schema::declaration::{Declaration, Model};
 use crate::schema::engine::ReplicaState;
 use crate::units::Bytes;
--- a/src/once/log.rs
+++ b/src/once/log.rs
@@ -19,7 +19,7 @@
 use crate::clock::Clock;
 use crate::ids::{Generation, ObjectKey, Version, VmId};
 use crate::outcome::{Ran, Reason, Refusal};
-use crate::platform::{ObjectStore, StoreError};
+use crate::store::{ObjectStore, StoreError};
 
 const IN_PROGRESS_RETRY: Duration = Duration::from_secs(1);
 const STORE_RETRY: Duration = Duration::from_secs(2);
@@ -108,7 +108,9 @@
                 Err(StoreError::Conflict(version)) => progress.conflict(version),
                 Err(StoreError::Unavailable) => break,
                 Err(StoreError::TooLarge(_)) => return Err(Refusal::not_run(Reason::Internal)),
-                Err(StoreError::Unknown | StoreError::Malformed) => progress.lost = true,
+                Err(StoreError::Unknown | StoreError::HistoryGone | StoreError::Malformed) => {
+                    progress.lost = true;
+                }
             }
             match self.read(&key, &id, object, &mut progress).await {
                 Step::Done(begin) => return Ok(begin),
--- a/src/once/run.rs
+++ b/src/once/run.rs
@@ -13,7 +13,7 @@
 
 use super::{Begin, End, OnceKey, OnceLog, Recorded};
 use crate::outcome::{Ran, Reason, Refusal};
-use crate::platform::Instance;
+use crate::store::Instance;
 use crate::route::Answer;
 use crate::route::dispatch::{Dispatcher, Job};
 
--- a/src/once/settle.rs
+++ b/src/once/settle.rs
@@ -8,7 +8,7 @@
 use super::End;
 use super::pending::Waiting;
 use super::record::{Kept, Record, State};
-use crate::platform::{ObjectStore, StoreError};
+use crate::store::{ObjectStore, StoreError};
 
 /// Most tries of one change of a record.
 pub const MAX_TRIES: usize = 4;
--- a/src/ops/serve.rs
+++ b/src/ops/serve.rs
@@ -19,7 +19,7 @@
 use crate::declare::{ApplyError, Change, Submitter, audit};
 use crate::ids::Revision;
 use crate::metrics::Metrics;
-use crate::platform::ObjectStore;
+use crate::store::ObjectStore;
 
 const MAX_BODY_BYTES: usize = 64 << 20;
 const AUDIT_ENTRIES: usize = 100;
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -11,7 +11,7 @@
 
 use crate::ids::{DataCentre, Generation, UpstreamId, VmId};
 use crate::peer::record::{HOT_ROUNDS, Record, Word};
-use crate::platform::{Instance, InstanceKind, InstanceList};
+use crate::store::{Instance, InstanceKind, InstanceList};
 use crate::schema::peer::{Digest, MemberDigest};
 
 /// Time that the word on a vanished VM or upstream is kept.
--- a/src/peer/node.rs
+++ b/src/peer/node.rs
@@ -28,7 +28,7 @@
 use crate::peer::frame::{FrameError, Kind};
 use crate::peer::membership::Members;
 use crate::peer::metrics::PeerMetrics;
-use crate::platform::InstanceList;
+use crate::store::InstanceList;
 use crate::schema::peer::{Frame, UpstreamDigest};
 use crate::schema::settings::PeerSettings;
 
--- a/src/peer/record.rs
+++ b/src/peer/record.rs
@@ -6,7 +6,7 @@
 
 use crate::ids::{DataCentre, Generation, VmId};
 use crate::peer::membership::MemberState;
-use crate::platform::{Instance, InstanceState};
+use crate::store::{Instance, InstanceState};
 
 /// Peers that must have lost a VM before their word makes it silent here.
 const WITNESSES: usize = 2;
--- a/src/route/choose.rs
+++ b/src/route/choose.rs
@@ -21,7 +21,7 @@
 use super::{Choice, Chooser, Ending, upstream_of};
 use crate::engine::{CacheEvents, LoadReport};
 use crate::ids::{DataCentre, Generation, UpstreamId};
-use crate::platform::{Instance, InstanceState};
+use crate::store::{Instance, InstanceState};
 
 /// Cost of another data centre, in requests.
 const DISTANCE_COST: f64 = 0.5;
--- a/src/route/dispatch.rs
+++ b/src/route/dispatch.rs
@@ -19,7 +19,7 @@
 use crate::clock::Clock;
 use crate::ids::{ReplicaId, UpstreamId};
 use crate::outcome::{Reason, Refusal};
-use crate::platform::{Instance, InstanceKind};
+use crate::store::{Instance, InstanceKind};
 
 /// When to come back where no upstream may be used.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/src/route/http.rs
+++ b/src/route/http.rs
@@ -31,7 +31,7 @@
 use super::{Answer, Outgoing, SendError, Transport};
 use crate::clock::Clock;
 use crate::outcome::Reason;
-use crate::platform::{Instance, InstanceKind};
+use crate::store::{Instance, InstanceKind};
 use crate::schema::settings::UpstreamSettings;
 
 /// Header by which an upstream says that a request did not run.
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -32,7 +32,7 @@
 
 use crate::ids::{Generation, UpstreamId};
 use crate::outcome::{Reason, Refusal};
-use crate::platform::Instance;
+use crate::store::Instance;
 
 /// What is known of a request when its upstream is chosen.
 #[derive(Clone, Debug, Default)]
--- a/src/run/tasks.rs
+++ b/src/run/tasks.rs
@@ -10,7 +10,7 @@
 use crate::limit::Limits;
 use crate::once::log::StoreLog;
 use crate::peer::PeerNode;
-use crate::platform::{Directory, InstanceList, InstanceState, Listing};
+use crate::store::{Directory, InstanceList, InstanceState, Listing};
 use crate::route::choose::Balancer;
 use crate::route::http::HttpTransport;
 use crate::route::{Chooser, upstream_of};
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -16,6 +16,7 @@
 pub mod caller;
 pub mod declaration;
 pub mod engine;
+pub mod mesh;
 pub mod peer;
 pub mod platform;
 pub mod settings;
--- a/src/platform/mod.rs
+++ b/src/store/mod.rs
@@ -45,6 +45,9 @@
     /// The value exceeds [`MAX_VALUE_BYTES`].
     #[error("a value of {0} bytes is too large")]
     TooLarge(usize),
+    /// The history after the mark asked for is gone; everything must be read anew.
+    #[error("the history asked for is gone")]
+    HistoryGone,
     /// The store answered something that cannot be read.
     #[error("the store's answer cannot be read")]
     Malformed,
--- a/standin/src/experiment/models/farm.rs
+++ b/standin/src/experiment/models/farm.rs
@@ -6,14 +6,14 @@
 use std::task::Poll;
 use std::time::{Duration, Instant, SystemTime};
 
-use basilgw::clock::Clock;
+use basilgw::clock::{BootTime, Clock};
 use basilgw::engine::{
     CacheEvents, EngineControl, EngineError, LoadReport, Order, OrderAnswer, OrderKind,
     OrderStatus, ReplicaReport,
 };
 use basilgw::ids::{AdapterId, Epoch, ModelId, ObjectKey, ReplicaId, Version, VersionId, VmId};
 use basilgw::model::place::{Origin, load_time};
-use basilgw::platform::{Instance, Object, ObjectStore, StoreError};
+use basilgw::store::{Instance, Object, ObjectStore, StoreError};
 use basilgw::schema::engine::{Checkpoint, ReplicaState, Source};
 use basilgw::units::Bytes;
 use futures_util::future::BoxFuture;
@@ -44,6 +44,10 @@
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH
     }
+
+    fn boot(&self) -> BootTime {
+        BootTime::default()
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/standin/src/experiment/models/run.rs
+++ b/standin/src/experiment/models/run.rs
@@ -20,7 +20,7 @@
 use basilgw::model::queue::Ticket;
 use basilgw::model::slots::Starts;
 use basilgw::model::views::{Reports, views};
-use basilgw::platform::Instance;
+use basilgw::store::Instance;
 use basilgw::schema::declaration::Declaration;
 use basilgw::units::Bytes;
 use futures_util::future::BoxFuture;
--- a/standin/src/experiment/models/site.rs
+++ b/standin/src/experiment/models/site.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use basilgw::ids::{AdapterId, ClientAccount, Generation, ModelId};
-use basilgw::platform::{Instance, InstanceKind, InstanceState};
+use basilgw::store::{Instance, InstanceKind, InstanceState};
 use basilgw::schema::declaration::{Adapter, Declaration, Model, Priority};
 use basilgw::units::{Bytes, Tokens};
 use bpaf::Bpaf;
--- a/standin/src/experiment/peers.rs
+++ b/standin/src/experiment/peers.rs
@@ -16,7 +16,7 @@
 use basilgw::declare::spread::{ConfigHolder, Export, OfferError, Spreader};
 use basilgw::ids::{DataCentre, Generation, IdError, Revision, VmId};
 use basilgw::peer::{BindError, LocalState, NodeOptions, PeerNode, UpstreamDigest};
-use basilgw::platform::{Instance, InstanceKind, InstanceList, InstanceState};
+use basilgw::store::{Instance, InstanceKind, InstanceList, InstanceState};
 use basilgw::schema::settings::PeerSettings;
 use bytes::Bytes;
 use serde::Serialize;
--- a/standin/src/experiment/routes/fakes.rs
+++ b/standin/src/experiment/routes/fakes.rs
@@ -5,7 +5,7 @@
 
 use basilgw::engine::{LoadReport, ReplicaReport};
 use basilgw::ids::Generation;
-use basilgw::platform::{Instance, InstanceKind, InstanceState};
+use basilgw::store::{Instance, InstanceKind, InstanceState};
 use basilgw::schema::engine::{CacheEvent, ReplicaState};
 use basilgw::units::Bytes;
 
--- a/standin/src/experiment/transport.rs
+++ b/standin/src/experiment/transport.rs
@@ -15,7 +15,7 @@
 
 use basilgw::clock::SystemClock;
 use basilgw::ids::Generation;
-use basilgw::platform::{Instance, InstanceKind, InstanceState};
+use basilgw::store::{Instance, InstanceKind, InstanceState};
 use basilgw::route::Outgoing;
 use basilgw::route::choose::{Balancer, ChooseSettings};
 use basilgw::route::dispatch::{Dispatcher, Job};
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -8,7 +8,7 @@
 
 use basilgw::clock::{Clock, SystemClock};
 use basilgw::ids::{ObjectKey, Version};
-use basilgw::platform::MAX_VALUE_BYTES;
+use basilgw::store::MAX_VALUE_BYTES;
 use basilgw::schema::platform::{ConflictAnswer, Instance, InstanceList, PutAnswer};
 use bytes::Bytes;
 use compact_str::CompactString;
--- a/tests/model_fakes/mod.rs
+++ b/tests/model_fakes/mod.rs
@@ -13,7 +13,7 @@
 };
 use basilgw::ids::{AdapterId, Epoch, Generation, ModelId, ObjectKey, ReplicaId, Version, VmId};
 use basilgw::model::{Catalog, Config, Fleet, Models, Ports, WakeError, WakeLink, Want};
-use basilgw::platform::{Instance, InstanceKind, InstanceState, Object, ObjectStore, StoreError};
+use basilgw::store::{Instance, InstanceKind, InstanceState, Object, ObjectStore, StoreError};
 use basilgw::schema::declaration::{Adapter, Declaration, Model, Priority};
 use basilgw::schema::engine::ReplicaState;
 use basilgw::schema::peer::{WakeAnswer, WakeAsk};
--- a/tests/model_steps/mod.rs
+++ b/tests/model_steps/mod.rs
@@ -6,7 +6,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant, SystemTime};
 
-use basilgw::clock::Clock;
+use basilgw::clock::{BootTime, Clock};
 use basilgw::engine::{
     CacheEvents, EngineControl, EngineError, LoadReport, Order, OrderAnswer, OrderKind,
     OrderStatus, ReplicaReport,
@@ -15,7 +15,7 @@
 use basilgw::model::decided::{Decided, IntentState, Reserved, engine_key, model_key, replica_id};
 use basilgw::model::evidence::{Evidence, Seen};
 use basilgw::model::flow::{FlowError, Flows, Load, Target, upstream};
-use basilgw::platform::{Instance, InstanceKind, InstanceState, Object, ObjectStore, StoreError};
+use basilgw::store::{Instance, InstanceKind, InstanceState, Object, ObjectStore, StoreError};
 use basilgw::schema::engine::ReplicaState;
 use basilgw::units::Bytes;
 use futures_util::future::BoxFuture;
@@ -121,6 +121,10 @@
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH
     }
+
+    fn boot(&self) -> BootTime {
+        BootTime::default()
+    }
 }
 
 /// One VM's side of the store and the engines: calls wait until a history resolves them.
--- a/tests/once_run.rs
+++ b/tests/once_run.rs
@@ -13,7 +13,7 @@
 use basilgw::once::run::Runner;
 use basilgw::once::{OnceKey, Recorded};
 use basilgw::outcome::{Ran, Reason, Refusal};
-use basilgw::platform::InstanceKind;
+use basilgw::store::InstanceKind;
 use basilgw::route::choose::{Balancer, ChooseSettings};
 use basilgw::route::dispatch::{Dispatcher, Job};
 use basilgw::route::http::HttpTransport;
--- a/tests/once_support/mod.rs
+++ b/tests/once_support/mod.rs
@@ -8,7 +8,7 @@
 
 use basilgw::ids::{Generation, ObjectKey, Version, VmId};
 use basilgw::once::VmLiveness;
-use basilgw::platform::{Object, ObjectStore, StoreError};
+use basilgw::store::{Object, ObjectStore, StoreError};
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 
--- a/tests/peer_common/mod.rs
+++ b/tests/peer_common/mod.rs
@@ -11,7 +11,7 @@
 use basilgw::declare::spread::{ConfigHolder, Export, OfferError, Spreader};
 use basilgw::ids::{Generation, Revision, VmId};
 use basilgw::peer::{LocalState, NodeOptions, PeerNode, UpstreamDigest};
-use basilgw::platform::{Instance, InstanceKind, InstanceList, InstanceState};
+use basilgw::store::{Instance, InstanceKind, InstanceList, InstanceState};
 use basilgw::schema::settings::PeerSettings;
 use bytes::Bytes;
 
--- a/tests/peer_membership.rs
+++ b/tests/peer_membership.rs
@@ -5,7 +5,7 @@
 use basilgw::ids::{Generation, Revision, UpstreamId, VmId};
 use basilgw::peer::membership::Membership;
 use basilgw::peer::{Digest, MemberDigest, MemberState, UpstreamDigest};
-use basilgw::platform::{Instance, InstanceKind, InstanceList, InstanceState};
+use basilgw::store::{Instance, InstanceKind, InstanceList, InstanceState};
 use proptest::prelude::*;
 
 const SILENCE: Duration = Duration::from_secs(4);
--- a/tests/route_choose.rs
+++ b/tests/route_choose.rs
@@ -7,7 +7,7 @@
 
 use basilgw::engine::{CacheEvents, LoadReport, ReplicaReport};
 use basilgw::ids::{Generation, UpstreamId};
-use basilgw::platform::{Instance, InstanceKind, InstanceState};
+use basilgw::store::{Instance, InstanceKind, InstanceState};
 use basilgw::route::affinity::Affinity;
 use basilgw::route::breaker::Breaker;
 use basilgw::route::budget::Budget;
--- a/tests/route_dispatch.rs
+++ b/tests/route_dispatch.rs
@@ -9,7 +9,7 @@
 use basilgw::clock::SystemClock;
 use basilgw::ids::{Generation, UpstreamId};
 use basilgw::outcome::{Ran, Reason, Refusal};
-use basilgw::platform::{Instance, InstanceKind};
+use basilgw::store::{Instance, InstanceKind};
 use basilgw::route::choose::{Balancer, ChooseSettings};
 use basilgw::route::dispatch::{Dispatcher, Job, Served};
 use basilgw::route::{
--- a/tests/route_keys.rs
+++ b/tests/route_keys.rs
@@ -7,7 +7,7 @@
 use basilgw::clock::SystemClock;
 use basilgw::declare::Key;
 use basilgw::outcome::{Reason, Refusal};
-use basilgw::platform::InstanceKind;
+use basilgw::store::InstanceKind;
 use basilgw::route::Transport;
 use basilgw::route::headers::{forward, holds_key, returned};
 use basilgw::route::http::HttpTransport;
--- a/tests/route_support/mod.rs
+++ b/tests/route_support/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use basilgw::ids::Generation;
-use basilgw::platform::{Instance, InstanceKind, InstanceState};
+use basilgw::store::{Instance, InstanceKind, InstanceState};
 use basilgw::route::Outgoing;
 use basilgw::schema::settings::UpstreamSettings;
 use bytes::Bytes;
--- a/tests/route_transport.rs
+++ b/tests/route_transport.rs
@@ -9,7 +9,7 @@
 
 use basilgw::clock::SystemClock;
 use basilgw::outcome::{Ran, Reason, Refusal};
-use basilgw::platform::InstanceKind;
+use basilgw::store::InstanceKind;
 use basilgw::route::http::HttpTransport;
 use basilgw::route::{Answer, SendError, Transport};
 use futures_util::StreamExt;
