--- a/src/gateway/allowance.rs
+++ b/src/gateway/allowance.rs
@@ -7,6 +7,7 @@
 //! VM that hears nobody keeps to its part of the rate. A level starts empty unless the whole system
 //! starts for the first time, so that a restart of all VMs grants no second burst.
 
+use std::fmt;
 use std::time::{Duration, Instant};
 
 use crate::units::{TokenRate, Tokens};
@@ -25,6 +26,13 @@
     pub admitted: Tokens,
 }
 
+impl fmt::Display for Allowance {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let rate = self.rate.per_second();
+        write!(f, "{:.0} of {:.0} at {rate:.0} a second", self.level, self.burst)
+    }
+}
+
 impl Allowance {
     /// Opens the account's level, full or empty.
     pub fn open(rate: TokenRate, burst: Tokens, full: bool, now: Instant) -> Self {
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,5 +1,6 @@
 //! A caller's request as the gateway sees it, decoded from whatever the platform's callers send.
 
+use std::fmt;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -47,6 +48,15 @@
     pub adapter: Option<AdapterId>,
 }
 
+impl fmt::Display for Target {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.adapter {
+            Some(adapter) => write!(f, "{}/{adapter}", self.model),
+            None => write!(f, "{}", self.model),
+        }
+    }
+}
+
 /// The size of a generation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Size {
--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -9,7 +9,7 @@
 use super::call::Target;
 
 /// Time constant of a rate.
-const RATE_TIME: Duration = Duration::from_secs(6);
+const RATE_TIME: Duration = Duration::from_secs(20);
 /// Rates below this count as no demand, in requests a second.
 const LEAST_RATE: f64 = 0.004;
 /// What a VM has not repeated for this long no longer counts.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -18,7 +18,9 @@
 use super::upstream::Entry;
 
 /// Wait for a change of the configuration; each answer renews the trust in keys.
-const TABLE_WAIT: Duration = Duration::from_millis(1000);
+const TABLE_WAIT: Duration = Duration::from_millis(1400);
+/// Pause after changes of registrations, so that many of them cost one call.
+const ENTRY_PAUSE: Duration = Duration::from_millis(900);
 /// Wait for a change of registrations.
 const ENTRY_WAIT: Duration = Duration::from_millis(2500);
 /// An answer that is this much later than the wait will not come.
@@ -33,6 +35,8 @@
 trait Taker<T>: Send + Sync {
     const KIND: &'static str;
     const WAIT: Duration;
+    /// Pause after changes.
+    const PAUSE: Duration;
 
     fn on_list(&self, items: Vec<Item<T>>);
     fn on_change(&self, change: Change<T>);
@@ -113,10 +117,14 @@
         let changes = tokio::time::timeout(K::WAIT + LATE, changes).await;
         let Changes { changes, at } = changes.unwrap_or(Err(StoreError::Unavailable))?;
         self.on_success();
+        let changed = !changes.is_empty();
         for change in changes {
             self.taker.on_change(change);
         }
         self.taker.on_answer(asked);
+        if changed && !K::PAUSE.is_zero() {
+            tokio::time::sleep(K::PAUSE).await;
+        }
         Ok(at)
     }
 
@@ -165,6 +173,7 @@
 impl Taker<Table> for TableTaker {
     const KIND: &'static str = "configuration";
     const WAIT: Duration = TABLE_WAIT;
+    const PAUSE: Duration = Duration::ZERO;
 
     fn on_list(&self, items: Vec<Item<Table>>) {
         items.into_iter().for_each(|item| self.take(item));
@@ -203,6 +212,7 @@
 impl Taker<Entry> for EntryTaker {
     const KIND: &'static str = "registrations";
     const WAIT: Duration = ENTRY_WAIT;
+    const PAUSE: Duration = ENTRY_PAUSE;
 
     fn on_list(&self, items: Vec<Item<Entry>>) {
         let readable = items.into_iter().filter_map(|item| self.readable(item));
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -14,22 +14,42 @@
 use super::table::{Engines, Model};
 use super::upstream::Holdings;
 
-/// Worth of a further replica, as a share of the demand per replica.
-const SPARE_SHARE: f64 = 0.15;
+/// Worth of a replica beyond what the demand needs, as a share of the demand per replica.
+const SPARE_SHARE: f64 = 0.02;
+/// Worth of a replica that only its adapters need, as a share of the demand for adapters.
+const ADAPTER_SHARE: f64 = 0.05;
 /// Worth of a model that nobody asks for, in requests a second: it may be asked for next.
-const IDLE_WORTH: f64 = 0.01;
+const IDLE_WORTH: f64 = 0.08;
+/// What comes must be worth this much for anything to be driven out, in requests a second; below
+/// it, demand is too uncertain to drop what is already loaded.
+const LEAST_GAIN: f64 = 0.4;
+/// Share of an engine's adapter requests that a load on it holds up.
+const HELD_UP_SHARE: f64 = 0.5;
 /// Each waiting request counts as this many requests a second.
 const WAITING_RATE: f64 = 0.5;
 /// What is driven out must be worth less than this share of what comes.
 const SWAP_SHARE: f64 = 0.7;
 /// A model stays at least this long once loaded.
 const LEAST_STAY: Duration = Duration::from_secs(3);
-/// Requests a second that one replica serves before another is wanted.
-const REPLICA_RATE: f64 = 8.0;
+/// Requests a second that one replica serves before another is wanted, for each slot.
+const SLOT_RATE: f64 = 0.25;
+
+/// Demand for one model.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ModelWant {
+    /// With and without adapters.
+    pub all: Want,
+    /// For its adapters, in requests a second.
+    pub adapter_rate: f64,
+    /// Adapters asked for.
+    pub adapters: usize,
+}
 
 /// One engine as the planner sees it.
 #[derive(Clone, Debug, Default)]
 pub struct Seat {
+    /// Requests that it works on at once.
+    pub slots: u32,
     /// What it holds.
     pub holds: Holdings,
     /// The model that it is loading.
@@ -84,13 +104,14 @@
 pub fn plan(
     seats: &BTreeMap<UpstreamId, Seat>,
     engines: &Engines,
-    demand: &BTreeMap<ModelId, Want>,
+    demand: &BTreeMap<ModelId, ModelWant>,
     mut store_loads: usize,
     now: Instant,
 ) -> BTreeMap<UpstreamId, Move> {
     let mut moves = BTreeMap::new();
     let mut copies = count_copies(seats, engines);
-    let mut wanted = wanted(engines, demand, &copies);
+    let slots = seats.values().map(|seat| seat.slots).min().unwrap_or(1);
+    let mut wanted = wanted(engines, demand, &copies, slots);
     wanted.sort_by(|a, b| b.0.total_cmp(&a.0));
     let mut coming: BTreeSet<ModelId> = BTreeSet::new();
     for (worth, model) in wanted {
@@ -102,6 +123,7 @@
             engines,
             demand,
             copies: &copies,
+            slots,
             now,
         };
         let Some((seat, step)) = site.best(&model, worth, &moves, store_loads) else {
@@ -136,30 +158,35 @@
     copies
 }
 
-fn rate(demand: &BTreeMap<ModelId, Want>, model: &ModelId) -> f64 {
-    let want = demand.get(model).copied().unwrap_or_default();
-    want.rate + f64::from(want.waiting) * WAITING_RATE
-}
-
 /// Worth of a model's replica number `count` (from 1).
-fn worth(rate: f64, count: usize) -> f64 {
+fn worth(want: &ModelWant, count: usize, engines: &Engines, slots: u32) -> f64 {
+    let rate = want.all.rate + f64::from(want.all.waiting) * WAITING_RATE;
     if count <= 1 {
         return rate + IDLE_WORTH;
     }
-    let needed = (rate / REPLICA_RATE).ceil();
-    let full = if (count as f64) <= needed { 1.0 } else { SPARE_SHARE };
-    rate * full / count as f64
+    let by_rate = (rate / (f64::from(slots.max(1)) * SLOT_RATE)).ceil();
+    if (count as f64) <= by_rate {
+        return rate / count as f64;
+    }
+    let by_adapters = want.adapters.div_ceil(engines.adapter_slots.max(1));
+    let spare = rate * SPARE_SHARE / count as f64;
+    match count <= by_adapters {
+        true => spare + want.adapter_rate * ADAPTER_SHARE / count as f64,
+        false => spare,
+    }
 }
 
 /// Models that want one more replica, with its worth.
 fn wanted(
     engines: &Engines,
-    demand: &BTreeMap<ModelId, Want>,
+    demand: &BTreeMap<ModelId, ModelWant>,
     copies: &BTreeMap<ModelId, usize>,
+    slots: u32,
 ) -> Vec<(f64, ModelId)> {
     let next = engines.models.keys().map(|model| {
         let count = copies.get(model).copied().unwrap_or_default();
-        (worth(rate(demand, model), count + 1), model.clone())
+        let want = demand.get(model).copied().unwrap_or_default();
+        (worth(&want, count + 1, engines, slots), model.clone())
     });
     next.filter(|(worth, _)| *worth > 0.0).collect()
 }
@@ -167,8 +194,9 @@
 struct Site<'a> {
     seats: &'a BTreeMap<UpstreamId, Seat>,
     engines: &'a Engines,
-    demand: &'a BTreeMap<ModelId, Want>,
+    demand: &'a BTreeMap<ModelId, ModelWant>,
     copies: &'a BTreeMap<ModelId, usize>,
+    slots: u32,
     now: Instant,
 }
 
@@ -199,7 +227,8 @@
                 Some(victim) => Move::Unload(victim),
                 None => Move::Load(model.clone(), tier),
             };
-            let cost = load_time(kind, tier).as_secs_f64() * worth + loss;
+            let held_up = self.adapter_rate(seat) * HELD_UP_SHARE;
+            let cost = load_time(kind, tier).as_secs_f64() * (worth + held_up) + loss;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, id.clone(), step));
             }
@@ -214,15 +243,20 @@
         if free >= kind.size_mb {
             return Some((None, 0.0));
         }
+        if gain < LEAST_GAIN {
+            return None;
+        }
         let mut victims = self.victims(seat);
         victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut lost = 0.0;
         let mut loss = 0.0;
         let mut first = None;
         for (worth, model) in victims {
-            loss += worth;
-            if loss > gain * SWAP_SHARE {
+            lost += worth;
+            if lost > gain * SWAP_SHARE {
                 return None;
             }
+            loss += worth * self.reload_time(&model).as_secs_f64();
             free += self.size(seat, &model);
             first.get_or_insert(model);
             if free >= kind.size_mb {
@@ -232,6 +266,22 @@
         None
     }
 
+    /// Demand for adapters that a seat serves, in requests a second.
+    fn adapter_rate(&self, seat: &Seat) -> f64 {
+        let rates = seat.holds.models.keys().map(|model| {
+            let copies = self.copies.get(model).copied().unwrap_or(1).max(1);
+            let want = self.demand.get(model);
+            want.map_or(0.0, |w| w.adapter_rate) / copies as f64
+        });
+        rates.sum()
+    }
+
+    /// Time to bring back a model that was dropped; its weights stay in the engine's memory.
+    fn reload_time(&self, model: &ModelId) -> Duration {
+        let kind = self.engines.models.get(model);
+        kind.map_or(Duration::ZERO, |kind| kind.from_memory)
+    }
+
     fn victims(&self, seat: &Seat) -> Vec<(f64, ModelId)> {
         let settled = |model: &ModelId| {
             let since = seat.since.get(model);
@@ -240,7 +290,8 @@
         let models = seat.holds.models.keys().filter(|model| settled(model));
         let worths = models.map(|model| {
             let count = self.copies.get(model).copied().unwrap_or(1);
-            (worth(rate(self.demand, model), count), model.clone())
+            let want = self.demand.get(model).copied().unwrap_or_default();
+            (worth(&want, count, self.engines, self.slots), model.clone())
         });
         worths.collect()
     }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -473,6 +473,8 @@
             refusal => refusal,
         };
         if begun + load > until {
+            info!(gateway.log, "model_too_far"; "request" => %self.whole.call.id,
+                "target" => %target, "load_ms" => load.as_millis() as u64);
             return Err(refuse(Reason::Capacity));
         }
         let _waiting = Waiting::begin(gateway, target);
@@ -481,12 +483,17 @@
             tokio::pin!(changed);
             changed.as_mut().enable();
             let missing = self.choose(tries).err();
+            let now = gateway.clock.now();
             if !matches!(missing, Some(NoEngine::NoModel | NoEngine::NoAdapter)) {
+                let waited = now.saturating_duration_since(begun);
+                info!(gateway.log, "model_waited"; "request" => %self.whole.call.id,
+                    "target" => %target, "waited_ms" => waited.as_millis() as u64);
                 return Ok(());
             }
-            let now = gateway.clock.now();
             let left = until.saturating_duration_since(now);
             if left.is_zero() || tokio::time::timeout(left, changed).await.is_err() {
+                info!(gateway.log, "model_not_loaded"; "request" => %self.whole.call.id,
+                    "target" => %target, "missing" => ?missing);
                 return Err(refuse(Reason::Deadline));
             }
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -200,10 +200,16 @@
     pub fn admit(&self, account: &Account, tokens: Tokens) -> Result<(), Duration> {
         let part = *lock(&self.part);
         let now = self.clock.now();
-        match lock(&self.allowances).get_mut(&account.name) {
-            Some(allowance) => allowance.admit(tokens, now, part),
-            None => Ok(()),
+        let mut allowances = lock(&self.allowances);
+        let Some(allowance) = allowances.get_mut(&account.name) else {
+            return Ok(());
+        };
+        let admitted = allowance.admit(tokens, now, part);
+        if admitted.is_err() {
+            info!(self.log, "over_rate"; "account" => %account.name, "tokens" => tokens.0,
+                "allowance" => %allowance, "part" => part);
         }
+        admitted
     }
 
     /// Gives back the tokens of a request that did not run.
--- a/src/gateway/steer.rs
+++ b/src/gateway/steer.rs
@@ -24,7 +24,7 @@
 use super::demand::Want;
 use super::lease::{Lease, Record, Step};
 use super::mesh::Mesh;
-use super::place::{Move, Seat, Tier, plan};
+use super::place::{ModelWant, Move, Seat, Tier, plan};
 use super::state::Gateway;
 use super::table::Engines;
 use super::upstream::Entry;
@@ -61,6 +61,8 @@
     /// The order being carried out.
     doing: Option<Act>,
     since: BTreeMap<ModelId, Instant>,
+    /// Models that it came to hold and that were not told yet.
+    gained: Vec<ModelId>,
 }
 
 /// The giver of orders.
@@ -211,6 +213,7 @@
         };
         self.take_entries();
         self.ask_engines().await;
+        self.tell_models(epoch).await;
         let demand = self.mesh.demand();
         for (service, kind) in &table.services {
             if let Some(engines) = &kind.engines {
@@ -278,6 +281,25 @@
         }
     }
 
+    /// Tells of models that an engine came to hold, sooner than the others read it.
+    async fn tell_models(&mut self, epoch: Epoch) {
+        let mut words = Vec::new();
+        for (id, desk) in &mut self.desks {
+            for model in std::mem::take(&mut desk.gained) {
+                words.push(HoldWord {
+                    engine: id.clone(),
+                    born: desk.entry.born,
+                    model,
+                    adapter: None,
+                    present: true,
+                });
+            }
+        }
+        if !words.is_empty() {
+            self.mesh.notify(epoch, words).await;
+        }
+    }
+
     fn seats(&self, service: &ServiceId) -> BTreeMap<UpstreamId, Seat> {
         let desks = self.desks.iter().filter(|(_, d)| d.entry.service == *service);
         desks.map(|(id, desk)| (id.clone(), desk.seat())).collect()
@@ -292,14 +314,7 @@
     ) {
         let now = self.gateway.clock.now();
         let seats = self.seats(service);
-        let mut models: BTreeMap<ModelId, Want> = BTreeMap::new();
-        for (target, want) in demand {
-            let sum = models.entry(target.model.clone()).or_default();
-            sum.rate += want.rate;
-            if target.adapter.is_none() || !held_somewhere(&seats, &target.model) {
-                sum.waiting += want.waiting;
-            }
-        }
+        let models = model_wants(demand, &seats);
         let free = self.ceiling.free(engines.load_rate, now);
         let loading = self.desks.values().filter(|d| d.loads_from_store()).count();
         let store_loads = free.min(STORE_LOADS_AT_ONCE.saturating_sub(loading));
@@ -436,6 +451,27 @@
     }
 }
 
+/// Demand by model; requests that wait for an adapter count as waiting for the model only where
+/// nobody holds it.
+fn model_wants(
+    demand: &BTreeMap<Target, Want>,
+    seats: &BTreeMap<UpstreamId, Seat>,
+) -> BTreeMap<ModelId, ModelWant> {
+    let mut wants: BTreeMap<ModelId, ModelWant> = BTreeMap::new();
+    for (target, want) in demand {
+        let sum = wants.entry(target.model.clone()).or_default();
+        sum.all.rate += want.rate;
+        if target.adapter.is_some() {
+            sum.adapter_rate += want.rate;
+            sum.adapters += 1;
+        }
+        if target.adapter.is_none() || !held_somewhere(seats, &target.model) {
+            sum.all.waiting += want.waiting;
+        }
+    }
+    wants
+}
+
 fn whole(model: ModelId) -> Target {
     Target {
         model,
@@ -463,6 +499,7 @@
             ask: Some(now),
             doing: None,
             since: BTreeMap::new(),
+            gained: Vec::new(),
         }
     }
 
@@ -473,6 +510,7 @@
             _ => None,
         };
         Seat {
+            slots: self.entry.slots,
             holds: report.map_or_else(|| self.entry.holds.clone(), |r| r.holds.clone()),
             busy: self.stale || report.is_none_or(|r| r.busy) || self.doing.is_some(),
             loading,
@@ -510,6 +548,7 @@
             let held = self.report.as_ref();
             if held.is_some_and(|r| !r.holds.models.contains_key(model)) {
                 self.since.insert(model.clone(), now);
+                self.gained.push(model.clone());
             }
         }
         self.since.retain(|model, _| report.holds.models.contains_key(model));
