Keep an engine that is being cleared for the model it is cleared for

Change: the model that is to come stands with the engine and counts as a replica until it is loaded.

--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -52,7 +52,7 @@
     pub slots: u32,
     /// What it holds.
     pub holds: Holdings,
-    /// The model that it is loading.
+    /// The model that it is loading, or is being cleared for.
     pub loading: Option<ModelId>,
     /// Whether it carries out an order, and takes no other.
     pub busy: bool,
@@ -76,8 +76,13 @@
 pub enum Move {
     /// Load a model.
     Load(ModelId, Tier),
-    /// Drop a model.
-    Unload(ModelId),
+    /// Drop a model to make room for another one.
+    Unload {
+        /// Model to drop.
+        model: ModelId,
+        /// Model that is to come.
+        coming: ModelId,
+    },
 }
 
 /// Where an engine has a model's weights.
@@ -113,11 +118,31 @@
     let slots = seats.values().map(|seat| seat.slots).min().unwrap_or(1);
     let mut wanted = wanted(engines, demand, &copies, slots);
     wanted.sort_by(|a, b| b.0.total_cmp(&a.0));
-    let mut coming: BTreeSet<ModelId> = BTreeSet::new();
-    for (worth, model) in wanted {
-        if coming.contains(&model) {
+    for (id, seat) in seats {
+        let Some(model) = seat.loading.as_ref().filter(|_| !seat.busy) else {
             continue;
+        };
+        let site = Site {
+            seats,
+            engines,
+            demand,
+            copies: &copies,
+            slots,
+            now,
+        };
+        let tier = tier(&seat.holds, model);
+        let step = site.clear_further(seat, model, tier);
+        if step == Some(Move::Load(model.clone(), Tier::Store)) {
+            if store_loads == 0 {
+                continue;
+            }
+            store_loads -= 1;
+        }
+        if let Some(step) = step {
+            moves.insert(id.clone(), step);
         }
+    }
+    for (worth, model) in wanted {
         let site = Site {
             seats,
             engines,
@@ -132,12 +157,11 @@
         if let Move::Load(_, Tier::Store) = step {
             store_loads -= 1;
         }
-        if let Move::Unload(dropped) = &step {
+        if let Move::Unload { model: dropped, .. } = &step {
             if let Some(count) = copies.get_mut(dropped) {
                 *count = count.saturating_sub(1);
             }
         }
-        coming.insert(model);
         moves.insert(seat, step);
     }
     moves
@@ -213,7 +237,7 @@
         let mut best: Option<(f64, UpstreamId, Move)> = None;
         for (id, seat) in self.seats {
             let held = seat.holds.models.contains_key(model);
-            if seat.busy || held || taken.contains_key(id) {
+            if seat.busy || seat.loading.is_some() || held || taken.contains_key(id) {
                 continue;
             }
             let tier = tier(&seat.holds, model);
@@ -224,7 +248,10 @@
                 continue;
             };
             let step = match drop {
-                Some(victim) => Move::Unload(victim),
+                Some(victim) => Move::Unload {
+                    model: victim,
+                    coming: model.clone(),
+                },
                 None => Move::Load(model.clone(), tier),
             };
             let held_up = self.adapter_rate(seat) * HELD_UP_SHARE;
@@ -236,6 +263,21 @@
         best.map(|(_, id, step)| (id, step))
     }
 
+    /// The next move at an engine that is being cleared for a model.
+    fn clear_further(&self, seat: &Seat, model: &ModelId, tier: Tier) -> Option<Move> {
+        let kind = self.engines.models.get(model)?;
+        let held: f64 = seat.holds.models.keys().map(|m| self.size(seat, m)).sum();
+        if self.engines.room_mb - held >= kind.size_mb {
+            return Some(Move::Load(model.clone(), tier));
+        }
+        let victims = self.victims(seat).into_iter();
+        let (_, victim) = victims.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        Some(Move::Unload {
+            model: victim,
+            coming: model.clone(),
+        })
+    }
+
     /// The model to drop first to make room, if any must go, and what all drops lose; `None`
     /// where room would cost too much.
     fn room(&self, seat: &Seat, kind: &Model, gain: f64) -> Option<(Option<ModelId>, f64)> {
--- a/src/gateway/steer.rs
+++ b/src/gateway/steer.rs
@@ -60,6 +60,8 @@
     ask: Option<Instant>,
     /// The order being carried out.
     doing: Option<Act>,
+    /// The model that it is loading, or is being cleared for.
+    coming: Option<ModelId>,
     since: BTreeMap<ModelId, Instant>,
     /// Models that it came to hold and that were not told yet.
     gained: Vec<ModelId>,
@@ -320,15 +322,18 @@
         let store_loads = free.min(STORE_LOADS_AT_ONCE.saturating_sub(loading));
         let moves = plan(&seats, engines, &models, store_loads, now);
         for (id, step) in moves {
-            let act = match step {
+            let (act, coming) = match step {
                 Move::Load(model, tier) => {
                     if tier == Tier::Store {
                         self.ceiling.take();
                     }
-                    Act::Load(whole(model))
+                    (Act::Load(whole(model.clone())), model)
                 }
-                Move::Unload(model) => Act::Unload(whole(model)),
+                Move::Unload { model, coming } => (Act::Unload(whole(model)), coming),
             };
+            if let Some(desk) = self.desks.get_mut(&id) {
+                desk.coming = Some(coming);
+            }
             self.order(&id, act, epoch).await;
         }
     }
@@ -498,6 +503,7 @@
             stale: true,
             ask: Some(now),
             doing: None,
+            coming: None,
             since: BTreeMap::new(),
             gained: Vec::new(),
         }
@@ -505,15 +511,11 @@
 
     fn seat(&self) -> Seat {
         let report = self.report.as_ref();
-        let loading = match &self.doing {
-            Some(Act::Load(target)) if target.adapter.is_none() => Some(target.model.clone()),
-            _ => None,
-        };
         Seat {
             slots: self.entry.slots,
             holds: report.map_or_else(|| self.entry.holds.clone(), |r| r.holds.clone()),
             busy: self.stale || report.is_none_or(|r| r.busy) || self.doing.is_some(),
-            loading,
+            loading: self.coming.clone(),
             since: self.since.clone(),
         }
     }
@@ -555,6 +557,10 @@
         if !report.busy {
             self.doing = None;
         }
+        let arrived = |model: &ModelId| report.holds.models.contains_key(model);
+        if self.coming.as_ref().is_some_and(arrived) {
+            self.coming = None;
+        }
         self.stale = false;
         self.ask = match report.busy || !report.coming.is_empty() {
             true => Some(now + BUSY_PAUSE),
