Close kept connections and refuse what waits when a VM leaves

Change: idle connections close at once, no request is taken once the balancer has had time to notice, and what still waits is refused before the exit.

--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -465,7 +465,7 @@
         let Some(target) = &self.whole.call.target else {
             return Err(tries.refusal(Reason::Capacity).retry_after(PLACE_RETRY));
         };
-        let until = self.deadline.min(self.began + patience(&self.route));
+        let mut until = self.deadline.min(self.began + patience(&self.route));
         let begun = gateway.clock.now();
         let load = self.load_time(target);
         let refuse = |reason| match tries.refusal(reason) {
@@ -484,6 +484,9 @@
             changed.as_mut().enable();
             let missing = self.choose(tries).err();
             let now = gateway.clock.now();
+            if let Some(stop) = gateway.stop() {
+                until = until.min(stop);
+            }
             if !matches!(missing, Some(NoEngine::NoModel | NoEngine::NoAdapter)) {
                 let waited = now.saturating_duration_since(begun);
                 info!(gateway.log, "model_waited"; "request" => %self.whole.call.id,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -23,9 +23,11 @@
 use super::{follow, serve};
 
 /// The balancer notices within about two seconds that a VM leaves; until then callers still come.
-const LINGER: Duration = Duration::from_millis(3000);
+const LINGER: Duration = Duration::from_millis(2800);
 /// Kept back from the time to stop, for the exit itself.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
+const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Kept back from the time to stop, for the answers to what still waits.
+const REFUSE_MARGIN: Duration = Duration::from_millis(1500);
 /// Pause between looks at what changes by time alone.
 const EXPIRY_PAUSE: Duration = Duration::from_millis(200);
 /// Pause between reads of the VMs' registrations.
@@ -147,9 +149,11 @@
 /// Finishes what runs; callers that still come are served until the balancer has noticed.
 async fn drain(gateway: &Gateway, grace: Duration) {
     info!(gateway.log, "shutdown_begins"; "running" => gateway.running.count());
-    gateway.running.leave();
+    let stop = gateway.clock.now() + grace.saturating_sub(REFUSE_MARGIN);
+    gateway.leave(stop);
     let rest = grace.saturating_sub(LINGER + EXIT_MARGIN);
     tokio::time::sleep(LINGER).await;
+    gateway.running.close();
     let drained = tokio::time::timeout(rest, gateway.running.drained()).await;
     if drained.is_err() {
         warn!(gateway.log, "shutdown_bound_passed"; "running" => gateway.running.count());
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -143,11 +143,19 @@
     builder.max_buf_size(head.max(LEAST_BUFFER_BYTES));
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let left = gateway.left.notified();
+    tokio::pin!(left);
+    let mut leaving = false;
     loop {
         let wait = idle_left(&gateway, &usage);
         tokio::select! {
             // A caller that leaves or sends what is no request ends its connection only.
             _ended = connection.as_mut() => return,
+            // A caller must not find out by a lost request that a kept connection ends.
+            () = left.as_mut(), if !leaving => {
+                leaving = true;
+                connection.as_mut().graceful_shutdown();
+            }
             () = tokio::time::sleep(wait) => {
                 if idle_left(&gateway, &usage).is_zero() {
                     connection.as_mut().graceful_shutdown();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -58,6 +58,8 @@
     pub changed: Notify,
     /// Told when the VM that gives orders should hear what this one wants.
     pub wants_due: Notify,
+    /// Told when this VM leaves.
+    pub left: Notify,
     /// Told when orders may be due.
     pub orders_due: Notify,
     bounds: Bounds,
@@ -67,6 +69,7 @@
     allowances: Mutex<BTreeMap<ClientAccount, Allowance>>,
     repeats: Mutex<BTreeMap<ServiceId, Repeats>>,
     part: Mutex<f64>,
+    stop: Mutex<Option<Instant>>,
 }
 
 /// What a VM is made of.
@@ -105,6 +108,7 @@
             upstreams: ArcSwap::default(),
             changed: Notify::new(),
             wants_due: Notify::new(),
+            left: Notify::new(),
             orders_due: Notify::new(),
             bounds: parts.bounds,
             fleet: Mutex::default(),
@@ -113,6 +117,7 @@
             allowances: Mutex::default(),
             repeats: Mutex::default(),
             part: Mutex::new(1.0),
+            stop: Mutex::new(None),
         })
     }
 
@@ -160,6 +165,19 @@
         fresh && known && !self.running.leaving()
     }
 
+    /// Says that this VM leaves; what still waits then is refused at `stop`.
+    pub fn leave(&self, stop: Instant) {
+        *lock(&self.stop) = Some(stop);
+        self.running.leave();
+        self.changed.notify_waiters();
+        self.left.notify_waiters();
+    }
+
+    /// When what still waits is refused, once this VM leaves.
+    pub fn stop(&self) -> Option<Instant> {
+        *lock(&self.stop)
+    }
+
     /// Takes a configuration; an older one than that in force is dropped.
     pub fn take_table(&self, table: Table) {
         let in_force = self.table.load();
