Tell again that a model is being dropped; end no stream for silence alone

Ruled out: full engines; the declining ones had places free. Change: the word is repeated while the drop is under way, a decline by an engine with room counts as missing, and a silent stream moves only where a sound engine could take it.

--- a/src/gateway/border.rs
+++ b/src/gateway/border.rs
@@ -98,6 +98,15 @@
     pub running: u32,
     /// Requests that wait.
     pub waiting: u32,
+    /// Requests that it works on at once.
+    pub slots: u32,
+}
+
+impl EngineLoad {
+    /// Whether another request would have found a place.
+    pub fn has_room(self) -> bool {
+        self.waiting == 0 && self.running < self.slots
+    }
 }
 
 /// What an upstream's answer says of itself.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -13,7 +13,7 @@
 
 use crate::ids::{RequestId, UpstreamId};
 
-use super::border::{AnswerHead, Dialect};
+use super::border::{AnswerHead, Dialect, EngineLoad};
 use super::client::{ConnectError, Connection};
 use super::upstream::Running;
 
@@ -116,7 +116,10 @@
         });
     }
     if echoes && said.not_run {
+        // An engine with places free declines what an order under way concerns.
+        let room = said.load.is_some_and(EngineLoad::has_room);
         return Sent::NotRun(match head.status {
+            StatusCode::SERVICE_UNAVAILABLE if room => Declined::Missing,
             StatusCode::SERVICE_UNAVAILABLE => Declined::Full,
             _ => Declined::Other,
         });
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -287,13 +287,23 @@
     ///
     /// [`NoEngine`].
     pub fn choose(&self, tries: &Tries) -> Result<Upstream, NoEngine> {
+        self.choose_beside(&tries.tried)
+    }
+
+    /// Whether a sound engine other than those in `tried` could take the request now.
+    pub fn could_go_to(&self, tried: &BTreeSet<UpstreamId>) -> bool {
+        let now = self.gateway.clock.now();
+        let other = self.choose_beside(tried);
+        other.is_ok_and(|upstream| !upstream.pulse.ejected(now))
+    }
+
+    fn choose_beside(&self, tried: &BTreeSet<UpstreamId>) -> Result<Upstream, NoEngine> {
         let gateway = &self.gateway;
         let upstreams = gateway.upstreams.load();
         let call = &self.whole.call;
         let now = gateway.clock.now();
         let fit = of_service(&upstreams, &self.service);
-        let chosen = choose::choose(fit, call, &gateway.centre, &tries.tried, now);
-        chosen.cloned()
+        choose::choose(fit, call, &gateway.centre, tried, now).cloned()
     }
 
     /// Sends the request once; an answer that is worth waiting for after is left in `tries`.
--- a/src/gateway/steer.rs
+++ b/src/gateway/steer.rs
@@ -43,6 +43,8 @@
 const STORE_LOADS_AT_ONCE: usize = 4;
 /// Between the word that a model goes and the order, so that no request is on its way to it.
 const WORD_LEAD: Duration = Duration::from_millis(40);
+/// Pause between words that a model is being dropped.
+const REPEAT_PAUSE: Duration = Duration::from_millis(400);
 /// Time for an adapter to arrive from the store.
 const ADAPTER_TIME: Duration = Duration::from_millis(15);
 /// Adapter orders in one round.
@@ -65,6 +67,8 @@
     since: BTreeMap<ModelId, Instant>,
     /// Models that it came to hold and that were not told yet.
     gained: Vec<ModelId>,
+    /// When the drop of a model was last told.
+    told: Option<Instant>,
 }
 
 /// The giver of orders.
@@ -283,10 +287,13 @@
         }
     }
 
-    /// Tells of models that an engine came to hold, sooner than the others read it.
+    /// Tells of models that an engine came to hold, sooner than the others read it, and again of
+    /// those that it is dropping: a datagram may be lost, and an engine finishes its runs first.
     async fn tell_models(&mut self, epoch: Epoch) {
         let mut words = Vec::new();
+        let now = self.gateway.clock.now();
         for (id, desk) in &mut self.desks {
+            words.extend(desk.repeat_unload(id, now));
             for model in std::mem::take(&mut desk.gained) {
                 words.push(HoldWord {
                     engine: id.clone(),
@@ -506,7 +513,26 @@
             coming: None,
             since: BTreeMap::new(),
             gained: Vec::new(),
+            told: None,
+        }
+    }
+
+    /// The word that a model is being dropped, where it is due again.
+    fn repeat_unload(&mut self, id: &UpstreamId, now: Instant) -> Option<HoldWord> {
+        let Some(Act::Unload(target)) = &self.doing else {
+            return None;
+        };
+        if self.told.is_some_and(|at| now < at + REPEAT_PAUSE) {
+            return None;
         }
+        self.told = Some(now);
+        Some(HoldWord {
+            engine: id.clone(),
+            born: self.entry.born,
+            model: target.model.clone(),
+            adapter: target.adapter.clone(),
+            present: false,
+        })
     }
 
     fn seat(&self) -> Seat {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -20,7 +20,7 @@
 
 /// A stream that another engine could go on with is given up after this long without an event;
 /// its callers leave after two seconds.
-const SILENCE: Duration = Duration::from_millis(900);
+const SILENCE: Duration = Duration::from_millis(1200);
 
 /// Forwards the events of an answer.
 pub fn forward(
@@ -102,7 +102,12 @@
                 true => SILENCE.min(left),
                 false => left,
             };
-            let lost = match self.answer.next(patience).await {
+            let piece = self.answer.next(patience).await;
+            // Silence alone is no reason to end a stream that nobody else could go on with.
+            if matches!(piece, Piece::Lost(Lost::Silent)) && patience < left && !self.movable() {
+                continue;
+            }
+            let lost = match piece {
                 Piece::Bytes(bytes) => match self.events.push(&bytes) {
                     Ok(whole) if whole.is_empty() => continue,
                     Ok(whole) => return Ok(Some(whole)),
@@ -124,6 +129,13 @@
         resumes && self.tries.sent < self.task.route.attempts
     }
 
+    /// Whether another engine could go on now.
+    fn movable(&self) -> bool {
+        let mut tried = self.tries.tried.clone();
+        tried.insert(self.upstream.entry.id.clone());
+        self.task.could_go_to(&tried)
+    }
+
     /// Goes on at another engine after the last whole event.
     async fn resume(&mut self, lost: Lost) -> Result<(), Cut> {
         let task = Arc::clone(&self.task);
