--- a/src/gateway/border.rs
+++ b/src/gateway/border.rs
@@ -2,7 +2,7 @@
 //!
 //! An adapter translates and decides nothing: no retry, no timer, no choice.
 
-use std::fmt::Debug;
+use std::fmt::{self, Debug};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -180,6 +180,15 @@
     Unload(Target),
 }
 
+impl fmt::Display for Act {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Load(target) => write!(f, "load {target}"),
+            Self::Unload(target) => write!(f, "unload {target}"),
+        }
+    }
+}
+
 /// An order to an engine.
 #[derive(Clone, Debug)]
 pub struct Order {
--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -13,6 +13,7 @@
 
 use slog::{debug, info, warn};
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 use crate::ids::{Epoch, Generation, UpstreamId, Version, VmId};
@@ -65,6 +66,8 @@
     socket: UdpSocket,
     generation: Generation,
     state: Mutex<State>,
+    /// Told when the others should hear from this VM at once.
+    usage_due: Notify,
 }
 
 impl Mesh {
@@ -80,6 +83,7 @@
             socket,
             generation: Generation(gateway.clock.wall_ms()),
             state: Mutex::default(),
+            usage_due: Notify::new(),
         }))
     }
 
@@ -124,7 +128,10 @@
 
     /// Says whether this VM gives orders.
     pub fn set_lease(&self, lease: Option<(Epoch, Version)>) {
-        self.lock().lease = lease;
+        let before = std::mem::replace(&mut self.lock().lease, lease);
+        if before.is_none() && lease.is_some() {
+            self.usage_due.notify_one();
+        }
     }
 
     /// Demand over all VMs, this one included.
@@ -199,6 +206,10 @@
         let mut state = self.lock();
         if let Some(lease) = usage.lease {
             let newer = state.leader.as_ref().is_none_or(|(_, epoch, ..)| *epoch <= lease.epoch);
+            let same = state.leader.as_ref().is_some_and(|(vm, ..)| *vm == usage.vm);
+            if newer && !same {
+                self.gateway.wants_due.notify_one();
+            }
             if newer {
                 state.leader = Some((usage.vm.clone(), lease.epoch, lease.version, now));
             }
@@ -240,7 +251,8 @@
             let datagram = Datagram::Usage(self.usage());
             self.send_all(&datagram).await;
             self.set_part();
-            tokio::time::sleep(USAGE_PAUSE).await;
+            // Either wakes it: time, or news that the others should hear at once.
+            let _woken = tokio::time::timeout(USAGE_PAUSE, self.usage_due.notified()).await;
         }
     }
 
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -15,7 +15,7 @@
 use super::upstream::Holdings;
 
 /// Worth of a replica beyond what the demand needs, as a share of the demand per replica.
-const SPARE_SHARE: f64 = 0.02;
+const SPARE_SHARE: f64 = 0.04;
 /// Worth of a replica that only its adapters need, as a share of the demand for adapters.
 const ADAPTER_SHARE: f64 = 0.05;
 /// Worth of a model that nobody asks for, in requests a second: it may be asked for next.
@@ -23,6 +23,11 @@
 /// What comes must be worth this much for anything to be driven out, in requests a second; below
 /// it, demand is too uncertain to drop what is already loaded.
 const LEAST_GAIN: f64 = 0.4;
+/// Time for a drop that no run holds up.
+const DROP_TIME: f64 = 0.4;
+/// Most time that runs hold up a drop, and how long a run lasts, in seconds.
+const RUNS_TIME: f64 = 3.0;
+const RUN_TIME: f64 = 1.7;
 /// Share of an engine's adapter requests that a load on it holds up.
 const HELD_UP_SHARE: f64 = 0.5;
 /// Each waiting request counts as this many requests a second.
@@ -31,6 +36,8 @@
 const SWAP_SHARE: f64 = 0.7;
 /// A model stays at least this long once loaded.
 const LEAST_STAY: Duration = Duration::from_secs(3);
+/// Least wait for an engine that carries out an order.
+const LEAST_WAIT: Duration = Duration::from_millis(200);
 /// Requests a second that one replica serves before another is wanted, for each slot.
 const SLOT_RATE: f64 = 0.25;
 
@@ -56,6 +63,8 @@
     pub loading: Option<ModelId>,
     /// Whether it carries out an order, and takes no other.
     pub busy: bool,
+    /// How long that may still last.
+    pub busy_for: Duration,
     /// When models came to be held, where this VM saw it.
     pub since: BTreeMap<ModelId, Instant>,
 }
@@ -215,6 +224,17 @@
     next.filter(|(worth, _)| *worth > 0.0).collect()
 }
 
+/// What room for a model takes.
+#[derive(Debug, Default)]
+struct Room {
+    /// The model to drop first, if any must go.
+    first: Option<ModelId>,
+    /// What all drops lose.
+    loss: f64,
+    /// How long they take, in seconds.
+    time: f64,
+}
+
 struct Site<'a> {
     seats: &'a BTreeMap<UpstreamId, Seat>,
     engines: &'a Engines,
@@ -225,7 +245,8 @@
 }
 
 impl Site<'_> {
-    /// The best engine for one more replica, and the first move towards it.
+    /// The best engine for one more replica, and the first move towards it; `None` where none may
+    /// take it, or where the best one is worth waiting for.
     fn best(
         &self,
         model: &ModelId,
@@ -234,33 +255,33 @@
         store_loads: usize,
     ) -> Option<(UpstreamId, Move)> {
         let kind = self.engines.models.get(model)?;
-        let mut best: Option<(f64, UpstreamId, Move)> = None;
+        let mut best: Option<(f64, UpstreamId, Option<Move>)> = None;
         for (id, seat) in self.seats {
-            let held = seat.holds.models.contains_key(model);
-            if seat.busy || seat.loading.is_some() || held || taken.contains_key(id) {
-                continue;
-            }
             let tier = tier(&seat.holds, model);
-            if tier == Tier::Store && store_loads == 0 {
+            if seat.holds.models.contains_key(model) || (tier == Tier::Store && store_loads == 0) {
                 continue;
             }
-            let Some((drop, loss)) = self.room(seat, kind, worth) else {
+            let Some(room) = self.room(seat, kind, worth) else {
                 continue;
             };
-            let step = match drop {
-                Some(victim) => Move::Unload {
+            let occupied = seat.busy || seat.loading.is_some() || taken.contains_key(id);
+            let wait = if occupied { seat.busy_for.max(LEAST_WAIT) } else { Duration::ZERO };
+            let time = (wait + load_time(kind, tier)).as_secs_f64() + room.time;
+            let held_up = self.adapter_rate(seat) * HELD_UP_SHARE;
+            let cost = time * (worth + held_up) + room.loss;
+            let step = match room.first {
+                _ if occupied => None,
+                Some(victim) => Some(Move::Unload {
                     model: victim,
                     coming: model.clone(),
-                },
-                None => Move::Load(model.clone(), tier),
+                }),
+                None => Some(Move::Load(model.clone(), tier)),
             };
-            let held_up = self.adapter_rate(seat) * HELD_UP_SHARE;
-            let cost = load_time(kind, tier).as_secs_f64() * (worth + held_up) + loss;
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, id.clone(), step));
             }
         }
-        best.map(|(_, id, step)| (id, step))
+        best.and_then(|(_, id, step)| Some((id, step?)))
     }
 
     /// The next move at an engine that is being cleared for a model.
@@ -278,12 +299,12 @@
         })
     }
 
-    /// The model to drop first to make room, if any must go, and what all drops lose; `None`
-    /// where room would cost too much.
-    fn room(&self, seat: &Seat, kind: &Model, gain: f64) -> Option<(Option<ModelId>, f64)> {
+    /// What room for a model takes; `None` where it would cost too much.
+    fn room(&self, seat: &Seat, kind: &Model, gain: f64) -> Option<Room> {
         let mut free = self.engines.room_mb - self.used(seat);
+        let mut room = Room::default();
         if free >= kind.size_mb {
-            return Some((None, 0.0));
+            return Some(room);
         }
         if gain < LEAST_GAIN {
             return None;
@@ -291,23 +312,30 @@
         let mut victims = self.victims(seat);
         victims.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut lost = 0.0;
-        let mut loss = 0.0;
-        let mut first = None;
         for (worth, model) in victims {
             lost += worth;
             if lost > gain * SWAP_SHARE {
                 return None;
             }
-            loss += worth * self.reload_time(&model).as_secs_f64();
+            room.loss += worth * self.reload_time(&model).as_secs_f64();
+            room.time += self.drop_time(&model);
             free += self.size(seat, &model);
-            first.get_or_insert(model);
+            room.first.get_or_insert(model);
             if free >= kind.size_mb {
-                return Some((first, loss));
+                return Some(room);
             }
         }
         None
     }
 
+    /// Expected time to drop a model: its runs are finished first, in seconds.
+    fn drop_time(&self, model: &ModelId) -> f64 {
+        let copies = self.copies.get(model).copied().unwrap_or(1).max(1);
+        let rate = self.demand.get(model).map_or(0.0, |want| want.all.rate);
+        let running = rate / copies as f64 * RUN_TIME;
+        DROP_TIME + RUNS_TIME * (1.0 - (-running).exp())
+    }
+
     /// Demand for adapters that a seat serves, in requests a second.
     fn adapter_rate(&self, seat: &Seat) -> f64 {
         let rates = seat.holds.models.keys().map(|model| {
--- a/src/gateway/steer.rs
+++ b/src/gateway/steer.rs
@@ -24,7 +24,7 @@
 use super::demand::Want;
 use super::lease::{Lease, Record, Step};
 use super::mesh::Mesh;
-use super::place::{ModelWant, Move, Seat, Tier, plan};
+use super::place::{self, ModelWant, Move, Seat, Tier, load_time, plan};
 use super::state::Gateway;
 use super::table::Engines;
 use super::upstream::Entry;
@@ -32,7 +32,7 @@
 /// Pause between rounds, where nothing asks for one sooner.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for an engine's answer to a question or an order.
-const ANSWER_TIME: Duration = Duration::from_millis(400);
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Longest wait for the store's answer on the lease.
 const STORE_TIME: Duration = Duration::from_millis(700);
 /// Pause between questions to an engine that carries out an order.
@@ -43,6 +43,10 @@
 const STORE_LOADS_AT_ONCE: usize = 4;
 /// Between the word that a model goes and the order, so that no request is on its way to it.
 const WORD_LEAD: Duration = Duration::from_millis(40);
+/// Usual time for an engine to drop a model.
+const UNLOAD_TIME: Duration = Duration::from_millis(700);
+/// Time in which every VM tells a new giver of orders what it wants.
+const SETTLE_TIME: Duration = Duration::from_millis(450);
 /// Pause between words that a model is being dropped.
 const REPEAT_PAUSE: Duration = Duration::from_millis(400);
 /// Time for an adapter to arrive from the store.
@@ -64,6 +68,8 @@
     doing: Option<Act>,
     /// The model that it is loading, or is being cleared for.
     coming: Option<ModelId>,
+    /// When its order should be carried out.
+    until: Instant,
     since: BTreeMap<ModelId, Instant>,
     /// Models that it came to hold and that were not told yet.
     gained: Vec<ModelId>,
@@ -83,6 +89,8 @@
     desks: BTreeMap<UpstreamId, Desk>,
     ceiling: Ceiling,
     epoch: Option<Epoch>,
+    /// When the others have told this VM what they want.
+    settled: Instant,
 }
 
 /// What the giver of orders is made of.
@@ -116,6 +124,7 @@
         desks: BTreeMap::new(),
         ceiling: Ceiling::open(now),
         epoch: None,
+        settled: now,
     };
     tokio::spawn(steer.run())
 }
@@ -206,7 +215,9 @@
         }
         self.epoch = epoch;
         self.desks.clear();
-        self.ceiling = Ceiling::open(self.gateway.clock.now());
+        let now = self.gateway.clock.now();
+        self.ceiling = Ceiling::open(now);
+        self.settled = now + SETTLE_TIME;
         match epoch {
             Some(epoch) => info!(self.gateway.log, "lease_gained"; "epoch" => %epoch),
             None => info!(self.gateway.log, "lease_lost"),
@@ -220,6 +231,10 @@
         self.take_entries();
         self.ask_engines().await;
         self.tell_models(epoch).await;
+        // Without the others' demand every model would seem unwanted.
+        if self.gateway.clock.now() < self.settled {
+            return;
+        }
         let demand = self.mesh.demand();
         for (service, kind) in &table.services {
             if let Some(engines) = &kind.engines {
@@ -310,8 +325,9 @@
     }
 
     fn seats(&self, service: &ServiceId) -> BTreeMap<UpstreamId, Seat> {
+        let now = self.gateway.clock.now();
         let desks = self.desks.iter().filter(|(_, d)| d.entry.service == *service);
-        desks.map(|(id, desk)| (id.clone(), desk.seat())).collect()
+        desks.map(|(id, desk)| (id.clone(), desk.seat(now))).collect()
     }
 
     async fn place_models(
@@ -328,6 +344,7 @@
         let loading = self.desks.values().filter(|d| d.loads_from_store()).count();
         let store_loads = free.min(STORE_LOADS_AT_ONCE.saturating_sub(loading));
         let moves = plan(&seats, engines, &models, store_loads, now);
+        let mut orders = Vec::new();
         for (id, step) in moves {
             let (act, coming) = match step {
                 Move::Load(model, tier) => {
@@ -339,10 +356,19 @@
                 Move::Unload { model, coming } => (Act::Unload(whole(model)), coming),
             };
             if let Some(desk) = self.desks.get_mut(&id) {
+                let kind = engines.models.get(&coming);
+                let tier = place::tier(&desk.seat(now).holds, &coming);
+                let time = kind.map_or(UNLOAD_TIME, |kind| load_time(kind, tier));
+                desk.until = now
+                    + match act {
+                        Act::Load(_) => time,
+                        Act::Unload(_) => time + UNLOAD_TIME,
+                    };
                 desk.coming = Some(coming);
             }
-            self.order(&id, act, epoch).await;
+            orders.push((id, act));
         }
+        self.order_all(orders, epoch).await;
     }
 
     async fn place_adapters(
@@ -380,7 +406,7 @@
                 AdapterMove::Load(model, adapter) => Act::Load(part(model, adapter)),
                 AdapterMove::Unload(model, adapter) => Act::Unload(part(model, adapter)),
             };
-            self.order(&id, act, epoch).await;
+            self.order_all(vec![(id, act)], epoch).await;
             orders += 1;
             if orders >= ADAPTERS_PER_ROUND {
                 break;
@@ -393,43 +419,72 @@
         desks.map(|(id, desk)| (id.clone(), desk.coming())).collect()
     }
 
-    /// Gives one order, if this VM still may.
-    async fn order(&mut self, id: &UpstreamId, act: Act, epoch: Epoch) {
-        if let Act::Unload(target) = &act {
-            self.tell(id, target, false, epoch).await;
+    /// Gives orders to several engines at once, if this VM still may.
+    async fn order_all(&mut self, orders: Vec<(UpstreamId, Act)>, epoch: Epoch) {
+        let drops = orders.iter().filter_map(|(id, act)| match act {
+            Act::Unload(target) => self.word(id, target, false),
+            Act::Load(_) => None,
+        });
+        let words: Vec<_> = drops.collect();
+        if !words.is_empty() {
+            self.mesh.notify(epoch, words).await;
             tokio::time::sleep(WORD_LEAD).await;
         }
         let boot = self.gateway.clock.boot();
         if self.lease.epoch(boot) != Some(epoch) {
             return;
         }
+        let mut sent = JoinSet::new();
+        for (id, act) in orders {
+            let Some(desk) = self.desks.get(&id) else {
+                continue;
+            };
+            let Some(report) = &desk.report else { continue };
+            let order = Order {
+                act,
+                after: report.accepted,
+                holder: self.gateway.vm.clone(),
+                epoch,
+            };
+            let at = desk.entry.address;
+            let control = Arc::clone(&self.control);
+            sent.spawn(async move {
+                let answer = control.order(at, &id, &order);
+                let answer = tokio::time::timeout(ANSWER_TIME, answer).await;
+                (id, order, answer.unwrap_or(Err(ControlError::Silent)))
+            });
+        }
+        while let Some(done) = sent.join_next().await {
+            // A task that was cancelled leaves its engine to the next report.
+            if let Ok((id, order, answer)) = done {
+                self.take_answer(&id, &order, answer);
+            }
+        }
+    }
+
+    fn take_answer(
+        &mut self,
+        id: &UpstreamId,
+        order: &Order,
+        answer: Result<OrderAnswer, ControlError>,
+    ) {
+        let now = self.gateway.clock.now();
         let Some(desk) = self.desks.get_mut(id) else {
             return;
         };
-        let Some(report) = &desk.report else { return };
-        let order = Order {
-            act: act.clone(),
-            after: report.accepted,
-            holder: self.gateway.vm.clone(),
-            epoch,
-        };
-        let at = desk.entry.address;
-        let sent = self.control.order(at, id, &order);
-        let sent = tokio::time::timeout(ANSWER_TIME, sent).await;
-        let answer = sent.unwrap_or(Err(ControlError::Silent));
-        let now = self.gateway.clock.now();
-        info!(self.gateway.log, "order_given"; "engine" => %id, "act" => ?act,
-            "after" => order.after, "epoch" => %epoch, "answer" => ?answer);
-        desk.take_answer(&act, answer, now);
+        info!(self.gateway.log, "order_given"; "engine" => %id, "act" => %order.act,
+            "after" => order.after, "epoch" => %order.epoch, "answer" => ?answer);
+        desk.take_answer(&order.act, answer, now);
         let held = desk.entry.holds.clone();
         if answer == Ok(OrderAnswer::Fenced) {
-            self.lease.on_conflict(boot);
+            self.lease.on_conflict(self.gateway.clock.boot());
         }
-        if let (Ok(OrderAnswer::Accepted | OrderAnswer::Holds), Act::Load(target)) = (answer, &act)
-        {
-            if target.adapter.is_some() && !held.serve(target) {
-                self.tell_later(id, target, epoch);
-            }
+        let Act::Load(target) = &order.act else {
+            return;
+        };
+        let carried = matches!(answer, Ok(OrderAnswer::Accepted | OrderAnswer::Holds));
+        if carried && target.adapter.is_some() && !held.serve(target) {
+            self.tell_later(id, target, order.epoch);
         }
     }
 
@@ -445,12 +500,6 @@
         });
     }
 
-    async fn tell(&self, id: &UpstreamId, target: &Target, present: bool, epoch: Epoch) {
-        if let Some(word) = self.word(id, target, present) {
-            self.mesh.notify(epoch, vec![word]).await;
-        }
-    }
-
     fn word(&self, id: &UpstreamId, target: &Target, present: bool) -> Option<HoldWord> {
         let desk = self.desks.get(id)?;
         Some(HoldWord {
@@ -511,6 +560,7 @@
             ask: Some(now),
             doing: None,
             coming: None,
+            until: now,
             since: BTreeMap::new(),
             gained: Vec::new(),
             told: None,
@@ -535,12 +585,13 @@
         })
     }
 
-    fn seat(&self) -> Seat {
+    fn seat(&self, now: Instant) -> Seat {
         let report = self.report.as_ref();
         Seat {
             slots: self.entry.slots,
             holds: report.map_or_else(|| self.entry.holds.clone(), |r| r.holds.clone()),
             busy: self.stale || report.is_none_or(|r| r.busy) || self.doing.is_some(),
+            busy_for: self.until.saturating_duration_since(now),
             loading: self.coming.clone(),
             since: self.since.clone(),
         }
@@ -558,7 +609,7 @@
         };
         let report = self.report.as_ref();
         target.adapter.is_none()
-            && report.is_some_and(|r| super::place::tier(&r.holds, &target.model) == Tier::Store)
+            && report.is_some_and(|r| place::tier(&r.holds, &target.model) == Tier::Store)
     }
 
     /// Takes a report; one older than the last order accepted says nothing new.
