Prefer to drop models that no engine is working on

Change: VMs tell the giver of orders their runs by engine and model; the planner counts the time they hold a drop up.

--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -16,9 +16,9 @@
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
-use crate::ids::{Epoch, Generation, UpstreamId, Version, VmId};
+use crate::ids::{Epoch, Generation, ModelId, UpstreamId, Version, VmId};
 use crate::schema::mesh::{
-    AccountUse, Datagram, HoldWord, LeaseWord, Notice, UpstreamUse, Usage, Want as WantWord, Wants,
+    AccountUse, Datagram, HoldWord, LeaseWord, Notice, Run, UpstreamUse, Usage, Want as WantWord, Wants,
 };
 use crate::units::Tokens;
 
@@ -55,6 +55,7 @@
 struct State {
     peers: BTreeMap<VmId, Peer>,
     told: Told,
+    runs: BTreeMap<VmId, (Vec<Run>, Instant)>,
     leader: Option<(VmId, Epoch, Version, Instant)>,
     lease: Option<(Epoch, Version)>,
 }
@@ -146,6 +147,31 @@
         sums
     }
 
+    /// Requests of all VMs that engines work on, by engine and model.
+    pub fn runs(&self) -> BTreeMap<(UpstreamId, ModelId), u32> {
+        let now = self.gateway.clock.now();
+        let mut sums: BTreeMap<_, u32> = BTreeMap::new();
+        let mut state = self.lock();
+        state.runs.retain(|_, (_, at)| now.saturating_duration_since(*at) < TOUCH_TIME);
+        for run in state.runs.values().flat_map(|(runs, _)| runs).chain(&self.own_runs()) {
+            *sums.entry((run.engine.clone(), run.model.clone())).or_default() += run.requests;
+        }
+        sums
+    }
+
+    fn own_runs(&self) -> Vec<Run> {
+        let upstreams = self.gateway.upstreams.load();
+        let runs = upstreams.iter().flat_map(|(id, upstream)| {
+            let runs = upstream.pulse.runs().into_iter();
+            runs.map(|(model, requests)| Run {
+                engine: id.clone(),
+                model,
+                requests,
+            })
+        });
+        runs.collect()
+    }
+
     /// Tells every VM what engines hold, and takes the same words here.
     pub async fn notify(&self, epoch: Epoch, words: Vec<HoldWord>) {
         take_words(&self.gateway, &words);
@@ -183,6 +209,9 @@
             Datagram::Wants(wants) => {
                 let now = self.gateway.clock.now();
                 let mut state = self.lock();
+                if !wants.runs.is_empty() {
+                    state.runs.insert(wants.vm.clone(), (wants.runs, now));
+                }
                 for want in wants.wants {
                     let (target, want) = read_want(want);
                     state.told.on_want(&wants.vm, target, want, now);
@@ -304,10 +333,12 @@
             if let Some(at) = leader.filter(|_| !leads) {
                 let wants = self.gateway.demand().wants(now);
                 let words: Vec<_> = wants.into_iter().map(write_want).collect();
+                let mut runs = self.own_runs();
                 for chunk in words.chunks(WANTS_PER_DATAGRAM) {
                     let datagram = Datagram::Wants(Wants {
                         vm: self.gateway.vm.clone(),
                         wants: chunk.to_vec(),
+                        runs: std::mem::take(&mut runs),
                     });
                     self.send(&datagram, at).await;
                 }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -25,9 +25,8 @@
 const LEAST_GAIN: f64 = 0.4;
 /// Time for a drop that no run holds up.
 const DROP_TIME: f64 = 0.4;
-/// Most time that runs hold up a drop, and how long a run lasts, in seconds.
+/// Usual time that runs hold up a drop, in seconds.
 const RUNS_TIME: f64 = 3.0;
-const RUN_TIME: f64 = 1.7;
 /// Share of an engine's adapter requests that a load on it holds up.
 const HELD_UP_SHARE: f64 = 0.5;
 /// Each waiting request counts as this many requests a second.
@@ -65,6 +64,8 @@
     pub busy: bool,
     /// How long that may still last.
     pub busy_for: Duration,
+    /// Requests that it works on, by model.
+    pub runs: BTreeMap<ModelId, u32>,
     /// When models came to be held, where this VM saw it.
     pub since: BTreeMap<ModelId, Instant>,
 }
@@ -310,7 +311,8 @@
             return None;
         }
         let mut victims = self.victims(seat);
-        victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let hurt = |v: &(f64, ModelId)| v.0 + gain * self.drop_time(seat, &v.1);
+        victims.sort_by(|a, b| hurt(a).total_cmp(&hurt(b)));
         let mut lost = 0.0;
         for (worth, model) in victims {
             lost += worth;
@@ -318,7 +320,7 @@
                 return None;
             }
             room.loss += worth * self.reload_time(&model).as_secs_f64();
-            room.time += self.drop_time(&model);
+            room.time += self.drop_time(seat, &model);
             free += self.size(seat, &model);
             room.first.get_or_insert(model);
             if free >= kind.size_mb {
@@ -329,10 +331,8 @@
     }
 
     /// Expected time to drop a model: its runs are finished first, in seconds.
-    fn drop_time(&self, model: &ModelId) -> f64 {
-        let copies = self.copies.get(model).copied().unwrap_or(1).max(1);
-        let rate = self.demand.get(model).map_or(0.0, |want| want.all.rate);
-        let running = rate / copies as f64 * RUN_TIME;
+    fn drop_time(&self, seat: &Seat, model: &ModelId) -> f64 {
+        let running = f64::from(seat.runs.get(model).copied().unwrap_or_default());
         DROP_TIME + RUNS_TIME * (1.0 - (-running).exp())
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -383,7 +383,8 @@
             rank: rank.unwrap_or(self.route.priority),
             after: after.or(call.resumed),
         };
-        let running = upstream.pulse.begin();
+        let model = call.target.as_ref().map(|target| &target.model);
+        let running = upstream.pulse.begin(model);
         let request = match gateway.dialect.write_request(&self.whole, &sending) {
             Ok(request) => request,
             Err(e) => {
--- a/src/gateway/steer.rs
+++ b/src/gateway/steer.rs
@@ -327,7 +327,15 @@
     fn seats(&self, service: &ServiceId) -> BTreeMap<UpstreamId, Seat> {
         let now = self.gateway.clock.now();
         let desks = self.desks.iter().filter(|(_, d)| d.entry.service == *service);
-        desks.map(|(id, desk)| (id.clone(), desk.seat(now))).collect()
+        let mut seats: BTreeMap<_, _> = desks
+            .map(|(id, desk)| (id.clone(), desk.seat(now)))
+            .collect();
+        for ((engine, model), requests) in self.mesh.runs() {
+            if let Some(seat) = seats.get_mut(&engine) {
+                seat.runs.insert(model, requests);
+            }
+        }
+        seats
     }
 
     async fn place_models(
@@ -594,6 +602,7 @@
             busy_for: self.until.saturating_duration_since(now),
             loading: self.coming.clone(),
             since: self.since.clone(),
+            runs: BTreeMap::new(),
         }
     }
 
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -62,6 +62,7 @@
 pub struct Pulse {
     running: AtomicU32,
     elsewhere: AtomicU32,
+    models: Mutex<BTreeMap<ModelId, u32>>,
     state: Mutex<Ejection>,
 }
 
@@ -88,10 +89,25 @@
         self.elsewhere.store(requests, Ordering::Relaxed);
     }
 
-    /// Counts a request until the guard is dropped.
-    pub fn begin(self: &Arc<Self>) -> Running {
+    /// Counts a request, for a model or for none, until the guard is dropped.
+    pub fn begin(self: &Arc<Self>, model: Option<&ModelId>) -> Running {
         self.running.fetch_add(1, Ordering::Relaxed);
-        Running(Arc::clone(self))
+        if let Some(model) = model {
+            *self.models().entry(model.clone()).or_default() += 1;
+        }
+        Running {
+            pulse: Arc::clone(self),
+            model: model.cloned(),
+        }
+    }
+
+    /// Requests of this VM by model.
+    pub fn runs(&self) -> BTreeMap<ModelId, u32> {
+        self.models().clone()
+    }
+
+    fn models(&self) -> std::sync::MutexGuard<'_, BTreeMap<ModelId, u32>> {
+        self.models.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Takes a good answer.
@@ -125,11 +141,24 @@
 
 /// Counts a running request at an upstream while it lives.
 #[derive(Debug)]
-pub struct Running(Arc<Pulse>);
+pub struct Running {
+    pulse: Arc<Pulse>,
+    model: Option<ModelId>,
+}
 
 impl Drop for Running {
     fn drop(&mut self) {
-        self.0.running.fetch_sub(1, Ordering::Relaxed);
+        self.pulse.running.fetch_sub(1, Ordering::Relaxed);
+        let Some(model) = &self.model else {
+            return;
+        };
+        let mut models = self.pulse.models();
+        if let Some(count) = models.get_mut(model) {
+            *count -= 1;
+            if *count == 0 {
+                models.remove(model);
+            }
+        }
     }
 }
 
--- a/src/schema/mesh.rs
+++ b/src/schema/mesh.rs
@@ -81,6 +81,14 @@
     pub epoch: ::basilgw::ids::Epoch,
     pub words: ::std::vec::Vec<HoldWord>,
 }
+#[doc = "Requests of the sender for a model that an engine works on."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Run {
+    pub engine: ::basilgw::ids::UpstreamId,
+    pub model: ::basilgw::ids::ModelId,
+    pub requests: u32,
+}
 #[doc = "Requests of the sender that an upstream works on."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -117,6 +125,9 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Wants {
+    #[doc = "All runs; left out where only wants are told."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub runs: ::std::vec::Vec<Run>,
     pub vm: ::basilgw::ids::VmId,
     pub wants: ::std::vec::Vec<Want>,
 }
