--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -45,6 +45,8 @@
 const LEAST_PATIENCE: Duration = Duration::from_secs(2);
 const PATIENCE_GOALS: u32 = 4;
 const PATIENCE_GAPS: u32 = 8;
+/// A caller that hears this much before it would leave can come back in its turn.
+const PATIENCE_MARGIN: Duration = Duration::from_millis(300);
 /// Time for an order to reach an engine and its outcome to be heard, beside the load itself.
 const ORDER_TIME: Duration = Duration::from_millis(150);
 
@@ -548,7 +550,8 @@
     match route.kind {
         Kind::Streaming { gap, .. } => LEAST_PATIENCE
             .max(route.goal * PATIENCE_GOALS)
-            .max(gap * PATIENCE_GAPS),
+            .max(gap * PATIENCE_GAPS)
+            .saturating_sub(PATIENCE_MARGIN),
         _ => route.timeout,
     }
 }
