--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -30,7 +30,7 @@
 /// Share of an engine's adapter requests that a load on it holds up.
 const HELD_UP_SHARE: f64 = 0.5;
 /// Each waiting request counts as this many requests a second.
-const WAITING_RATE: f64 = 2.0;
+const WAITING_RATE: f64 = 0.5;
 /// What is driven out must be worth less than this share of what comes.
 const SWAP_SHARE: f64 = 0.7;
 /// A model stays at least this long once loaded.
