--- a/src/declare/apply.rs
+++ b/src/declare/apply.rs
@@ -17,8 +17,8 @@
 use super::validate::{DeclarationFault, validate};
 use crate::clock::Clock;
 use crate::ids::{ChangeId, KeyId, ObjectKey, Revision, Text, Version};
-use crate::store::{ObjectStore, StoreError};
 use crate::schema::declaration::{AuditEntry, Declaration, Head};
+use crate::store::{ObjectStore, StoreError};
 
 const HEAD_KEY: &str = "config/head";
 const SETTLE_TRIES: u32 = 3;
--- a/src/declare/audit.rs
+++ b/src/declare/audit.rs
@@ -8,8 +8,8 @@
 
 use super::apply::{ApplyError, head_key};
 use crate::ids::{ObjectKey, Version};
-use crate::store::{ObjectStore, StoreError};
 use crate::schema::declaration::{AuditEntry, Head};
+use crate::store::{ObjectStore, StoreError};
 
 const PAGE_ENTRIES: usize = 64;
 
--- a/src/declare/feed.rs
+++ b/src/declare/feed.rs
@@ -18,8 +18,8 @@
 use super::chunk::{self, Chunk, ChunkError};
 use crate::clock::Clock;
 use crate::ids::{Revision, Version};
-use crate::store::{ObjectStore, StoreError};
 use crate::schema::declaration::{ChunkRef, Head};
+use crate::store::{ObjectStore, StoreError};
 
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 
--- a/src/edge/models.rs
+++ b/src/edge/models.rs
@@ -24,10 +24,10 @@
 use crate::limit::{Grant, Limiter, Reserve};
 use crate::model::{Placer, Replica, Want};
 use crate::outcome::{Reason, Refusal};
-use crate::store::Instance;
 use crate::route::dispatch::{Job, Served};
 use crate::route::{Answer, headers};
 use crate::schema::declaration::Priority;
+use crate::store::Instance;
 use crate::units::Tokens;
 
 const PRIORITY: HeaderName = HeaderName::from_static("x-priority");
--- a/src/edge/serve.rs
+++ b/src/edge/serve.rs
@@ -26,9 +26,9 @@
 use crate::model::Placer;
 use crate::once::run::Runner;
 use crate::outcome::{Reason, Refusal};
-use crate::store::Directory;
 use crate::route::dispatch::Dispatcher;
 use crate::schema::settings::CallerSettings;
+use crate::store::Directory;
 
 /// What the edge is made of.
 #[derive(Debug)]
--- a/src/engine/http.rs
+++ b/src/engine/http.rs
@@ -12,8 +12,8 @@
 
 use super::{CacheEvents, EngineControl, EngineError, LoadReport, Order, OrderAnswer};
 use crate::clock::Clock;
-use crate::store::Instance;
 use crate::route::{Outgoing, SendError, Transport};
+use crate::store::Instance;
 
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
--- a/src/engine/mod.rs
+++ b/src/engine/mod.rs
@@ -10,10 +10,10 @@
 use futures_util::future::BoxFuture;
 use thiserror::Error;
 
-use crate::store::Instance;
 pub use crate::schema::engine::{
     CacheEvents, LoadReport, Order, OrderAnswer, OrderKind, OrderStatus, ReplicaReport,
 };
+use crate::store::Instance;
 
 /// Why a call to an engine failed.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
--- a/src/error.rs
+++ b/src/error.rs
@@ -9,9 +9,9 @@
 use crate::ops::FailedCode;
 use crate::ops::client::OpsError;
 use crate::peer::BindError;
-use crate::store::StoreError;
 use crate::route::http::OpenError;
 use crate::settings::SettingsFault;
+use crate::store::StoreError;
 
 /// Why a command failed.
 #[derive(Debug, Error)]
--- a/src/gateway/adapters.rs
+++ b/src/gateway/adapters.rs
@@ -52,12 +52,13 @@
         if on_way >= MOST_COMING {
             continue;
         }
-        let step = match fits {
-            true => AdapterMove::Load(model.clone(), adapter.clone()),
-            false => match least_wanted(seat, demand) {
-                Some((m, a)) => AdapterMove::Unload(m, a),
-                None => continue,
-            },
+        let step = if fits {
+            AdapterMove::Load(model.clone(), adapter.clone())
+        } else {
+            let Some((m, a)) = least_wanted(seat, demand) else {
+                continue;
+            };
+            AdapterMove::Unload(m, a)
         };
         let cost = held + on_way + if fits { 0 } else { engines.adapter_slots };
         if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
@@ -76,10 +77,7 @@
     engines.room_mb - sizes.sum::<f64>() - loading.map_or(0.0, |kind| kind.size_mb)
 }
 
-fn least_wanted(
-    seat: &Seat,
-    demand: &BTreeMap<Target, Want>,
-) -> Option<(ModelId, AdapterId)> {
+fn least_wanted(seat: &Seat, demand: &BTreeMap<Target, Want>) -> Option<(ModelId, AdapterId)> {
     let rate = |model: &ModelId, adapter: &AdapterId| {
         let target = Target {
             model: model.clone(),
--- a/src/gateway/allowance.rs
+++ b/src/gateway/allowance.rs
@@ -29,7 +29,11 @@
 impl fmt::Display for Allowance {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let rate = self.rate.per_second();
-        write!(f, "{:.0} of {:.0} at {rate:.0} a second", self.level, self.burst)
+        write!(
+            f,
+            "{:.0} of {:.0} at {rate:.0} a second",
+            self.level, self.burst
+        )
     }
 }
 
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -30,7 +30,9 @@
 
 /// A body that is whole.
 pub fn whole(bytes: Bytes) -> CallerBody {
-    Full::new(bytes).map_err(|never: Infallible| match never {}).boxed_unsync()
+    Full::new(bytes)
+        .map_err(|never: Infallible| match never {})
+        .boxed_unsync()
 }
 
 /// The status of a refusal; one that promises that the request did not run is only given where
--- a/src/gateway/border.rs
+++ b/src/gateway/border.rs
@@ -6,13 +6,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::future::BoxFuture;
 use http::request::Parts as RequestParts;
 use http::response::Parts as ResponseParts;
 use http::{HeaderMap, Request};
 use http_body_util::Full;
-use bytes::Bytes;
 use thiserror::Error;
 
 use crate::ids::{ClientAccount, Epoch, RequestId, UpstreamId, VmId};
@@ -69,11 +69,7 @@
     fn list(&self) -> BoxFuture<'_, Result<Listing<T>, StoreError>>;
 
     /// Waits for changes since `at`, for `wait` at most.
-    fn changes(
-        &self,
-        at: Mark,
-        wait: Duration,
-    ) -> BoxFuture<'_, Result<Changes<T>, StoreError>>;
+    fn changes(&self, at: Mark, wait: Duration) -> BoxFuture<'_, Result<Changes<T>, StoreError>>;
 }
 
 /// What the gateway adds to a request that it sends on.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -32,7 +32,7 @@
     /// Nobody knows whether it ran.
     Unknown(Lost),
     /// An answer to this request began.
-    Answered(Answer),
+    Answered(Box<Answer>),
 }
 
 /// Why an upstream did not run a request.
@@ -107,12 +107,16 @@
     };
     let (head, body) = response.into_parts();
     let said = dialect.read_answer(&head);
-    let other = said.instance.as_ref().is_some_and(|i| i != outgoing.upstream);
+    let other = said
+        .instance
+        .as_ref()
+        .is_some_and(|i| i != outgoing.upstream);
     let echoes = said.echo.as_ref().is_none_or(|id| id == outgoing.id);
     if echoes && head.status == StatusCode::MISDIRECTED_REQUEST {
-        return Sent::NotRun(match other {
-            true => Declined::Elsewhere,
-            false => Declined::Missing,
+        return Sent::NotRun(if other {
+            Declined::Elsewhere
+        } else {
+            Declined::Missing
         });
     }
     if echoes && said.not_run {
@@ -130,13 +134,13 @@
     if head.status.is_success() && !said.sealed {
         return Sent::Unknown(Lost::Wrong);
     }
-    Sent::Answered(Answer {
+    Sent::Answered(Box::new(Answer {
         head,
         said,
         body,
         _connection: connection,
         _running: running,
-    })
+    }))
 }
 
 /// What the next part of a body is.
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -148,7 +148,9 @@
     /// All registrations known, as they were written.
     pub fn registered(&self) -> Vec<Arc<Entry>> {
         let known = self.known.values();
-        known.map(|known| Arc::clone(&known.upstream.entry)).collect()
+        known
+            .map(|known| Arc::clone(&known.upstream.entry))
+            .collect()
     }
 
     /// The upstreams in use.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -10,9 +10,11 @@
 use slog::{info, warn};
 use tokio::task::JoinHandle;
 
+use crate::clock::BootTime;
 use crate::store::StoreError;
 
 use super::border::{Change, Changes, Item, Listing, Mark, Source};
+use super::fleet::Fleet;
 use super::state::Gateway;
 use super::table::Table;
 use super::upstream::Entry;
@@ -40,7 +42,7 @@
 
     fn on_list(&self, items: Vec<Item<T>>);
     fn on_change(&self, change: Change<T>);
-    fn on_answer(&self, asked: crate::clock::BootTime);
+    fn on_answer(&self, asked: BootTime);
     fn on_return(&self);
 }
 
@@ -60,7 +62,7 @@
     gateway: Arc<Gateway>,
     source: Arc<dyn Source<T>>,
     taker: K,
-    failing: Option<Instant>,
+    lost: Option<Instant>,
     failures: u32,
 }
 
@@ -74,7 +76,7 @@
             gateway: Arc::clone(gateway),
             source,
             taker,
-            failing: None,
+            lost: None,
             failures: 0,
         }
     }
@@ -117,19 +119,19 @@
         let changes = tokio::time::timeout(K::WAIT + LATE, changes).await;
         let Changes { changes, at } = changes.unwrap_or(Err(StoreError::Unavailable))?;
         self.on_success();
-        let changed = !changes.is_empty();
+        let told = !changes.is_empty();
         for change in changes {
             self.taker.on_change(change);
         }
         self.taker.on_answer(asked);
-        if changed && !K::PAUSE.is_zero() {
+        if told && !K::PAUSE.is_zero() {
             tokio::time::sleep(K::PAUSE).await;
         }
         Ok(at)
     }
 
     fn on_success(&mut self) {
-        let Some(since) = self.failing.take() else {
+        let Some(since) = self.lost.take() else {
             return;
         };
         let away = self.gateway.clock.now().saturating_duration_since(since);
@@ -143,8 +145,8 @@
 
     fn on_failure(&mut self, error: &StoreError) {
         self.failures += 1;
-        if self.failing.is_none() {
-            self.failing = Some(self.gateway.clock.now());
+        if self.lost.is_none() {
+            self.lost = Some(self.gateway.clock.now());
             warn!(self.gateway.log, "store_lost"; "kind" => K::KIND, "error" => %error);
         }
     }
@@ -176,7 +178,9 @@
     const PAUSE: Duration = Duration::ZERO;
 
     fn on_list(&self, items: Vec<Item<Table>>) {
-        items.into_iter().for_each(|item| self.take(item));
+        for item in items {
+            self.take(item);
+        }
     }
 
     fn on_change(&self, change: Change<Table>) {
@@ -188,7 +192,7 @@
         }
     }
 
-    fn on_answer(&self, asked: crate::clock::BootTime) {
+    fn on_answer(&self, asked: BootTime) {
         self.0.trust().on_answer(asked);
     }
 
@@ -243,16 +247,18 @@
         }
     }
 
-    fn on_answer(&self, _asked: crate::clock::BootTime) {
+    fn on_answer(&self, _asked: BootTime) {
         // Publishes what changes by time alone.
         let now = self.0.clock.now();
-        let expired = self.0.read_fleet(|fleet| fleet.next_expiry().is_some_and(|at| at <= now));
+        let expired = self
+            .0
+            .read_fleet(|fleet| fleet.next_expiry().is_some_and(|at| at <= now));
         if expired {
             self.0.with_fleet(|_, _| ());
         }
     }
 
     fn on_return(&self) {
-        self.0.with_fleet(|fleet, now| fleet.on_return(now));
+        self.0.with_fleet(Fleet::on_return);
     }
 }
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -104,15 +104,10 @@
             return Step::Rest;
         }
         if self.stale {
-            return match self.held.is_none() && led {
-                true => Step::Rest,
-                false => Step::Read,
-            };
+            let rests = self.held.is_none() && led;
+            return if rests { Step::Rest } else { Step::Read };
         }
-        let (version, since) = match self.seen {
-            Some(seen) => seen,
-            None => (Version::default(), BootTime::default()),
-        };
+        let (version, since) = self.seen.unwrap_or_default();
         let record = Record {
             holder: self.me.clone(),
             renewal: self.renewal + 1,
@@ -122,31 +117,28 @@
         if self.held.is_some() || own || self.holder.is_none() {
             return Step::Write(version, record);
         }
-        match lapsed && !led {
-            true => Step::Write(version, record),
-            false => Step::Rest,
+        if lapsed && !led {
+            return Step::Write(version, record);
         }
+        Step::Rest
     }
 
     /// Takes the object as read; `None` where there is none.
     pub fn on_read(&mut self, object: Option<(Version, Record)>, now: BootTime) {
         self.stale = false;
         self.next = now;
-        match object {
-            Some((version, record)) => {
-                self.see(version, now);
-                if record.holder != self.me {
-                    self.held = None;
-                }
-                self.renewal = self.renewal.max(record.renewal);
-                self.holder = Some(record.holder);
-            }
-            None => {
-                self.seen = None;
-                self.holder = None;
-                self.held = None;
-            }
+        let Some((version, record)) = object else {
+            self.seen = None;
+            self.holder = None;
+            self.held = None;
+            return;
+        };
+        self.see(version, now);
+        if record.holder != self.me {
+            self.held = None;
         }
+        self.renewal = self.renewal.max(record.renewal);
+        self.holder = Some(record.holder);
     }
 
     /// Takes a write's success; `sent` is when the call was sent.
--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -18,7 +18,8 @@
 
 use crate::ids::{Epoch, Generation, ModelId, UpstreamId, Version, VmId};
 use crate::schema::mesh::{
-    AccountUse, Datagram, HoldWord, LeaseWord, Notice, Run, UpstreamUse, Usage, Want as WantWord, Wants,
+    AccountUse, Datagram, HoldWord, LeaseWord, Notice, Run, UpstreamUse, Usage, Want as WantWord,
+    Wants,
 };
 use crate::units::Tokens;
 
@@ -31,7 +32,7 @@
 /// Pause between words on what a VM wants; one that begins to wait is told at once.
 const WANTS_PAUSE: Duration = Duration::from_millis(250);
 /// A VM not heard for this long is out of touch.
-const TOUCH_TIME: Duration = Duration::from_millis(1000);
+const TOUCH_TIME: Duration = Duration::from_secs(1);
 /// A VM not heard for this long is gone for good.
 const GONE_TIME: Duration = Duration::from_secs(12);
 /// Greatest datagram, in bytes.
@@ -124,7 +125,10 @@
 
     /// The newest version of the lease heard.
     pub fn lease_heard(&self) -> Option<Version> {
-        self.lock().leader.as_ref().map(|(_, _, version, _)| *version)
+        self.lock()
+            .leader
+            .as_ref()
+            .map(|(_, _, version, _)| *version)
     }
 
     /// Says whether this VM gives orders.
@@ -152,9 +156,18 @@
         let now = self.gateway.clock.now();
         let mut sums: BTreeMap<_, u32> = BTreeMap::new();
         let mut state = self.lock();
-        state.runs.retain(|_, (_, at)| now.saturating_duration_since(*at) < TOUCH_TIME);
-        for run in state.runs.values().flat_map(|(runs, _)| runs).chain(&self.own_runs()) {
-            *sums.entry((run.engine.clone(), run.model.clone())).or_default() += run.requests;
+        state
+            .runs
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < TOUCH_TIME);
+        for run in state
+            .runs
+            .values()
+            .flat_map(|(runs, _)| runs)
+            .chain(&self.own_runs())
+        {
+            *sums
+                .entry((run.engine.clone(), run.model.clone()))
+                .or_default() += run.requests;
         }
         sums
     }
@@ -234,8 +247,14 @@
         let now = self.gateway.clock.now();
         let mut state = self.lock();
         if let Some(lease) = usage.lease {
-            let newer = state.leader.as_ref().is_none_or(|(_, epoch, ..)| *epoch <= lease.epoch);
-            let same = state.leader.as_ref().is_some_and(|(vm, ..)| *vm == usage.vm);
+            let newer = state
+                .leader
+                .as_ref()
+                .is_none_or(|(_, epoch, ..)| *epoch <= lease.epoch);
+            let same = state
+                .leader
+                .as_ref()
+                .is_some_and(|(vm, ..)| *vm == usage.vm);
             if newer && !same {
                 self.gateway.wants_due.notify_one();
             }
@@ -259,9 +278,13 @@
             // What was used before this VM was heard at all is not taken off.
             let start = if first { tokens } else { Tokens::ZERO };
             let before = peer.used.insert(account.clone(), tokens).unwrap_or(start);
-            spent.push((account, tokens.0 as i64 - before.0 as i64));
+            spent.push((account, tokens.0.cast_signed() - before.0.cast_signed()));
         }
-        peer.upstreams = usage.upstreams.into_iter().map(|u| (u.upstream, u.requests)).collect();
+        peer.upstreams = usage
+            .upstreams
+            .into_iter()
+            .map(|u| (u.upstream, u.requests))
+            .collect();
         let sums = state.upstream_sums(now);
         drop(state);
         if new {
@@ -271,7 +294,9 @@
             self.gateway.take_elsewhere(&account, tokens);
         }
         for (id, upstream) in self.gateway.upstreams.load().iter() {
-            upstream.pulse.tell_elsewhere(sums.get(id).copied().unwrap_or_default());
+            upstream
+                .pulse
+                .tell_elsewhere(sums.get(id).copied().unwrap_or_default());
         }
     }
 
@@ -311,8 +336,14 @@
     fn set_part(&self) {
         let now = self.gateway.clock.now();
         let mut state = self.lock();
-        state.peers.retain(|_, peer| now.saturating_duration_since(peer.last()) < GONE_TIME);
-        let heard = state.peers.values().filter(|peer| peer.touched(now)).count();
+        state
+            .peers
+            .retain(|_, peer| now.saturating_duration_since(peer.last()) < GONE_TIME);
+        let heard = state
+            .peers
+            .values()
+            .filter(|peer| peer.touched(now))
+            .count();
         let all = state.peers.len();
         drop(state);
         self.gateway.set_part((heard + 1) as f64 / (all + 1) as f64);
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -100,10 +100,10 @@
     if holds.in_memory.contains(model) {
         return Tier::Memory;
     }
-    match holds.on_disk.contains(model) {
-        true => Tier::Disk,
-        false => Tier::Store,
+    if holds.on_disk.contains(model) {
+        return Tier::Disk;
     }
+    Tier::Store
 }
 
 /// How long a load takes.
@@ -167,20 +167,17 @@
         if let Move::Load(_, Tier::Store) = step {
             store_loads -= 1;
         }
-        if let Move::Unload { model: dropped, .. } = &step {
-            if let Some(count) = copies.get_mut(dropped) {
-                *count = count.saturating_sub(1);
-            }
+        if let Move::Unload { model: dropped, .. } = &step
+            && let Some(count) = copies.get_mut(dropped)
+        {
+            *count = count.saturating_sub(1);
         }
         moves.insert(seat, step);
     }
     moves
 }
 
-fn count_copies(
-    seats: &BTreeMap<UpstreamId, Seat>,
-    engines: &Engines,
-) -> BTreeMap<ModelId, usize> {
+fn count_copies(seats: &BTreeMap<UpstreamId, Seat>, engines: &Engines) -> BTreeMap<ModelId, usize> {
     let mut copies: BTreeMap<ModelId, usize> =
         engines.models.keys().map(|m| (m.clone(), 0)).collect();
     for seat in seats.values() {
@@ -204,10 +201,10 @@
     }
     let by_adapters = want.adapters.div_ceil(engines.adapter_slots.max(1));
     let spare = rate * SPARE_SHARE / count as f64;
-    match count <= by_adapters {
-        true => spare + want.adapter_rate * ADAPTER_SHARE / count as f64,
-        false => spare,
+    if count <= by_adapters {
+        return spare + want.adapter_rate * ADAPTER_SHARE / count as f64;
     }
+    spare
 }
 
 /// Models that want one more replica, with its worth.
@@ -266,7 +263,11 @@
                 continue;
             };
             let occupied = seat.busy || seat.loading.is_some() || taken.contains_key(id);
-            let wait = if occupied { seat.busy_for.max(LEAST_WAIT) } else { Duration::ZERO };
+            let wait = if occupied {
+                seat.busy_for.max(LEAST_WAIT)
+            } else {
+                Duration::ZERO
+            };
             let time = (wait + load_time(kind, tier)).as_secs_f64() + room.time;
             let held_up = self.adapter_rate(seat) * HELD_UP_SHARE;
             let cost = time * (worth + held_up) + room.loss;
@@ -311,7 +312,7 @@
             return None;
         }
         let mut victims = self.victims(seat);
-        let hurt = |v: &(f64, ModelId)| v.0 + gain * self.drop_time(seat, &v.1);
+        let hurt = |v: &(f64, ModelId)| v.0 + gain * Self::drop_time(seat, &v.1);
         victims.sort_by(|a, b| hurt(a).total_cmp(&hurt(b)));
         let mut lost = 0.0;
         for (worth, model) in victims {
@@ -320,7 +321,7 @@
                 return None;
             }
             room.loss += worth * self.reload_time(&model).as_secs_f64();
-            room.time += self.drop_time(seat, &model);
+            room.time += Self::drop_time(seat, &model);
             free += self.size(seat, &model);
             room.first.get_or_insert(model);
             if free >= kind.size_mb {
@@ -331,7 +332,7 @@
     }
 
     /// Expected time to drop a model: its runs are finished first, in seconds.
-    fn drop_time(&self, seat: &Seat, model: &ModelId) -> f64 {
+    fn drop_time(seat: &Seat, model: &ModelId) -> f64 {
         let running = f64::from(seat.runs.get(model).copied().unwrap_or_default());
         DROP_TIME + RUNS_TIME * (1.0 - (-running).exp())
     }
@@ -368,7 +369,10 @@
 
     fn used(&self, seat: &Seat) -> f64 {
         let held: f64 = seat.holds.models.keys().map(|m| self.size(seat, m)).sum();
-        let loading = seat.loading.as_ref().and_then(|m| self.engines.models.get(m));
+        let loading = seat
+            .loading
+            .as_ref()
+            .and_then(|m| self.engines.models.get(m));
         held + loading.map_or(0.0, |kind| kind.size_mb)
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -109,10 +109,10 @@
 
 impl Tries {
     fn refusal(&self, reason: Reason) -> Refusal {
-        match self.ran {
-            true => Refusal::unknown(reason),
-            false => Refusal::not_run(reason),
+        if self.ran {
+            return Refusal::unknown(reason);
         }
+        Refusal::not_run(reason)
     }
 }
 
@@ -191,10 +191,10 @@
         _token: token,
     };
     let outcome = Arc::new(task).run().await;
-    if let (Err(refusal), Some(account)) = (&outcome, &account) {
-        if refusal.ran == Ran::No {
-            gateway.give_back(account, tokens);
-        }
+    if let (Err(refusal), Some(account)) = (&outcome, &account)
+        && refusal.ran == Ran::No
+    {
+        gateway.give_back(account, tokens);
     }
     outcome
 }
@@ -242,12 +242,12 @@
         let mut tries = Tries::default();
         loop {
             if self.left().is_zero() {
-                return self.give_up(tries, Reason::Deadline, PLACE_RETRY);
+                return Self::give_up(tries, Reason::Deadline, PLACE_RETRY);
             }
             let upstream = match self.choose(&tries) {
                 Ok(upstream) => upstream,
                 Err(NoEngine::Unusable) => {
-                    return self.give_up(tries, Reason::Capacity, PLACE_RETRY);
+                    return Self::give_up(tries, Reason::Capacity, PLACE_RETRY);
                 }
                 Err(NoEngine::NoModel | NoEngine::NoAdapter) => {
                     self.wait_for_model(&tries).await?;
@@ -255,10 +255,10 @@
                 }
             };
             if self.account.is_some() && !gateway.trusted() {
-                return self.give_up(tries, Reason::NotReady, ELSEWHERE_RETRY);
+                return Self::give_up(tries, Reason::NotReady, ELSEWHERE_RETRY);
             }
             if tries.sent > 0 && !gateway.take_repeat(&self.service) {
-                return self.give_up(tries, Reason::UpstreamFailed, PLACE_RETRY);
+                return Self::give_up(tries, Reason::UpstreamFailed, PLACE_RETRY);
             }
             if let Some(response) = self.attempt(&upstream, &mut tries).await? {
                 return Ok(response);
@@ -268,7 +268,6 @@
 
     /// The final answer once nothing more is tried.
     fn give_up(
-        &self,
         tries: Tries,
         reason: Reason,
         retry: Duration,
@@ -344,7 +343,7 @@
             Sent::Answered(answer) => {
                 tries.sent += 1;
                 tries.ran = true;
-                match self.take(upstream, answer, tries).await {
+                match self.take(upstream, *answer, tries).await {
                     Ok(response) => return Ok(response),
                     Err(lost) => lost,
                 }
@@ -395,9 +394,10 @@
             }
         };
         let silence = (self.route.goal * SILENCE_GOALS).max(LEAST_SILENCE);
-        let patience = match more && self.route.kind.repeats() {
-            true => silence.min(left),
-            false => left,
+        let patience = if more && self.route.kind.repeats() {
+            silence.min(left)
+        } else {
+            left
         };
         let outgoing = Outgoing {
             to: upstream.entry.address,
@@ -525,10 +525,10 @@
         let upstreams = self.gateway.upstreams.load();
         let times = of_service(&upstreams, &self.service).map(|upstream| {
             let holds = &upstream.entry.holds;
-            match holds.models.contains_key(&target.model) {
-                true => Duration::ZERO,
-                false => place::load_time(model, place::tier(holds, &target.model)),
+            if holds.models.contains_key(&target.model) {
+                return Duration::ZERO;
             }
+            place::load_time(model, place::tier(holds, &target.model))
         });
         times.min().unwrap_or(model.from_store) + ORDER_TIME
     }
--- a/src/gateway/repeats.rs
+++ b/src/gateway/repeats.rs
@@ -27,8 +27,8 @@
 #[derive(Clone, Debug)]
 pub struct Repeats {
     bound: RepeatBound,
-    requests: VecDeque<Instant>,
-    repeats: VecDeque<Instant>,
+    firsts: VecDeque<Instant>,
+    others: VecDeque<Instant>,
 }
 
 impl Repeats {
@@ -36,31 +36,31 @@
     pub fn new(bound: RepeatBound) -> Self {
         Self {
             bound,
-            requests: VecDeque::new(),
-            repeats: VecDeque::new(),
+            firsts: VecDeque::new(),
+            others: VecDeque::new(),
         }
     }
 
     /// Counts a request.
     pub fn on_request(&mut self, now: Instant) {
         self.forget(now);
-        self.requests.push_back(now);
+        self.firsts.push_back(now);
     }
 
     /// Takes a repeat, if one is left.
     pub fn take(&mut self, now: Instant) -> bool {
         self.forget(now);
-        let earned = self.requests.len() as f64 * self.bound.ratio * USED_SHARE;
+        let earned = self.firsts.len() as f64 * self.bound.ratio * USED_SHARE;
         let allowed = earned + self.bound.slack / SLACK_PARTS;
-        if self.repeats.len() as f64 + 1.0 > allowed {
+        if self.others.len() as f64 + 1.0 > allowed {
             return false;
         }
-        self.repeats.push_back(now);
+        self.others.push_back(now);
         true
     }
 
     fn forget(&mut self, now: Instant) {
-        for times in [&mut self.requests, &mut self.repeats] {
+        for times in [&mut self.firsts, &mut self.others] {
             while let Some(first) = times.front() {
                 if now.saturating_duration_since(*first) < self.bound.window {
                     break;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -207,7 +207,9 @@
     let mut version = Version::default();
     // A registration of an earlier run has a version that only the refusal tells.
     for _ in 0..2 {
-        let put = platform.store.put(&platform.vm_key, version, value.clone().into());
+        let put = platform
+            .store
+            .put(&platform.vm_key, version, value.clone().into());
         let put = tokio::time::timeout(STORE_TIME, put).await;
         match put.unwrap_or(Err(StoreError::Unknown)) {
             Ok(_) => return true,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -137,7 +137,9 @@
         }
     });
     let table = gateway.table.load();
-    let head = table.as_ref().map_or(FIRST_HEAD_BYTES, |t| t.bounds.head_bytes);
+    let head = table
+        .as_ref()
+        .map_or(FIRST_HEAD_BYTES, |t| t.bounds.head_bytes);
     drop(table);
     let mut builder = http1::Builder::new();
     builder.max_buf_size(head.max(LEAST_BUFFER_BYTES));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -181,7 +181,10 @@
     /// Takes a configuration; an older one than that in force is dropped.
     pub fn take_table(&self, table: Table) {
         let in_force = self.table.load();
-        if in_force.as_ref().is_some_and(|old| old.version >= table.version) {
+        if in_force
+            .as_ref()
+            .is_some_and(|old| old.version >= table.version)
+        {
             return;
         }
         info!(self.log, "configuration_taken"; "version" => table.version,
@@ -200,13 +203,12 @@
                 allowances.remove(name);
                 continue;
             };
-            match allowances.get_mut(name) {
-                Some(allowance) => allowance.change(rate, account.burst, now),
-                None => {
-                    let allowance = Allowance::open(rate, account.burst, full, now);
-                    allowances.insert(name.clone(), allowance);
-                }
+            if let Some(allowance) = allowances.get_mut(name) {
+                allowance.change(rate, account.burst, now);
+                continue;
             }
+            let allowance = Allowance::open(rate, account.burst, full, now);
+            allowances.insert(name.clone(), allowance);
         }
     }
 
--- a/src/gateway/steer.rs
+++ b/src/gateway/steer.rs
@@ -22,6 +22,7 @@
 use super::call::Target;
 use super::ceiling::Ceiling;
 use super::demand::Want;
+use super::fleet::Fleet;
 use super::lease::{Lease, Record, Step};
 use super::mesh::Mesh;
 use super::place::{self, ModelWant, Move, Seat, Tier, load_time, plan};
@@ -247,7 +248,7 @@
     fn take_entries(&mut self) {
         let table = self.gateway.table.load();
         let now = self.gateway.clock.now();
-        let entries = self.gateway.read_fleet(|fleet| fleet.registered());
+        let entries = self.gateway.read_fleet(Fleet::registered);
         let serves = |entry: &Entry| {
             let table = table.as_ref();
             !entry.leaving && table.is_some_and(|t| t.engines(&entry.service).is_some())
@@ -276,7 +277,10 @@
     /// Asks the engines whose state is not known.
     async fn ask_engines(&mut self) {
         let now = self.gateway.clock.now();
-        let due = self.desks.iter().filter(|(_, d)| d.ask.is_some_and(|at| at <= now));
+        let due = self
+            .desks
+            .iter()
+            .filter(|(_, d)| d.ask.is_some_and(|at| at <= now));
         let mut asked = JoinSet::new();
         for (id, desk) in due {
             let control = Arc::clone(&self.control);
@@ -326,7 +330,10 @@
 
     fn seats(&self, service: &ServiceId) -> BTreeMap<UpstreamId, Seat> {
         let now = self.gateway.clock.now();
-        let desks = self.desks.iter().filter(|(_, d)| d.entry.service == *service);
+        let desks = self
+            .desks
+            .iter()
+            .filter(|(_, d)| d.entry.service == *service);
         let mut seats: BTreeMap<_, _> = desks
             .map(|(id, desk)| (id.clone(), desk.seat(now)))
             .collect();
@@ -423,8 +430,13 @@
     }
 
     fn coming(&self, service: &ServiceId) -> BTreeMap<UpstreamId, Coming> {
-        let desks = self.desks.iter().filter(|(_, d)| d.entry.service == *service);
-        desks.map(|(id, desk)| (id.clone(), desk.coming())).collect()
+        let desks = self
+            .desks
+            .iter()
+            .filter(|(_, d)| d.entry.service == *service);
+        desks
+            .map(|(id, desk)| (id.clone(), desk.coming()))
+            .collect()
     }
 
     /// Gives orders to several engines at once, if this VM still may.
@@ -556,7 +568,9 @@
 }
 
 fn held_somewhere(seats: &BTreeMap<UpstreamId, Seat>, model: &ModelId) -> bool {
-    seats.values().any(|seat| seat.holds.models.contains_key(model))
+    seats
+        .values()
+        .any(|seat| seat.holds.models.contains_key(model))
 }
 
 impl Desk {
@@ -639,7 +653,8 @@
                 self.gained.push(model.clone());
             }
         }
-        self.since.retain(|model, _| report.holds.models.contains_key(model));
+        self.since
+            .retain(|model, _| report.holds.models.contains_key(model));
         if !report.busy {
             self.doing = None;
         }
@@ -648,10 +663,8 @@
             self.coming = None;
         }
         self.stale = false;
-        self.ask = match report.busy || !report.coming.is_empty() {
-            true => Some(now + BUSY_PAUSE),
-            false => None,
-        };
+        let moving = report.busy || !report.coming.is_empty();
+        self.ask = moving.then(|| now + BUSY_PAUSE);
         self.report = Some(report);
     }
 
@@ -693,8 +706,13 @@
                 self.doing = Some(act.clone());
                 self.ask = Some(now);
             }
-            Ok(OrderAnswer::Fenced | OrderAnswer::Invalid | OrderAnswer::Elsewhere
-                | OrderAnswer::Refused) | Err(ControlError::Unreachable) => {
+            Ok(
+                OrderAnswer::Fenced
+                | OrderAnswer::Invalid
+                | OrderAnswer::Elsewhere
+                | OrderAnswer::Refused,
+            )
+            | Err(ControlError::Unreachable) => {
                 self.ask = Some(now + RETRY_PAUSE);
                 self.stale = true;
             }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -98,9 +98,10 @@
     async fn next(&mut self) -> Result<Option<Bytes>, Cut> {
         loop {
             let left = self.task.left();
-            let patience = match self.resumable() {
-                true => SILENCE.min(left),
-                false => left,
+            let patience = if self.resumable() {
+                SILENCE.min(left)
+            } else {
+                left
             };
             let piece = self.answer.next(patience).await;
             // Silence alone is no reason to end a stream that nobody else could go on with.
@@ -124,7 +125,10 @@
     fn resumable(&self) -> bool {
         let resumes = matches!(
             self.task.route.kind,
-            Kind::Streaming { resumable: true, .. }
+            Kind::Streaming {
+                resumable: true,
+                ..
+            }
         );
         resumes && self.tries.sent < self.task.route.attempts
     }
@@ -160,7 +164,7 @@
                     info!(gateway.log, "stream_resumed"; "request" => %id,
                         "upstream" => %upstream.entry.id, "event" => self.events.last);
                     self.tries.sent += 1;
-                    self.answer = answer;
+                    self.answer = *answer;
                     self.upstream = upstream;
                     return Ok(());
                 }
--- a/src/gateway/table.rs
+++ b/src/gateway/table.rs
@@ -32,7 +32,11 @@
     pub fn repeats(self) -> bool {
         matches!(
             self,
-            Self::Idempotent | Self::Streaming { resumable: true, .. }
+            Self::Idempotent
+                | Self::Streaming {
+                    resumable: true,
+                    ..
+                }
         )
     }
 }
--- a/src/limit/shell.rs
+++ b/src/limit/shell.rs
@@ -24,10 +24,10 @@
 use crate::clock::Clock;
 use crate::ids::{ClientAccount, Generation, ObjectKey, VmId};
 use crate::outcome::{Reason, Refusal};
-use crate::store::{ObjectStore, StoreError};
 use crate::schema::declaration::{self, Declaration};
 use crate::schema::peer::{Frame, LeaseAnswer, LeaseAsk};
 use crate::schema::settings::{LimitSettings, PlatformSettings};
+use crate::store::{ObjectStore, StoreError};
 use crate::units::Tokens;
 
 const LEAST_TICK_MS: u64 = 5;
--- a/src/model/adapters.rs
+++ b/src/model/adapters.rs
@@ -9,8 +9,8 @@
 use super::plan::{World, memory};
 use super::upkeep::find;
 use crate::ids::{AdapterId, ModelId, ReplicaId, UpstreamId};
-use crate::store::Instance;
 use crate::schema::engine::{ReplicaReport, ReplicaState};
+use crate::store::Instance;
 use crate::units::Bytes;
 
 /// An adapter that lacks memory on the engine of its replica.
--- a/src/model/jobs.rs
+++ b/src/model/jobs.rs
@@ -12,8 +12,8 @@
 use super::shell::{WakeError, WakeLink};
 use crate::engine::{EngineControl, EngineError, LoadReport};
 use crate::ids::{ModelId, UpstreamId, Version, VmId};
-use crate::store::{Instance, StoreError};
 use crate::schema::peer::{WakeAnswer, WakeAsk};
+use crate::store::{Instance, StoreError};
 
 const READS_AT_ONCE: usize = 16;
 
--- a/src/model/plan.rs
+++ b/src/model/plan.rs
@@ -16,8 +16,8 @@
 use super::scale::{Waiting, is_idle, replicas_to_add};
 use super::{adapters, upkeep};
 use crate::ids::{AdapterId, ModelId, ReplicaId, UpstreamId};
-use crate::store::{Instance, InstanceKind, InstanceState};
 use crate::schema::declaration::{Declaration, Model};
+use crate::store::{Instance, InstanceKind, InstanceState};
 use crate::units::Bytes;
 
 const REPORT_BOUND: Duration = Duration::from_secs(5);
--- a/src/model/shell.rs
+++ b/src/model/shell.rs
@@ -23,10 +23,10 @@
 use crate::engine::EngineControl;
 use crate::ids::{ModelId, VmId};
 use crate::outcome::{Reason, Refusal};
-use crate::store::{Instance, ObjectStore};
 use crate::schema::declaration::Declaration;
 use crate::schema::peer::{WakeAnswer, WakeAsk};
 use crate::schema::settings::ModelSettings;
+use crate::store::{Instance, ObjectStore};
 use crate::units::Bytes;
 
 const ASKS: usize = 1024;
--- a/src/model/upkeep.rs
+++ b/src/model/upkeep.rs
@@ -7,8 +7,8 @@
 use super::flow::{Target, upstream};
 use super::plan::World;
 use crate::ids::{ModelId, ReplicaId, UpstreamId};
-use crate::store::{Instance, InstanceKind, InstanceState};
 use crate::schema::engine::ReplicaState;
+use crate::store::{Instance, InstanceKind, InstanceState};
 use crate::units::Bytes;
 
 /// Adds the commands that upkeep needs.
--- a/src/model/views.rs
+++ b/src/model/views.rs
@@ -10,9 +10,9 @@
 use super::place::{Origin, load_time};
 use crate::engine::ReplicaReport;
 use crate::ids::{ModelId, UpstreamId};
-use crate::store::{Instance, InstanceState};
 use crate::schema::declaration::{Declaration, Model};
 use crate::schema::engine::ReplicaState;
+use crate::store::{Instance, InstanceState};
 use crate::units::Bytes;
 
 /// The newest reports, by engine.
--- a/src/once/run.rs
+++ b/src/once/run.rs
@@ -13,9 +13,9 @@
 
 use super::{Begin, End, OnceKey, OnceLog, Recorded};
 use crate::outcome::{Ran, Reason, Refusal};
-use crate::store::Instance;
 use crate::route::Answer;
 use crate::route::dispatch::{Dispatcher, Job};
+use crate::store::Instance;
 
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
--- a/src/peer/membership.rs
+++ b/src/peer/membership.rs
@@ -11,8 +11,8 @@
 
 use crate::ids::{DataCentre, Generation, UpstreamId, VmId};
 use crate::peer::record::{HOT_ROUNDS, Record, Word};
-use crate::store::{Instance, InstanceKind, InstanceList};
 use crate::schema::peer::{Digest, MemberDigest};
+use crate::store::{Instance, InstanceKind, InstanceList};
 
 /// Time that the word on a vanished VM or upstream is kept.
 pub const RETENTION: Duration = Duration::from_hours(1);
--- a/src/peer/node.rs
+++ b/src/peer/node.rs
@@ -28,9 +28,9 @@
 use crate::peer::frame::{FrameError, Kind};
 use crate::peer::membership::Members;
 use crate::peer::metrics::PeerMetrics;
-use crate::store::InstanceList;
 use crate::schema::peer::{Frame, UpstreamDigest};
 use crate::schema::settings::PeerSettings;
+use crate::store::InstanceList;
 
 /// Handles frames of one kind. Called on a link's task, so it must not block.
 pub trait FrameHandler: Send + Sync + Debug {
--- a/src/route/http.rs
+++ b/src/route/http.rs
@@ -31,8 +31,8 @@
 use super::{Answer, Outgoing, SendError, Transport};
 use crate::clock::Clock;
 use crate::outcome::Reason;
-use crate::store::{Instance, InstanceKind};
 use crate::schema::settings::UpstreamSettings;
+use crate::store::{Instance, InstanceKind};
 
 /// Header by which an upstream says that a request did not run.
 pub const NOT_RUN: &str = "x-not-run";
--- a/src/run/engines.rs
+++ b/src/run/engines.rs
@@ -10,9 +10,9 @@
 use crate::clock::Clock;
 use crate::engine::{CacheEvents, EngineControl, EngineError, LoadReport, Order, OrderAnswer};
 use crate::ids::UpstreamId;
-use crate::store::{Directory, Instance};
 use crate::route::choose::Balancer;
 use crate::route::upstream_of;
+use crate::store::{Directory, Instance};
 
 const CACHE_PAUSE: Duration = Duration::from_secs(1);
 
--- a/src/run/mod.rs
+++ b/src/run/mod.rs
@@ -40,12 +40,12 @@
 use crate::once::run::Runner;
 use crate::ops::{Ops, OpsParts};
 use crate::peer::{Kind, NodeOptions, PeerNode};
-use crate::store::http::PlatformClient;
-use crate::store::{Directory, ObjectStore};
 use crate::route::Transport;
 use crate::route::choose::{Balancer, ChooseSettings};
 use crate::route::dispatch::Dispatcher;
 use crate::route::http::HttpTransport;
+use crate::store::http::PlatformClient;
+use crate::store::{Directory, ObjectStore};
 
 const HANDOVER: Duration = Duration::from_secs(5);
 const ORDER_CALL: Duration = Duration::from_secs(2);
--- a/src/run/tasks.rs
+++ b/src/run/tasks.rs
@@ -10,10 +10,10 @@
 use crate::limit::Limits;
 use crate::once::log::StoreLog;
 use crate::peer::PeerNode;
-use crate::store::{Directory, InstanceList, InstanceState, Listing};
 use crate::route::choose::Balancer;
 use crate::route::http::HttpTransport;
 use crate::route::{Chooser, upstream_of};
+use crate::store::{Directory, InstanceList, InstanceState, Listing};
 
 const FLUSH_PAUSE: Duration = Duration::from_secs(1);
 
--- a/src/run/views.rs
+++ b/src/run/views.rs
@@ -15,10 +15,10 @@
 use crate::once::VmLiveness;
 use crate::ops::{StatusReport, StatusSource};
 use crate::peer::{Contact, FrameHandler, LocalState, MemberState, PeerNode};
-use crate::store::{Directory, Instance, InstanceKind, InstanceState};
 use crate::route::choose::Balancer;
 use crate::schema::declaration::Declaration;
 use crate::schema::peer::{Frame, UpstreamDigest};
+use crate::store::{Directory, Instance, InstanceKind, InstanceState};
 
 /// What this VM tells its peers of itself.
 #[derive(Debug)]
--- a/standin/src/experiment/models/farm.rs
+++ b/standin/src/experiment/models/farm.rs
@@ -13,8 +13,8 @@
 };
 use basilgw::ids::{AdapterId, Epoch, ModelId, ObjectKey, ReplicaId, Version, VersionId, VmId};
 use basilgw::model::place::{Origin, load_time};
-use basilgw::store::{Instance, Object, ObjectStore, StoreError};
 use basilgw::schema::engine::{Checkpoint, ReplicaState, Source};
+use basilgw::store::{Instance, Object, ObjectStore, StoreError};
 use basilgw::units::Bytes;
 use futures_util::future::BoxFuture;
 
--- a/standin/src/experiment/models/run.rs
+++ b/standin/src/experiment/models/run.rs
@@ -20,8 +20,8 @@
 use basilgw::model::queue::Ticket;
 use basilgw::model::slots::Starts;
 use basilgw::model::views::{Reports, views};
-use basilgw::store::Instance;
 use basilgw::schema::declaration::Declaration;
+use basilgw::store::Instance;
 use basilgw::units::Bytes;
 use futures_util::future::BoxFuture;
 
--- a/standin/src/experiment/models/site.rs
+++ b/standin/src/experiment/models/site.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use basilgw::ids::{AdapterId, ClientAccount, Generation, ModelId};
-use basilgw::store::{Instance, InstanceKind, InstanceState};
 use basilgw::schema::declaration::{Adapter, Declaration, Model, Priority};
+use basilgw::store::{Instance, InstanceKind, InstanceState};
 use basilgw::units::{Bytes, Tokens};
 use bpaf::Bpaf;
 use compact_str::format_compact;
--- a/standin/src/experiment/routes.rs
+++ b/standin/src/experiment/routes.rs
@@ -13,9 +13,9 @@
 
 use basilgw::engine::CacheEvents;
 use basilgw::ids::UpstreamId;
-use basilgw::store::Instance;
 use basilgw::route::choose::{ChooseSettings, State};
 use basilgw::route::{Choice, Ending, upstream_of};
+use basilgw::store::Instance;
 use fakes::{Engine, Job, instance, report};
 use hdrhistogram::Histogram;
 use rand::rngs::StdRng;
--- a/standin/src/experiment/routes/fakes.rs
+++ b/standin/src/experiment/routes/fakes.rs
@@ -5,8 +5,8 @@
 
 use basilgw::engine::{LoadReport, ReplicaReport};
 use basilgw::ids::Generation;
-use basilgw::store::{Instance, InstanceKind, InstanceState};
 use basilgw::schema::engine::{CacheEvent, ReplicaState};
+use basilgw::store::{Instance, InstanceKind, InstanceState};
 use basilgw::units::Bytes;
 
 const CACHED_PREFIXES: usize = 40;
--- a/standin/src/experiment/transport.rs
+++ b/standin/src/experiment/transport.rs
@@ -15,12 +15,12 @@
 
 use basilgw::clock::SystemClock;
 use basilgw::ids::Generation;
-use basilgw::store::{Instance, InstanceKind, InstanceState};
 use basilgw::route::Outgoing;
 use basilgw::route::choose::{Balancer, ChooseSettings};
 use basilgw::route::dispatch::{Dispatcher, Job};
 use basilgw::route::http::HttpTransport;
 use basilgw::schema::settings::UpstreamSettings;
+use basilgw::store::{Instance, InstanceKind, InstanceState};
 use bytes::Bytes;
 use futures_util::StreamExt;
 use futures_util::future::join_all;
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -8,8 +8,8 @@
 
 use basilgw::clock::{Clock, SystemClock};
 use basilgw::ids::{ObjectKey, Version};
-use basilgw::store::MAX_VALUE_BYTES;
 use basilgw::schema::platform::{ConflictAnswer, Instance, InstanceList, PutAnswer};
+use basilgw::store::MAX_VALUE_BYTES;
 use bytes::Bytes;
 use compact_str::CompactString;
 use futures_util::future::BoxFuture;
--- a/tests/declare.rs
+++ b/tests/declare.rs
@@ -10,8 +10,8 @@
     ApplyError, Board, Change, DeclarationFault, Key, OfferError, Submitter, audit, chunk, validate,
 };
 use basilgw::ids::{ObjectKey, Revision, Version};
-use basilgw::store::{Object, ObjectStore, StoreError};
 use basilgw::schema::declaration::{Account, Adapter, Caller, Declaration, Model, Priority};
+use basilgw::store::{Object, ObjectStore, StoreError};
 use basilgw::units::{Bytes as Size, TokenRate, Tokens};
 use bytes::Bytes;
 use futures_util::FutureExt;
--- /dev/null
+++ b/tests/gateway_place.rs
@@ -0,0 +1,292 @@
+//! Which models and adapters are loaded where, under the loads that the planner answers.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use basilgw::gateway::adapters::{AdapterMove, Coming, plan_adapter};
+use basilgw::gateway::call::Target;
+use basilgw::gateway::demand::Want;
+use basilgw::gateway::place::{ModelWant, Move, Seat, Tier, plan};
+use basilgw::gateway::table::{Engines, Model};
+use basilgw::ids::{ModelId, UpstreamId};
+use proptest::prelude::*;
+
+mod gateway_support;
+use gateway_support::{holds, id, target};
+
+const SIZE_MB: f64 = 60.0;
+
+fn engines(models: usize) -> Engines {
+    let model = Model {
+        size_mb: SIZE_MB,
+        adapters: 20,
+        adapter_mb: 0.1,
+        from_store: Duration::from_secs(6),
+        from_disk: Duration::from_millis(1200),
+        from_memory: Duration::from_millis(600),
+    };
+    Engines {
+        models: (0..models)
+            .map(|n| (id(&format!("m{n}")), model.clone()))
+            .collect(),
+        room_mb: 130.0,
+        adapter_slots: 2,
+        load_rate: 2.0,
+    }
+}
+
+fn seat(models: &[&str]) -> Seat {
+    Seat {
+        slots: 32,
+        holds: holds(models),
+        ..Seat::default()
+    }
+}
+
+fn seats(all: &[(&str, Seat)]) -> BTreeMap<UpstreamId, Seat> {
+    all.iter()
+        .map(|(name, seat)| (id(name), seat.clone()))
+        .collect()
+}
+
+fn wants(all: &[(&str, f64, u32)]) -> BTreeMap<ModelId, ModelWant> {
+    let wants = all.iter().map(|(model, rate, waiting)| {
+        let all = Want {
+            rate: *rate,
+            waiting: *waiting,
+        };
+        let want = ModelWant {
+            all,
+            ..ModelWant::default()
+        };
+        (id(model), want)
+    });
+    wants.collect()
+}
+
+fn load(model: &str, tier: Tier) -> Move {
+    Move::Load(id(model), tier)
+}
+
+#[test]
+fn a_cold_model_goes_to_the_engine_that_has_its_weights() {
+    let mut warm = seat(&["m1"]);
+    warm.holds.on_disk.insert(id("m0"));
+    let all = seats(&[("e1", seat(&["m2"])), ("e2", warm)]);
+    let moves = plan(
+        &all,
+        &engines(3),
+        &wants(&[("m0", 0.2, 1)]),
+        4,
+        Instant::now(),
+    );
+    assert_eq!(moves.get(&id("e2")), Some(&load("m0", Tier::Disk)));
+}
+
+#[test]
+fn nothing_is_dropped_while_nobody_asks() {
+    let all = seats(&[("e1", seat(&["m1", "m2"])), ("e2", seat(&["m1", "m2"]))]);
+    let moves = plan(&all, &engines(4), &BTreeMap::new(), 4, Instant::now());
+    assert!(moves.is_empty(), "{moves:?}");
+}
+
+#[test]
+fn one_waiting_request_clears_one_engine_only() {
+    let all = seats(&[("e1", seat(&["m1", "m2"])), ("e2", seat(&["m3", "m4"]))]);
+    let demand = wants(&[("m0", 0.3, 1), ("m3", 0.6, 0), ("m4", 0.6, 0)]);
+    let now = Instant::now();
+    let first = plan(&all, &engines(5), &demand, 4, now);
+    assert_eq!(first.len(), 1);
+    let (engine, step) = first.iter().next().expect("one move");
+    assert!(
+        matches!(step, Move::Unload { coming, .. } if *coming == id("m0")),
+        "{step:?}"
+    );
+
+    // While it drops a model, it stands for the one that is to come.
+    let mut clearing = all.clone();
+    let seat = clearing.get_mut(engine).expect("the engine");
+    seat.busy = true;
+    seat.loading = Some(id("m0"));
+    let second = plan(&clearing, &engines(5), &demand, 4, now);
+    assert!(second.is_empty(), "{second:?}");
+
+    // Once it has room, it loads that model and no other.
+    let seat = clearing.get_mut(engine).expect("the engine");
+    seat.busy = false;
+    seat.holds.models.pop_first();
+    let third = plan(&clearing, &engines(5), &demand, 4, now);
+    let step = third.get(engine);
+    assert!(
+        matches!(step, Some(Move::Load(model, _)) if *model == id("m0")),
+        "{step:?}"
+    );
+}
+
+#[test]
+fn a_model_with_runs_is_dropped_after_an_idle_one() {
+    let mut busy = seat(&["m1", "m2"]);
+    busy.runs.insert(id("m1"), 3);
+    let all = seats(&[("e1", busy)]);
+    let demand = wants(&[("m0", 0.4, 2), ("m1", 0.2, 0), ("m2", 0.2, 0)]);
+    let moves = plan(&all, &engines(3), &demand, 4, Instant::now());
+    let dropped = Move::Unload {
+        model: id("m2"),
+        coming: id("m0"),
+    };
+    assert_eq!(moves.get(&id("e1")), Some(&dropped));
+}
+
+#[test]
+fn an_engine_busy_for_a_moment_is_waited_for_rather_than_the_weight_store() {
+    let mut near = seat(&["m1"]);
+    near.holds.in_memory.insert(id("m0"));
+    near.busy = true;
+    near.busy_for = Duration::from_millis(300);
+    let all = seats(&[("e1", near), ("e2", seat(&["m2"]))]);
+    let moves = plan(
+        &all,
+        &engines(3),
+        &wants(&[("m0", 1.0, 1)]),
+        4,
+        Instant::now(),
+    );
+    assert!(moves.is_empty(), "{moves:?}");
+}
+
+#[test]
+fn a_busy_model_is_not_dropped_for_a_rare_one() {
+    let all = seats(&[("e1", seat(&["m1", "m2"]))]);
+    let demand = wants(&[("m0", 0.1, 1), ("m1", 20.0, 0), ("m2", 20.0, 0)]);
+    let moves = plan(&all, &engines(3), &demand, 4, Instant::now());
+    assert!(moves.is_empty(), "{moves:?}");
+}
+
+#[test]
+fn what_was_just_loaded_stays() {
+    let now = Instant::now();
+    let mut fresh = seat(&["m1", "m2"]);
+    fresh.since = BTreeMap::from([(id("m1"), now), (id("m2"), now)]);
+    let all = seats(&[("e1", fresh)]);
+    let demand = wants(&[("m0", 3.0, 5)]);
+    assert!(plan(&all, &engines(3), &demand, 4, now).is_empty());
+    let later = now + Duration::from_secs(4);
+    assert_eq!(plan(&all, &engines(3), &demand, 4, later).len(), 1);
+}
+
+#[test]
+fn a_model_that_one_engine_cannot_serve_alone_gets_more() {
+    let all = seats(&[("e1", seat(&["m0"])), ("e2", seat(&["m1"]))]);
+    let moves = plan(
+        &all,
+        &engines(2),
+        &wants(&[("m0", 40.0, 0)]),
+        4,
+        Instant::now(),
+    );
+    assert_eq!(moves.get(&id("e2")), Some(&load("m0", Tier::Store)));
+}
+
+fn adapter_want(rate: f64) -> Want {
+    Want { rate, waiting: 0 }
+}
+
+fn plan_one(
+    all: &BTreeMap<UpstreamId, Seat>,
+    demand: &BTreeMap<Target, Want>,
+    name: &str,
+) -> Option<(UpstreamId, AdapterMove)> {
+    let coming: BTreeMap<UpstreamId, Coming> = BTreeMap::new();
+    plan_adapter(all, &coming, &engines(2), demand, (&id("m0"), &id(name)))
+}
+
+#[test]
+fn an_adapter_goes_where_its_model_is_and_places_are_free() {
+    let mut full = seat(&["m0"]);
+    let held = full.holds.models.get_mut(&id("m0")).expect("held");
+    held.extend([id("a1"), id("a2")]);
+    let all = seats(&[("e1", full), ("e2", seat(&["m0"])), ("e3", seat(&["m1"]))]);
+    let planned = plan_one(&all, &BTreeMap::new(), "a3");
+    assert_eq!(
+        planned,
+        Some((id("e2"), AdapterMove::Load(id("m0"), id("a3"))))
+    );
+}
+
+#[test]
+fn the_adapter_asked_for_least_makes_way() {
+    let mut full = seat(&["m0"]);
+    let held = full.holds.models.get_mut(&id("m0")).expect("held");
+    held.extend([id("a1"), id("a2")]);
+    let all = seats(&[("e1", full)]);
+    let demand = BTreeMap::from([
+        (target("m0", Some("a1")), adapter_want(2.0)),
+        (target("m0", Some("a2")), adapter_want(0.1)),
+    ]);
+    let planned = plan_one(&all, &demand, "a3");
+    assert_eq!(
+        planned,
+        Some((id("e1"), AdapterMove::Unload(id("m0"), id("a2"))))
+    );
+}
+
+#[test]
+fn an_engine_under_order_gets_no_adapter() {
+    let mut busy = seat(&["m0"]);
+    busy.busy = true;
+    assert_eq!(
+        plan_one(&seats(&[("e1", busy)]), &BTreeMap::new(), "a1"),
+        None
+    );
+}
+
+proptest! {
+    /// Whatever is held, wanted and under way, a load fits into the engine that gets it, no busy
+    /// engine gets an order, and loads from the weight store keep to their number.
+    #[test]
+    fn no_move_overcommits_an_engine(
+        held in prop::collection::vec(prop::collection::btree_set(0_usize..8, 0..=2), 1..6),
+        on_disk in prop::collection::vec(prop::collection::btree_set(0_usize..8, 0..=6), 6),
+        busy in prop::collection::vec(any::<bool>(), 6),
+        loading in prop::collection::vec(prop::option::of(0_usize..8), 6),
+        rates in prop::collection::vec((0.0_f64..40.0, 0_u32..4), 8),
+        store_loads in 0_usize..4,
+    ) {
+        let mut all = BTreeMap::new();
+        for (n, models) in held.iter().enumerate() {
+            let names: Vec<_> = models.iter().map(|m| format!("m{m}")).collect();
+            let mut seat = seat(&names.iter().map(String::as_str).collect::<Vec<_>>());
+            seat.holds.on_disk = on_disk[n].iter().map(|m| id(&format!("m{m}"))).collect();
+            seat.busy = busy[n];
+            let coming = loading[n].filter(|m| !models.contains(m));
+            seat.loading = coming.map(|m| id(&format!("m{m}")));
+            all.insert(id::<UpstreamId>(&format!("e{n}")), seat);
+        }
+        let names: Vec<_> = (0..8).map(|m| format!("m{m}")).collect();
+        let demand: Vec<_> = rates
+            .iter()
+            .enumerate()
+            .map(|(m, (rate, waiting))| (names[m].as_str(), *rate, *waiting))
+            .collect();
+        let engines = engines(8);
+        let moves = plan(&all, &engines, &wants(&demand), store_loads, Instant::now());
+        let mut from_store = 0;
+        for (engine, step) in &moves {
+            let seat = &all[engine];
+            prop_assert!(!seat.busy);
+            match step {
+                Move::Load(model, tier) => {
+                    prop_assert!(!seat.holds.models.contains_key(model));
+                    let count = seat.holds.models.len() as f64 + 1.0;
+                    prop_assert!(count * SIZE_MB <= engines.room_mb);
+                    from_store += usize::from(*tier == Tier::Store);
+                }
+                Move::Unload { model, coming } => {
+                    prop_assert!(seat.holds.models.contains_key(model));
+                    prop_assert!(!seat.holds.models.contains_key(coming));
+                }
+            }
+        }
+        prop_assert!(from_store <= store_loads);
+    }
+}
--- /dev/null
+++ b/tests/gateway_pure.rs
@@ -0,0 +1,467 @@
+//! The gateway's decisions, each under the load or the failure that it answers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use basilgw::clock::BootTime;
+use basilgw::gateway::allowance::Allowance;
+use basilgw::gateway::ceiling::Ceiling;
+use basilgw::gateway::choose::{NoEngine, choose};
+use basilgw::gateway::demand::{Local, Told, Want};
+use basilgw::gateway::events::{EventFault, Events};
+use basilgw::gateway::fleet::Fleet;
+use basilgw::gateway::lease::{Lease, Record, Step};
+use basilgw::gateway::repeats::{RepeatBound, Repeats};
+use basilgw::gateway::trust::Trust;
+use basilgw::gateway::upstream::{Entry, Holdings, Upstream};
+use basilgw::ids::{Version, VmId};
+use basilgw::units::{TokenRate, Tokens};
+
+mod gateway_support;
+use gateway_support::{call, entry, holds, id, ms, target};
+
+fn boot(millis: u64) -> BootTime {
+    BootTime::new(ms(millis))
+}
+
+fn upstream(entry: Entry) -> Upstream {
+    Upstream {
+        entry: Arc::new(entry),
+        pulse: Arc::default(),
+    }
+}
+
+// Keys.
+
+#[test]
+fn trust_is_counted_from_the_question_not_from_its_answer() {
+    let mut trust = Trust::new(ms(5000));
+    assert!(!trust.holds(boot(0)), "nothing was read yet");
+    trust.on_answer(boot(1000));
+    assert!(trust.holds(boot(5500)));
+    assert!(
+        !trust.holds(boot(5700)),
+        "the margin is kept back from 6000"
+    );
+    trust.on_answer(boot(500));
+    assert!(
+        trust.holds(boot(5500)),
+        "an older answer takes nothing away"
+    );
+}
+
+#[test]
+fn a_vm_out_of_touch_sends_new_callers_away_before_it_refuses_known_ones() {
+    let mut trust = Trust::new(ms(5000));
+    trust.on_answer(boot(0));
+    assert!(trust.ready(boot(2400)));
+    assert!(!trust.ready(boot(2600)));
+    assert!(trust.holds(boot(2600)));
+}
+
+#[test]
+fn a_suspended_vm_wakes_without_trust() {
+    let mut trust = Trust::new(ms(5000));
+    trust.on_answer(boot(0));
+    assert!(!trust.holds(boot(60_000)));
+}
+
+// Rates.
+
+fn rate(per_second: f64) -> TokenRate {
+    TokenRate::new(per_second).expect("a rate")
+}
+
+#[test]
+fn one_account_at_many_times_its_rate_gets_its_rate() {
+    let start = Instant::now();
+    let mut allowance = Allowance::open(rate(1000.0), Tokens(2000), true, start);
+    let mut admitted = 0;
+    for step in 0..8000 {
+        let now = start + ms(step);
+        if allowance.admit(Tokens(100), now, 1.0).is_ok() {
+            admitted += 100;
+        }
+    }
+    assert!((9800..=10_100).contains(&admitted), "{admitted}");
+}
+
+#[test]
+fn what_others_admitted_unheard_is_paid_back() {
+    let start = Instant::now();
+    let mut allowance = Allowance::open(rate(1000.0), Tokens(1000), true, start);
+    allowance.on_elsewhere(3000);
+    let wait = allowance
+        .admit(Tokens(100), start, 1.0)
+        .expect_err("in debt");
+    assert!(wait >= ms(2000), "{wait:?}");
+    assert!(allowance.admit(Tokens(100), start + ms(2200), 1.0).is_ok());
+}
+
+#[test]
+fn a_restart_grants_no_second_burst() {
+    let start = Instant::now();
+    let mut allowance = Allowance::open(rate(1000.0), Tokens(5000), false, start);
+    assert!(allowance.admit(Tokens(500), start, 1.0).is_err());
+    assert!(allowance.admit(Tokens(500), start + ms(600), 1.0).is_ok());
+}
+
+#[test]
+fn a_vm_that_hears_nobody_keeps_to_its_part() {
+    let start = Instant::now();
+    let mut allowance = Allowance::open(rate(900.0), Tokens(900), false, start);
+    let now = start + ms(1000);
+    assert!(allowance.admit(Tokens(200), now, 1.0 / 9.0).is_err());
+    assert!(allowance.admit(Tokens(100), now, 1.0 / 9.0).is_ok());
+}
+
+#[test]
+fn a_request_larger_than_the_burst_is_admitted_from_a_full_level() {
+    let start = Instant::now();
+    let mut allowance = Allowance::open(rate(100.0), Tokens(500), true, start);
+    assert!(allowance.admit(Tokens(2000), start, 1.0).is_ok());
+    assert!(allowance.admit(Tokens(1), start + ms(1000), 1.0).is_err());
+}
+
+#[test]
+fn a_lowered_rate_cuts_the_level() {
+    let start = Instant::now();
+    let mut allowance = Allowance::open(rate(1000.0), Tokens(5000), true, start);
+    allowance.change(rate(10.0), Tokens(100), start);
+    assert!(allowance.admit(Tokens(100), start, 1.0).is_ok());
+    assert!(allowance.admit(Tokens(100), start, 1.0).is_err());
+}
+
+// Repeats.
+
+#[test]
+fn repeats_stay_within_a_share_of_the_requests() {
+    let bound = RepeatBound {
+        ratio: 0.2,
+        slack: 16.0,
+        window: Duration::from_secs(10),
+    };
+    let start = Instant::now();
+    let mut repeats = Repeats::new(bound);
+    for _ in 0..100 {
+        repeats.on_request(start);
+    }
+    let taken = (0..100).filter(|_| repeats.take(start)).count();
+    assert_eq!(taken, 17, "0.8 of 0.2 of 100, and one of the slack");
+    let later = start + Duration::from_secs(11);
+    assert!(repeats.take(later), "one of the slack again");
+    assert!(!repeats.take(later), "the requests have left the window");
+}
+
+// Events.
+
+#[test]
+fn only_whole_events_are_forwarded() {
+    let mut events = Events::default();
+    let first = events
+        .push(b"id: 1\ndata: a\n\nid: 2\nda")
+        .expect("in order");
+    assert_eq!(&first[..], b"id: 1\ndata: a\n\n");
+    assert!(!events.whole());
+    let second = events.push(b"ta: b\n\n").expect("in order");
+    assert_eq!(&second[..], b"id: 2\ndata: b\n\n");
+    assert!(events.whole());
+    assert_eq!(events.last, Some(2));
+}
+
+#[test]
+fn an_event_cut_in_the_middle_is_dropped_before_another_engine_goes_on() {
+    let mut events = Events::default();
+    events
+        .push(b"id: 7\ndata: a\n\nid: 8\nda")
+        .expect("in order");
+    events.drop_rest();
+    let resumed = events.push(b"id: 8\ndata: b\n\n").expect("goes on");
+    assert_eq!(&resumed[..], b"id: 8\ndata: b\n\n");
+}
+
+#[test]
+fn a_gap_or_a_repeat_ends_a_stream() {
+    let mut events = Events::after(Some(3));
+    assert_eq!(events.push(b"id: 5\n\n"), Err(EventFault::Order(5)));
+    let mut events = Events::after(Some(3));
+    assert_eq!(events.push(b"id: 3\n\n"), Err(EventFault::Order(3)));
+}
+
+#[test]
+fn events_pass_at_any_cut() {
+    let text = b"id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+    for cut in 0..text.len() {
+        let mut events = Events::default();
+        let mut passed = events.push(&text[..cut]).expect("in order").to_vec();
+        passed.extend_from_slice(&events.push(&text[cut..]).expect("in order"));
+        assert_eq!(passed, text);
+    }
+}
+
+// Upstreams in use.
+
+#[test]
+fn a_registration_missing_after_an_outage_is_waited_for_and_then_gone() {
+    let start = Instant::now();
+    let mut fleet = Fleet::default();
+    fleet.on_list(vec![entry("e1", 1), entry("e2", 1)], start);
+    fleet.on_return(start);
+    fleet.on_list(vec![entry("e1", 1)], start);
+    assert_eq!(fleet.snapshot(start + ms(1900)).len(), 2);
+    assert_eq!(fleet.snapshot(start + ms(2100)).len(), 1);
+}
+
+#[test]
+fn a_registration_removed_in_calm_is_gone_at_once() {
+    let start = Instant::now();
+    let mut fleet = Fleet::default();
+    fleet.on_list(vec![entry("e1", 1)], start);
+    fleet.on_removed(&id("e1"), start);
+    assert!(fleet.snapshot(start).is_empty());
+}
+
+#[test]
+fn an_upstream_that_left_is_back_only_with_a_new_start() {
+    let start = Instant::now();
+    let mut fleet = Fleet::default();
+    fleet.on_entry(entry("e1", 1));
+    fleet.on_leaving(&id("e1"), 1);
+    fleet.on_entry(entry("e1", 1));
+    assert!(fleet.snapshot(start).is_empty());
+    fleet.on_entry(entry("e1", 2));
+    assert_eq!(fleet.snapshot(start).len(), 1);
+}
+
+#[test]
+fn a_word_that_a_model_goes_holds_until_the_registration_says_so() {
+    let start = Instant::now();
+    let mut fleet = Fleet::default();
+    let mut held = entry("e1", 1);
+    held.holds = holds(&["m1"]);
+    fleet.on_entry(held.clone());
+    let model = id("m1");
+    fleet.on_word(&id("e1"), &model, None, false, start);
+    fleet.on_entry(held);
+    let serves = |fleet: &mut Fleet, at| {
+        let snapshot = fleet.snapshot(at);
+        snapshot[&id("e1")].entry.holds.serve(&target("m1", None))
+    };
+    assert!(!serves(&mut fleet, start + ms(1000)));
+    assert!(serves(&mut fleet, start + ms(4000)), "a word fades");
+}
+
+// Choice.
+
+fn pick(upstreams: &[Upstream], tried: &[&str]) -> Result<String, NoEngine> {
+    let tried: BTreeSet<_> = tried.iter().map(|t| id(t)).collect();
+    let call = call("r1", Some(target("m1", None)));
+    let now = Instant::now();
+    let chosen = choose(upstreams.iter(), &call, &id("dc1"), &tried, now);
+    chosen.map(|u| u.entry.id.to_string())
+}
+
+fn holder(name: &str, models: &[&str]) -> Upstream {
+    let mut entry = entry(name, 1);
+    entry.holds = Holdings::clone(&holds(models));
+    upstream(entry)
+}
+
+#[test]
+fn what_is_missing_is_told_apart() {
+    let bare = holder("e1", &[]);
+    assert_eq!(pick(&[bare], &[]), Err(NoEngine::NoModel));
+    let held = holder("e1", &["m1"]);
+    assert_eq!(pick(&[held], &["e1"]), Err(NoEngine::Unusable));
+}
+
+#[test]
+fn a_loaded_engine_is_passed_over() {
+    let (busy, idle) = (holder("e1", &["m1"]), holder("e2", &["m1"]));
+    let _runs: Vec<_> = (0..6).map(|_| busy.pulse.begin(None)).collect();
+    for _ in 0..4 {
+        assert_eq!(pick(&[busy.clone(), idle.clone()], &[]), Ok("e2".into()));
+    }
+}
+
+#[test]
+fn an_engine_that_fails_twice_is_out_for_a_while_and_better_than_none() {
+    let (sick, sound) = (holder("e1", &["m1"]), holder("e2", &["m1"]));
+    let now = Instant::now();
+    sick.pulse.on_failure(now);
+    assert!(!sick.pulse.ejected(now));
+    sick.pulse.on_failure(now);
+    assert!(sick.pulse.ejected(now));
+    assert_eq!(pick(&[sick.clone(), sound], &[]), Ok("e2".into()));
+    assert_eq!(pick(&[sick.clone()], &[]), Ok("e1".into()));
+    assert!(!sick.pulse.ejected(now + ms(600)));
+}
+
+#[test]
+fn runs_are_counted_by_model_while_they_last() {
+    let engine = holder("e1", &["m1"]);
+    let run = engine.pulse.begin(Some(&id("m1")));
+    assert_eq!(engine.pulse.runs(), BTreeMap::from([(id("m1"), 1)]));
+    drop(run);
+    assert!(engine.pulse.runs().is_empty());
+    assert_eq!(engine.pulse.running(), 0);
+}
+
+// Demand.
+
+#[test]
+fn demand_fades_and_waiting_requests_count_until_they_leave() {
+    let start = Instant::now();
+    let mut local = Local::default();
+    let wanted = target("m1", None);
+    local.on_request(&wanted, start);
+    assert!(local.on_wait(&wanted, start));
+    assert!(!local.on_wait(&wanted, start));
+    let later = start + Duration::from_secs(300);
+    assert_eq!(local.wants(later)[&wanted].waiting, 2);
+    local.on_waited(&wanted);
+    local.on_waited(&wanted);
+    assert!(local.wants(later).is_empty());
+}
+
+#[test]
+fn a_vm_that_falls_silent_no_longer_counts() {
+    let start = Instant::now();
+    let mut told = Told::default();
+    let want = Want {
+        rate: 2.0,
+        waiting: 1,
+    };
+    for vm in ["v1", "v2"] {
+        told.on_want(&id(vm), target("m1", None), want, start);
+    }
+    told.on_want(&id("v2"), target("m1", None), want, start + ms(2500));
+    assert_eq!(told.sum(start + ms(2600))[&target("m1", None)].waiting, 2);
+    assert_eq!(told.sum(start + ms(3600))[&target("m1", None)].waiting, 1);
+}
+
+#[test]
+fn loads_from_the_store_keep_to_the_ceiling() {
+    let start = Instant::now();
+    let mut ceiling = Ceiling::open(start);
+    assert_eq!(
+        ceiling.free(2.1, start),
+        0,
+        "a successor starts with nothing"
+    );
+    let mut loads = 0;
+    for step in 0..50 {
+        let now = start + ms(100 * (step + 1));
+        for _ in 0..ceiling.free(2.1, now) {
+            ceiling.take();
+            loads += 1;
+        }
+    }
+    assert!(loads <= 10, "{loads} in 5 s");
+    let idle = start + Duration::from_secs(60);
+    assert_eq!(ceiling.free(2.1, idle), 3, "little is saved up");
+}
+
+// The lease.
+
+fn lease(name: &str) -> Lease {
+    Lease::new(id(name), ms(3000), boot(0))
+}
+
+fn record(holder: &str, renewal: u64) -> Record {
+    let holder: VmId = id(holder);
+    Record { holder, renewal }
+}
+
+#[test]
+fn the_first_vm_takes_the_lease_and_keeps_its_epoch_over_renewals() {
+    let mut own = lease("v1");
+    assert_eq!(own.step(false, boot(0)), Step::Read);
+    own.on_read(None, boot(1));
+    assert_eq!(
+        own.step(false, boot(1)),
+        Step::Write(Version(0), record("v1", 1))
+    );
+    own.on_written(Version(11), boot(1));
+    let epoch = own.epoch(boot(2)).expect("held");
+    assert_eq!(own.step(false, boot(500)), Step::Rest);
+    assert_eq!(
+        own.step(false, boot(1100)),
+        Step::Write(Version(11), record("v1", 2))
+    );
+    own.on_written(Version(15), boot(1100));
+    assert_eq!(own.epoch(boot(1200)), Some(epoch));
+}
+
+#[test]
+fn a_holder_stops_before_its_lease_is_over_also_when_suspended() {
+    let mut own = lease("v1");
+    own.on_read(None, boot(0));
+    own.on_written(Version(1), boot(0));
+    assert!(own.epoch(boot(2300)).is_some());
+    assert!(own.epoch(boot(2500)).is_none());
+    assert!(own.epoch(boot(90_000)).is_none());
+}
+
+#[test]
+fn a_successor_waits_longer_than_the_lease_since_the_last_change() {
+    let mut next = lease("v2");
+    next.on_read(Some((Version(1), record("v1", 1))), boot(0));
+    assert_eq!(next.step(false, boot(2900)), Step::Rest);
+    next.on_word(Version(2), boot(2900));
+    assert_eq!(
+        next.step(false, boot(3500)),
+        Step::Rest,
+        "renewed meanwhile"
+    );
+    assert_eq!(
+        next.step(true, boot(6300)),
+        Step::Rest,
+        "its holder is heard"
+    );
+    assert_eq!(
+        next.step(false, boot(6300)),
+        Step::Write(Version(2), record("v2", 2))
+    );
+}
+
+#[test]
+fn the_loser_of_a_take_over_reads_and_waits_anew() {
+    let mut next = lease("v2");
+    next.on_read(Some((Version(1), record("v1", 1))), boot(0));
+    next.on_conflict(boot(3400));
+    assert_eq!(next.step(false, boot(3400)), Step::Read);
+    next.on_read(Some((Version(9), record("v3", 2))), boot(3401));
+    assert_eq!(next.step(false, boot(6000)), Step::Rest);
+    assert!(next.epoch(boot(3402)).is_none());
+}
+
+#[test]
+fn a_renewal_whose_answer_was_lost_is_settled_by_reading() {
+    let mut own = lease("v1");
+    own.on_read(None, boot(0));
+    own.on_written(Version(1), boot(0));
+    let epoch = own.epoch(boot(1)).expect("held");
+    own.on_failure(boot(1100));
+    assert_eq!(own.step(false, boot(1400)), Step::Read);
+    own.on_read(Some((Version(4), record("v1", 2))), boot(1401));
+    assert_eq!(
+        own.step(false, boot(1401)),
+        Step::Write(Version(4), record("v1", 3))
+    );
+    own.on_written(Version(6), boot(1401));
+    assert_eq!(own.epoch(boot(1402)), Some(epoch));
+}
+
+#[test]
+fn a_vm_that_restarts_under_its_name_gets_a_higher_epoch() {
+    let mut own = lease("v1");
+    own.on_read(Some((Version(40), record("v1", 7))), boot(0));
+    assert_eq!(
+        own.step(false, boot(0)),
+        Step::Write(Version(40), record("v1", 8))
+    );
+    own.on_written(Version(41), boot(0));
+    assert_eq!(own.epoch(boot(1)).map(|epoch| epoch.0), Some(41));
+}
--- /dev/null
+++ b/tests/gateway_support/mod.rs
@@ -0,0 +1,76 @@
+//! Small makers of the gateway's types, shared by its tests.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::collections::BTreeMap;
+use std::fmt::Debug;
+use std::str::FromStr;
+use std::time::Duration;
+
+use basilgw::gateway::call::{Call, Target};
+use basilgw::gateway::upstream::{Entry, Holdings};
+use http::{HeaderMap, Method, Uri};
+
+/// Reads an id, whatever its type.
+pub fn id<T>(text: &str) -> T
+where
+    T: FromStr,
+    T::Err: Debug,
+{
+    text.parse().expect("an id")
+}
+
+/// Milliseconds.
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// A model, or an adapter of it.
+pub fn target(model: &str, adapter: Option<&str>) -> Target {
+    Target {
+        model: id(model),
+        adapter: adapter.map(id),
+    }
+}
+
+/// An engine that holds models without adapters, whose weights also lie in its memory.
+pub fn holds(models: &[&str]) -> Holdings {
+    Holdings {
+        models: models
+            .iter()
+            .map(|m| (id(m), Default::default()))
+            .collect::<BTreeMap<_, _>>(),
+        in_memory: models.iter().map(|m| id(m)).collect(),
+        on_disk: models.iter().map(|m| id(m)).collect(),
+    }
+}
+
+/// A registered engine with eight slots.
+pub fn entry(name: &str, born: u64) -> Entry {
+    Entry {
+        id: id(name),
+        born,
+        service: id("svc"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        centre: id("dc1"),
+        slots: 8,
+        leaving: false,
+        holds: Holdings::default(),
+    }
+}
+
+/// A request.
+pub fn call(name: &str, target: Option<Target>) -> Call {
+    Call {
+        id: id(name),
+        method: Method::POST,
+        uri: Uri::from_static("/a/"),
+        host: "h".into(),
+        key: None,
+        budget: None,
+        target,
+        size: None,
+        parts: Vec::new(),
+        resumed: None,
+        headers: HeaderMap::new(),
+    }
+}
--- a/tests/limit_shell.rs
+++ b/tests/limit_shell.rs
@@ -9,10 +9,10 @@
 use basilgw::limit::shell::Parts;
 use basilgw::limit::{LeaseLink, Limiter, Limits, LiveVm, LiveVms, Reserve, VmView};
 use basilgw::outcome::Reason;
-use basilgw::store::{Object, ObjectStore, StoreError};
 use basilgw::schema::declaration::{Account, Caller, Declaration, Priority};
 use basilgw::schema::peer::Frame;
 use basilgw::schema::settings::{LimitSettings, PlatformSettings};
+use basilgw::store::{Object, ObjectStore, StoreError};
 use basilgw::units::{TokenRate, Tokens};
 use bytes::Bytes;
 use futures_util::future::{BoxFuture, FutureExt};
--- a/tests/model_fakes/mod.rs
+++ b/tests/model_fakes/mod.rs
@@ -13,11 +13,11 @@
 };
 use basilgw::ids::{AdapterId, Epoch, Generation, ModelId, ObjectKey, ReplicaId, Version, VmId};
 use basilgw::model::{Catalog, Config, Fleet, Models, Ports, WakeError, WakeLink, Want};
-use basilgw::store::{Instance, InstanceKind, InstanceState, Object, ObjectStore, StoreError};
 use basilgw::schema::declaration::{Adapter, Declaration, Model, Priority};
 use basilgw::schema::engine::ReplicaState;
 use basilgw::schema::peer::{WakeAnswer, WakeAsk};
 use basilgw::schema::settings::ModelSettings;
+use basilgw::store::{Instance, InstanceKind, InstanceState, Object, ObjectStore, StoreError};
 use basilgw::units::{Bytes, Tokens};
 use futures_util::future::BoxFuture;
 
--- a/tests/model_steps/mod.rs
+++ b/tests/model_steps/mod.rs
@@ -15,8 +15,8 @@
 use basilgw::model::decided::{Decided, IntentState, Reserved, engine_key, model_key, replica_id};
 use basilgw::model::evidence::{Evidence, Seen};
 use basilgw::model::flow::{FlowError, Flows, Load, Target, upstream};
-use basilgw::store::{Instance, InstanceKind, InstanceState, Object, ObjectStore, StoreError};
 use basilgw::schema::engine::ReplicaState;
+use basilgw::store::{Instance, InstanceKind, InstanceState, Object, ObjectStore, StoreError};
 use basilgw::units::Bytes;
 use futures_util::future::BoxFuture;
 
--- a/tests/once_run.rs
+++ b/tests/once_run.rs
@@ -13,10 +13,10 @@
 use basilgw::once::run::Runner;
 use basilgw::once::{OnceKey, Recorded};
 use basilgw::outcome::{Ran, Reason, Refusal};
-use basilgw::store::InstanceKind;
 use basilgw::route::choose::{Balancer, ChooseSettings};
 use basilgw::route::dispatch::{Dispatcher, Job};
 use basilgw::route::http::HttpTransport;
+use basilgw::store::InstanceKind;
 use once_support::{Fault, Gone, MemoryStore};
 use route_support::{Act, Upstream, instance, post, settings};
 
--- a/tests/peer_common/mod.rs
+++ b/tests/peer_common/mod.rs
@@ -11,8 +11,8 @@
 use basilgw::declare::spread::{ConfigHolder, Export, OfferError, Spreader};
 use basilgw::ids::{Generation, Revision, VmId};
 use basilgw::peer::{LocalState, NodeOptions, PeerNode, UpstreamDigest};
-use basilgw::store::{Instance, InstanceKind, InstanceList, InstanceState};
 use basilgw::schema::settings::PeerSettings;
+use basilgw::store::{Instance, InstanceKind, InstanceList, InstanceState};
 use bytes::Bytes;
 
 pub const DEADLINE: Duration = Duration::from_secs(20);
--- a/tests/route_choose.rs
+++ b/tests/route_choose.rs
@@ -7,7 +7,6 @@
 
 use basilgw::engine::{CacheEvents, LoadReport, ReplicaReport};
 use basilgw::ids::{Generation, UpstreamId};
-use basilgw::store::{Instance, InstanceKind, InstanceState};
 use basilgw::route::affinity::Affinity;
 use basilgw::route::breaker::Breaker;
 use basilgw::route::budget::Budget;
@@ -16,6 +15,7 @@
 use basilgw::route::load::Load;
 use basilgw::route::{Choice, Ending};
 use basilgw::schema::engine::{CacheEvent, ReplicaState};
+use basilgw::store::{Instance, InstanceKind, InstanceState};
 use basilgw::units::Bytes;
 use proptest::collection::vec;
 use proptest::prelude::*;
--- a/tests/route_dispatch.rs
+++ b/tests/route_dispatch.rs
@@ -9,12 +9,12 @@
 use basilgw::clock::SystemClock;
 use basilgw::ids::{Generation, UpstreamId};
 use basilgw::outcome::{Ran, Reason, Refusal};
-use basilgw::store::{Instance, InstanceKind};
 use basilgw::route::choose::{Balancer, ChooseSettings};
 use basilgw::route::dispatch::{Dispatcher, Job, Served};
 use basilgw::route::{
     Answer, Choice, Chooser, Ending, Outgoing, SendError, Transport, upstream_of,
 };
+use basilgw::store::{Instance, InstanceKind};
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
 use futures_util::stream::{self, StreamExt};
--- a/tests/route_engine.rs
+++ b/tests/route_engine.rs
@@ -9,8 +9,8 @@
 use basilgw::engine::http::HttpEngineControl;
 use basilgw::engine::{EngineControl, EngineError, Order, OrderKind, OrderStatus};
 use basilgw::ids::Epoch;
-use basilgw::store::InstanceKind;
 use basilgw::route::http::HttpTransport;
+use basilgw::store::InstanceKind;
 use basilgw::units::Bytes;
 use route_support::{Act, Upstream, instance, settings};
 
--- a/tests/route_support/mod.rs
+++ b/tests/route_support/mod.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 
 use basilgw::ids::Generation;
-use basilgw::store::{Instance, InstanceKind, InstanceState};
 use basilgw::route::Outgoing;
 use basilgw::schema::settings::UpstreamSettings;
+use basilgw::store::{Instance, InstanceKind, InstanceState};
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
--- a/tests/route_transport.rs
+++ b/tests/route_transport.rs
@@ -9,9 +9,9 @@
 
 use basilgw::clock::SystemClock;
 use basilgw::outcome::{Ran, Reason, Refusal};
-use basilgw::store::InstanceKind;
 use basilgw::route::http::HttpTransport;
 use basilgw::route::{Answer, SendError, Transport};
+use basilgw::store::InstanceKind;
 use futures_util::StreamExt;
 use route_support::{Act, Upstream, instance, post, settings};
 
