--- a/src/gateway/choose.rs
+++ b/src/gateway/choose.rs
@@ -94,11 +94,18 @@
 const HASH_PRIME: u64 = 0x0100_0000_01b3;
 const HASH_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
 
+/// Multipliers and shift that spread every bit of a hash over all of them.
+const SPREAD: [u64; 2] = [0xff51_afd7_ed55_8ccd, 0xc4ce_b9fe_1a85_ec53];
+const SPREAD_SHIFT: u32 = 33;
+
 /// A quick hash that is the same on every VM.
 pub fn hash(bytes: &[u8], seed: u64) -> u64 {
     let mut hash = HASH_BASIS ^ seed.rotate_left(31);
     for byte in bytes {
         hash = (hash ^ u64::from(*byte)).wrapping_mul(HASH_PRIME);
     }
-    hash ^ (hash >> 29)
+    for factor in SPREAD {
+        hash = (hash ^ (hash >> SPREAD_SHIFT)).wrapping_mul(factor);
+    }
+    hash ^ (hash >> SPREAD_SHIFT)
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -21,6 +21,8 @@
 
 /// Wait for a change of the configuration; each answer renews the trust in keys.
 const TABLE_WAIT: Duration = Duration::from_millis(1400);
+/// The same, as the greatest share of the bound on withdrawn keys.
+const TABLE_WAIT_SHARE: f64 = 0.28;
 /// Pause after changes of registrations, so that many of them cost one call.
 const ENTRY_PAUSE: Duration = Duration::from_millis(900);
 /// Wait for a change of registrations.
@@ -36,10 +38,12 @@
 /// What is done with what a kind's objects say.
 trait Taker<T>: Send + Sync {
     const KIND: &'static str;
-    const WAIT: Duration;
     /// Pause after changes.
     const PAUSE: Duration;
 
+    /// Longest wait for a change.
+    fn wait(&self) -> Duration;
+
     fn on_list(&self, items: Vec<Item<T>>);
     fn on_change(&self, change: Change<T>);
     fn on_answer(&self, asked: BootTime);
@@ -115,8 +119,9 @@
 
     async fn follow(&mut self, mark: Mark) -> Result<Mark, StoreError> {
         let asked = self.gateway.clock.boot();
-        let changes = self.source.changes(mark, K::WAIT);
-        let changes = tokio::time::timeout(K::WAIT + LATE, changes).await;
+        let wait = self.taker.wait();
+        let changes = self.source.changes(mark, wait);
+        let changes = tokio::time::timeout(wait + LATE, changes).await;
         let Changes { changes, at } = changes.unwrap_or(Err(StoreError::Unavailable))?;
         self.on_success();
         let told = !changes.is_empty();
@@ -174,9 +179,13 @@
 
 impl Taker<Table> for TableTaker {
     const KIND: &'static str = "configuration";
-    const WAIT: Duration = TABLE_WAIT;
     const PAUSE: Duration = Duration::ZERO;
 
+    fn wait(&self) -> Duration {
+        let bound = self.0.trust().bound();
+        TABLE_WAIT.min(bound.mul_f64(TABLE_WAIT_SHARE))
+    }
+
     fn on_list(&self, items: Vec<Item<Table>>) {
         for item in items {
             self.take(item);
@@ -215,9 +224,12 @@
 
 impl Taker<Entry> for EntryTaker {
     const KIND: &'static str = "registrations";
-    const WAIT: Duration = ENTRY_WAIT;
     const PAUSE: Duration = ENTRY_PAUSE;
 
+    fn wait(&self) -> Duration {
+        ENTRY_WAIT
+    }
+
     fn on_list(&self, items: Vec<Item<Entry>>) {
         let readable = items.into_iter().filter_map(|item| self.readable(item));
         let entries: Vec<_> = readable.collect();
--- /dev/null
+++ b/src/gateway/framing.rs
@@ -0,0 +1,130 @@
+//! Requests with two framings at once.
+//!
+//! The HTTP library follows chunks and drops the length that stands beside them, so that a request
+//! hidden behind the chunks cannot be told. This reader keeps the bytes of a head until it ends, for
+//! a look at both.
+
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
+use std::{io, mem};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+const HEAD_END: &[u8] = b"\r\n\r\n";
+const LENGTH: &[u8] = b"content-length:";
+/// Longest head that is kept, in bytes; the HTTP library refuses longer ones.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// The bytes of a head as they came.
+#[derive(Clone, Debug, Default)]
+pub struct Head(Arc<Mutex<Kept>>);
+
+#[derive(Debug, Default)]
+struct Kept {
+    bytes: Vec<u8>,
+    whole: bool,
+}
+
+impl Head {
+    /// Whether the head has a length.
+    pub fn has_length(&self) -> bool {
+        let kept = self.lock();
+        let end = end_of(&kept.bytes).unwrap_or(kept.bytes.len());
+        let lines = kept.bytes[..end].split(|b| *b == b'\n');
+        lines
+            .filter_map(|line| line.get(..LENGTH.len()))
+            .any(|name| name.eq_ignore_ascii_case(LENGTH))
+    }
+
+    /// Begins anew with the next head.
+    pub fn renew(&self) {
+        *self.lock() = Kept::default();
+    }
+
+    fn keep(&self, bytes: &[u8]) {
+        let mut kept = self.lock();
+        if kept.whole {
+            return;
+        }
+        kept.bytes.extend_from_slice(bytes);
+        kept.whole = end_of(&kept.bytes).is_some();
+        if kept.bytes.len() > MAX_HEAD_BYTES {
+            kept.whole = true;
+            drop(mem::take(&mut kept.bytes));
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Kept> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn end_of(bytes: &[u8]) -> Option<usize> {
+    bytes
+        .windows(HEAD_END.len())
+        .position(|part| part == HEAD_END)
+}
+
+/// A connection whose heads are kept.
+#[derive(Debug)]
+pub struct Watched<S> {
+    stream: S,
+    head: Head,
+}
+
+impl<S> Watched<S> {
+    /// Watches a connection.
+    pub fn new(stream: S, head: Head) -> Self {
+        Self { stream, head }
+    }
+}
+
+impl<S> AsyncRead for Watched<S>
+where
+    S: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buffer))?;
+        self.head.keep(&buffer.filled()[before..]);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S> AsyncWrite for Watched<S>
+where
+    S: AsyncWrite + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 pub mod exchange;
 pub mod fleet;
 pub mod follow;
+pub mod framing;
 pub mod lease;
 pub mod mesh;
 pub mod place;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use http::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -23,6 +23,7 @@
 use super::choose::{self, NoEngine};
 use super::exchange::{self, Answer, Declined, Lost, Outgoing, Sent};
 use super::fleet::of_service;
+use super::framing::Head;
 use super::place;
 use super::state::Gateway;
 use super::stream;
@@ -117,10 +118,14 @@
 }
 
 /// Answers a request.
-pub async fn serve(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Response<CallerBody> {
+pub async fn serve(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+    kept: &Head,
+) -> Response<CallerBody> {
     let (head, body) = request.into_parts();
     let chunked = head.headers.contains_key(TRANSFER_ENCODING);
-    let both = chunked && head.headers.contains_key(CONTENT_LENGTH);
+    let both = chunked && kept.has_length();
     let call = match gateway.dialect.read_call(&head) {
         Ok(call) if !both => call,
         Ok(_) => return answer::refuse(&Refusal::not_run(Reason::Malformed)),
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -20,6 +20,7 @@
 use crate::listen;
 
 use super::answer::{self, CallerBody};
+use super::framing::{Head, Watched};
 use super::relay;
 use super::state::Gateway;
 
@@ -126,12 +127,15 @@
         running: AtomicUsize::new(0),
         since: Mutex::new(gateway.clock.now()),
     });
+    let kept = Head::default();
     let service = service_fn(|request| {
         let gateway = Arc::clone(&gateway);
         let usage = Arc::clone(&usage);
+        let kept = kept.clone();
         async move {
             usage.running.fetch_add(1, Ordering::Relaxed);
-            let response = relay::serve(&gateway, request).await;
+            let response = relay::serve(&gateway, request, &kept).await;
+            kept.renew();
             usage.end(gateway.clock.now());
             Ok::<_, Infallible>(response)
         }
@@ -143,6 +147,7 @@
     drop(table);
     let mut builder = http1::Builder::new();
     builder.max_buf_size(head.max(LEAST_BUFFER_BYTES));
+    let stream = Watched::new(stream, kept.clone());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let left = gateway.left.notified();
--- a/src/gateway/trust.rs
+++ b/src/gateway/trust.rs
@@ -26,6 +26,11 @@
         Self { bound, asked: None }
     }
 
+    /// Longest that a withdrawn key may work.
+    pub fn bound(&self) -> Duration {
+        self.bound
+    }
+
     /// Takes an answer to a question that was sent at `asked`.
     pub fn on_answer(&mut self, asked: BootTime) {
         self.asked = self.asked.max(Some(asked));
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -6,6 +6,7 @@
 
 use basilgw::clock::BootTime;
 use basilgw::gateway::allowance::Allowance;
+use basilgw::gateway::call::Part;
 use basilgw::gateway::ceiling::Ceiling;
 use basilgw::gateway::choose::{NoEngine, choose};
 use basilgw::gateway::demand::{Local, Told, Want};
@@ -276,6 +277,32 @@
     assert_eq!(pick(&[held], &["e1"]), Err(NoEngine::Unusable));
 }
 
+#[test]
+fn prompts_spread_over_engines_that_are_equally_loaded() {
+    let engines = [
+        holder("e1", &["m1"]),
+        holder("e2", &["m1"]),
+        holder("e3", &["m1"]),
+    ];
+    let mut picked: BTreeMap<String, u32> = BTreeMap::new();
+    for hash in 0..300 {
+        let mut call = call("r1", Some(target("m1", None)));
+        call.parts = vec![Part {
+            hash,
+            tokens: Tokens(5),
+        }];
+        let tried = BTreeSet::new();
+        let chosen = choose(engines.iter(), &call, &id("dc1"), &tried, Instant::now());
+        let name = chosen.expect("an engine").entry.id.to_string();
+        *picked.entry(name).or_default() += 1;
+    }
+    assert_eq!(picked.len(), 3);
+    assert!(
+        picked.values().all(|count| (70..=130).contains(count)),
+        "{picked:?}"
+    );
+}
+
 #[test]
 fn a_loaded_engine_is_passed_over() {
     let (busy, idle) = (holder("e1", &["m1"]), holder("e2", &["m1"]));
