--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -136,10 +136,15 @@
     };
     let id = call.id.clone();
     let began = gateway.clock.now();
-    let mut response = match admit(gateway, call, body, began).await {
-        Ok(response) => response,
+    let outcome = admit(gateway, call, body, began).await;
+    let spent = gateway.clock.now().saturating_duration_since(began);
+    let mut response = match outcome {
+        Ok(response) => {
+            gateway.answers.answered(response.status(), spent);
+            response
+        }
         Err(refusal) => {
-            let spent = gateway.clock.now().saturating_duration_since(began);
+            gateway.answers.refused(refusal.reason, spent);
             info!(gateway.log, "request_refused"; "request" => %id, "reason" => %refusal.reason,
                 "ran" => ?refusal.ran, "spent_ms" => spent.as_millis() as u64,
                 "retry_ms" => refusal.retry.map(|wait| wait.as_millis() as u64));
@@ -483,7 +488,8 @@
         let Some(target) = &self.whole.call.target else {
             return Err(tries.refusal(Reason::Capacity).retry_after(PLACE_RETRY));
         };
-        let mut until = self.deadline.min(self.began + patience(&self.route));
+        let leaves = self.deadline.min(self.began + patience(&self.route));
+        let mut until = leaves.checked_sub(PATIENCE_MARGIN).unwrap_or(leaves);
         let begun = gateway.clock.now();
         let load = self.load_time(target);
         let refuse = |reason| match tries.refusal(reason) {
@@ -555,8 +561,7 @@
     match route.kind {
         Kind::Streaming { gap, .. } => LEAST_PATIENCE
             .max(route.goal * PATIENCE_GOALS)
-            .max(gap * PATIENCE_GAPS)
-            .saturating_sub(PATIENCE_MARGIN),
+            .max(gap * PATIENCE_GAPS),
         _ => route.timeout,
     }
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -44,6 +44,8 @@
     pub ready: SocketAddr,
     /// Other VMs.
     pub mesh: SocketAddr,
+    /// Metrics.
+    pub metrics: SocketAddr,
 }
 
 /// What a VM reaches its platform with.
@@ -116,6 +118,7 @@
     let mesh = mesh.map_err(bind(listeners.mesh))?;
     serve::spawn(&gateway, listeners.callers).map_err(bind(listeners.callers))?;
     serve::spawn_ready(&gateway, listeners.ready).map_err(bind(listeners.ready))?;
+    serve::spawn_metrics(&gateway, listeners.metrics).map_err(bind(listeners.metrics))?;
     mesh.spawn();
     follow::spawn_table(&gateway, Arc::clone(&platform.tables));
     follow::spawn_entries(&gateway, Arc::clone(&platform.entries));
@@ -134,7 +137,8 @@
         key: platform.lease_key,
         length: times.lease,
     });
-    info!(gateway.log, "vm_started"; "callers" => %listeners.callers);
+    info!(gateway.log, "vm_started"; "callers" => %listeners.callers,
+        "mesh" => %listeners.mesh, "metrics" => %listeners.metrics);
     loop {
         tokio::select! {
             _ = term.recv() => break,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -61,11 +61,36 @@
 ///
 /// Where the address cannot be bound.
 pub fn spawn_ready(gateway: &Arc<Gateway>, at: SocketAddr) -> io::Result<JoinHandle<()>> {
+    spawn_plain(gateway, at, |gateway| ready_answer(gateway.ready()))
+}
+
+/// Answers with the metrics on a listener.
+///
+/// # Errors
+///
+/// Where the address cannot be bound.
+pub fn spawn_metrics(gateway: &Arc<Gateway>, at: SocketAddr) -> io::Result<JoinHandle<()>> {
+    spawn_plain(gateway, at, metrics_answer)
+}
+
+fn spawn_plain(
+    gateway: &Arc<Gateway>,
+    at: SocketAddr,
+    answer: fn(&Gateway) -> Response<CallerBody>,
+) -> io::Result<JoinHandle<()>> {
     let listener = listen::bind(at)?;
-    Ok(tokio::spawn(answer_ready(Arc::clone(gateway), listener)))
+    Ok(tokio::spawn(answer_plain(
+        Arc::clone(gateway),
+        listener,
+        answer,
+    )))
 }
 
-async fn answer_ready(gateway: Arc<Gateway>, listener: TcpListener) {
+async fn answer_plain(
+    gateway: Arc<Gateway>,
+    listener: TcpListener,
+    answer: fn(&Gateway) -> Response<CallerBody>,
+) {
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -76,11 +101,11 @@
         };
         let gateway = Arc::clone(&gateway);
         let service = service_fn(move |_request: Request<Incoming>| {
-            let ready = gateway.ready();
-            async move { Ok::<_, Infallible>(ready_answer(ready)) }
+            let response = answer(&gateway);
+            async move { Ok::<_, Infallible>(response) }
         });
         tokio::spawn(async move {
-            // The balancer asks again on a new connection.
+            // Whoever asks asks again on a new connection.
             let _ended = http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
@@ -88,6 +113,18 @@
     }
 }
 
+fn metrics_answer(gateway: &Gateway) -> Response<CallerBody> {
+    match gateway.metrics.render() {
+        Ok(text) => Response::new(answer::whole(Bytes::from(text))),
+        Err(e) => {
+            warn!(gateway.log, "metrics_unwritable"; "error" => %e);
+            let mut response = Response::new(answer::whole(Bytes::new()));
+            *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            response
+        }
+    }
+}
+
 fn ready_answer(ready: bool) -> Response<CallerBody> {
     let mut response = Response::new(answer::whole(Bytes::new()));
     if !ready {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -14,6 +14,7 @@
 use crate::clock::Clock;
 use crate::edge::Running;
 use crate::ids::{ClientAccount, DataCentre, ServiceId, VmId};
+use crate::metrics::{EdgeMetrics, Metrics};
 use crate::units::Tokens;
 
 use super::allowance::Allowance;
@@ -48,6 +49,10 @@
     pub clock: Arc<dyn Clock>,
     /// Log.
     pub log: Logger,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Counters of the callers' side.
+    pub answers: EdgeMetrics,
     /// Requests that run.
     pub running: Arc<Running>,
     /// The configuration in force.
@@ -87,6 +92,8 @@
     pub log: Logger,
     /// Bounds.
     pub bounds: Bounds,
+    /// Counters and histograms.
+    pub metrics: Metrics,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -95,9 +102,16 @@
 
 impl Gateway {
     /// Opens the state, which knows nothing yet.
-    pub fn open(parts: Parts) -> Arc<Self> {
+    ///
+    /// # Errors
+    ///
+    /// Where a metric's name is taken.
+    pub fn open(parts: Parts) -> Result<Arc<Self>, prometheus::Error> {
         let trust = Trust::new(parts.bounds.withdrawal);
-        Arc::new(Self {
+        let answers = EdgeMetrics::open(&parts.metrics)?;
+        Ok(Arc::new(Self {
+            metrics: parts.metrics,
+            answers,
             vm: parts.vm,
             centre: parts.centre,
             dialect: parts.dialect,
@@ -118,7 +132,7 @@
             repeats: Mutex::default(),
             part: Mutex::new(1.0),
             stop: Mutex::new(None),
-        })
+        }))
     }
 
     /// Changes what is known of upstreams and publishes the outcome.
