--- a/src/exit_codes.rs
+++ b/src/exit_codes.rs
@@ -1,4 +1,4 @@
-//! Exit codes, as documented in docs/OPERATING.md.
+//! Exit codes, as documented in docs/OPERATIONS.md.
 
 use std::process;
 
