--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -23,8 +23,9 @@
 const TABLE_WAIT: Duration = Duration::from_millis(1400);
 /// The same, as the greatest share of the bound on withdrawn keys.
 const TABLE_WAIT_SHARE: f64 = 0.28;
-/// Pause after changes of registrations, so that many of them cost one call.
-const ENTRY_PAUSE: Duration = Duration::from_millis(900);
+/// Pause after changes of registrations, so that many of them cost one call, as a share of the
+/// time in which a leaving upstream must be known.
+const ENTRY_PAUSE_SHARE: f64 = 0.6;
 /// Wait for a change of registrations.
 const ENTRY_WAIT: Duration = Duration::from_millis(2500);
 /// An answer that is this much later than the wait will not come.
@@ -38,11 +39,11 @@
 /// What is done with what a kind's objects say.
 trait Taker<T>: Send + Sync {
     const KIND: &'static str;
-    /// Pause after changes.
-    const PAUSE: Duration;
 
     /// Longest wait for a change.
     fn wait(&self) -> Duration;
+    /// Pause after changes.
+    fn pause(&self) -> Duration;
 
     fn on_list(&self, items: Vec<Item<T>>);
     fn on_change(&self, change: Change<T>);
@@ -129,8 +130,8 @@
             self.taker.on_change(change);
         }
         self.taker.on_answer(asked);
-        if told && !K::PAUSE.is_zero() {
-            tokio::time::sleep(K::PAUSE).await;
+        if told {
+            tokio::time::sleep(self.taker.pause()).await;
         }
         Ok(at)
     }
@@ -179,7 +180,10 @@
 
 impl Taker<Table> for TableTaker {
     const KIND: &'static str = "configuration";
-    const PAUSE: Duration = Duration::ZERO;
+
+    fn pause(&self) -> Duration {
+        Duration::ZERO
+    }
 
     fn wait(&self) -> Duration {
         let bound = self.0.trust().bound();
@@ -224,7 +228,10 @@
 
 impl Taker<Entry> for EntryTaker {
     const KIND: &'static str = "registrations";
-    const PAUSE: Duration = ENTRY_PAUSE;
+
+    fn pause(&self) -> Duration {
+        self.0.bounds().leaving.mul_f64(ENTRY_PAUSE_SHARE)
+    }
 
     fn wait(&self) -> Duration {
         ENTRY_WAIT
--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -27,11 +27,17 @@
 use super::demand::{Told, Want};
 use super::state::Gateway;
 
-/// Pause between words on what a VM uses.
+/// Pause between words on what a VM uses, among few VMs and at most.
 const USAGE_PAUSE: Duration = Duration::from_millis(200);
+const MAX_USAGE_PAUSE: Duration = Duration::from_millis(1200);
+/// Above this many VMs each one tells less often, so that what all of them tell grows with their
+/// number and not with its square.
+const FEW_VMS: u32 = 12;
+/// Words missed before a VM is out of touch.
+const MISSED_WORDS: u32 = 3;
 /// Pause between words on what a VM wants; one that begins to wait is told at once.
 const WANTS_PAUSE: Duration = Duration::from_millis(250);
-/// A VM not heard for this long is out of touch.
+/// A VM not heard for this long is out of touch, at least.
 const TOUCH_TIME: Duration = Duration::from_secs(1);
 /// A VM not heard for this long is gone for good.
 const GONE_TIME: Duration = Duration::from_secs(12);
@@ -306,10 +312,20 @@
             self.send_all(&datagram).await;
             self.set_part();
             // Either wakes it: time, or news that the others should hear at once.
-            let _woken = tokio::time::timeout(USAGE_PAUSE, self.usage_due.notified()).await;
+            let _woken = tokio::time::timeout(self.pause(), self.usage_due.notified()).await;
         }
     }
 
+    /// Pause between words on what this VM uses; the giver of orders is taken for gone when it is
+    /// not heard.
+    fn pause(&self) -> Duration {
+        let state = self.lock();
+        if state.lease.is_some() {
+            return USAGE_PAUSE;
+        }
+        state.pause()
+    }
+
     fn usage(&self) -> Usage {
         let used = self.gateway.admitted().into_iter();
         let upstreams = self.gateway.upstreams.load();
@@ -339,10 +355,11 @@
         state
             .peers
             .retain(|_, peer| now.saturating_duration_since(peer.last()) < GONE_TIME);
+        let touch = state.touch();
         let heard = state
             .peers
             .values()
-            .filter(|peer| peer.touched(now))
+            .filter(|peer| peer.touched(now, touch))
             .count();
         let all = state.peers.len();
         drop(state);
@@ -413,16 +430,29 @@
         self.heard.unwrap_or(self.known)
     }
 
-    fn touched(&self, now: Instant) -> bool {
+    fn touched(&self, now: Instant, touch: Duration) -> bool {
         let heard = self.heard;
-        heard.is_some_and(|at| now.saturating_duration_since(at) < TOUCH_TIME)
+        heard.is_some_and(|at| now.saturating_duration_since(at) < touch)
     }
 }
 
 impl State {
+    /// Pause between words on what a VM uses.
+    fn pause(&self) -> Duration {
+        let vms = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+        let pause = USAGE_PAUSE.saturating_mul(vms) / FEW_VMS;
+        pause.clamp(USAGE_PAUSE, MAX_USAGE_PAUSE)
+    }
+
+    /// A VM not heard for this long is out of touch.
+    fn touch(&self) -> Duration {
+        TOUCH_TIME.max(self.pause() * MISSED_WORDS)
+    }
+
     fn upstream_sums(&self, now: Instant) -> BTreeMap<UpstreamId, u32> {
         let mut sums = BTreeMap::new();
-        for peer in self.peers.values().filter(|peer| peer.touched(now)) {
+        let touch = self.touch();
+        for peer in self.peers.values().filter(|peer| peer.touched(now, touch)) {
             for (id, requests) in &peer.upstreams {
                 *sums.entry(id.clone()).or_default() += requests;
             }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -30,6 +30,8 @@
 pub struct Bounds {
     /// Longest that a withdrawn key may work.
     pub withdrawal: Duration,
+    /// Time in which a leaving upstream must be known.
+    pub leaving: Duration,
     /// Bound on repeats.
     pub repeats: RepeatBound,
     /// Whether the whole system starts for the first time.
@@ -157,6 +159,11 @@
         read(&lock(&self.fleet))
     }
 
+    /// What this VM was told at its start.
+    pub fn bounds(&self) -> &Bounds {
+        &self.bounds
+    }
+
     /// Demand of this VM.
     pub fn demand(&self) -> MutexGuard<'_, Local> {
         lock(&self.demand)
