Load an adapter that nobody waits for only into a free place; tell fewer registrations

Cause: with more adapters asked for than places, those without a waiting request drove each other out, up to 16 orders a round; and every change of what an engine holds wrote a line on every VM.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -215,6 +215,19 @@
 struct EntryTaker(Arc<Gateway>);
 
 impl EntryTaker {
+    /// Takes a registration; only one that is new, started anew or leaves is told, for what engines
+    /// hold changes all the time.
+    fn take(&self, entry: Entry) {
+        let upstreams = self.0.upstreams.load();
+        let known = upstreams.get(&entry.id).map(|upstream| &upstream.entry);
+        if entry.leaving || known.is_none_or(|known| known.born != entry.born) {
+            info!(self.0.log, "upstream_told"; "upstream" => %entry.id, "born" => entry.born,
+                "leaving" => entry.leaving, "models" => entry.holds.models.len());
+        }
+        drop(upstreams);
+        self.0.with_fleet(|fleet, _| fleet.on_entry(entry));
+    }
+
     fn readable(&self, item: Item<Entry>) -> Option<Entry> {
         match item {
             (_, Ok(entry)) => Some(entry),
@@ -249,10 +262,7 @@
             Change::Set(item) => {
                 let name = item.0.clone();
                 if let Some(entry) = self.readable(item) {
-                    info!(self.0.log, "upstream_told"; "upstream" => %entry.id,
-                        "born" => entry.born, "leaving" => entry.leaving,
-                        "models" => entry.holds.models.len());
-                    self.0.with_fleet(|fleet, _| fleet.on_entry(entry));
+                    self.take(entry);
                 } else if let Ok(id) = name.parse() {
                     self.0.with_fleet(|fleet, now| fleet.on_removed(&id, now));
                 }
--- a/src/gateway/steer.rs
+++ b/src/gateway/steer.rs
@@ -391,6 +391,8 @@
             };
             let act = match step {
                 AdapterMove::Load(model, adapter) => Act::Load(part(model, adapter)),
+                // What nobody waits for drives nothing out.
+                AdapterMove::Unload(..) if want.waiting == 0 => continue,
                 AdapterMove::Unload(model, adapter) => Act::Unload(part(model, adapter)),
             };
             self.order_all(vec![(id, act)], epoch).await;
