--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -15,7 +15,7 @@
 use super::upstream::Holdings;
 
 /// Worth of a replica beyond what the demand needs, as a share of the demand per replica.
-const SPARE_SHARE: f64 = 0.04;
+const SPARE_SHARE: f64 = 0.1;
 /// Worth of a replica that only its adapters need, as a share of the demand for adapters.
 const ADAPTER_SHARE: f64 = 0.05;
 /// Worth of a model that nobody asks for, in requests a second: it may be asked for next.
