Wait for the lease to lapse when it is heard of between a read and a write

Change: a newer version heard means a holder that is not known, and only an absent object may be written at once. The pure test a_word_of_the_lease_between_read_and_write_... fails before it.

--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -93,8 +93,11 @@
 
     /// Takes the holder's own word, heard between VMs.
     pub fn on_word(&mut self, version: Version, now: BootTime) {
-        if self.held.is_none() {
+        let newer = self.seen.is_none_or(|(known, _)| known < version);
+        if self.held.is_none() && newer {
             self.see(version, now);
+            // Whoever wrote it holds the lease, whatever was read before.
+            self.holder = None;
         }
     }
 
@@ -114,7 +117,8 @@
         };
         let lapsed = now.since(since) >= self.length + WAIT_MARGIN;
         let own = self.holder.as_ref() == Some(&self.me);
-        if self.held.is_some() || own || self.holder.is_none() {
+        let absent = self.seen.is_none();
+        if self.held.is_some() || own || absent {
             return Step::Write(version, record);
         }
         if lapsed && !led {
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -502,3 +502,18 @@
     own.on_written(Version(41), boot(0));
     assert_eq!(own.epoch(boot(1)).map(|epoch| epoch.0), Some(41));
 }
+
+#[test]
+fn a_word_of_the_lease_between_read_and_write_is_no_leave_to_take_it() {
+    let mut next = lease("v2");
+    next.on_read(None, boot(0));
+    next.on_word(Version(8), boot(50));
+    assert_eq!(next.step(false, boot(100)), Step::Rest);
+
+    let mut before = lease("v1");
+    before.on_read(Some((Version(3), record("v1", 1))), boot(0));
+    before.on_word(Version(9), boot(50));
+    assert_eq!(before.step(false, boot(100)), Step::Rest);
+    let lapsed = Step::Write(Version(9), record("v1", 2));
+    assert_eq!(before.step(false, boot(3400)), lapsed);
+}
