Tell the bound addresses in vm_started, and let tests ask for port 0

Cause: a test took free ports by binding and dropping them. A process that another test starts at that moment inherits the listening socket until it begins its own program, so the port may still be in use when the VM binds it: "cannot listen: Address already in use", then 20 s of waiting. Shown apart from the product: bind, close and bind again failed 0 of 286,011 times alone, and 1,553 of 40,136 times beside four threads that start processes.

--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -95,6 +95,15 @@
         }))
     }
 
+    /// Address it is bound to.
+    ///
+    /// # Errors
+    ///
+    /// Where the socket cannot tell it.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
     /// Starts to listen and to tell.
     pub fn spawn(self: &Arc<Self>) -> Vec<JoinHandle<()>> {
         vec![
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -116,9 +116,11 @@
     let bind = |at| move |source| RunError::Bind { at, source };
     let mesh = Mesh::bind(&gateway, listeners.mesh).await;
     let mesh = mesh.map_err(bind(listeners.mesh))?;
-    serve::spawn(&gateway, listeners.callers).map_err(bind(listeners.callers))?;
-    serve::spawn_ready(&gateway, listeners.ready).map_err(bind(listeners.ready))?;
-    serve::spawn_metrics(&gateway, listeners.metrics).map_err(bind(listeners.metrics))?;
+    let mesh_at = mesh.address().map_err(bind(listeners.mesh))?;
+    let callers = serve::spawn(&gateway, listeners.callers).map_err(bind(listeners.callers))?;
+    let ready = serve::spawn_ready(&gateway, listeners.ready).map_err(bind(listeners.ready))?;
+    let metrics = serve::spawn_metrics(&gateway, listeners.metrics);
+    let metrics = metrics.map_err(bind(listeners.metrics))?;
     mesh.spawn();
     follow::spawn_table(&gateway, Arc::clone(&platform.tables));
     follow::spawn_entries(&gateway, Arc::clone(&platform.entries));
@@ -126,7 +128,7 @@
         Arc::clone(&gateway),
         Arc::clone(&mesh),
         platform.clone(),
-        listeners.mesh,
+        mesh_at,
     ));
     tokio::spawn(expire(Arc::clone(&gateway)));
     steer::spawn(SteerParts {
@@ -137,8 +139,8 @@
         key: platform.lease_key,
         length: times.lease,
     });
-    info!(gateway.log, "vm_started"; "callers" => %listeners.callers,
-        "mesh" => %listeners.mesh, "metrics" => %listeners.metrics);
+    info!(gateway.log, "vm_started"; "callers" => %callers.at,
+        "ready" => %ready.at, "metrics" => %metrics.at, "mesh" => %mesh_at);
     loop {
         tokio::select! {
             _ = term.recv() => break,
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -35,15 +35,25 @@
 /// Pause after a failed accept, which otherwise would be tried in a tight loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// A listener that answers.
+#[derive(Debug)]
+pub struct Listening {
+    /// Address it is bound to; its port is the kernel's choice where 0 was asked for.
+    pub at: SocketAddr,
+    /// Runs as long as the process.
+    pub task: JoinHandle<()>,
+}
+
 /// Answers callers on a listener.
 ///
 /// # Errors
 ///
 /// Where the address cannot be bound.
-pub fn spawn(gateway: &Arc<Gateway>, at: SocketAddr) -> io::Result<JoinHandle<()>> {
+pub fn spawn(gateway: &Arc<Gateway>, at: SocketAddr) -> io::Result<Listening> {
     let listener = listen::bind(at)?;
+    let at = listener.local_addr()?;
     let gateway = Arc::clone(gateway);
-    Ok(tokio::spawn(async move {
+    let task = tokio::spawn(async move {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
@@ -52,7 +62,8 @@
                 Err(e) => pause_after(&gateway, &e).await,
             }
         }
-    }))
+    });
+    Ok(Listening { at, task })
 }
 
 /// Answers the balancer on a listener.
@@ -60,7 +71,7 @@
 /// # Errors
 ///
 /// Where the address cannot be bound.
-pub fn spawn_ready(gateway: &Arc<Gateway>, at: SocketAddr) -> io::Result<JoinHandle<()>> {
+pub fn spawn_ready(gateway: &Arc<Gateway>, at: SocketAddr) -> io::Result<Listening> {
     spawn_plain(gateway, at, |gateway| ready_answer(gateway.ready()))
 }
 
@@ -69,7 +80,7 @@
 /// # Errors
 ///
 /// Where the address cannot be bound.
-pub fn spawn_metrics(gateway: &Arc<Gateway>, at: SocketAddr) -> io::Result<JoinHandle<()>> {
+pub fn spawn_metrics(gateway: &Arc<Gateway>, at: SocketAddr) -> io::Result<Listening> {
     spawn_plain(gateway, at, metrics_answer)
 }
 
@@ -77,13 +88,11 @@
     gateway: &Arc<Gateway>,
     at: SocketAddr,
     answer: fn(&Gateway) -> Response<CallerBody>,
-) -> io::Result<JoinHandle<()>> {
+) -> io::Result<Listening> {
     let listener = listen::bind(at)?;
-    Ok(tokio::spawn(answer_plain(
-        Arc::clone(gateway),
-        listener,
-        answer,
-    )))
+    let at = listener.local_addr()?;
+    let task = tokio::spawn(answer_plain(Arc::clone(gateway), listener, answer));
+    Ok(Listening { at, task })
 }
 
 async fn answer_plain(
