--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -159,9 +159,7 @@
         let now = self.gateway.clock.now();
         let mut sums = self.lock().told.sum(now);
         for (target, want) in self.gateway.demand().wants(now) {
-            let sum = sums.entry(target).or_default();
-            sum.rate += want.rate;
-            sum.waiting += want.waiting;
+            sums.entry(target).or_default().add(&want);
         }
         sums
     }
@@ -486,6 +484,7 @@
     };
     let want = Want {
         rate: word.rate,
+        recent: word.recent,
         waiting: word.waiting,
     };
     (target, want)
@@ -496,6 +495,7 @@
         model: target.model,
         adapter: target.adapter,
         rate: want.rate,
+        recent: want.recent,
         waiting: want.waiting,
     }
 }
--- a/tests/gateway_place.rs
+++ b/tests/gateway_place.rs
@@ -53,6 +53,7 @@
     let wants = all.iter().map(|(model, rate, waiting)| {
         let all = Want {
             rate: *rate,
+            recent: *rate,
             waiting: *waiting,
         };
         let want = ModelWant {
@@ -188,7 +189,11 @@
 }
 
 fn adapter_want(rate: f64) -> Want {
-    Want { rate, waiting: 0 }
+    Want {
+        rate,
+        recent: rate,
+        waiting: 0,
+    }
 }
 
 fn plan_one(
