--- a/src/gateway/adapters.rs
+++ b/src/gateway/adapters.rs
@@ -83,7 +83,7 @@
             model: model.clone(),
             adapter: Some(adapter.clone()),
         };
-        demand.get(&target).map_or(0.0, Want::expected)
+        demand.get(&target).map_or(0.0, |want| want.rate)
     };
     let held = seat.holds.models.iter();
     let held = held.flat_map(|(m, adapters)| adapters.iter().map(move |a| (m, a)));
--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -159,7 +159,9 @@
         let now = self.gateway.clock.now();
         let mut sums = self.lock().told.sum(now);
         for (target, want) in self.gateway.demand().wants(now) {
-            sums.entry(target).or_default().add(&want);
+            let sum = sums.entry(target).or_default();
+            sum.rate += want.rate;
+            sum.waiting += want.waiting;
         }
         sums
     }
@@ -484,7 +486,6 @@
     };
     let want = Want {
         rate: word.rate,
-        recent: word.recent,
         waiting: word.waiting,
     };
     (target, want)
@@ -495,7 +496,6 @@
         model: target.model,
         adapter: target.adapter,
         rate: want.rate,
-        recent: want.recent,
         waiting: want.waiting,
     }
 }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -191,7 +191,7 @@
 
 /// Worth of a model's replica number `count` (from 1).
 fn worth(want: &ModelWant, count: usize, engines: &Engines, slots: u32) -> f64 {
-    let rate = want.all.expected() + f64::from(want.all.waiting) * WAITING_RATE;
+    let rate = want.all.rate + f64::from(want.all.waiting) * WAITING_RATE;
     if count <= 1 {
         return rate + IDLE_WORTH;
     }
--- a/src/gateway/steer.rs
+++ b/src/gateway/steer.rs
@@ -370,7 +370,7 @@
             .filter_map(|(target, want)| Some((target, target.adapter.as_ref()?, want)))
             .collect();
         wanted.sort_by(|a, b| {
-            let rates = b.2.expected().total_cmp(&a.2.expected());
+            let rates = b.2.rate.total_cmp(&a.2.rate);
             b.2.waiting.cmp(&a.2.waiting).then(rates)
         });
         let mut orders = 0;
@@ -516,9 +516,8 @@
     for (target, want) in demand {
         let sum = wants.entry(target.model.clone()).or_default();
         sum.all.rate += want.rate;
-        sum.all.recent += want.recent;
         if target.adapter.is_some() {
-            sum.adapter_rate += want.expected();
+            sum.adapter_rate += want.rate;
             sum.adapters += 1;
         }
         if target.adapter.is_none() || !held_somewhere(seats, &target.model) {
--- a/src/schema/mesh.rs
+++ b/src/schema/mesh.rs
@@ -116,10 +116,8 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub adapter: ::std::option::Option<::basilgw::ids::AdapterId>,
     pub model: ::basilgw::ids::ModelId,
-    #[doc = "Requests a second, over a long time."]
+    #[doc = "Requests a second."]
     pub rate: f64,
-    #[doc = "Requests a second, over a short time."]
-    pub recent: f64,
     #[doc = "Requests that wait for it to be loaded."]
     pub waiting: u32,
 }
