Make fewer replicas of busy models, and expect an overdue order to last

Two reasons were found. Further replicas of busy models took the places of rare ones, though one engine served them. And after a take-over of the lease the model with the most waiting requests (16, later 40) got no order for 4 s: an engine that still loaded for the VM before was taken to be free in 0.2 s, again and again. The starved model gets its order; that is held by a test that failed with the old expectation.

--- a/src/gateway/desk.rs
+++ b/src/gateway/desk.rs
@@ -16,6 +16,9 @@
 const BUSY_PAUSE: Duration = Duration::from_millis(200);
 /// Pause before an engine that could not be asked is asked again.
 pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Time expected for an order that another VM gave: between a load from disk and one from the
+/// weight store.
+const UNKNOWN_TIME: Duration = Duration::from_secs(2);
 /// Pause between words that a model is being dropped.
 const REPEAT_PAUSE: Duration = Duration::from_millis(400);
 
@@ -84,7 +87,7 @@
             slots: self.entry.slots,
             holds: report.map_or_else(|| self.entry.holds.clone(), |r| r.holds.clone()),
             busy: self.stale || report.is_none_or(|r| r.busy) || self.doing.is_some(),
-            busy_for: self.until.saturating_duration_since(now),
+            busy_for: place::expected_wait(self.until, now),
             loading: self.coming.clone(),
             since: self.since.clone(),
             runs: BTreeMap::new(),
@@ -119,6 +122,10 @@
             self.ask = Some(now + BUSY_PAUSE);
             return;
         }
+        let was_busy = self.report.as_ref().is_some_and(|r| r.busy);
+        if report.busy && !was_busy && self.doing.is_none() {
+            self.until = now + UNKNOWN_TIME;
+        }
         for model in report.holds.models.keys() {
             let held = self.report.as_ref();
             if held.is_some_and(|r| !r.holds.models.contains_key(model)) {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -15,7 +15,7 @@
 use super::upstream::Holdings;
 
 /// Worth of a replica beyond what the demand needs, as a share of the demand per replica.
-const SPARE_SHARE: f64 = 0.1;
+const SPARE_SHARE: f64 = 0.03;
 /// Worth of a replica that only its adapters need, as a share of the demand for adapters.
 const ADAPTER_SHARE: f64 = 0.05;
 /// Worth of a model that nobody asks for, in requests a second: it may be asked for next.
@@ -38,7 +38,7 @@
 /// Least wait for an engine that carries out an order.
 const LEAST_WAIT: Duration = Duration::from_millis(200);
 /// Requests a second that one replica serves before another is wanted, for each slot.
-const SLOT_RATE: f64 = 0.25;
+const SLOT_RATE: f64 = 0.5;
 
 /// Demand for one model.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -106,6 +106,13 @@
     Tier::Store
 }
 
+/// How long an order may still last that was to end at `until`; one that is overdue is expected to
+/// last as long again.
+pub fn expected_wait(until: Instant, now: Instant) -> Duration {
+    let early = until.saturating_duration_since(now);
+    early.max(now.saturating_duration_since(until))
+}
+
 /// How long a load takes.
 pub fn load_time(model: &Model, tier: Tier) -> Duration {
     match tier {
--- a/tests/gateway_place.rs
+++ b/tests/gateway_place.rs
@@ -6,7 +6,7 @@
 use basilgw::gateway::adapters::{AdapterMove, Coming, plan_adapter};
 use basilgw::gateway::call::Target;
 use basilgw::gateway::demand::Want;
-use basilgw::gateway::place::{ModelWant, Move, Seat, Tier, plan};
+use basilgw::gateway::place::{ModelWant, Move, Seat, Tier, expected_wait, plan};
 use basilgw::gateway::table::{Engines, Model};
 use basilgw::ids::{ModelId, UpstreamId};
 use proptest::prelude::*;
@@ -154,6 +154,26 @@
     assert!(moves.is_empty(), "{moves:?}");
 }
 
+#[test]
+fn an_engine_whose_order_is_overdue_is_not_waited_for() {
+    let now = Instant::now();
+    let mut stuck = seat(&[]);
+    stuck.busy = true;
+    stuck.busy_for = expected_wait(now - Duration::from_secs(3), now);
+    let all = seats(&[("e1", stuck), ("e2", seat(&["m1", "m2"]))]);
+    let demand = wants(&[("m0", 4.0, 16), ("m1", 0.3, 0), ("m2", 0.3, 0)]);
+    let moves = plan(&all, &engines(3), &demand, 4, now);
+    assert!(moves.contains_key(&id("e2")), "{moves:?}");
+}
+
+#[test]
+fn an_order_is_expected_to_end_in_time_and_then_to_last_as_long_again() {
+    let until = Instant::now();
+    let second = Duration::from_secs(1);
+    assert_eq!(expected_wait(until, until - second), second);
+    assert_eq!(expected_wait(until, until + 3 * second), 3 * second);
+}
+
 #[test]
 fn a_busy_model_is_not_dropped_for_a_rare_one() {
     let all = seats(&[("e1", seat(&["m1", "m2"]))]);
