--- a/tests/gateway_place.rs
+++ b/tests/gateway_place.rs
@@ -156,10 +156,11 @@
 
 #[test]
 fn an_engine_whose_order_is_overdue_is_not_waited_for() {
-    let now = Instant::now();
+    let due = Instant::now();
+    let now = due + Duration::from_secs(3);
     let mut stuck = seat(&[]);
     stuck.busy = true;
-    stuck.busy_for = expected_wait(now - Duration::from_secs(3), now);
+    stuck.busy_for = expected_wait(due, now);
     let all = seats(&[("e1", stuck), ("e2", seat(&["m1", "m2"]))]);
     let demand = wants(&[("m0", 4.0, 16), ("m1", 0.3, 0), ("m2", 0.3, 0)]);
     let moves = plan(&all, &engines(3), &demand, 4, now);
@@ -168,9 +169,10 @@
 
 #[test]
 fn an_order_is_expected_to_end_in_time_and_then_to_last_as_long_again() {
-    let until = Instant::now();
+    let ordered = Instant::now();
     let second = Duration::from_secs(1);
-    assert_eq!(expected_wait(until, until - second), second);
+    let until = ordered + second;
+    assert_eq!(expected_wait(until, ordered), second);
     assert_eq!(expected_wait(until, until + 3 * second), 3 * second);
 }
 
