--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -142,6 +142,11 @@
         .admit(Tokens(100), start, 1.0)
         .expect("within the rate");
     assert!(allowance.admit(Tokens(100), start, 1.0).is_err());
+    allowance.change(rate(10.0), Tokens(5000), start);
+    assert!(
+        allowance.admit(Tokens(100), start, 1.0).is_err(),
+        "a raised burst brings nothing back"
+    );
 }
 
 // Repeats.
@@ -284,7 +289,20 @@
     let bare = holder("e1", &[]);
     assert_eq!(pick(&[bare], &[]), Err(NoEngine::NoModel));
     let held = holder("e1", &["m1"]);
-    assert_eq!(pick(&[held], &["e1"]), Err(NoEngine::Unusable));
+    assert_eq!(
+        pick(std::slice::from_ref(&held), &["e1"]),
+        Err(NoEngine::Unusable)
+    );
+    let adapted = call("r1", Some(target("m1", Some("a1"))));
+    let tried = BTreeSet::new();
+    let chosen = choose(
+        [&held].into_iter(),
+        &adapted,
+        &id("dc1"),
+        &tried,
+        Instant::now(),
+    );
+    assert_eq!(chosen.err(), Some(NoEngine::NoAdapter));
 }
 
 #[test]
@@ -315,24 +333,31 @@
 
 #[test]
 fn a_loaded_engine_is_passed_over() {
-    let (busy, idle) = (holder("e1", &["m1"]), holder("e2", &["m1"]));
-    let _runs: Vec<_> = (0..6).map(|_| busy.pulse.begin(None)).collect();
-    for _ in 0..4 {
-        assert_eq!(pick(&[busy.clone(), idle.clone()], &[]), Ok("e2".into()));
+    // Either way round: one of the two is preferred by its name.
+    for (loaded, other) in [("e1", "e2"), ("e2", "e1")] {
+        let (busy, idle) = (holder(loaded, &["m1"]), holder(other, &["m1"]));
+        let _runs: Vec<_> = (0..6).map(|_| busy.pulse.begin(None)).collect();
+        assert_eq!(pick(&[busy, idle], &[]), Ok(other.to_owned()));
     }
 }
 
 #[test]
 fn an_engine_that_fails_twice_is_out_for_a_while_and_better_than_none() {
-    let (sick, sound) = (holder("e1", &["m1"]), holder("e2", &["m1"]));
-    let now = Instant::now();
-    sick.pulse.on_failure(now);
-    assert!(!sick.pulse.ejected(now));
-    sick.pulse.on_failure(now);
-    assert!(sick.pulse.ejected(now));
-    assert_eq!(pick(&[sick.clone(), sound], &[]), Ok("e2".into()));
-    assert_eq!(pick(std::slice::from_ref(&sick), &[]), Ok("e1".into()));
-    assert!(!sick.pulse.ejected(now + ms(600)));
+    // Either way round: one of the two is preferred by its name.
+    for (failing, other) in [("e1", "e2"), ("e2", "e1")] {
+        let (sick, sound) = (holder(failing, &["m1"]), holder(other, &["m1"]));
+        let now = Instant::now();
+        sick.pulse.on_failure(now);
+        assert!(!sick.pulse.ejected(now));
+        sick.pulse.on_failure(now);
+        assert!(sick.pulse.ejected(now));
+        assert_eq!(pick(&[sick.clone(), sound], &[]), Ok(other.to_owned()));
+        assert_eq!(
+            pick(std::slice::from_ref(&sick), &[]),
+            Ok(failing.to_owned())
+        );
+        assert!(!sick.pulse.ejected(now + ms(600)));
+    }
 }
 
 #[test]
