Read on while an unused link is closed, so that its end is no break for the other VM

Cause: the VM that closes an idle link sent its close and dropped the socket at once. A ping of the other side that crossed the close met a closed socket, the system answered with a reset, and the other side's write failed before it had read the close: it counted a break and dialled anew. Ruled out: two VMs that connect at once (a second link takes the first one's place and is not counted); a silence that was none (the counter stood on the side that was written to). Change: after its close a VM reads on until the other side has ended, at most for the silence bound. Test: a_link_that_is_closed_takes_what_is_on_its_way failed before (the fourth write met a reset) and passes.

--- a/src/peer/link.rs
+++ b/src/peer/link.rs
@@ -6,6 +6,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -205,11 +206,18 @@
         let (sink, source) = self.socket.split();
         let gauge = &*self.gauge;
         let limits = self.limits;
-        tokio::select! {
+        let mut reading = pin!(read_all(source, on_frame, gauge, limits));
+        let end = tokio::select! {
             end = write_all(sink, queue, gauge, limits) => end,
-            end = read_all(source, on_frame, gauge, limits) => end,
+            end = &mut reading => end,
             end = watch(gauge, limits) => end,
+        };
+        if matches!(end, LinkError::Idle) {
+            // What the other side sent meanwhile is read: else the system resets the connection,
+            // and the other side takes an orderly end for a break.
+            let _ = timeout(limits.silence, reading).await;
         }
+        end
     }
 }
 
--- a/tests/peer_links.rs
+++ b/tests/peer_links.rs
@@ -18,6 +18,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
+use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 
 /// Forwards connections; those open when `mute` is called stay open and carry nothing more.
@@ -61,7 +62,7 @@
 }
 
 /// Speaks the protocol by hand, after a greeting of the given version.
-async fn rogue(node: &PeerNode, protocol: u32) -> impl SinkExt<Message> + StreamExt {
+async fn rogue(node: &PeerNode, protocol: u32) -> WebSocketStream<TcpStream> {
     let stream = TcpStream::connect(node.local_addr()).await.unwrap();
     let url = format!("ws://{}/", node.local_addr());
     let (mut socket, _) = tokio_tungstenite::client_async(url, stream).await.unwrap();
@@ -134,6 +135,29 @@
     assert_eq!(a.node.metrics().unreachable.get(), 0);
 }
 
+#[tokio::test]
+async fn a_link_that_is_closed_takes_what_is_on_its_way() {
+    let a = open(0, rare_rounds(), 0).await;
+    let mut socket = rogue(&a.node, PROTOCOL).await;
+    wait("a link", || a.node.links() == 1).await;
+    let closed = async {
+        while let Some(message) = socket.next().await {
+            if matches!(message, Ok(Message::Close(_))) {
+                return true;
+            }
+        }
+        false
+    };
+    assert_eq!(timeout(DEADLINE, closed).await, Ok(true));
+    // A ping of the other side that crosses the close; a reset would hide the close from it.
+    let ping = [0x89, 0x80, 0, 0, 0, 0];
+    let stream = socket.get_mut();
+    for _ in 0..4 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        assert!(stream.write_all(&ping).await.is_ok());
+    }
+}
+
 #[tokio::test]
 async fn a_vm_that_dies_turns_silent_and_then_this_one_is_alone() {
     let a = open(0, settings(), 0).await;
