Plan a round once, and give one order an engine at once

A profile showed all of it in one process, the giver of orders: copies of maps of what engines hold. Cause: each word of another VM starts a round, some hundreds a second; a round looked at every engine anew for each of up to 544 adapters asked for, and weighed each of 265 models against every engine's victims anew. Orders on adapters were sent one after another, each waiting for its answer. Ruled out: the exchange of what VMs use (under a tenth of it), reading registrations. Change: at least 10 ms between rounds; a round's picture is made once; adapters that lack a holder are found in one pass and go out together, one an engine; what a model could drive out is reckoned once an engine; loads no longer wait for the words that go before drops. The pure planners keep their results (tests unchanged but for the adapters' entry point; three new tests of a round with many adapters).

--- a/src/gateway/adapters.rs
+++ b/src/gateway/adapters.rs
@@ -2,7 +2,7 @@
 //!
 //! An adapter comes within milliseconds, so it is loaded when it is asked for; the engine that
 //! holds the model with the most free places takes it, and where none has one, the adapter that
-//! is asked for least makes way.
+//! is asked for least makes way. An engine takes one order a round.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -15,6 +15,8 @@
 
 /// Adapters that may be on their way to an engine at once.
 const MOST_COMING: usize = 4;
+/// Orders in one round.
+const ORDERS_PER_ROUND: usize = 16;
 
 /// An order on an adapter.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,14 +31,59 @@
 #[derive(Clone, Debug, Default)]
 pub struct Coming(pub BTreeSet<(ModelId, AdapterId)>);
 
-/// Plans one move for an adapter that nobody holds; `None` where there is no room.
-pub fn plan_adapter(
+/// Plans a round's moves, for adapters that are asked for and that no engine holds or awaits: those
+/// that requests wait for, and where there are none, the one that is asked for most.
+pub fn plan_adapters(
     seats: &BTreeMap<UpstreamId, Seat>,
     coming: &BTreeMap<UpstreamId, Coming>,
     engines: &Engines,
     demand: &BTreeMap<Target, Want>,
+) -> BTreeMap<UpstreamId, AdapterMove> {
+    let held = seats.values().flat_map(|seat| &seat.holds.models);
+    let models: BTreeSet<_> = held.clone().map(|(model, _)| model).collect();
+    let held = held.flat_map(|(model, adapters)| adapters.iter().map(move |a| (model, a)));
+    let on_way = coming.values().flat_map(|coming| &coming.0);
+    let served: BTreeSet<_> = held.chain(on_way.map(|(m, a)| (m, a))).collect();
+    let wanted = demand.iter().filter_map(|(target, want)| {
+        let pair = (&target.model, target.adapter.as_ref()?);
+        let lacks = models.contains(pair.0) && !served.contains(&pair);
+        lacks.then_some((pair, want))
+    });
+    let mut wanted: Vec<_> = wanted.collect();
+    wanted.sort_by(|a, b| {
+        let rates = b.1.rate.total_cmp(&a.1.rate);
+        b.1.waiting.cmp(&a.1.waiting).then(rates)
+    });
+    let mut moves = BTreeMap::new();
+    for (pair, want) in wanted {
+        let idle = want.waiting == 0;
+        if moves.len() == ORDERS_PER_ROUND || (idle && !moves.is_empty()) {
+            break;
+        }
+        let free = seats.iter().filter(|(id, _)| !moves.contains_key(*id));
+        let Some((id, step)) = plan_adapter(free, coming, engines, demand, pair) else {
+            continue;
+        };
+        // What nobody waits for drives nothing out.
+        if idle && matches!(step, AdapterMove::Unload(..)) {
+            continue;
+        }
+        moves.insert(id, step);
+    }
+    moves
+}
+
+/// Plans the move for one adapter; `None` where there is no room.
+fn plan_adapter<'a, I>(
+    seats: I,
+    coming: &BTreeMap<UpstreamId, Coming>,
+    engines: &Engines,
+    demand: &BTreeMap<Target, Want>,
     wanted: (&ModelId, &AdapterId),
-) -> Option<(UpstreamId, AdapterMove)> {
+) -> Option<(UpstreamId, AdapterMove)>
+where
+    I: Iterator<Item = (&'a UpstreamId, &'a Seat)>,
+{
     let (model, adapter) = wanted;
     let kind = engines.models.get(model)?;
     let mut best: Option<(usize, UpstreamId, AdapterMove)> = None;
--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -85,26 +85,31 @@
     seen.rate * (-span / RATE_TIME.as_secs_f64()).exp()
 }
 
-/// What all VMs told.
+/// What all VMs told, by target.
 #[derive(Debug, Default)]
-pub struct Told(BTreeMap<(VmId, Target), (Want, Instant)>);
+pub struct Told(BTreeMap<Target, BTreeMap<VmId, (Want, Instant)>>);
 
 impl Told {
     /// Takes a VM's word.
     pub fn on_want(&mut self, vm: &VmId, target: Target, want: Want, now: Instant) {
-        self.0.insert((vm.clone(), target), (want, now));
+        let words = self.0.entry(target).or_default();
+        words.insert(vm.clone(), (want, now));
     }
 
     /// Demand over all VMs.
     pub fn sum(&mut self, now: Instant) -> BTreeMap<Target, Want> {
-        self.0
-            .retain(|_, (_, at)| now.saturating_duration_since(*at) < TOLD_TIME);
-        let mut sums: BTreeMap<Target, Want> = BTreeMap::new();
-        for ((_, target), (want, _)) in &self.0 {
-            let sum = sums.entry(target.clone()).or_default();
-            sum.rate += want.rate;
-            sum.waiting += want.waiting;
-        }
-        sums
+        self.0.retain(|_, words| {
+            words.retain(|_, (_, at)| now.saturating_duration_since(*at) < TOLD_TIME);
+            !words.is_empty()
+        });
+        let sums = self.0.iter().map(|(target, words)| {
+            let mut sum = Want::default();
+            for (want, _) in words.values() {
+                sum.rate += want.rate;
+                sum.waiting += want.waiting;
+            }
+            (target.clone(), sum)
+        });
+        sums.collect()
     }
 }
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -131,24 +131,16 @@
     now: Instant,
 ) -> BTreeMap<UpstreamId, Move> {
     let mut moves = BTreeMap::new();
-    let mut copies = count_copies(seats, engines);
-    let slots = seats.values().map(|seat| seat.slots).min().unwrap_or(1);
-    let mut wanted = wanted(engines, demand, &copies, slots);
+    let mut site = Site::open(seats, engines, demand, now);
+    let mut wanted = wanted(engines, demand, &site.copies, site.slots);
     wanted.sort_by(|a, b| b.0.total_cmp(&a.0));
-    for (id, seat) in seats {
-        let Some(model) = seat.loading.as_ref().filter(|_| !seat.busy) else {
+    for (id, view) in &site.views {
+        let loading = view.seat.loading.as_ref();
+        let Some(model) = loading.filter(|_| !view.seat.busy) else {
             continue;
         };
-        let site = Site {
-            seats,
-            engines,
-            demand,
-            copies: &copies,
-            slots,
-            now,
-        };
-        let tier = tier(&seat.holds, model);
-        let step = site.clear_further(seat, model, tier);
+        let tier = tier(&view.seat.holds, model);
+        let step = site.clear_further(view, model, tier);
         if step == Some(Move::Load(model.clone(), Tier::Store)) {
             if store_loads == 0 {
                 continue;
@@ -156,28 +148,18 @@
             store_loads -= 1;
         }
         if let Some(step) = step {
-            moves.insert(id.clone(), step);
+            moves.insert((*id).clone(), step);
         }
     }
     for (worth, model) in wanted {
-        let site = Site {
-            seats,
-            engines,
-            demand,
-            copies: &copies,
-            slots,
-            now,
-        };
         let Some((seat, step)) = site.best(&model, worth, &moves, store_loads) else {
             continue;
         };
         if let Move::Load(_, Tier::Store) = step {
             store_loads -= 1;
         }
-        if let Move::Unload { model: dropped, .. } = &step
-            && let Some(count) = copies.get_mut(dropped)
-        {
-            *count = count.saturating_sub(1);
+        if let Move::Unload { model: dropped, .. } = &step {
+            site.drop_copy(dropped);
         }
         moves.insert(seat, step);
     }
@@ -231,25 +213,85 @@
 
 /// What room for a model takes.
 #[derive(Debug, Default)]
-struct Room {
+struct Room<'a> {
     /// The model to drop first, if any must go.
-    first: Option<ModelId>,
+    first: Option<&'a ModelId>,
     /// What all drops lose.
     loss: f64,
     /// How long they take, in seconds.
     time: f64,
 }
 
+/// A model that an engine could drop.
+struct Victim<'a> {
+    model: &'a ModelId,
+    worth: f64,
+    size: f64,
+    /// Time to drop it: its runs are finished first; in seconds.
+    drop: f64,
+    /// Time to bring it back, in seconds; its weights stay in the engine's memory.
+    reload: f64,
+}
+
+/// A seat, with what every model weighed against it needs.
+struct View<'a> {
+    seat: &'a Seat,
+    /// What its models and the one that is coming take, in megabytes.
+    used: f64,
+    /// Demand for adapters that it serves, in requests a second.
+    adapter_rate: f64,
+    victims: Vec<Victim<'a>>,
+}
+
 struct Site<'a> {
-    seats: &'a BTreeMap<UpstreamId, Seat>,
     engines: &'a Engines,
     demand: &'a BTreeMap<ModelId, ModelWant>,
-    copies: &'a BTreeMap<ModelId, usize>,
+    copies: BTreeMap<ModelId, usize>,
     slots: u32,
     now: Instant,
+    views: BTreeMap<&'a UpstreamId, View<'a>>,
 }
 
-impl Site<'_> {
+impl<'a> Site<'a> {
+    fn open(
+        seats: &'a BTreeMap<UpstreamId, Seat>,
+        engines: &'a Engines,
+        demand: &'a BTreeMap<ModelId, ModelWant>,
+        now: Instant,
+    ) -> Self {
+        let mut site = Self {
+            engines,
+            demand,
+            copies: count_copies(seats, engines),
+            slots: seats.values().map(|seat| seat.slots).min().unwrap_or(1),
+            now,
+            views: BTreeMap::new(),
+        };
+        let views = seats.iter().map(|(id, seat)| (id, site.view(seat)));
+        site.views = views.collect();
+        site
+    }
+
+    fn view(&self, seat: &'a Seat) -> View<'a> {
+        View {
+            seat,
+            used: self.used(seat),
+            adapter_rate: self.adapter_rate(seat),
+            victims: self.victims(seat),
+        }
+    }
+
+    /// Counts that a copy goes: what other engines hold of the model is then worth more.
+    fn drop_copy(&mut self, model: &ModelId) {
+        if let Some(count) = self.copies.get_mut(model) {
+            *count = count.saturating_sub(1);
+        }
+        let holders = self.views.iter();
+        let holders = holders.filter(|(_, view)| view.seat.holds.models.contains_key(model));
+        let changed: Vec<_> = holders.map(|(id, v)| (*id, self.view(v.seat))).collect();
+        self.views.extend(changed);
+    }
+
     /// The best engine for one more replica, and the first move towards it; `None` where none may
     /// take it, or where the best one is worth waiting for.
     fn best(
@@ -260,57 +302,60 @@
         store_loads: usize,
     ) -> Option<(UpstreamId, Move)> {
         let kind = self.engines.models.get(model)?;
-        let mut best: Option<(f64, UpstreamId, Option<Move>)> = None;
-        for (id, seat) in self.seats {
+        let mut best: Option<(f64, &UpstreamId, Option<Move>)> = None;
+        for (id, view) in &self.views {
+            let seat = view.seat;
+            let Some(room) = self.room(view, kind, worth) else {
+                continue;
+            };
             let tier = tier(&seat.holds, model);
             if seat.holds.models.contains_key(model) || (tier == Tier::Store && store_loads == 0) {
                 continue;
             }
-            let Some(room) = self.room(seat, kind, worth) else {
-                continue;
-            };
-            let occupied = seat.busy || seat.loading.is_some() || taken.contains_key(id);
+            let occupied = seat.busy || seat.loading.is_some() || taken.contains_key(*id);
             let wait = if occupied {
                 seat.busy_for.max(LEAST_WAIT)
             } else {
                 Duration::ZERO
             };
             let time = (wait + load_time(kind, tier)).as_secs_f64() + room.time;
-            let held_up = self.adapter_rate(seat) * HELD_UP_SHARE;
+            let held_up = view.adapter_rate * HELD_UP_SHARE;
             let cost = time * (worth + held_up) + room.loss;
+            if best.as_ref().is_some_and(|(least, ..)| cost >= *least) {
+                continue;
+            }
             let step = match room.first {
                 _ if occupied => None,
                 Some(victim) => Some(Move::Unload {
-                    model: victim,
+                    model: victim.clone(),
                     coming: model.clone(),
                 }),
                 None => Some(Move::Load(model.clone(), tier)),
             };
-            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, id.clone(), step));
-            }
+            best = Some((cost, id, step));
         }
-        best.and_then(|(_, id, step)| Some((id, step?)))
+        best.and_then(|(_, id, step)| Some((id.clone(), step?)))
     }
 
     /// The next move at an engine that is being cleared for a model.
-    fn clear_further(&self, seat: &Seat, model: &ModelId, tier: Tier) -> Option<Move> {
+    fn clear_further(&self, view: &View<'_>, model: &ModelId, tier: Tier) -> Option<Move> {
         let kind = self.engines.models.get(model)?;
-        let held: f64 = seat.holds.models.keys().map(|m| self.size(seat, m)).sum();
+        let held = view.seat.holds.models.keys();
+        let held: f64 = held.map(|m| self.size(view.seat, m)).sum();
         if self.engines.room_mb - held >= kind.size_mb {
             return Some(Move::Load(model.clone(), tier));
         }
-        let victims = self.victims(seat).into_iter();
-        let (_, victim) = victims.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let victims = view.victims.iter();
+        let victim = victims.min_by(|a, b| a.worth.total_cmp(&b.worth))?;
         Some(Move::Unload {
-            model: victim,
+            model: victim.model.clone(),
             coming: model.clone(),
         })
     }
 
     /// What room for a model takes; `None` where it would cost too much.
-    fn room(&self, seat: &Seat, kind: &Model, gain: f64) -> Option<Room> {
-        let mut free = self.engines.room_mb - self.used(seat);
+    fn room<'b>(&self, view: &'b View<'a>, kind: &Model, gain: f64) -> Option<Room<'b>> {
+        let mut free = self.engines.room_mb - view.used;
         let mut room = Room::default();
         if free >= kind.size_mb {
             return Some(room);
@@ -318,19 +363,19 @@
         if gain < LEAST_GAIN {
             return None;
         }
-        let mut victims = self.victims(seat);
-        let hurt = |v: &(f64, ModelId)| v.0 + gain * Self::drop_time(seat, &v.1);
+        let mut victims: Vec<_> = view.victims.iter().collect();
+        let hurt = |v: &Victim<'_>| v.worth + gain * v.drop;
         victims.sort_by(|a, b| hurt(a).total_cmp(&hurt(b)));
         let mut lost = 0.0;
-        for (worth, model) in victims {
-            lost += worth;
+        for victim in victims {
+            lost += victim.worth;
             if lost > gain * SWAP_SHARE {
                 return None;
             }
-            room.loss += worth * self.reload_time(&model).as_secs_f64();
-            room.time += Self::drop_time(seat, &model);
-            free += self.size(seat, &model);
-            room.first.get_or_insert(model);
+            room.loss += victim.worth * victim.reload;
+            room.time += victim.drop;
+            free += victim.size;
+            room.first.get_or_insert(victim.model);
             if free >= kind.size_mb {
                 return Some(room);
             }
@@ -338,12 +383,6 @@
         None
     }
 
-    /// Expected time to drop a model: its runs are finished first, in seconds.
-    fn drop_time(seat: &Seat, model: &ModelId) -> f64 {
-        let running = f64::from(seat.runs.get(model).copied().unwrap_or_default());
-        DROP_TIME + RUNS_TIME * (1.0 - (-running).exp())
-    }
-
     /// Demand for adapters that a seat serves, in requests a second.
     fn adapter_rate(&self, seat: &Seat) -> f64 {
         let rates = seat.holds.models.keys().map(|model| {
@@ -354,24 +393,26 @@
         rates.sum()
     }
 
-    /// Time to bring back a model that was dropped; its weights stay in the engine's memory.
-    fn reload_time(&self, model: &ModelId) -> Duration {
-        let kind = self.engines.models.get(model);
-        kind.map_or(Duration::ZERO, |kind| kind.from_memory)
-    }
-
-    fn victims(&self, seat: &Seat) -> Vec<(f64, ModelId)> {
+    fn victims(&self, seat: &'a Seat) -> Vec<Victim<'a>> {
         let settled = |model: &ModelId| {
             let since = seat.since.get(model);
             since.is_none_or(|at| self.now.saturating_duration_since(*at) >= LEAST_STAY)
         };
         let models = seat.holds.models.keys().filter(|model| settled(model));
-        let worths = models.map(|model| {
+        let victims = models.map(|model| {
             let count = self.copies.get(model).copied().unwrap_or(1);
             let want = self.demand.get(model).copied().unwrap_or_default();
-            (worth(&want, count, self.engines, self.slots), model.clone())
+            let running = f64::from(seat.runs.get(model).copied().unwrap_or_default());
+            let kind = self.engines.models.get(model);
+            Victim {
+                model,
+                worth: worth(&want, count, self.engines, self.slots),
+                size: self.size(seat, model),
+                drop: DROP_TIME + RUNS_TIME * (1.0 - (-running).exp()),
+                reload: kind.map_or(0.0, |kind| kind.from_memory.as_secs_f64()),
+            }
         });
-        worths.collect()
+        victims.collect()
     }
 
     fn used(&self, seat: &Seat) -> f64 {
--- a/src/gateway/steer.rs
+++ b/src/gateway/steer.rs
@@ -17,7 +17,7 @@
 use crate::schema::mesh::HoldWord;
 use crate::store::{ObjectStore, StoreError};
 
-use super::adapters::{AdapterMove, Coming, plan_adapter};
+use super::adapters::{AdapterMove, Coming, plan_adapters};
 use super::border::{Act, Control, ControlError, Order, OrderAnswer};
 use super::call::Target;
 use super::ceiling::Ceiling;
@@ -33,6 +33,8 @@
 
 /// Pause between rounds, where nothing asks for one sooner.
 const ROUND_PAUSE: Duration = Duration::from_millis(100);
+/// Least pause between rounds: every word of another VM asks for one.
+const LEAST_PAUSE: Duration = Duration::from_millis(10);
 /// Longest wait for an engine's answer to a question or an order.
 const ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Longest wait for the store's answer on the lease.
@@ -47,8 +49,6 @@
 const SETTLE_TIME: Duration = Duration::from_millis(450);
 /// Time for an adapter to arrive from the store.
 const ADAPTER_TIME: Duration = Duration::from_millis(15);
-/// Adapter orders in one round.
-const ADAPTERS_PER_ROUND: usize = 16;
 
 /// The giver of orders.
 #[derive(Debug)]
@@ -121,6 +121,9 @@
             };
             // Either wakes it: time, or news.
             let _woken = tokio::time::timeout(ROUND_PAUSE, woken).await;
+            if self.epoch.is_some() {
+                tokio::time::sleep(LEAST_PAUSE).await;
+            }
         }
     }
 
@@ -365,41 +368,17 @@
         demand: &BTreeMap<Target, Want>,
         epoch: Epoch,
     ) {
-        let mut wanted: Vec<_> = demand
-            .iter()
-            .filter_map(|(target, want)| Some((target, target.adapter.as_ref()?, want)))
-            .collect();
-        wanted.sort_by(|a, b| {
-            let rates = b.2.rate.total_cmp(&a.2.rate);
-            b.2.waiting.cmp(&a.2.waiting).then(rates)
+        let seats = self.seats(service);
+        let moves = plan_adapters(&seats, &self.coming(service), engines, demand);
+        let orders = moves.into_iter().map(|(id, step)| match step {
+            AdapterMove::Load(model, adapter) => (id, Act::Load(part(model, adapter))),
+            AdapterMove::Unload(model, adapter) => (id, Act::Unload(part(model, adapter))),
         });
-        let mut orders = 0;
-        for (target, adapter, want) in wanted {
-            let seats = self.seats(service);
-            let coming = self.coming(service);
-            let there = |s: &Seat| s.holds.serve(target);
-            let arrives = |c: &Coming| c.0.contains(&(target.model.clone(), adapter.clone()));
-            if seats.values().any(there) || coming.values().any(arrives) {
-                continue;
-            }
-            if want.waiting == 0 && orders > 0 {
-                break;
-            }
-            let pair = (&target.model, adapter);
-            let Some((id, step)) = plan_adapter(&seats, &coming, engines, demand, pair) else {
-                continue;
-            };
-            let act = match step {
-                AdapterMove::Load(model, adapter) => Act::Load(part(model, adapter)),
-                // What nobody waits for drives nothing out.
-                AdapterMove::Unload(..) if want.waiting == 0 => continue,
-                AdapterMove::Unload(model, adapter) => Act::Unload(part(model, adapter)),
-            };
-            self.order_all(vec![(id, act)], epoch).await;
-            orders += 1;
-            if orders >= ADAPTERS_PER_ROUND {
-                break;
-            }
+        let orders: Vec<_> = orders.collect();
+        if !orders.is_empty() {
+            self.order_all(orders, epoch).await;
+            // An engine takes one order a round, and more may be wanted of it.
+            self.gateway.orders_due.notify_one();
         }
     }
 
@@ -415,15 +394,23 @@
 
     /// Gives orders to several engines at once, if this VM still may.
     async fn order_all(&mut self, orders: Vec<(UpstreamId, Act)>, epoch: Epoch) {
-        let drops = orders.iter().filter_map(|(id, act)| match act {
-            Act::Unload(target) => self.word(id, target, false),
-            Act::Load(_) => None,
+        let (loads, drops): (Vec<_>, Vec<_>) = orders
+            .into_iter()
+            .partition(|(_, act)| matches!(act, Act::Load(_)));
+        self.send_orders(loads, epoch).await;
+        let words = drops.iter().filter_map(|(id, act)| {
+            let (Act::Load(target) | Act::Unload(target)) = act;
+            self.word(id, target, false)
         });
-        let words: Vec<_> = drops.collect();
+        let words: Vec<_> = words.collect();
         if !words.is_empty() {
             self.mesh.notify(epoch, words).await;
             tokio::time::sleep(WORD_LEAD).await;
+            self.send_orders(drops, epoch).await;
         }
+    }
+
+    async fn send_orders(&mut self, orders: Vec<(UpstreamId, Act)>, epoch: Epoch) {
         let boot = self.gateway.clock.boot();
         if self.lease.epoch(boot) != Some(epoch) {
             return;
--- a/tests/gateway_place.rs
+++ b/tests/gateway_place.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use basilgw::gateway::adapters::{AdapterMove, Coming, plan_adapter};
+use basilgw::gateway::adapters::{AdapterMove, Coming, plan_adapters};
 use basilgw::gateway::call::Target;
 use basilgw::gateway::demand::Want;
 use basilgw::gateway::place::{ModelWant, Move, Seat, Tier, expected_wait, plan};
@@ -218,8 +218,71 @@
     demand: &BTreeMap<Target, Want>,
     name: &str,
 ) -> Option<(UpstreamId, AdapterMove)> {
+    let mut demand = demand.clone();
+    let want = Want {
+        rate: 0.0,
+        waiting: 1,
+    };
+    demand.insert(target("m0", Some(name)), want);
     let coming: BTreeMap<UpstreamId, Coming> = BTreeMap::new();
-    plan_adapter(all, &coming, &engines(2), demand, (&id("m0"), &id(name)))
+    plan_adapters(all, &coming, &engines(2), &demand).pop_first()
+}
+
+#[test]
+fn many_adapters_wanted_at_once_go_to_several_engines_in_one_round() {
+    let all = seats(&[
+        ("e1", seat(&["m0"])),
+        ("e2", seat(&["m0"])),
+        ("e3", seat(&["m1"])),
+    ]);
+    let wants = (0..8).map(|n| {
+        let want = Want {
+            rate: 0.1,
+            waiting: u32::from(n < 5),
+        };
+        (target("m0", Some(&format!("a{n}"))), want)
+    });
+    let wants: BTreeMap<_, _> = wants.collect();
+    let moves = plan_adapters(&all, &BTreeMap::new(), &engines(2), &wants);
+    let orders: Vec<_> = moves.iter().collect();
+    // One order an engine, each for another adapter, and none where the model is not held.
+    assert_eq!(
+        orders,
+        [
+            (&id("e1"), &AdapterMove::Load(id("m0"), id("a0"))),
+            (&id("e2"), &AdapterMove::Load(id("m0"), id("a1"))),
+        ]
+    );
+}
+
+#[test]
+fn an_adapter_that_nobody_waits_for_drives_nothing_out_and_comes_alone() {
+    let mut full = seat(&["m0"]);
+    let held = full.holds.models.get_mut(&id("m0")).expect("held");
+    held.extend([id("a1"), id("a2")]);
+    let wants = ["a3", "a4"].map(|a| (target("m0", Some(a)), adapter_want(1.0)));
+    let wants = BTreeMap::from(wants);
+    let one = seats(&[("e1", full)]);
+    let plan = |all| plan_adapters(all, &BTreeMap::new(), &engines(2), &wants);
+    assert_eq!(plan(&one), BTreeMap::new());
+    let free = seats(&[("e1", seat(&["m0"])), ("e2", seat(&["m0"]))]);
+    assert_eq!(plan(&free).len(), 1);
+}
+
+#[test]
+fn an_adapter_on_its_way_is_not_ordered_again() {
+    let all = seats(&[("e1", seat(&["m0"])), ("e2", seat(&["m0"]))]);
+    let want = Want {
+        rate: 1.0,
+        waiting: 1,
+    };
+    let wants = BTreeMap::from([(target("m0", Some("a1")), want)]);
+    let pair = (id("m0"), id("a1"));
+    let coming = BTreeMap::from([(id("e1"), Coming([pair].into()))]);
+    assert_eq!(
+        plan_adapters(&all, &coming, &engines(2), &wants),
+        BTreeMap::new()
+    );
 }
 
 #[test]
