Cut an account's level to a VM's part when VMs are cut off, and know sooner that nobody is heard

Cause: a VM that is cut off slowed its filling to its part of the rate, but kept the level, up to a whole burst in each such VM; and it took three missed words, 3.6 s, to know that it was cut off. Change: the level fills to this VM's part of the burst only; a VM that has heard nobody for half a pause of words uses half of its own part; one VM is missed after one and a half pauses; a VM tells at once when what it admitted and has not told exceeds its part of two seconds of the rate; pauses vary by a quarter, so that VMs that started together do not tell together. Sums of what others use are kept as words come, not reckoned anew for each word; one datagram is written once for all VMs.

--- a/src/gateway/allowance.rs
+++ b/src/gateway/allowance.rs
@@ -4,7 +4,9 @@
 //! while the whole account's level, its own use and what it has heard of the others' taken off, is
 //! above zero. The level may fall below zero through what is not heard yet, and is then paid back
 //! before anything more is admitted, so that the overshoot happens once and not in every window. A
-//! VM that hears nobody keeps to its part of the rate. A level starts empty unless the whole system
+//! VM that admits much tells so at once: what all VMs have admitted and not told stays a small share
+//! of the rate. A VM that does not hear all others keeps to a part of the rate and of the burst
+//! ([`super::touch`]). A level starts empty unless the whole system
 //! starts for the first time, so that a restart of all VMs grants no second burst.
 
 use std::fmt;
@@ -14,6 +16,8 @@
 
 /// The least time that a refused caller is told to wait.
 const MIN_RETRY: Duration = Duration::from_millis(50);
+/// What all VMs together may have admitted and not told, in time at the account's rate.
+const UNTOLD_TIME: Duration = Duration::from_secs(2);
 
 /// An account's level.
 #[derive(Clone, Debug)]
@@ -21,9 +25,13 @@
     rate: TokenRate,
     burst: f64,
     level: f64,
+    /// The largest request seen, in tokens: a part of the burst must do for it.
+    largest: f64,
     at: Instant,
     /// Tokens that this VM has admitted since it started.
     pub admitted: Tokens,
+    /// What it had admitted when it last told the others.
+    told: Tokens,
 }
 
 impl fmt::Display for Allowance {
@@ -45,8 +53,10 @@
             rate,
             burst,
             level: if full { burst } else { 0.0 },
+            largest: 0.0,
             at: now,
             admitted: Tokens::ZERO,
+            told: Tokens::ZERO,
         }
     }
 
@@ -55,6 +65,7 @@
         self.fill(now, 1.0);
         self.rate = rate;
         self.burst = burst.0 as f64;
+        self.largest = self.largest.min(self.burst);
         self.level = self.level.min(self.burst);
     }
 
@@ -62,7 +73,20 @@
     pub fn fill(&mut self, now: Instant, part: f64) {
         let span = now.saturating_duration_since(self.at);
         self.at = now;
-        self.level = (self.level + self.rate.over(span) * part).min(self.burst);
+        self.level =
+            (self.level + self.rate.over(span) * part).min((self.burst * part).max(self.largest));
+    }
+
+    /// Whether the others should hear at once what this VM, one of `vms`, has admitted.
+    pub fn due(&self, vms: u32) -> bool {
+        let untold = self.admitted.saturating_sub(self.told);
+        untold.0 as f64 > self.rate.over(UNTOLD_TIME) / f64::from(vms.max(1))
+    }
+
+    /// Tokens admitted, which the others are being told.
+    pub fn tell(&mut self) -> Tokens {
+        self.told = self.admitted;
+        self.admitted
     }
 
     /// Admits a request of `tokens`.
@@ -71,8 +95,9 @@
     ///
     /// When to come back, where the level does not allow it.
     pub fn admit(&mut self, tokens: Tokens, now: Instant, part: f64) -> Result<(), Duration> {
-        self.fill(now, part);
         let need = (tokens.0 as f64).min(self.burst);
+        self.largest = self.largest.max(need);
+        self.fill(now, part);
         if self.level >= need {
             self.level -= tokens.0 as f64;
             self.admitted = self.admitted + tokens;
--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -8,59 +8,41 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use rand::RngExt;
 use slog::{debug, info, warn};
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
+use super::call::Target;
+use super::demand::{Told, Want};
+use super::peers::{Peers, TOUCH_TIME, USAGE_PAUSE};
+use super::state::Gateway;
 use crate::ids::{Epoch, Generation, ModelId, UpstreamId, Version, VmId};
 use crate::schema::mesh::{
     AccountUse, Datagram, HoldWord, LeaseWord, Notice, Run, UpstreamUse, Usage, Want as WantWord,
     Wants,
 };
-use crate::units::Tokens;
 
-use super::call::Target;
-use super::demand::{Told, Want};
-use super::state::Gateway;
-
-/// Pause between words on what a VM uses, among few VMs and at most.
-const USAGE_PAUSE: Duration = Duration::from_millis(200);
-const MAX_USAGE_PAUSE: Duration = Duration::from_millis(1200);
-/// Above this many VMs each one tells less often, so that what all of them tell grows with their
-/// number and not with its square.
-const FEW_VMS: u32 = 12;
-/// Words missed before a VM is out of touch.
-const MISSED_WORDS: u32 = 3;
+/// Part of its pause that a VM waits between words on what it uses.
+const PAUSE_PARTS: Range<f64> = 0.75..1.25;
 /// Pause between words on what a VM wants; one that begins to wait is told at once.
 const WANTS_PAUSE: Duration = Duration::from_millis(250);
-/// A VM not heard for this long is out of touch, at least.
-const TOUCH_TIME: Duration = Duration::from_secs(1);
-/// A VM not heard for this long is gone for good.
-const GONE_TIME: Duration = Duration::from_secs(12);
 /// Greatest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 /// Wants in one datagram.
 const WANTS_PER_DATAGRAM: usize = 24;
-/// Least pause between two urgent words.
+/// Least pause between two urgent words on what a VM wants.
 const URGENT_PAUSE: Duration = Duration::from_millis(10);
-
-#[derive(Debug)]
-struct Peer {
-    at: SocketAddr,
-    heard: Option<Instant>,
-    known: Instant,
-    generation: Option<Generation>,
-    used: BTreeMap<crate::ids::ClientAccount, Tokens>,
-    upstreams: BTreeMap<UpstreamId, u32>,
-}
+/// Least pause between two words on what a VM uses.
+const LEAST_USAGE_PAUSE: Duration = Duration::from_millis(40);
 
 #[derive(Debug, Default)]
 struct State {
-    peers: BTreeMap<VmId, Peer>,
+    peers: Peers,
     told: Told,
     runs: BTreeMap<VmId, (Vec<Run>, Instant)>,
     leader: Option<(VmId, Epoch, Version, Instant)>,
@@ -74,8 +56,6 @@
     socket: UdpSocket,
     generation: Generation,
     state: Mutex<State>,
-    /// Told when the others should hear from this VM at once.
-    usage_due: Notify,
 }
 
 impl Mesh {
@@ -91,7 +71,6 @@
             socket,
             generation: Generation(gateway.clock.wall_ms()),
             state: Mutex::default(),
-            usage_due: Notify::new(),
         }))
     }
 
@@ -122,11 +101,7 @@
         let mut state = self.lock();
         for (vm, at) in vms {
             if vm != self.gateway.vm {
-                let peer = state.peers.entry(vm).or_insert_with(|| Peer::new(at, now));
-                if peer.heard.is_none() {
-                    peer.at = at;
-                    peer.known = now;
-                }
+                state.peers.know(vm, at, now);
             }
         }
     }
@@ -150,7 +125,7 @@
     pub fn set_lease(&self, lease: Option<(Epoch, Version)>) {
         let before = std::mem::replace(&mut self.lock().lease, lease);
         if before.is_none() && lease.is_some() {
-            self.usage_due.notify_one();
+            self.gateway.usage_due.notify_one();
         }
     }
 
@@ -261,7 +236,7 @@
     fn take_usage(&self, usage: Usage, from: SocketAddr) {
         let now = self.gateway.clock.now();
         let mut state = self.lock();
-        if let Some(lease) = usage.lease {
+        if let Some(lease) = &usage.lease {
             let newer = state
                 .leader
                 .as_ref()
@@ -277,41 +252,21 @@
                 state.leader = Some((usage.vm.clone(), lease.epoch, lease.version, now));
             }
         }
-        let new = !state.peers.contains_key(&usage.vm);
-        let peer = state.peers.entry(usage.vm.clone());
-        let peer = peer.or_insert_with(|| Peer::new(from, now));
-        peer.at = from;
-        peer.heard = Some(now);
-        let first = peer.generation.is_none();
-        if peer.generation != Some(usage.generation) {
-            // A VM that started anew counts from nothing.
-            peer.used.clear();
-        }
-        peer.generation = Some(usage.generation);
-        let mut spent = Vec::new();
-        for AccountUse { account, tokens } in usage.accounts {
-            // What was used before this VM was heard at all is not taken off.
-            let start = if first { tokens } else { Tokens::ZERO };
-            let before = peer.used.insert(account.clone(), tokens).unwrap_or(start);
-            spent.push((account, tokens.0.cast_signed() - before.0.cast_signed()));
-        }
-        peer.upstreams = usage
-            .upstreams
-            .into_iter()
-            .map(|u| (u.upstream, u.requests))
-            .collect();
-        let sums = state.upstream_sums(now);
+        let vm = usage.vm.clone();
+        let taken = state.peers.take(usage, from, now);
         drop(state);
-        if new {
-            info!(self.gateway.log, "vm_heard"; "peer" => %usage.vm);
+        if taken.new {
+            info!(self.gateway.log, "vm_heard"; "peer" => %vm);
         }
-        for (account, tokens) in spent {
+        self.gateway.on_heard(now);
+        for (account, tokens) in taken.spent {
             self.gateway.take_elsewhere(&account, tokens);
         }
-        for (id, upstream) in self.gateway.upstreams.load().iter() {
-            upstream
-                .pulse
-                .tell_elsewhere(sums.get(id).copied().unwrap_or_default());
+        let upstreams = self.gateway.upstreams.load();
+        for (id, requests) in taken.loads {
+            if let Some(upstream) = upstreams.get(&id) {
+                upstream.pulse.tell_elsewhere(requests);
+            }
         }
     }
 
@@ -319,9 +274,13 @@
         loop {
             let datagram = Datagram::Usage(self.usage());
             self.send_all(&datagram).await;
-            self.set_part();
+            self.look_around();
+            tokio::time::sleep(LEAST_USAGE_PAUSE).await;
+            let due = self.gateway.usage_due.notified();
             // Either wakes it: time, or news that the others should hear at once.
-            let _woken = tokio::time::timeout(self.pause(), self.usage_due.notified()).await;
+            // VMs that started together do not go on telling together.
+            let pause = self.pause().mul_f64(rand::rng().random_range(PAUSE_PARTS));
+            let _woken = tokio::time::timeout(pause - LEAST_USAGE_PAUSE, due).await;
         }
     }
 
@@ -332,11 +291,11 @@
         if state.lease.is_some() {
             return USAGE_PAUSE;
         }
-        state.pause()
+        state.peers.pause()
     }
 
     fn usage(&self) -> Usage {
-        let used = self.gateway.admitted().into_iter();
+        let used = self.gateway.tell_admitted().into_iter();
         let upstreams = self.gateway.upstreams.load();
         let upstreams = upstreams.iter().filter(|(_, u)| u.pulse.running() > 0);
         let lease = self.lock().lease;
@@ -356,23 +315,19 @@
         }
     }
 
-    /// The part of the rates that this VM may fill levels with: its own and those of the VMs in
-    /// touch, for the others may be spending theirs unheard.
-    fn set_part(&self) {
+    /// Forgets what VMs told that are no longer heard.
+    fn look_around(&self) {
         let now = self.gateway.clock.now();
         let mut state = self.lock();
-        state
-            .peers
-            .retain(|_, peer| now.saturating_duration_since(peer.last()) < GONE_TIME);
-        let touch = state.touch();
-        let heard = state
-            .peers
-            .values()
-            .filter(|peer| peer.touched(now, touch))
-            .count();
-        let all = state.peers.len();
+        state.peers.forget(now);
+        let touch = state.peers.touch(now);
+        let loads = state.peers.loads().clone();
         drop(state);
-        self.gateway.set_part((heard + 1) as f64 / (all + 1) as f64);
+        self.gateway.set_touch(touch);
+        for (id, upstream) in self.gateway.upstreams.load().iter() {
+            let requests = loads.get(id).copied().unwrap_or_default();
+            upstream.pulse.tell_elsewhere(requests);
+        }
     }
 
     async fn tell_wants(self: Arc<Self>) {
@@ -384,7 +339,7 @@
             let leader = {
                 let state = self.lock();
                 let vm = state.leader.as_ref().map(|(vm, ..)| vm.clone());
-                vm.and_then(|vm| state.peers.get(&vm).map(|peer| peer.at))
+                vm.and_then(|vm| state.peers.address(&vm))
             };
             let leads = self.lock().lease.is_some();
             if let Some(at) = leader.filter(|_| !leads) {
@@ -405,68 +360,36 @@
     }
 
     async fn send_all(&self, datagram: &Datagram) {
-        let peers: Vec<_> = self.lock().peers.values().map(|peer| peer.at).collect();
+        let Some(bytes) = self.write(datagram) else {
+            return;
+        };
+        let peers = self.lock().peers.addresses();
         for at in peers {
-            self.send(datagram, at).await;
+            self.send_bytes(&bytes, at).await;
         }
     }
 
     async fn send(&self, datagram: &Datagram, to: SocketAddr) {
-        let mut bytes = Vec::new();
-        if let Err(e) = ciborium::into_writer(datagram, &mut bytes) {
-            warn!(self.gateway.log, "datagram_unwritable"; "error" => %e);
-            return;
-        }
-        if let Err(e) = self.socket.send_to(&bytes, to).await {
-            debug!(self.gateway.log, "datagram_unsent"; "to" => %to, "error" => %e);
+        if let Some(bytes) = self.write(datagram) {
+            self.send_bytes(&bytes, to).await;
         }
     }
-}
 
-impl Peer {
-    fn new(at: SocketAddr, now: Instant) -> Self {
-        Self {
-            at,
-            heard: None,
-            known: now,
-            generation: None,
-            used: BTreeMap::new(),
-            upstreams: BTreeMap::new(),
+    fn write(&self, datagram: &Datagram) -> Option<Vec<u8>> {
+        let mut bytes = Vec::new();
+        match ciborium::into_writer(datagram, &mut bytes) {
+            Ok(()) => Some(bytes),
+            Err(e) => {
+                warn!(self.gateway.log, "datagram_unwritable"; "error" => %e);
+                None
+            }
         }
     }
 
-    fn last(&self) -> Instant {
-        self.heard.unwrap_or(self.known)
-    }
-
-    fn touched(&self, now: Instant, touch: Duration) -> bool {
-        let heard = self.heard;
-        heard.is_some_and(|at| now.saturating_duration_since(at) < touch)
-    }
-}
-
-impl State {
-    /// Pause between words on what a VM uses.
-    fn pause(&self) -> Duration {
-        let vms = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
-        let pause = USAGE_PAUSE.saturating_mul(vms) / FEW_VMS;
-        pause.clamp(USAGE_PAUSE, MAX_USAGE_PAUSE)
-    }
-
-    /// A VM not heard for this long is out of touch.
-    fn touch(&self) -> Duration {
-        TOUCH_TIME.max(self.pause() * MISSED_WORDS)
-    }
-
-    fn upstream_sums(&self, now: Instant) -> BTreeMap<UpstreamId, u32> {
-        let mut sums = BTreeMap::new();
-        let touch = self.touch();
-        for peer in self.peers.values().filter(|peer| peer.touched(now, touch)) {
-            for (id, requests) in &peer.upstreams {
-                *sums.entry(id.clone()).or_default() += requests;
-            }
+    async fn send_bytes(&self, bytes: &[u8], to: SocketAddr) {
+        if let Err(e) = self.socket.send_to(bytes, to).await {
+            debug!(self.gateway.log, "datagram_unsent"; "to" => %to, "error" => %e);
         }
-        sums
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,6 +23,7 @@
 use super::fleet::{Fleet, Snapshot};
 use super::repeats::{RepeatBound, Repeats};
 use super::table::{Account, Table};
+use super::touch::Touch;
 use super::trust::Trust;
 
 /// What a VM is told at its start.
@@ -63,6 +64,8 @@
     pub upstreams: ArcSwap<Snapshot>,
     /// Told when upstreams in use change.
     pub changed: Notify,
+    /// Told when the others should hear at once what this VM uses.
+    pub usage_due: Notify,
     /// Told when the VM that gives orders should hear what this one wants.
     pub wants_due: Notify,
     /// Told when this VM leaves.
@@ -75,7 +78,7 @@
     demand: Mutex<Local>,
     allowances: Mutex<BTreeMap<ClientAccount, Allowance>>,
     repeats: Mutex<BTreeMap<ServiceId, Repeats>>,
-    part: Mutex<f64>,
+    touch: Mutex<Touch>,
     stop: Mutex<Option<Instant>>,
 }
 
@@ -110,6 +113,7 @@
     /// Where a metric's name is taken.
     pub fn open(parts: Parts) -> Result<Arc<Self>, prometheus::Error> {
         let trust = Trust::new(parts.bounds.withdrawal);
+        let touch = Touch::open(parts.clock.now());
         let answers = EdgeMetrics::open(&parts.metrics)?;
         Ok(Arc::new(Self {
             metrics: parts.metrics,
@@ -123,6 +127,7 @@
             table: ArcSwapOption::empty(),
             upstreams: ArcSwap::default(),
             changed: Notify::new(),
+            usage_due: Notify::new(),
             wants_due: Notify::new(),
             left: Notify::new(),
             orders_due: Notify::new(),
@@ -132,7 +137,7 @@
             demand: Mutex::default(),
             allowances: Mutex::default(),
             repeats: Mutex::default(),
-            part: Mutex::new(1.0),
+            touch: Mutex::new(touch),
             stop: Mutex::new(None),
         }))
     }
@@ -239,13 +244,17 @@
     ///
     /// When to come back.
     pub fn admit(&self, account: &Account, tokens: Tokens) -> Result<(), Duration> {
-        let part = *lock(&self.part);
         let now = self.clock.now();
+        let touch = *lock(&self.touch);
+        let part = touch.part(now);
         let mut allowances = lock(&self.allowances);
         let Some(allowance) = allowances.get_mut(&account.name) else {
             return Ok(());
         };
         let admitted = allowance.admit(tokens, now, part);
+        if allowance.due(touch.vms) {
+            self.usage_due.notify_one();
+        }
         if admitted.is_err() {
             info!(self.log, "over_rate"; "account" => %account.name, "tokens" => tokens.0,
                 "allowance" => %allowance, "part" => part);
@@ -260,11 +269,13 @@
         }
     }
 
-    /// Tokens admitted since the start, by account.
-    pub fn admitted(&self) -> BTreeMap<ClientAccount, Tokens> {
-        let allowances = lock(&self.allowances);
-        let used = allowances.iter().filter(|(_, a)| a.admitted > Tokens::ZERO);
-        used.map(|(name, a)| (name.clone(), a.admitted)).collect()
+    /// Tokens admitted since the start, by account, for the others to hear.
+    pub fn tell_admitted(&self) -> BTreeMap<ClientAccount, Tokens> {
+        let mut allowances = lock(&self.allowances);
+        let used = allowances
+            .iter_mut()
+            .map(|(name, a)| (name.clone(), a.tell()));
+        used.filter(|(_, tokens)| *tokens > Tokens::ZERO).collect()
     }
 
     /// Takes what another VM admitted since it last said so; below zero where it gave some back.
@@ -274,9 +285,14 @@
         }
     }
 
-    /// Sets this VM's part of the rates, for as long as some VMs are not heard.
-    pub fn set_part(&self, part: f64) {
-        *lock(&self.part) = part;
+    /// Takes which VMs are in touch.
+    pub fn set_touch(&self, touch: Touch) {
+        *lock(&self.touch) = touch;
+    }
+
+    /// Notes that some VM was heard.
+    pub fn on_heard(&self, now: Instant) {
+        lock(&self.touch).heard = now;
     }
 
     /// Counts a request for a service.
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -17,10 +17,10 @@
 use basilgw::gateway::trust::Trust;
 use basilgw::gateway::upstream::{Entry, Holdings, Upstream};
 use basilgw::ids::{Version, VmId};
-use basilgw::units::{TokenRate, Tokens};
+use basilgw::units::Tokens;
 
 mod gateway_support;
-use gateway_support::{call, entry, holds, id, ms, target};
+use gateway_support::{call, entry, holds, id, ms, rate, target};
 
 fn boot(millis: u64) -> BootTime {
     BootTime::new(ms(millis))
@@ -70,10 +70,6 @@
 
 // Rates.
 
-fn rate(per_second: f64) -> TokenRate {
-    TokenRate::new(per_second).expect("a rate")
-}
-
 #[test]
 fn one_account_at_many_times_its_rate_gets_its_rate() {
     let start = Instant::now();
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -8,6 +8,7 @@
 
 use basilgw::gateway::call::{Call, Target};
 use basilgw::gateway::upstream::{Entry, Holdings};
+use basilgw::units::TokenRate;
 use http::{HeaderMap, Method, Uri};
 
 /// Reads an id, whatever its type.
@@ -74,3 +75,8 @@
         headers: HeaderMap::new(),
     }
 }
+
+/// A rate of tokens.
+pub fn rate(per_second: f64) -> TokenRate {
+    TokenRate::new(per_second).expect("a rate")
+}
--- a/tests/peer_links.rs
+++ b/tests/peer_links.rs
@@ -129,7 +129,7 @@
     wait("a link", || a.node.links() == 1).await;
     a.node
         .observe(&list(&[(vm(99), a.node.local_addr())].into()));
-    assert!(socket.send(Message::Close(None)).await.is_ok());
+    socket.send(Message::Close(None)).await.unwrap();
     wait("its end", || a.node.links() == 0).await;
     assert_eq!(a.node.live().vms[&vm(99)].state, MemberState::Live);
     assert_eq!(a.node.metrics().unreachable.get(), 0);
@@ -154,7 +154,7 @@
     let stream = socket.get_mut();
     for _ in 0..4 {
         tokio::time::sleep(Duration::from_millis(20)).await;
-        assert!(stream.write_all(&ping).await.is_ok());
+        stream.write_all(&ping).await.unwrap();
     }
 }
 
