Tell wants in full once a second among many VMs, and write datagrams as maps

Cause: each of 72 VMs told all it wants each 250 ms, and at once with each request that began to wait, some 150 targets of 55 bytes, four fifths of it names of fields; so did the words on use. Ruled out: none. Change: what requests wait for is told at once and each 250 ms as before; all wants each pause of the words on use (at most a second; they count for three); a new giver of orders is told all at once. Accounts, upstreams, runs and wants are maps by name in the schema, and a rate takes four bytes.

--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -1,7 +1,7 @@
 //! Demand for models and adapters: what this VM sees, and what all VMs tell the one that gives
 //! orders, when rare models are asked for and demand moves between models.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use crate::ids::VmId;
@@ -85,6 +85,46 @@
     seen.rate * (-span / RATE_TIME.as_secs_f64()).exp()
 }
 
+/// Which of a VM's wants are to be told now: those that requests wait for each time, all of them
+/// more rarely, and least often where there are many VMs to be heard.
+#[derive(Debug, Default)]
+pub struct Teller {
+    /// Targets told as waited for.
+    waited: BTreeSet<Target>,
+    /// When all wants are told again.
+    full: Option<Instant>,
+}
+
+impl Teller {
+    /// Lets the next word tell all: nobody has heard any yet.
+    pub fn restart(&mut self) {
+        self.full = None;
+    }
+
+    /// What to tell of `wants`, and whether it is all; all are told each `pause`.
+    pub fn pick(
+        &mut self,
+        mut wants: BTreeMap<Target, Want>,
+        now: Instant,
+        pause: Duration,
+    ) -> (BTreeMap<Target, Want>, bool) {
+        let full = self.full.is_none_or(|at| now >= at);
+        // A target that was waited for is told once more, also where nobody asks for it now.
+        let waited = std::mem::take(&mut self.waited);
+        let pending = wants.iter().filter(|(_, want)| want.waiting > 0);
+        self.waited = pending.map(|(target, _)| target.clone()).collect();
+        if full {
+            self.full = Some(now + pause);
+        } else {
+            wants.retain(|target, want| want.waiting > 0 || waited.contains(target));
+        }
+        for target in waited {
+            wants.entry(target).or_default();
+        }
+        (wants, full)
+    }
+}
+
 /// What all VMs told, by target.
 #[derive(Debug, Default)]
 pub struct Told(BTreeMap<Target, BTreeMap<VmId, (Want, Instant)>>);
--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -18,21 +18,22 @@
 use tokio::task::JoinHandle;
 
 use super::call::Target;
-use super::demand::{Told, Want};
+use super::demand::{Teller, Told, Want};
 use super::peers::{Peers, TOUCH_TIME, USAGE_PAUSE};
 use super::state::Gateway;
 use crate::ids::{Epoch, Generation, ModelId, UpstreamId, Version, VmId};
 use crate::schema::mesh::{
-    AccountUse, Datagram, HoldWord, LeaseWord, Notice, Run, UpstreamUse, Usage, Want as WantWord,
-    Wants,
+    Datagram, HoldWord, LeaseWord, ModelWants, Notice, Usage, Want as WantWord, Wants,
 };
 
 /// Part of its pause that a VM waits between words on what it uses.
 const PAUSE_PARTS: Range<f64> = 0.75..1.25;
-/// Pause between words on what a VM wants; one that begins to wait is told at once.
+/// Pause between words on what requests of a VM wait for; one that begins to wait is told at once.
 const WANTS_PAUSE: Duration = Duration::from_millis(250);
 /// Greatest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
+/// Requests that engines work on count for this long, as a VM tells them with all its wants.
+const RUNS_TIME: Duration = Duration::from_millis(1500);
 /// Wants in one datagram.
 const WANTS_PER_DATAGRAM: usize = 24;
 /// Least pause between two urgent words on what a VM wants.
@@ -40,11 +41,14 @@
 /// Least pause between two words on what a VM uses.
 const LEAST_USAGE_PAUSE: Duration = Duration::from_millis(40);
 
+/// Requests that engines work on, by model.
+type Runs = BTreeMap<UpstreamId, BTreeMap<ModelId, u32>>;
+
 #[derive(Debug, Default)]
 struct State {
     peers: Peers,
     told: Told,
-    runs: BTreeMap<VmId, (Vec<Run>, Instant)>,
+    runs: BTreeMap<VmId, (Runs, Instant)>,
     leader: Option<(VmId, Epoch, Version, Instant)>,
     lease: Option<(Epoch, Version)>,
 }
@@ -148,31 +152,21 @@
         let mut state = self.lock();
         state
             .runs
-            .retain(|_, (_, at)| now.saturating_duration_since(*at) < TOUCH_TIME);
-        for run in state
-            .runs
-            .values()
-            .flat_map(|(runs, _)| runs)
-            .chain(&self.own_runs())
-        {
-            *sums
-                .entry((run.engine.clone(), run.model.clone()))
-                .or_default() += run.requests;
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < RUNS_TIME);
+        let own = self.own_runs();
+        let told = state.runs.values().map(|(runs, _)| runs);
+        for (engine, models) in told.chain([&own]).flatten() {
+            for (model, requests) in models {
+                *sums.entry((engine.clone(), model.clone())).or_default() += requests;
+            }
         }
         sums
     }
 
-    fn own_runs(&self) -> Vec<Run> {
+    fn own_runs(&self) -> Runs {
         let upstreams = self.gateway.upstreams.load();
-        let runs = upstreams.iter().flat_map(|(id, upstream)| {
-            let runs = upstream.pulse.runs().into_iter();
-            runs.map(|(model, requests)| Run {
-                engine: id.clone(),
-                model,
-                requests,
-            })
-        });
-        runs.collect()
+        let runs = upstreams.iter().map(|(id, u)| (id.clone(), u.pulse.runs()));
+        runs.filter(|(_, models)| !models.is_empty()).collect()
     }
 
     /// Tells every VM what engines hold, and takes the same words here.
@@ -215,8 +209,7 @@
                 if !wants.runs.is_empty() {
                     state.runs.insert(wants.vm.clone(), (wants.runs, now));
                 }
-                for want in wants.wants {
-                    let (target, want) = read_want(want);
+                for (target, want) in read_wants(wants.wants) {
                     state.told.on_want(&wants.vm, target, want, now);
                 }
                 drop(state);
@@ -280,7 +273,7 @@
             // Either wakes it: time, or news that the others should hear at once.
             // VMs that started together do not go on telling together.
             let pause = self.pause().mul_f64(rand::rng().random_range(PAUSE_PARTS));
-            let _woken = tokio::time::timeout(pause - LEAST_USAGE_PAUSE, due).await;
+            let _woken = tokio::time::timeout(pause.saturating_sub(LEAST_USAGE_PAUSE), due).await;
         }
     }
 
@@ -295,23 +288,16 @@
     }
 
     fn usage(&self) -> Usage {
-        let used = self.gateway.tell_admitted().into_iter();
         let upstreams = self.gateway.upstreams.load();
-        let upstreams = upstreams.iter().filter(|(_, u)| u.pulse.running() > 0);
+        let loads = upstreams.iter().map(|(id, u)| (id, u.pulse.running()));
+        let loads = loads.filter(|(_, requests)| *requests > 0);
         let lease = self.lock().lease;
         Usage {
             vm: self.gateway.vm.clone(),
             generation: self.generation,
             lease: lease.map(|(epoch, version)| LeaseWord { epoch, version }),
-            accounts: used
-                .map(|(account, tokens)| AccountUse { account, tokens })
-                .collect(),
-            upstreams: upstreams
-                .map(|(id, u)| UpstreamUse {
-                    upstream: id.clone(),
-                    requests: u.pulse.running(),
-                })
-                .collect(),
+            accounts: self.gateway.tell_admitted(),
+            upstreams: loads.map(|(id, n)| (id.clone(), n)).collect(),
         }
     }
 
@@ -331,34 +317,46 @@
     }
 
     async fn tell_wants(self: Arc<Self>) {
+        let mut teller = Teller::default();
+        let mut told = None;
         loop {
             let urged = self.gateway.wants_due.notified();
             // Either wakes it: time, or a request that begins to wait.
             let _woken = tokio::time::timeout(WANTS_PAUSE, urged).await;
-            let now = self.gateway.clock.now();
-            let leader = {
+            let (leader, at, pause) = {
                 let state = self.lock();
-                let vm = state.leader.as_ref().map(|(vm, ..)| vm.clone());
-                vm.and_then(|vm| state.peers.address(&vm))
+                let leader = state.leader.as_ref().filter(|_| state.lease.is_none());
+                let leader = leader.map(|(vm, epoch, ..)| (vm.clone(), *epoch));
+                let at = leader.as_ref();
+                let at = at.and_then(|(vm, _)| state.peers.address(vm));
+                (leader, at, state.peers.wants_pause())
             };
-            let leads = self.lock().lease.is_some();
-            if let Some(at) = leader.filter(|_| !leads) {
-                let wants = self.gateway.demand().wants(now);
-                let words: Vec<_> = wants.into_iter().map(write_want).collect();
-                let mut runs = self.own_runs();
-                for chunk in words.chunks(WANTS_PER_DATAGRAM) {
-                    let datagram = Datagram::Wants(Wants {
-                        vm: self.gateway.vm.clone(),
-                        wants: chunk.to_vec(),
-                        runs: std::mem::take(&mut runs),
-                    });
-                    self.send(&datagram, at).await;
-                }
+            if leader != told {
+                teller.restart();
+            }
+            if let Some(at) = at {
+                let now = self.gateway.clock.now();
+                let (wants, full) = teller.pick(self.gateway.demand().wants(now), now, pause);
+                let runs = if full { self.own_runs() } else { Runs::new() };
+                self.send_wants(wants, runs, at).await;
             }
+            told = leader;
             tokio::time::sleep(URGENT_PAUSE).await;
         }
     }
 
+    async fn send_wants(&self, wants: BTreeMap<Target, Want>, mut runs: Runs, to: SocketAddr) {
+        let words: Vec<_> = wants.into_iter().collect();
+        for chunk in words.chunks(WANTS_PER_DATAGRAM) {
+            let datagram = Datagram::Wants(Wants {
+                vm: self.gateway.vm.clone(),
+                wants: write_wants(chunk),
+                runs: std::mem::take(&mut runs),
+            });
+            self.send(&datagram, to).await;
+        }
+    }
+
     async fn send_all(&self, datagram: &Datagram) {
         let Some(bytes) = self.write(datagram) else {
             return;
@@ -402,23 +400,34 @@
     });
 }
 
-fn read_want(word: WantWord) -> (Target, Want) {
-    let target = Target {
-        model: word.model,
-        adapter: word.adapter,
-    };
-    let want = Want {
-        rate: word.rate,
-        waiting: word.waiting,
-    };
-    (target, want)
+fn read_wants(words: BTreeMap<ModelId, ModelWants>) -> impl Iterator<Item = (Target, Want)> {
+    words.into_iter().flat_map(|(model, wants)| {
+        let whole = wants.whole.map(|want| (None, want));
+        let parts = wants.adapters.into_iter().map(|(a, want)| (Some(a), want));
+        whole.into_iter().chain(parts).map(move |(adapter, word)| {
+            let model = model.clone();
+            let want = Want {
+                rate: word.rate,
+                waiting: word.waiting,
+            };
+            (Target { model, adapter }, want)
+        })
+    })
 }
 
-fn write_want((target, want): (Target, Want)) -> WantWord {
-    WantWord {
-        model: target.model,
-        adapter: target.adapter,
-        rate: want.rate,
-        waiting: want.waiting,
+fn write_wants(wants: &[(Target, Want)]) -> BTreeMap<ModelId, ModelWants> {
+    let mut words: BTreeMap<_, ModelWants> = BTreeMap::new();
+    for (target, want) in wants {
+        let word = WantWord {
+            // Rounded, which takes half the bytes.
+            rate: f64::from(want.rate as f32),
+            waiting: want.waiting,
+        };
+        let model = words.entry(target.model.clone()).or_default();
+        match &target.adapter {
+            Some(adapter) => drop(model.adapters.insert(adapter.clone(), word)),
+            None => model.whole = Some(word),
+        }
     }
+    words
 }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::ids::{ClientAccount, Generation, UpstreamId, VmId};
-use crate::schema::mesh::{AccountUse, Usage};
+use crate::schema::mesh::Usage;
 use crate::units::Tokens;
 
 use super::touch::Touch;
@@ -19,6 +19,8 @@
 /// Above this many VMs each one tells less often, so that what all of them tell grows with their
 /// number and not with its square.
 const FEW_VMS: u32 = 12;
+/// Longest pause between words on all that a VM wants; they count for three times as long.
+const MAX_WANTS_PAUSE: Duration = Duration::from_secs(1);
 /// Pauses without a word after which a VM is out of touch; one whose word was lost is missed for a
 /// moment, which costs the others its part of a part.
 const MISSED_PAUSES: f64 = 1.5;
@@ -80,7 +82,7 @@
         }
         peer.generation = Some(usage.generation);
         let mut spent = Vec::new();
-        for AccountUse { account, tokens } in usage.accounts {
+        for (account, tokens) in usage.accounts {
             // What was used before this VM was heard at all is not taken off.
             let start = if first { tokens } else { Tokens::ZERO };
             let before = peer.used.insert(account.clone(), tokens).unwrap_or(start);
@@ -89,9 +91,7 @@
                 spent.push((account, more));
             }
         }
-        let told = usage.upstreams.into_iter();
-        let told = told.map(|u| (u.upstream, u.requests)).collect();
-        let before = std::mem::replace(&mut peer.loads, told);
+        let before = std::mem::replace(&mut peer.loads, usage.upstreams);
         let mut changed = before.clone();
         changed.retain(|id, count| peer.loads.get(id) != Some(count));
         let grown = peer.loads.iter();
@@ -150,6 +150,11 @@
         pause.clamp(USAGE_PAUSE, MAX_USAGE_PAUSE)
     }
 
+    /// Pause between words on all that a VM wants.
+    pub fn wants_pause(&self) -> Duration {
+        self.pause().min(MAX_WANTS_PAUSE)
+    }
+
     /// Address of a VM.
     pub fn address(&self, vm: &VmId) -> Option<SocketAddr> {
         self.peers.get(vm).map(|peer| peer.at)
--- a/src/schema/mesh.rs
+++ b/src/schema/mesh.rs
@@ -3,13 +3,6 @@
 #![allow(clippy::match_single_binding)]
 #![allow(clippy::clone_on_copy)]
 
-#[doc = "Tokens that the sender admitted for an account since it started."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
-#[serde(deny_unknown_fields)]
-pub struct AccountUse {
-    pub account: ::basilgw::ids::ClientAccount,
-    pub tokens: ::basilgw::units::Tokens,
-}
 #[doc = "One datagram between VMs."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub enum Datagram {
@@ -74,6 +67,18 @@
     pub epoch: ::basilgw::ids::Epoch,
     pub version: ::basilgw::ids::Version,
 }
+#[doc = "Demand for a model and its adapters at the sender."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Default, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ModelWants {
+    #[serde(
+        default,
+        skip_serializing_if = ":: std :: collections :: BTreeMap::is_empty"
+    )]
+    pub adapters: ::std::collections::BTreeMap<::basilgw::ids::AdapterId, Want>,
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub whole: ::std::option::Option<Want>,
+}
 #[doc = "Words of the VM that gives orders."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -81,55 +86,53 @@
     pub epoch: ::basilgw::ids::Epoch,
     pub words: ::std::vec::Vec<HoldWord>,
 }
-#[doc = "Requests of the sender for a model that an engine works on."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
-#[serde(deny_unknown_fields)]
-pub struct Run {
-    pub engine: ::basilgw::ids::UpstreamId,
-    pub model: ::basilgw::ids::ModelId,
-    pub requests: u32,
-}
-#[doc = "Requests of the sender that an upstream works on."]
-#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
-#[serde(deny_unknown_fields)]
-pub struct UpstreamUse {
-    pub requests: u32,
-    pub upstream: ::basilgw::ids::UpstreamId,
-}
 #[doc = "What the sender uses, told to every VM several times a second."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Usage {
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub accounts: ::std::vec::Vec<AccountUse>,
+    #[doc = "Tokens that the sender admitted since it started."]
+    #[serde(
+        default,
+        skip_serializing_if = ":: std :: collections :: BTreeMap::is_empty"
+    )]
+    pub accounts:
+        ::std::collections::BTreeMap<::basilgw::ids::ClientAccount, ::basilgw::units::Tokens>,
     pub generation: ::basilgw::ids::Generation,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub lease: ::std::option::Option<LeaseWord>,
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub upstreams: ::std::vec::Vec<UpstreamUse>,
+    #[doc = "Requests of the sender that upstreams work on."]
+    #[serde(
+        default,
+        skip_serializing_if = ":: std :: collections :: BTreeMap::is_empty"
+    )]
+    pub upstreams: ::std::collections::BTreeMap<::basilgw::ids::UpstreamId, u32>,
     pub vm: ::basilgw::ids::VmId,
 }
-#[doc = "Demand for a model or an adapter at the sender."]
+#[doc = "Demand for a model, or for one of its adapters, at the sender."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Want {
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
-    pub adapter: ::std::option::Option<::basilgw::ids::AdapterId>,
-    pub model: ::basilgw::ids::ModelId,
     #[doc = "Requests a second."]
     pub rate: f64,
     #[doc = "Requests that wait for it to be loaded."]
+    #[serde(default)]
     pub waiting: u32,
 }
 #[doc = "Demand at the sender, told to the VM that gives orders."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Wants {
-    #[doc = "All runs; left out where only wants are told."]
-    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
-    pub runs: ::std::vec::Vec<Run>,
+    #[doc = "Requests of the sender that engines work on, by model; left out where only wants are told."]
+    #[serde(
+        default,
+        skip_serializing_if = ":: std :: collections :: BTreeMap::is_empty"
+    )]
+    pub runs: ::std::collections::BTreeMap<
+        ::basilgw::ids::UpstreamId,
+        ::std::collections::BTreeMap<::basilgw::ids::ModelId, u32>,
+    >,
     pub vm: ::basilgw::ids::VmId,
-    pub wants: ::std::vec::Vec<Want>,
+    pub wants: ::std::collections::BTreeMap<::basilgw::ids::ModelId, ModelWants>,
 }
 #[doc = " Error types."]
 pub mod error {
--- a/tests/gateway_allowance.rs
+++ b/tests/gateway_allowance.rs
@@ -9,7 +9,7 @@
 use basilgw::gateway::peers::{Peers, USAGE_PAUSE};
 use basilgw::gateway::touch::Touch;
 use basilgw::ids::{Generation, VmId};
-use basilgw::schema::mesh::{AccountUse, UpstreamUse, Usage};
+use basilgw::schema::mesh::Usage;
 use basilgw::units::Tokens;
 
 use rand::rngs::StdRng;
@@ -49,11 +49,8 @@
         vm: vm.clone(),
         generation: Generation(1),
         lease: None,
-        accounts: vec![AccountUse {
-            account: id("a"),
-            tokens,
-        }],
-        upstreams: Vec::new(),
+        accounts: BTreeMap::from([(id("a"), tokens)]),
+        upstreams: BTreeMap::new(),
     }
 }
 
@@ -179,12 +176,9 @@
     let start = Instant::now();
     let mut peers = Peers::default();
     let word = |vm: &str, loads: &[(&str, u32)]| {
-        let loads = loads.iter().map(|(id_, requests)| UpstreamUse {
-            upstream: id(id_),
-            requests: *requests,
-        });
+        let loads = loads.iter().map(|(upstream, n)| (id(upstream), *n));
         Usage {
-            accounts: Vec::new(),
+            accounts: BTreeMap::new(),
             upstreams: loads.collect(),
             ..usage(&id(vm), Tokens::ZERO)
         }
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -9,7 +9,7 @@
 use basilgw::gateway::call::Part;
 use basilgw::gateway::ceiling::Ceiling;
 use basilgw::gateway::choose::{NoEngine, choose};
-use basilgw::gateway::demand::{Local, Told, Want};
+use basilgw::gateway::demand::{Local, Teller, Told, Want};
 use basilgw::gateway::events::{EventFault, Events};
 use basilgw::gateway::fleet::Fleet;
 use basilgw::gateway::lease::{Lease, Record, Step};
@@ -383,6 +383,35 @@
     assert!(local.wants(later).is_empty());
 }
 
+#[test]
+fn what_requests_wait_for_is_told_often_and_the_rest_rarely() {
+    let start = Instant::now();
+    let want = |rate, waiting| Want { rate, waiting };
+    let wants = |waiting| {
+        BTreeMap::from([
+            (target("m1", None), want(2.0, 0)),
+            (target("m2", Some("a")), want(0.1, waiting)),
+        ])
+    };
+    let mut teller = Teller::default();
+    let mut pick = |wants, at| teller.pick(wants, start + ms(at), ms(1000));
+    assert_eq!(pick(wants(0), 0), (wants(0), true));
+    assert_eq!(pick(wants(0), 250), (BTreeMap::new(), false));
+    let pending = BTreeMap::from([(target("m2", Some("a")), want(0.1, 3))]);
+    assert_eq!(pick(wants(3), 500), (pending, false));
+    // That nothing waits any more is told once, also where the target has faded.
+    let served = BTreeMap::from([(target("m2", Some("a")), want(0.0, 0))]);
+    assert_eq!(pick(BTreeMap::new(), 750), (served, false));
+    assert_eq!(pick(wants(0), 900), (BTreeMap::new(), false));
+    assert_eq!(pick(wants(0), 1000), (wants(0), true));
+    // A VM that begins to give orders has heard nothing.
+    teller.restart();
+    assert_eq!(
+        teller.pick(wants(0), start + ms(1100), ms(1000)),
+        (wants(0), true)
+    );
+}
+
 #[test]
 fn a_vm_that_falls_silent_no_longer_counts() {
     let start = Instant::now();
