Ask for registrations rarely while the store is away, and at once when it is back

Ruled out: watches that return at once without a change; lists of VMs (107); the lease (346). Change: the two watches tell each other when the store answers again, and registrations, on which no trust hangs, are tried each 2 s at most. The configuration is tried as often as before, so that callers with keys are served soon after an outage.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -30,9 +30,15 @@
 const ENTRY_WAIT: Duration = Duration::from_millis(2500);
 /// An answer that is this much later than the wait will not come.
 const LATE: Duration = Duration::from_millis(600);
-/// First and longest pause after a failure.
+/// First pause after a failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
-const MAX_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause after a failure of the configuration, on which trust in keys depends.
+const TABLE_PAUSE: Duration = Duration::from_millis(500);
+/// Longest pause after a failure of registrations: they are asked for at once when the
+/// configuration is answered again.
+const ENTRIES_PAUSE: Duration = Duration::from_secs(2);
+/// Failures after which a pause no longer grows.
+const MOST_DOUBLINGS: u32 = 5;
 /// Failures over at least this time may have let registrations lapse.
 const OUTAGE: Duration = Duration::from_millis(800);
 
@@ -44,6 +50,8 @@
     fn wait(&self) -> Duration;
     /// Pause after changes.
     fn pause(&self) -> Duration;
+    /// Longest pause after a failure.
+    fn longest(&self) -> Duration;
 
     fn on_list(&self, items: Vec<Item<T>>);
     fn on_change(&self, change: Change<T>);
@@ -144,6 +152,7 @@
         info!(self.gateway.log, "store_regained"; "kind" => K::KIND, "failures" => self.failures,
             "away_ms" => away.as_millis() as u64);
         self.failures = 0;
+        self.gateway.store_back.notify_waiters();
         if away >= OUTAGE {
             self.taker.on_return();
         }
@@ -158,10 +167,12 @@
     }
 
     async fn pause(&self) {
-        let doublings = self.failures.saturating_sub(1).min(4);
-        let most = (FIRST_PAUSE * 2u32.pow(doublings)).min(MAX_PAUSE);
+        let doublings = self.failures.saturating_sub(1).min(MOST_DOUBLINGS);
+        let most = (FIRST_PAUSE * 2u32.pow(doublings)).min(self.taker.longest());
         let share = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(most.mul_f64(share)).await;
+        let back = self.gateway.store_back.notified();
+        // Either wakes it: time, or the other follower's success.
+        let _woken = tokio::time::timeout(most.mul_f64(share), back).await;
     }
 }
 
@@ -185,6 +196,10 @@
         Duration::ZERO
     }
 
+    fn longest(&self) -> Duration {
+        TABLE_PAUSE
+    }
+
     fn wait(&self) -> Duration {
         let bound = self.0.trust().bound();
         TABLE_WAIT.min(bound.mul_f64(TABLE_WAIT_SHARE))
@@ -246,6 +261,10 @@
         self.0.bounds().leaving.mul_f64(ENTRY_PAUSE_SHARE)
     }
 
+    fn longest(&self) -> Duration {
+        ENTRIES_PAUSE
+    }
+
     fn wait(&self) -> Duration {
         ENTRY_WAIT
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -68,6 +68,8 @@
     pub usage_due: Notify,
     /// Told when the VM that gives orders should hear what this one wants.
     pub wants_due: Notify,
+    /// Told when the platform's store answers again.
+    pub store_back: Notify,
     /// Told when this VM leaves.
     pub left: Notify,
     /// Told when orders may be due.
@@ -129,6 +131,7 @@
             changed: Notify::new(),
             usage_due: Notify::new(),
             wants_due: Notify::new(),
+            store_back: Notify::new(),
             left: Notify::new(),
             orders_due: Notify::new(),
             bounds: parts.bounds,
