Call a VM ready as long as its questions are answered in time

Seen: in a log of each answer a VM asks for changes of the configuration each 1.4 s; just before an answer the newest one is 2.8 s old, counted from its question, and a VM called itself not ready from 2.5 s on: 0.3 s of each 1.4 s, in which answers also closed their connections. Cause: the share of the bound for readiness, 0.5, was below two waits of 0.28. Ruled out: shorter waits, which cost calls to the store. Change: readiness ends at 0.6 of the bound, where the users no longer count requests with keys as owed; the wait and the two shares stand together in trust.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -19,10 +19,6 @@
 use super::table::Table;
 use super::upstream::Entry;
 
-/// Wait for a change of the configuration; each answer renews the trust in keys.
-const TABLE_WAIT: Duration = Duration::from_millis(1400);
-/// The same, as the greatest share of the bound on withdrawn keys.
-const TABLE_WAIT_SHARE: f64 = 0.28;
 /// Pause after changes of registrations, so that many of them cost one call, as a share of the
 /// time in which a leaving upstream must be known.
 const ENTRY_PAUSE_SHARE: f64 = 0.6;
@@ -201,8 +197,7 @@
     }
 
     fn wait(&self) -> Duration {
-        let bound = self.0.trust().bound();
-        TABLE_WAIT.min(bound.mul_f64(TABLE_WAIT_SHARE))
+        self.0.trust().wait()
     }
 
     fn on_list(&self, items: Vec<Item<Table>>) {
--- a/src/gateway/trust.rs
+++ b/src/gateway/trust.rs
@@ -10,8 +10,13 @@
 
 /// Kept back from the bound, for the way of a request to its engine.
 const MARGIN: Duration = Duration::from_millis(400);
-/// Share of the bound after which new callers had better go to another VM.
-const READY_SHARE: f64 = 0.5;
+/// Share of the bound after which new callers had better go to another VM: later than two questions
+/// in a row take that are answered in time.
+const READY_SHARE: f64 = 0.6;
+/// Longest wait for a change of the configuration; each answer renews the trust.
+const LONGEST_WAIT: Duration = Duration::from_millis(1400);
+/// The same, as a share of the bound.
+const WAIT_SHARE: f64 = 0.28;
 
 /// The freshness of the configuration.
 #[derive(Clone, Copy, Debug)]
@@ -26,9 +31,9 @@
         Self { bound, asked: None }
     }
 
-    /// Longest that a withdrawn key may work.
-    pub fn bound(&self) -> Duration {
-        self.bound
+    /// How long a question for a change of the configuration may wait.
+    pub fn wait(&self) -> Duration {
+        LONGEST_WAIT.min(self.bound.mul_f64(WAIT_SHARE))
     }
 
     /// Takes an answer to a question that was sent at `asked`.
