--- /dev/null
+++ b/src/gateway/counts.rs
@@ -0,0 +1,84 @@
+//! Counters, gauges and times of the gateway's own mechanisms, one or two for each rule that it
+//! keeps. Refusals by reason are counted with the answers ([`crate::metrics::EdgeMetrics`]).
+
+use std::time::Duration;
+
+use prometheus::{HistogramOpts, HistogramVec, IntGauge};
+
+use crate::metrics::{Metrics, counters};
+
+use super::state::Gateway;
+
+counters! {
+    /// What the gateway's mechanisms did; clones share the counters.
+    Counts, "basilgw_":
+    repeats: "Requests sent to a further upstream.",
+    repeats_spared: "Requests not sent to a further upstream for lack of budget.",
+    orders: "Orders given to engines.",
+    store_loads: "Loads from the weight store among them.",
+    leases: "Times that this VM began to give orders.",
+    store_failures: "Questions to the platform's store that failed.",
+    datagrams_in: "Datagrams taken from other VMs.",
+    datagrams_out: "Datagrams sent to other VMs.",
+    datagram_bytes_out: "Bytes of datagrams sent to other VMs.",
+}
+
+/// What is read off the state when the metrics are asked for, and waits for models.
+#[derive(Clone, Debug)]
+pub struct Gauges {
+    trust_age: IntGauge,
+    vms: IntGauge,
+    vms_near: IntGauge,
+    upstreams: IntGauge,
+    running: IntGauge,
+    waits: HistogramVec,
+}
+
+impl Gauges {
+    /// Registers the gauges.
+    ///
+    /// # Errors
+    ///
+    /// Where a name is taken.
+    pub fn open(metrics: &Metrics) -> Result<Self, prometheus::Error> {
+        let waits = HistogramOpts::new(
+            "basilgw_model_wait_seconds",
+            "Time that requests waited for a model or an adapter, by outcome.",
+        );
+        let waits = HistogramVec::new(waits, &["outcome"])?;
+        metrics.registry().register(Box::new(waits.clone()))?;
+        Ok(Self {
+            waits,
+            trust_age: metrics.gauge(
+                "basilgw_trust_age_milliseconds",
+                "Age of the newest answer on the configuration; -1 where there is none.",
+            )?,
+            vms: metrics.gauge("basilgw_vms", "VMs known, this one included.")?,
+            vms_near: metrics.gauge("basilgw_vms_near", "VMs in touch, this one included.")?,
+            upstreams: metrics.gauge("basilgw_upstreams", "Upstreams in use.")?,
+            running: metrics.gauge("basilgw_running", "Requests that run.")?,
+        })
+    }
+
+    /// Takes how long a request waited for a model, and whether it got it.
+    pub fn waited(&self, spent: Duration, loaded: bool) {
+        let outcome = if loaded { "loaded" } else { "given_up" };
+        self.waits
+            .with_label_values(&[outcome])
+            .observe(spent.as_secs_f64());
+    }
+
+    /// Reads the state.
+    pub fn read(&self, gateway: &Gateway) {
+        let boot = gateway.clock.boot();
+        let age = gateway.trust().age(boot);
+        let age = age.and_then(|age| i64::try_from(age.as_millis()).ok());
+        self.trust_age.set(age.unwrap_or(-1));
+        let touch = gateway.touch();
+        self.vms.set(i64::from(touch.vms));
+        self.vms_near.set(i64::from(touch.near));
+        let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
+        self.upstreams.set(count(gateway.upstreams.load().len()));
+        self.running.set(count(gateway.running.count()));
+    }
+}
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -156,6 +156,7 @@
 
     fn on_failure(&mut self, error: &StoreError) {
         self.failures += 1;
+        self.gateway.counts.store_failures.inc();
         if self.lost.is_none() {
             self.lost = Some(self.gateway.clock.now());
             warn!(self.gateway.log, "store_lost"; "kind" => K::KIND, "error" => %error);
--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -192,7 +192,10 @@
                 }
             };
             match ciborium::from_reader(&buffer[..length]) {
-                Ok(datagram) => self.take(datagram, from),
+                Ok(datagram) => {
+                    self.gateway.counts.datagrams_in.inc();
+                    self.take(datagram, from);
+                }
                 Err(e) => {
                     warn!(self.gateway.log, "datagram_unreadable"; "from" => %from, "error" => %e);
                 }
@@ -385,8 +388,14 @@
     }
 
     async fn send_bytes(&self, bytes: &[u8], to: SocketAddr) {
-        if let Err(e) = self.socket.send_to(bytes, to).await {
-            debug!(self.gateway.log, "datagram_unsent"; "to" => %to, "error" => %e);
+        match self.socket.send_to(bytes, to).await {
+            Ok(sent) => {
+                self.gateway.counts.datagrams_out.inc();
+                self.gateway.counts.datagram_bytes_out.inc_by(sent as u64);
+            }
+            Err(e) => {
+                debug!(self.gateway.log, "datagram_unsent"; "to" => %to, "error" => %e);
+            }
         }
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 pub mod ceiling;
 pub mod choose;
 pub mod client;
+pub mod counts;
 pub mod demand;
 mod desk;
 pub mod events;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -515,12 +515,15 @@
                 let waited = now.saturating_duration_since(begun);
                 info!(gateway.log, "model_waited"; "request" => %self.whole.call.id,
                     "target" => %target, "waited_ms" => waited.as_millis() as u64);
+                gateway.gauges.waited(waited, true);
                 return Ok(());
             }
             let left = until.saturating_duration_since(now);
             if left.is_zero() || tokio::time::timeout(left, changed).await.is_err() {
                 info!(gateway.log, "model_not_loaded"; "request" => %self.whole.call.id,
                     "target" => %target, "missing" => ?missing);
+                let waited = gateway.clock.now().saturating_duration_since(begun);
+                gateway.gauges.waited(waited, false);
                 return Err(refuse(Reason::Deadline));
             }
         }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -124,6 +124,7 @@
 }
 
 fn metrics_answer(gateway: &Gateway) -> Response<CallerBody> {
+    gateway.gauges.read(gateway);
     match gateway.metrics.render() {
         Ok(text) => Response::new(answer::whole(Bytes::from(text))),
         Err(e) => {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -19,6 +19,7 @@
 
 use super::allowance::Allowance;
 use super::border::Dialect;
+use super::counts::{Counts, Gauges};
 use super::demand::Local;
 use super::fleet::{Fleet, Snapshot};
 use super::repeats::{RepeatBound, Repeats};
@@ -54,6 +55,10 @@
     pub log: Logger,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// Counters of the gateway's mechanisms.
+    pub counts: Counts,
+    /// Gauges of its state.
+    pub gauges: Gauges,
     /// Counters of the callers' side.
     pub answers: EdgeMetrics,
     /// Requests that run.
@@ -117,7 +122,12 @@
         let trust = Trust::new(parts.bounds.withdrawal);
         let touch = Touch::open(parts.clock.now());
         let answers = EdgeMetrics::open(&parts.metrics)?;
+        let counts = Counts::open()?;
+        counts.register(parts.metrics.registry())?;
+        let gauges = Gauges::open(&parts.metrics)?;
         Ok(Arc::new(Self {
+            counts,
+            gauges,
             metrics: parts.metrics,
             answers,
             vm: parts.vm,
@@ -248,7 +258,7 @@
     /// When to come back.
     pub fn admit(&self, account: &Account, tokens: Tokens) -> Result<(), Duration> {
         let now = self.clock.now();
-        let touch = *lock(&self.touch);
+        let touch = self.touch();
         let part = touch.part(now);
         let mut allowances = lock(&self.allowances);
         let Some(allowance) = allowances.get_mut(&account.name) else {
@@ -293,6 +303,11 @@
         *lock(&self.touch) = touch;
     }
 
+    /// Which VMs are in touch.
+    pub fn touch(&self) -> Touch {
+        *lock(&self.touch)
+    }
+
     /// Notes that some VM was heard.
     pub fn on_heard(&self, now: Instant) {
         lock(&self.touch).heard = now;
@@ -313,8 +328,14 @@
         let now = self.clock.now();
         let mut repeats = lock(&self.repeats);
         let entry = repeats.entry(service.clone());
-        entry
+        let taken = entry
             .or_insert_with(|| Repeats::new(self.bounds.repeats))
-            .take(now)
+            .take(now);
+        if taken {
+            self.counts.repeats.inc();
+        } else {
+            self.counts.repeats_spared.inc();
+        }
+        taken
     }
 }
--- a/src/gateway/steer.rs
+++ b/src/gateway/steer.rs
@@ -195,7 +195,10 @@
         self.ceiling = Ceiling::open(now);
         self.settled = now + SETTLE_TIME;
         match epoch {
-            Some(epoch) => info!(self.gateway.log, "lease_gained"; "epoch" => %epoch),
+            Some(epoch) => {
+                self.gateway.counts.leases.inc();
+                info!(self.gateway.log, "lease_gained"; "epoch" => %epoch);
+            }
             None => info!(self.gateway.log, "lease_lost"),
         }
     }
@@ -340,6 +343,7 @@
                 Move::Load(model, tier) => {
                     if tier == Tier::Store {
                         self.ceiling.take();
+                        self.gateway.counts.store_loads.inc();
                     }
                     (Act::Load(whole(model.clone())), model)
                 }
@@ -453,6 +457,7 @@
         let Some(desk) = self.desks.get_mut(id) else {
             return;
         };
+        self.gateway.counts.orders.inc();
         info!(self.gateway.log, "order_given"; "engine" => %id, "act" => %order.act,
             "after" => order.after, "epoch" => %order.epoch, "answer" => ?answer);
         desk.take_answer(&order.act, answer, now);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -9,6 +9,45 @@
 
 use crate::outcome::Reason;
 
+/// Declares a family of counters that share a prefix; clones share the counters.
+macro_rules! counters {
+    ($(#[$doc:meta])* $name:ident, $prefix:literal: $($field:ident: $help:literal,)*) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug)]
+        pub struct $name {
+            $(#[doc = $help] pub $field: prometheus::IntCounter,)*
+        }
+
+        impl $name {
+            /// Makes counters at zero.
+            ///
+            /// # Errors
+            ///
+            /// Where a name is not a metric's name.
+            pub fn open() -> Result<Self, prometheus::Error> {
+                Ok(Self {
+                    $($field: prometheus::IntCounter::new(
+                        concat!($prefix, stringify!($field), "_total"),
+                        $help,
+                    )?,)*
+                })
+            }
+
+            /// Adds the counters to a registry.
+            ///
+            /// # Errors
+            ///
+            /// Where a name is taken.
+            pub fn register(&self, registry: &prometheus::Registry) -> Result<(), prometheus::Error> {
+                $(registry.register(Box::new(self.$field.clone()))?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+pub(crate) use counters;
+
 /// The registry of a VM.
 #[derive(Clone, Debug, Default)]
 pub struct Metrics {
