--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,7 @@
 //! The way of a request: [`serve`] accepts it, [`relay`] reads its head through the platform's
 //! [`border::Dialect`], finds route and account in the [`table`], checks that keys may be trusted
 //! ([`trust`]), takes the account's tokens ([`allowance`]), lets [`choose`] name an engine among
-//! the [`fleet`] in use, waits for a model that is being loaded ([`demand`]), sends it
+//! the [`fleet`] in use, waits for a model that is being loaded (`waiting`, [`demand`]), sends it
 //! ([`exchange`]) and forwards the answer, whole events at a time ([`stream`], [`events`]).
 //!
 //! Beside it, [`follow`] keeps configuration and registrations, [`mesh`] tells the other VMs what
@@ -13,6 +13,7 @@
 pub mod adapters;
 pub mod allowance;
 pub mod answer;
+
 pub mod border;
 pub mod call;
 pub mod ceiling;
@@ -41,3 +42,4 @@
 pub mod touch;
 pub mod trust;
 pub mod upstream;
+mod waiting;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -19,12 +19,11 @@
 
 use super::answer::{self, CallerBody};
 use super::border::Sending;
-use super::call::{Call, Size, Target, Whole};
+use super::call::{Call, Size, Whole};
 use super::choose::{self, NoEngine};
 use super::exchange::{self, Answer, Declined, Lost, Outgoing, Sent};
 use super::fleet::of_service;
 use super::framing::Head;
-use super::place;
 use super::state::Gateway;
 use super::stream;
 use super::table::{Account, Kind, Route, Table};
@@ -35,22 +34,12 @@
 /// When to come back to a VM that cannot serve; the balancer then names another one.
 const ELSEWHERE_RETRY: Duration = Duration::from_millis(200);
 /// When to come back for a place at an engine.
-const PLACE_RETRY: Duration = Duration::from_millis(300);
+pub(super) const PLACE_RETRY: Duration = Duration::from_millis(300);
 /// Connections tried before a request is given up.
 const MOST_CONNECTS: usize = 4;
 /// A request that may be repeated waits this many objectives for an answer to begin.
 const SILENCE_GOALS: u32 = 3;
 const LEAST_SILENCE: Duration = Duration::from_millis(900);
-/// Callers of a stream leave after two seconds without an event, or this many objectives, or this
-/// many of the longest pauses, whichever is longest.
-const LEAST_PATIENCE: Duration = Duration::from_secs(2);
-const PATIENCE_GOALS: u32 = 4;
-const PATIENCE_GAPS: u32 = 8;
-/// A caller that hears this much before it would leave can come back in its turn.
-const PATIENCE_MARGIN: Duration = Duration::from_millis(300);
-/// Time for an order to reach an engine and its outcome to be heard, beside the load itself.
-const ORDER_TIME: Duration = Duration::from_millis(150);
-
 /// An answer that must not look complete.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 #[error("the answer was cut")]
@@ -109,7 +98,7 @@
 }
 
 impl Tries {
-    fn refusal(&self, reason: Reason) -> Refusal {
+    pub(super) fn refusal(&self, reason: Reason) -> Refusal {
         if self.ran {
             return Refusal::unknown(reason);
         }
@@ -481,71 +470,6 @@
         }
         Ok(Some(whole.into()))
     }
-
-    /// Waits until an engine holds what is asked for.
-    async fn wait_for_model(&self, tries: &Tries) -> Result<(), Refusal> {
-        let gateway = &self.gateway;
-        let Some(target) = &self.whole.call.target else {
-            return Err(tries.refusal(Reason::Capacity).retry_after(PLACE_RETRY));
-        };
-        let leaves = self.deadline.min(self.began + patience(&self.route));
-        let mut until = leaves.checked_sub(PATIENCE_MARGIN).unwrap_or(leaves);
-        let begun = gateway.clock.now();
-        let load = self.load_time(target);
-        let refuse = |reason| match tries.refusal(reason) {
-            refusal if refusal.ran == Ran::No => refusal.retry_after(load),
-            refusal => refusal,
-        };
-        if begun + load > until {
-            info!(gateway.log, "model_too_far"; "request" => %self.whole.call.id,
-                "target" => %target, "load_ms" => load.as_millis() as u64);
-            return Err(refuse(Reason::Capacity));
-        }
-        let _waiting = Waiting::begin(gateway, target);
-        loop {
-            let changed = gateway.changed.notified();
-            tokio::pin!(changed);
-            changed.as_mut().enable();
-            let missing = self.choose(tries).err();
-            let now = gateway.clock.now();
-            if let Some(stop) = gateway.stop() {
-                until = until.min(stop);
-            }
-            if !matches!(missing, Some(NoEngine::NoModel | NoEngine::NoAdapter)) {
-                let waited = now.saturating_duration_since(begun);
-                info!(gateway.log, "model_waited"; "request" => %self.whole.call.id,
-                    "target" => %target, "waited_ms" => waited.as_millis() as u64);
-                gateway.gauges.waited(waited, true);
-                return Ok(());
-            }
-            let left = until.saturating_duration_since(now);
-            if left.is_zero() || tokio::time::timeout(left, changed).await.is_err() {
-                info!(gateway.log, "model_not_loaded"; "request" => %self.whole.call.id,
-                    "target" => %target, "missing" => ?missing);
-                let waited = gateway.clock.now().saturating_duration_since(begun);
-                gateway.gauges.waited(waited, false);
-                return Err(refuse(Reason::Deadline));
-            }
-        }
-    }
-
-    /// The least time until an engine could hold what is asked for.
-    fn load_time(&self, target: &Target) -> Duration {
-        let table = self.gateway.table.load();
-        let engines = table.as_ref().and_then(|t| t.engines(&self.service));
-        let Some(model) = engines.and_then(|e| e.models.get(&target.model)) else {
-            return ORDER_TIME;
-        };
-        let upstreams = self.gateway.upstreams.load();
-        let times = of_service(&upstreams, &self.service).map(|upstream| {
-            let holds = &upstream.entry.holds;
-            if holds.models.contains_key(&target.model) {
-                return Duration::ZERO;
-            }
-            place::load_time(model, place::tier(holds, &target.model))
-        });
-        times.min().unwrap_or(model.from_store) + ORDER_TIME
-    }
 }
 
 /// Statuses that promise that a request did not run, which an upstream's own failure does not.
@@ -558,37 +482,3 @@
             | StatusCode::SERVICE_UNAVAILABLE
     )
 }
-
-/// How long a caller waits for the first event.
-fn patience(route: &Route) -> Duration {
-    match route.kind {
-        Kind::Streaming { gap, .. } => LEAST_PATIENCE
-            .max(route.goal * PATIENCE_GOALS)
-            .max(gap * PATIENCE_GAPS),
-        _ => route.timeout,
-    }
-}
-
-/// Counts a waiting request while it lives.
-#[derive(Debug)]
-struct Waiting<'a> {
-    gateway: &'a Gateway,
-    target: &'a Target,
-}
-
-impl<'a> Waiting<'a> {
-    fn begin(gateway: &'a Gateway, target: &'a Target) -> Self {
-        let now = gateway.clock.now();
-        if gateway.demand().on_wait(target, now) {
-            gateway.wants_due.notify_one();
-            gateway.orders_due.notify_one();
-        }
-        Self { gateway, target }
-    }
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.gateway.demand().on_waited(self.target);
-    }
-}
--- a/tests/model_steps/mod.rs
+++ b/tests/model_steps/mod.rs
@@ -1,24 +1,27 @@
 //! Three parties of a history: VMs that run steps, a store and two engines, in virtual time.
 
 use std::collections::BTreeMap;
-use std::future::poll_fn;
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll, Waker};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
-use basilgw::clock::{BootTime, Clock};
+use basilgw::clock::Clock;
 use basilgw::engine::{
-    CacheEvents, EngineControl, EngineError, LoadReport, Order, OrderAnswer, OrderKind,
-    OrderStatus, ReplicaReport,
+    EngineError, LoadReport, Order, OrderAnswer, OrderKind, OrderStatus, ReplicaReport,
 };
 use basilgw::ids::{AdapterId, Epoch, Generation, ModelId, ObjectKey, ReplicaId, Version};
 use basilgw::model::decided::{Decided, IntentState, Reserved, engine_key, model_key, replica_id};
 use basilgw::model::evidence::{Evidence, Seen};
 use basilgw::model::flow::{FlowError, Flows, Load, Target, upstream};
 use basilgw::schema::engine::ReplicaState;
-use basilgw::store::{Instance, InstanceKind, InstanceState, Object, ObjectStore, StoreError};
+use basilgw::store::{Instance, InstanceKind, InstanceState, Object, StoreError};
 use basilgw::units::Bytes;
+pub use event::{Act, Event, Fate};
 use futures_util::future::BoxFuture;
+use port::{Call, Port, Sent, TestClock, Write};
+
+mod event;
+mod port;
 
 const LIFE: Duration = Duration::from_secs(30);
 const MEMORY: Bytes = Bytes(100);
@@ -29,202 +32,6 @@
 pub const ENGINES: usize = 2;
 const MAXIMA: [u32; 2] = [1, 2];
 
-#[derive(Clone, Copy, Debug)]
-pub enum Act {
-    Load,
-    Renew,
-    Ready,
-    Unload,
-    Release,
-    Sweep,
-    Attach,
-    Detach,
-    DropAdapter,
-    Expel,
-}
-
-#[derive(Clone, Copy, Debug)]
-pub enum Fate {
-    Answered,
-    Held,
-    Stale,
-    LostAfter,
-    Delayed,
-    LostBefore,
-    Doubled,
-}
-
-#[derive(Clone, Debug)]
-pub enum Event {
-    Start {
-        vm: usize,
-        act: Act,
-        pick: usize,
-        fates: Vec<Fate>,
-    },
-    Resume {
-        vm: usize,
-        fates: Vec<Fate>,
-    },
-    Late {
-        pick: usize,
-    },
-    Observe {
-        vm: usize,
-    },
-    Report {
-        vm: usize,
-        back: usize,
-    },
-    Crash {
-        vm: usize,
-    },
-    Advance {
-        quarters: u32,
-    },
-    Restart {
-        engine: usize,
-    },
-}
-
-type Slot<T> = Arc<Mutex<Option<T>>>;
-
-#[derive(Debug)]
-enum Call {
-    Get(ObjectKey, Slot<Result<Option<Object>, StoreError>>),
-    Put(Write, Slot<Result<Version, StoreError>>),
-    Order(Sent, Slot<Result<OrderAnswer, EngineError>>),
-}
-
-#[derive(Clone, Debug)]
-struct Write {
-    key: ObjectKey,
-    expected: Version,
-    value: bytes::Bytes,
-}
-
-#[derive(Clone, Debug)]
-struct Sent {
-    engine: usize,
-    order: Order,
-    at: Instant,
-}
-
-#[derive(Debug)]
-struct TestClock(Mutex<Instant>);
-
-impl Clock for TestClock {
-    fn now(&self) -> Instant {
-        *self.0.lock().unwrap()
-    }
-
-    fn wall(&self) -> SystemTime {
-        SystemTime::UNIX_EPOCH
-    }
-
-    fn boot(&self) -> BootTime {
-        BootTime::default()
-    }
-}
-
-/// One VM's side of the store and the engines: calls wait until a history resolves them.
-#[derive(Debug)]
-struct Port {
-    calls: Mutex<Vec<Call>>,
-    clock: Arc<TestClock>,
-}
-
-fn ask<T>(slot: Slot<T>) -> BoxFuture<'static, T>
-where
-    T: Send + 'static,
-{
-    Box::pin(poll_fn(move |_| match slot.lock().unwrap().take() {
-        Some(answer) => Poll::Ready(answer),
-        None => Poll::Pending,
-    }))
-}
-
-impl ObjectStore for Port {
-    fn get<'a>(&'a self, key: &'a ObjectKey) -> BoxFuture<'a, Result<Option<Object>, StoreError>> {
-        let slot = Slot::default();
-        let call = Call::Get(key.clone(), Arc::clone(&slot));
-        self.calls.lock().unwrap().push(call);
-        ask(slot)
-    }
-
-    fn put<'a>(
-        &'a self,
-        key: &'a ObjectKey,
-        expected: Version,
-        value: bytes::Bytes,
-    ) -> BoxFuture<'a, Result<Version, StoreError>> {
-        let slot = Slot::default();
-        let key = key.clone();
-        let write = Write {
-            key,
-            expected,
-            value,
-        };
-        self.calls
-            .lock()
-            .unwrap()
-            .push(Call::Put(write, Arc::clone(&slot)));
-        ask(slot)
-    }
-
-    fn delete<'a>(
-        &'a self,
-        _key: &'a ObjectKey,
-        _expected: Version,
-    ) -> BoxFuture<'a, Result<(), StoreError>> {
-        unreachable!("no step deletes")
-    }
-
-    fn watch<'a>(
-        &'a self,
-        _key: &'a ObjectKey,
-        _after: Version,
-        _wait: Duration,
-    ) -> BoxFuture<'a, Result<Option<Object>, StoreError>> {
-        unreachable!("no step watches")
-    }
-}
-
-impl EngineControl for Port {
-    fn order<'a>(
-        &'a self,
-        engine: &'a Instance,
-        order: &'a Order,
-    ) -> BoxFuture<'a, Result<OrderAnswer, EngineError>> {
-        let slot = Slot::default();
-        let sent = Sent {
-            engine: usize::from(engine.vm.as_str() == "e1"),
-            order: order.clone(),
-            at: self.clock.now(),
-        };
-        self.calls
-            .lock()
-            .unwrap()
-            .push(Call::Order(sent, Arc::clone(&slot)));
-        ask(slot)
-    }
-
-    fn report<'a>(
-        &'a self,
-        _engine: &'a Instance,
-    ) -> BoxFuture<'a, Result<LoadReport, EngineError>> {
-        unreachable!("no step reads reports")
-    }
-
-    fn events<'a>(
-        &'a self,
-        _engine: &'a Instance,
-        _from: u64,
-    ) -> BoxFuture<'a, Result<CacheEvents, EngineError>> {
-        unreachable!("no step reads events")
-    }
-}
-
 type Running = (
     BoxFuture<'static, Result<(), FlowError>>,
     Option<ReplicaId>,
--- /dev/null
+++ b/tests/model_steps/port.rs
@@ -0,0 +1,150 @@
+//! One VM's side of the store and the engines in a history, and its clock.
+
+use std::future::poll_fn;
+use std::sync::{Arc, Mutex};
+use std::task::Poll;
+use std::time::{Duration, Instant, SystemTime};
+
+use basilgw::clock::{BootTime, Clock};
+use basilgw::engine::{CacheEvents, EngineControl, EngineError, LoadReport, Order, OrderAnswer};
+use basilgw::ids::{ObjectKey, Version};
+use basilgw::store::{Instance, Object, ObjectStore, StoreError};
+use futures_util::future::BoxFuture;
+
+pub(super) type Slot<T> = Arc<Mutex<Option<T>>>;
+
+#[derive(Debug)]
+pub(super) enum Call {
+    Get(ObjectKey, Slot<Result<Option<Object>, StoreError>>),
+    Put(Write, Slot<Result<Version, StoreError>>),
+    Order(Sent, Slot<Result<OrderAnswer, EngineError>>),
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Write {
+    pub(super) key: ObjectKey,
+    pub(super) expected: Version,
+    pub(super) value: bytes::Bytes,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Sent {
+    pub(super) engine: usize,
+    pub(super) order: Order,
+    pub(super) at: Instant,
+}
+
+#[derive(Debug)]
+pub(super) struct TestClock(pub(super) Mutex<Instant>);
+
+impl Clock for TestClock {
+    fn now(&self) -> Instant {
+        *self.0.lock().unwrap()
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::UNIX_EPOCH
+    }
+
+    fn boot(&self) -> BootTime {
+        BootTime::default()
+    }
+}
+
+/// One VM's side of the store and the engines: calls wait until a history resolves them.
+#[derive(Debug)]
+pub(super) struct Port {
+    pub(super) calls: Mutex<Vec<Call>>,
+    pub(super) clock: Arc<TestClock>,
+}
+
+pub(super) fn ask<T>(slot: Slot<T>) -> BoxFuture<'static, T>
+where
+    T: Send + 'static,
+{
+    Box::pin(poll_fn(move |_| match slot.lock().unwrap().take() {
+        Some(answer) => Poll::Ready(answer),
+        None => Poll::Pending,
+    }))
+}
+
+impl ObjectStore for Port {
+    fn get<'a>(&'a self, key: &'a ObjectKey) -> BoxFuture<'a, Result<Option<Object>, StoreError>> {
+        let slot = Slot::default();
+        let call = Call::Get(key.clone(), Arc::clone(&slot));
+        self.calls.lock().unwrap().push(call);
+        ask(slot)
+    }
+
+    fn put<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        expected: Version,
+        value: bytes::Bytes,
+    ) -> BoxFuture<'a, Result<Version, StoreError>> {
+        let slot = Slot::default();
+        let key = key.clone();
+        let write = Write {
+            key,
+            expected,
+            value,
+        };
+        self.calls
+            .lock()
+            .unwrap()
+            .push(Call::Put(write, Arc::clone(&slot)));
+        ask(slot)
+    }
+
+    fn delete<'a>(
+        &'a self,
+        _key: &'a ObjectKey,
+        _expected: Version,
+    ) -> BoxFuture<'a, Result<(), StoreError>> {
+        unreachable!("no step deletes")
+    }
+
+    fn watch<'a>(
+        &'a self,
+        _key: &'a ObjectKey,
+        _after: Version,
+        _wait: Duration,
+    ) -> BoxFuture<'a, Result<Option<Object>, StoreError>> {
+        unreachable!("no step watches")
+    }
+}
+
+impl EngineControl for Port {
+    fn order<'a>(
+        &'a self,
+        engine: &'a Instance,
+        order: &'a Order,
+    ) -> BoxFuture<'a, Result<OrderAnswer, EngineError>> {
+        let slot = Slot::default();
+        let sent = Sent {
+            engine: usize::from(engine.vm.as_str() == "e1"),
+            order: order.clone(),
+            at: self.clock.now(),
+        };
+        self.calls
+            .lock()
+            .unwrap()
+            .push(Call::Order(sent, Arc::clone(&slot)));
+        ask(slot)
+    }
+
+    fn report<'a>(
+        &'a self,
+        _engine: &'a Instance,
+    ) -> BoxFuture<'a, Result<LoadReport, EngineError>> {
+        unreachable!("no step reads reports")
+    }
+
+    fn events<'a>(
+        &'a self,
+        _engine: &'a Instance,
+        _from: u64,
+    ) -> BoxFuture<'a, Result<CacheEvents, EngineError>> {
+        unreachable!("no step reads events")
+    }
+}
