Keep leases, fencing numbers and leaving engines right when the store comes back older; follow leaving and Retry-After of engines

Cause: the store may return from a copy some seconds old, and then gives revisions out again. Fencing numbers could repeat or fall, a copied lease could be taken while a lost one was valid, watches went on in another history, a copied registration undid an engine's leaving, and VMs were not registered again. The headers of leaving engines and of engines that want a pause were not read. Change: a version holds the store's generation above its revision (store::generation); a lease is not taken over in a new generation before one of the generation before has expired, unless the object was written since; watches and conditional writes of another generation are HistoryGone; Fleet remembers removed and leaving upstreams over a copy; VMs check that they are registered. Engine signals: leaving takes the engine out at once and is hinted to the other VMs, Retry-After on 503 keeps this VM's requests, polls and orders away, and a request waits or is refused with the true time. A success that names another engine is an unknown outcome.

--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -26,6 +26,9 @@
     NoAdapter,
     /// Every upstream that could serve the request has been tried.
     Unusable,
+    /// Every upstream that could serve the request and was not tried wants no requests of this VM
+    /// before some time; this is the earliest.
+    Deferred(Instant),
 }
 
 /// Chooses one of `upstreams` for a request, except those in `tried`. `home` is this VM's data
@@ -46,6 +49,7 @@
 {
     let mut missing = NoEngine::NoModel;
     let mut candidates = Vec::new();
+    let mut deferred_until: Option<Instant> = None;
     for upstream in upstreams {
         match &head.target {
             Some(target) if !upstream.registration.inventory.can_serve(target) => {
@@ -55,8 +59,14 @@
             }
             _ => {
                 missing = NoEngine::Unusable;
-                if !tried.contains(&upstream.registration.id) {
-                    candidates.push(upstream);
+                if tried.contains(&upstream.registration.id) {
+                    continue;
+                }
+                match upstream.health.deferred_until(now) {
+                    None => candidates.push(upstream),
+                    Some(until) => {
+                        deferred_until = Some(deferred_until.map_or(until, |at| at.min(until)));
+                    }
                 }
             }
         }
@@ -76,9 +86,8 @@
     let least_loaded = pool
         .into_iter()
         .filter(|u| load_share(u) <= least + EQUAL_LOAD_SHARE);
-    least_loaded
-        .max_by_key(|u| (u.registration.centre == *home, rank(u, head)))
-        .ok_or(missing)
+    let chosen = least_loaded.max_by_key(|u| (u.registration.centre == *home, rank(u, head)));
+    chosen.ok_or(deferred_until.map_or(missing, NoEngine::Deferred))
 }
 
 fn holds_model(upstream: &Upstream, target: &Target) -> bool {
--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -29,7 +29,9 @@
 use super::placement::{
     self, EngineView, ModelAction, ModelDemand, StorageTier, load_time, plan_models,
 };
-use super::platform_api::{ControlError, EngineClient, Order, OrderAction, OrderResponse};
+use super::platform_api::{
+    ControlError, ControlReply, EngineClient, Order, OrderAction, OrderResponse, UpstreamSignals,
+};
 use super::request::Target;
 use super::state::Gateway;
 use super::upstream::Registration;
@@ -93,7 +95,12 @@
     let boot = deps.gateway.clock.boot();
     let now = deps.gateway.clock.now();
     let controller = Controller {
-        lease: Lease::new(deps.gateway.vm.clone(), deps.lease_length, boot),
+        lease: Lease::new(
+            deps.gateway.vm.clone(),
+            deps.lease_length,
+            boot,
+            deps.gateway.bounds().first_start,
+        ),
         gateway: deps.gateway,
         mesh: deps.mesh,
         engine_client: deps.engine_client,
@@ -150,6 +157,9 @@
         let read = tokio::time::timeout(STORE_TIMEOUT, self.store.get(&self.lease_key)).await;
         let read = read.unwrap_or(Err(StoreError::Unknown));
         let boot = self.gateway.clock.boot();
+        if self.store_returned(boot) {
+            return;
+        }
         match read {
             Ok(Some(object)) => match serde_json::from_slice(&object.value) {
                 Ok(record) => self.lease.on_read(Some((object.version, record)), boot),
@@ -166,6 +176,17 @@
         }
     }
 
+    /// Whether the store has come back from an older copy since the last call. The result of this
+    /// call then proves nothing, and the lease is read again.
+    fn store_returned(&mut self, now: BootTime) -> bool {
+        let generation = self.store.generation();
+        let returned = self.lease.on_generation(generation, now);
+        if returned {
+            info!(self.gateway.log, "store_generation"; "generation" => %generation);
+        }
+        returned
+    }
+
     async fn write_lease(&mut self, version: Version, record: LeaseRecord, sent: BootTime) {
         let value = match serde_json::to_vec(&record) {
             Ok(value) => value.into(),
@@ -177,8 +198,11 @@
         let put = self.store.put(&self.lease_key, version, value);
         let put = tokio::time::timeout(STORE_TIMEOUT, put).await;
         let boot = self.gateway.clock.boot();
+        if self.store_returned(boot) {
+            return;
+        }
         match put.unwrap_or(Err(StoreError::Unknown)) {
-            Ok(version) => self.lease.on_written(version, sent),
+            Ok(version) => self.lease.on_written(version, sent, boot),
             Err(StoreError::Conflict(_)) => self.lease.on_conflict(boot),
             Err(e) => {
                 warn!(self.gateway.log, "lease_unwritten"; "error" => %e);
@@ -270,20 +294,26 @@
         let due = self
             .engines
             .iter()
-            .filter(|(_, e)| e.next_poll.is_some_and(|at| at <= now));
+            .filter(|(_, e)| e.next_poll.is_some_and(|at| at <= now) && !e.is_deferred(now));
         let mut polls = JoinSet::new();
         for (id, engine) in due {
             let engine_client = Arc::clone(&self.engine_client);
             let at = engine.registration.address;
             let id = id.clone();
             polls.spawn(async move {
-                let report =
+                let reply =
                     tokio::time::timeout(ENGINE_TIMEOUT, engine_client.fetch_report(at)).await;
-                (id, report.unwrap_or(Err(ControlError::Silent)))
+                let silent = |_late| ControlReply::failed(ControlError::Silent);
+                (id, reply.unwrap_or_else(silent))
             });
         }
         while let Some(done) = polls.join_next().await {
-            let Ok((id, report)) = done else { continue };
+            let Ok((id, reply)) = done else { continue };
+            let ControlReply {
+                outcome: report,
+                signals,
+            } = reply;
+            self.apply_signals(&id, signals);
             let now = self.gateway.clock.now();
             if let Some(engine) = self.engines.get_mut(&id) {
                 match report {
@@ -297,6 +327,22 @@
         }
     }
 
+    /// Applies what an engine states about itself in a response of its control interface. The other
+    /// VMs learn from the usage reports that it is leaving.
+    fn apply_signals(&mut self, id: &UpstreamId, signals: UpstreamSignals) {
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        if signals.leaving {
+            let started_ms = engine.registration.started_ms;
+            self.gateway.on_upstream_leaving(id, started_ms);
+        }
+        if let Some(retry_after) = signals.retry_after {
+            let delay = retry_after.delay(self.gateway.clock.wall());
+            engine.defer(self.gateway.clock.now() + delay);
+        }
+    }
+
     /// Announces newly loaded models to the other VMs, which would learn of them from the store
     /// later, and repeats which models are being unloaded. It repeats this because a datagram may
     /// be lost, and because an engine finishes its running requests before it unloads a model.
@@ -463,14 +509,16 @@
             let engine_client = Arc::clone(&self.engine_client);
             sends.spawn(async move {
                 let response = engine_client.send_order(at, &id, &order);
-                let response = tokio::time::timeout(ENGINE_TIMEOUT, response).await;
-                (id, order, response.unwrap_or(Err(ControlError::Silent)))
+                let reply = tokio::time::timeout(ENGINE_TIMEOUT, response).await;
+                let silent = |_late| ControlReply::failed(ControlError::Silent);
+                (id, order, reply.unwrap_or_else(silent))
             });
         }
         while let Some(done) = sends.join_next().await {
             // A failed task has no response; the engine's next report shows its state.
-            if let Ok((id, order, response)) = done {
-                self.apply_response(&id, &order, response);
+            if let Ok((id, order, reply)) = done {
+                self.apply_response(&id, &order, reply.outcome);
+                self.apply_signals(&id, reply.signals);
             }
         }
     }
--- a/src/gateway/engine_state.rs
+++ b/src/gateway/engine_state.rs
@@ -44,6 +44,8 @@
     pub(super) unannounced: Vec<ModelId>,
     /// When the last notice was sent that a model is being unloaded.
     pub(super) unload_notice: Option<Instant>,
+    /// Time before which the engine wants neither polls nor orders.
+    deferred: Option<Instant>,
 }
 
 impl EngineState {
@@ -60,9 +62,20 @@
             held_since: BTreeMap::new(),
             unannounced: Vec::new(),
             unload_notice: None,
+            deferred: None,
         }
     }
 
+    /// Neither polls the engine nor sends it orders before `until`, because it asked for that.
+    pub(super) fn defer(&mut self, until: Instant) {
+        self.deferred = self.deferred.max(Some(until));
+    }
+
+    /// Whether the engine wants neither polls nor orders now.
+    pub(super) fn is_deferred(&self, now: Instant) -> bool {
+        self.deferred.is_some_and(|until| now < until)
+    }
+
     /// Returns the update that a model is being unloaded, if it is due to be sent again.
     pub(super) fn repeat_unload(
         &mut self,
@@ -97,7 +110,10 @@
                 || self.registration.inventory.clone(),
                 |r| r.inventory.clone(),
             ),
-            busy: self.stale || report.is_none_or(|r| r.busy) || self.current_order.is_some(),
+            busy: self.stale
+                || report.is_none_or(|r| r.busy)
+                || self.current_order.is_some()
+                || self.is_deferred(now),
             busy_time: placement::remaining_time(self.expected_end, now),
             incoming_model: self.incoming_model.clone(),
             held_since: self.held_since.clone(),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,5 +1,6 @@
 //! One attempt to send a request to an upstream, and its outcome.
 
+use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +15,7 @@
 use crate::ids::{RequestId, UpstreamId};
 
 use super::client::{ConnectError, Connection};
-use super::platform_api::{Dialect, EngineLoad, ResponseMeta};
+use super::platform_api::{Dialect, EngineLoad, ResponseMeta, UpstreamSignals};
 use super::upstream::RequestGuard;
 
 /// Longest time to open a connection to an upstream.
@@ -89,6 +90,14 @@
     pub request: Request<Full<Bytes>>,
     /// Longest wait for the head of the response.
     pub max_wait: Duration,
+    /// Told what the upstream states about itself in its response, whatever its status.
+    pub observer: &'a dyn SignalObserver,
+}
+
+/// Receives what upstreams state about themselves in the heads of their responses.
+pub trait SignalObserver: Send + Sync + Debug {
+    /// Handles the statements in a response of the upstream that the request was sent to.
+    fn on_signals(&self, signals: UpstreamSignals);
 }
 
 /// Sends a request on a new connection, which is not reused.
@@ -121,6 +130,9 @@
         .request_id
         .as_ref()
         .is_none_or(|id| id == request.request_id);
+    if id_matches && !other_instance {
+        request.observer.on_signals(meta.signals);
+    }
     if id_matches && head.status == StatusCode::MISDIRECTED_REQUEST {
         return SendOutcome::NotRun(if other_instance {
             DeclineReason::Elsewhere
@@ -138,7 +150,7 @@
             _ => DeclineReason::Other,
         });
     }
-    if meta.request_id.as_ref() != Some(request.request_id) || meta.encoded {
+    if meta.request_id.as_ref() != Some(request.request_id) || meta.encoded || other_instance {
         return SendOutcome::Unknown(ResponseError::Invalid);
     }
     if head.status.is_success() && !meta.sealed {
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -4,6 +4,11 @@
 //! it has left, and the leader's messages can show earlier what an engine holds. A registration
 //! that is missing just after an outage of the store may have expired only because the upstream
 //! could not renew it, so such an upstream stays in use for a limited time.
+//!
+//! The store may also come back from an older copy ([`crate::store::generation`]). Such a list
+//! shows upstreams that have left since, and earlier runs of those that were restarted. It takes
+//! back nothing that is known: an upstream that was removed is used again only once it has
+//! registered again, or is still listed when every upstream has had the time to.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -15,6 +20,9 @@
 
 /// Time after an outage of the store within which a running upstream has registered again.
 const REREGISTER_TIME: Duration = Duration::from_secs(2);
+/// How long a removed registration is remembered, which must exceed the age of a copy that the
+/// store comes back from.
+const REMOVED_LIFETIME: Duration = Duration::from_mins(2);
 /// Time after a change of an engine's inventory within which its registration shows the change,
 /// since engines renew their registrations at every heartbeat.
 const UPDATE_LIFETIME: Duration = Duration::from_secs(3);
@@ -27,6 +35,17 @@
     upstream: Upstream,
     /// If the registration is missing, when the upstream is removed unless it registers again.
     remove_at: Option<Instant>,
+    /// If the registration may be one that was removed since, when the upstream is used all the
+    /// same.
+    usable_at: Option<Instant>,
+}
+
+/// A registration that was removed.
+#[derive(Clone, Copy, Debug)]
+struct Removed {
+    /// Start time of the upstream, in milliseconds since the Unix epoch.
+    started_ms: u64,
+    at: Instant,
 }
 
 /// A change of an engine's inventory that its registration may not show yet.
@@ -48,9 +67,13 @@
     /// Ids and start times of upstreams that are leaving. An upstream that registers again with a
     /// later start time is used again.
     leaving: BTreeSet<(UpstreamId, u64)>,
+    /// Upstreams that were removed lately.
+    removed: BTreeMap<UpstreamId, Removed>,
     updates: Vec<Update>,
     /// When the store last answered again after an outage.
     store_recovered: Option<Instant>,
+    /// When the store last came back from an older copy.
+    store_returned: Option<Instant>,
     /// Whether the registrations have been read at least once.
     pub initialized: bool,
 }
@@ -61,6 +84,12 @@
         self.store_recovered = Some(now);
     }
 
+    /// Records that the store has come back from an older copy; the next list is of that copy.
+    pub fn on_store_return(&mut self, now: Instant) {
+        self.on_store_recovery(now);
+        self.store_returned = Some(now);
+    }
+
     /// Replaces the registrations by a complete list.
     pub fn on_list(&mut self, registrations: Vec<Registration>, now: Instant) {
         self.initialized = true;
@@ -74,16 +103,44 @@
             .filter(|id| !listed.contains(*id))
             .cloned()
             .collect();
+        let settled = self.store_returned.map(|at| at + REREGISTER_TIME);
+        let unsettled = settled.filter(|at| now < *at);
         for registration in registrations {
-            self.on_registration(registration);
+            match unsettled {
+                Some(settled) => self.on_copied(registration, settled),
+                None => self.on_registration(registration),
+            }
         }
         for id in gone {
             self.on_removed(&id, now);
         }
     }
 
-    /// Adds or replaces one registration.
+    /// Adds or replaces a registration of an older copy of the store, unless more is known of the
+    /// upstream. Until `settled`, every running upstream will have registered again.
+    fn on_copied(&mut self, registration: Registration, settled: Instant) {
+        let id = registration.id.clone();
+        let started_ms = registration.started_ms;
+        let known = self.known.get(&id);
+        let known = known.map(|known| known.upstream.registration.started_ms);
+        let removed = self.removed.get(&id).map(|removed| removed.started_ms);
+        if known.max(removed) > Some(started_ms) {
+            return;
+        }
+        self.on_registration(registration);
+        if removed == Some(started_ms)
+            && known.is_none()
+            && let Some(known) = self.known.get_mut(&id)
+        {
+            known.usable_at = Some(settled);
+        }
+    }
+
+    /// Adds or replaces one registration, which the upstream has just written.
     pub fn on_registration(&mut self, registration: Registration) {
+        if registration.leaving {
+            self.on_leaving(&registration.id, registration.started_ms);
+        }
         let id = registration.id.clone();
         let health = match self.known.get(&id) {
             Some(known) if known.upstream.registration.started_ms == registration.started_ms => {
@@ -102,6 +159,7 @@
         let known = Known {
             upstream,
             remove_at: None,
+            usable_at: None,
         };
         self.known.insert(id, known);
     }
@@ -117,11 +175,21 @@
                 }
             }
             None => {
-                self.known.remove(id);
+                if let Some(known) = self.known.remove(id) {
+                    self.remember_removed(id, &known, now);
+                }
             }
         }
     }
 
+    fn remember_removed(&mut self, id: &UpstreamId, known: &Known, now: Instant) {
+        let removed = Removed {
+            started_ms: known.upstream.registration.started_ms,
+            at: now,
+        };
+        self.removed.insert(id.clone(), removed);
+    }
+
     /// Takes an upstream out of use that is leaving or has left. Only its run that started at
     /// `started_ms` (milliseconds since the Unix epoch) is meant; a later run stays in use.
     pub fn on_leaving(&mut self, id: &UpstreamId, started_ms: u64) {
@@ -154,39 +222,27 @@
 
     /// When the next upstream or update expires, and a new snapshot is needed; `None` if none will.
     pub fn next_expiry(&self) -> Option<Instant> {
-        let removals = self.known.values().filter_map(|known| known.remove_at);
+        let known = self.known.values();
+        let changes = known.flat_map(|known| known.remove_at.into_iter().chain(known.usable_at));
         let updates = self.updates.iter().map(|update| update.expires);
-        removals.chain(updates).min()
+        changes.chain(updates).min()
     }
 
-    /// All known registrations, without the updates.
+    /// The registrations of all upstreams that are not known to be leaving, without the updates.
     pub fn registered(&self) -> Vec<Arc<Registration>> {
-        let known = self.known.values();
-        known
-            .map(|known| Arc::clone(&known.upstream.registration))
+        let staying = self.known.iter().filter(|(id, k)| !self.is_leaving(id, k));
+        staying
+            .map(|(_, known)| Arc::clone(&known.upstream.registration))
             .collect()
     }
 
     /// Drops what has expired, and returns the upstreams in use with the updates applied.
     pub fn snapshot(&mut self, now: Instant) -> UpstreamMap {
-        self.known
-            .retain(|_, known| known.remove_at.is_none_or(|at| now < at));
-        self.updates.retain(|update| now < update.expires);
-        let known = &self.known;
-        self.leaving.retain(|(id, started_ms)| {
-            let registration = known.get(id).map(|known| &known.upstream.registration);
-            registration.is_some_and(|registration| registration.started_ms == *started_ms)
-        });
+        self.expire(now);
         let mut snapshot: UpstreamMap = self
             .known
             .iter()
-            .filter(|(id, known)| {
-                let registration = &known.upstream.registration;
-                !registration.leaving
-                    && !self
-                        .leaving
-                        .contains(&((*id).clone(), registration.started_ms))
-            })
+            .filter(|(id, known)| self.is_usable(id, known))
             .map(|(id, known)| (id.clone(), known.upstream.clone()))
             .collect();
         for update in &self.updates {
@@ -196,6 +252,37 @@
         }
         snapshot
     }
+
+    fn expire(&mut self, now: Instant) {
+        let missing = self
+            .known
+            .extract_if(.., |_, known| known.remove_at.is_some_and(|at| at <= now));
+        for (id, known) in missing.collect::<Vec<_>>() {
+            self.remember_removed(&id, &known, now);
+        }
+        for known in self.known.values_mut() {
+            known.usable_at = known.usable_at.filter(|at| now < *at);
+        }
+        self.updates.retain(|update| now < update.expires);
+        self.removed
+            .retain(|_, removed| now < removed.at + REMOVED_LIFETIME);
+        let (known, removed) = (&self.known, &self.removed);
+        self.leaving.retain(|(id, started_ms)| {
+            let known = known.get(id).map(|k| k.upstream.registration.started_ms);
+            let removed = removed.get(id).map(|removed| removed.started_ms);
+            known == Some(*started_ms) || removed == Some(*started_ms)
+        });
+    }
+
+    fn is_usable(&self, id: &UpstreamId, known: &Known) -> bool {
+        known.usable_at.is_none() && !self.is_leaving(id, known)
+    }
+
+    fn is_leaving(&self, id: &UpstreamId, known: &Known) -> bool {
+        let registration = &known.upstream.registration;
+        let run = (id.clone(), registration.started_ms);
+        registration.leaving || self.leaving.contains(&run)
+    }
 }
 
 fn apply_update(upstream: &mut Upstream, update: &Update) {
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -5,13 +5,18 @@
 //! of the holder's orders. The holder stops sending orders before its lease expires, counted from
 //! when it sent the last renewal. Another VM takes over only after the object has stayed unchanged
 //! for longer than a lease. Both count on a clock that keeps running while a VM is suspended.
+//!
+//! When the store comes back from an older copy ([`crate::store::generation`]), renewals and
+//! take-overs may be lost with it, so the object no longer proves who holds the lease. No VM takes
+//! the lease over until a lease that was renewed just before the return has expired. A holder
+//! whose lease is still valid renews it in the new generation and keeps its fencing number.
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::clock::BootTime;
-use crate::ids::{Epoch, Version, VmId};
+use crate::ids::{Epoch, StoreGeneration, Version, VmId};
 
 /// Time before the expiry of its lease at which the holder stops sending orders.
 const STOP_MARGIN: Duration = Duration::from_millis(600);
@@ -30,6 +35,10 @@
     pub holder: VmId,
     /// Number of this renewal, which makes each renewal a change of the object.
     pub renewal: u64,
+    /// Generation of the store in which the holder wrote the object. A copy that the store came
+    /// back from holds an earlier one.
+    #[serde(default)]
+    pub generation: StoreGeneration,
 }
 
 /// The next call to the store, if any.
@@ -66,11 +75,19 @@
     next_call: BootTime,
     /// Whether the object must be read before it is written.
     stale: bool,
+    /// The newest known generation of the store.
+    generation: StoreGeneration,
+    /// Whether the store has responded to this VM.
+    answered: bool,
+    /// Until when a lease of an earlier generation may still be valid; `None` where there is none.
+    earlier_lease_end: Option<BootTime>,
 }
 
 impl Lease {
-    /// Creates the state of VM `own_id` before the first read, which is due at `first`.
-    pub fn new(own_id: VmId, length: Duration, first: BootTime) -> Self {
+    /// Creates the state of VM `own_id` before the first read, which is due at `first`. With
+    /// `first_start`, no VM can have held a lease before.
+    pub fn new(own_id: VmId, length: Duration, first: BootTime, first_start: bool) -> Self {
+        let earlier_lease_end = first.plus(length + TAKEOVER_MARGIN);
         Self {
             own_id,
             length,
@@ -80,9 +97,35 @@
             renewal: 0,
             next_call: first,
             stale: true,
+            generation: StoreGeneration::default(),
+            answered: false,
+            earlier_lease_end: (!first_start).then_some(earlier_lease_end),
         }
     }
 
+    /// Records the newest known generation of the store, and returns whether it is a new one. In a
+    /// new generation the object must be read again, and a lease that was renewed just before the
+    /// return stays valid for its whole length.
+    pub fn on_generation(&mut self, generation: StoreGeneration, now: BootTime) -> bool {
+        if generation <= self.generation {
+            return false;
+        }
+        self.generation = generation;
+        self.seen = None;
+        self.holder = None;
+        self.stale = true;
+        self.next_call = now;
+        if self.epoch(now).is_none() {
+            self.held = None;
+        }
+        // Before the first response, the generation is not new but was unknown.
+        if self.answered || self.earlier_lease_end.is_some() {
+            self.earlier_lease_end = Some(now.plus(self.length + TAKEOVER_MARGIN));
+        }
+        self.answered = true;
+        true
+    }
+
     /// The fencing number of this VM's orders; `None` while it must not send any.
     pub fn epoch(&self, now: BootTime) -> Option<Epoch> {
         let limit = self.length.saturating_sub(STOP_MARGIN);
@@ -97,7 +140,9 @@
 
     /// Records the object's version from a leader heartbeat, which the holder sends to other VMs.
     pub fn on_version_seen(&mut self, version: Version, now: BootTime) {
-        let newer = self.seen.is_none_or(|(known, _)| known < version);
+        self.on_generation(version.generation(), now);
+        let current = version.generation() == self.generation;
+        let newer = current && self.seen.is_none_or(|(known, _)| known < version);
         if self.held.is_none() && newer {
             self.record_version(version, now);
             // The VM that wrote this version holds the lease, whichever VM was read as its holder.
@@ -123,14 +168,16 @@
         let record = LeaseRecord {
             holder: self.own_id.clone(),
             renewal: self.renewal + 1,
+            generation: self.generation,
         };
+        let earlier_lease = self.earlier_lease_end.is_some_and(|end| now < end);
         let expired = now.since(since) >= self.length + TAKEOVER_MARGIN;
         let own = self.holder.as_ref() == Some(&self.own_id);
         let absent = self.seen.is_none();
-        if self.held.is_some() || own || absent {
+        if self.held.is_some() || (own || absent) && !earlier_lease {
             return LeaseAction::Write(version, record);
         }
-        if expired && !leader_alive {
+        if expired && !leader_alive && !earlier_lease {
             return LeaseAction::Write(version, record);
         }
         LeaseAction::Wait
@@ -138,24 +185,37 @@
 
     /// Records the object as it was read; `None` where it does not exist.
     pub fn on_read(&mut self, object: Option<(Version, LeaseRecord)>, now: BootTime) {
+        self.answered = true;
         self.stale = false;
         self.next_call = now;
         let Some((version, record)) = object else {
             self.seen = None;
             self.holder = None;
-            self.held = None;
+            if self.earlier_lease_end.is_none_or(|end| end <= now) {
+                self.held = None;
+            }
             return;
         };
+        self.on_generation(version.generation(), now);
+        self.stale = false;
         self.record_version(version, now);
-        if record.holder != self.own_id {
-            self.held = None;
+        if record.generation == self.generation {
+            // Written since the store's last return, so no change of holder was lost.
+            self.earlier_lease_end = None;
+            if record.holder != self.own_id {
+                self.held = None;
+            }
         }
         self.renewal = self.renewal.max(record.renewal);
         self.holder = Some(record.holder);
     }
 
-    /// Records a successful write that was sent at `sent`.
-    pub fn on_written(&mut self, version: Version, sent: BootTime) {
+    /// Records a successful write that was sent at `sent`. A write that reached a later generation
+    /// of the store than it was meant for renews nothing.
+    pub fn on_written(&mut self, version: Version, sent: BootTime, now: BootTime) {
+        if self.on_generation(version.generation(), now) {
+            return;
+        }
         let epoch = self.held.map_or(Epoch(version.0), |held| held.epoch);
         self.held = Some(Held { epoch, sent });
         self.holder = Some(self.own_id.clone());
--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -267,6 +267,7 @@
                 state.leader = Some((usage.vm.clone(), heartbeat.epoch, heartbeat.version, now));
             }
         }
+        self.gateway.on_leaving_hints(&usage.leaving);
         let vm = usage.vm.clone();
         let change = state.peers.apply_usage(usage, from, now);
         drop(state);
@@ -322,6 +323,7 @@
             lease: lease.map(|(epoch, version)| LeaderHeartbeat { epoch, version }),
             accounts: self.gateway.report_admitted(),
             upstreams: loads.map(|(id, n)| (id.clone(), n)).collect(),
+            leaving: self.gateway.leaving_hints(),
         }
     }
 
--- a/src/gateway/model_wait.rs
+++ b/src/gateway/model_wait.rs
@@ -1,9 +1,10 @@
-//! Requests that wait for a model or an adapter to be loaded.
+//! Requests that wait for a model or an adapter to be loaded, or for an engine to accept requests
+//! of this VM again.
 //!
-//! A request waits only if the load can finish before its caller gives up. Otherwise it is refused
-//! at once, with the time that the load takes as the retry delay.
+//! A request waits only if the wait can end before its caller gives up. Otherwise it is refused
+//! at once, with the time that the load takes, or that the engine asked for, as the retry delay.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use slog::info;
 
@@ -43,15 +44,13 @@
                 .refusal(Reason::Capacity)
                 .retry_after(CAPACITY_RETRY));
         };
-        let give_up_at = self.deadline.min(self.started + give_up_time(&self.route));
-        let mut until = give_up_at.checked_sub(REFUSAL_MARGIN).unwrap_or(give_up_at);
         let wait_start = gateway.clock.now();
         let load = self.load_time(target);
         let refuse = |reason| match attempts.refusal(reason) {
             refusal if refusal.ran == Ran::No => refusal.retry_after(load),
             refusal => refusal,
         };
-        if wait_start + load > until {
+        if load > self.wait_left(wait_start) {
             info!(gateway.log, "model_too_far"; "request" => %self.request.head.id,
                 "target" => %target, "load_ms" => load.as_millis() as u64);
             return Err(refuse(Reason::Capacity));
@@ -63,9 +62,6 @@
             changed.as_mut().enable();
             let missing = self.choose_upstream(attempts).err();
             let now = gateway.clock.now();
-            if let Some(stop) = gateway.drain_deadline() {
-                until = until.min(stop);
-            }
             if !matches!(missing, Some(NoEngine::NoModel | NoEngine::NoAdapter)) {
                 let waited = now.saturating_duration_since(wait_start);
                 info!(gateway.log, "model_waited"; "request" => %self.request.head.id,
@@ -73,7 +69,7 @@
                 gateway.gauges.observe_wait(waited, true);
                 return Ok(());
             }
-            let left = until.saturating_duration_since(now);
+            let left = self.wait_left(now);
             if left.is_zero() || tokio::time::timeout(left, changed).await.is_err() {
                 info!(gateway.log, "model_not_loaded"; "request" => %self.request.head.id,
                     "target" => %target, "missing" => ?missing);
@@ -84,6 +80,42 @@
         }
     }
 
+    /// Waits until `until`, when an upstream accepts requests of this VM again, or until the upstreams
+    /// in use change.
+    ///
+    /// # Errors
+    ///
+    /// A refusal if the caller gives up before.
+    pub(super) async fn wait_for_deferred(
+        &self,
+        until: Instant,
+        attempts: &Attempts,
+    ) -> Result<(), Refusal> {
+        let gateway = &self.gateway;
+        let now = gateway.clock.now();
+        let delay = until.saturating_duration_since(now);
+        if !waits_for_deferred(delay, self.wait_left(now)) {
+            info!(gateway.log, "upstreams_deferred"; "request" => %self.request.head.id,
+                "delay_ms" => delay.as_millis() as u64);
+            let refusal = attempts.refusal(Reason::Capacity);
+            return Err(match refusal.ran {
+                Ran::No => refusal.retry_after(delay),
+                _ => refusal,
+            });
+        }
+        let changed = gateway.upstreams_changed.notified();
+        let _woken = tokio::time::timeout(delay, changed).await;
+        Ok(())
+    }
+
+    /// Time that the request can still wait so that its caller receives the answer or a refusal.
+    fn wait_left(&self, now: Instant) -> Duration {
+        let give_up_at = self.deadline.min(self.started + give_up_time(&self.route));
+        let stop_at = self.gateway.drain_deadline();
+        let until = stop_at.map_or(give_up_at, |at| give_up_at.min(at));
+        until.saturating_duration_since(now + REFUSAL_MARGIN)
+    }
+
     /// The shortest time in which some engine can load the model or adapter.
     fn load_time(&self, target: &Target) -> Duration {
         let configuration = self.gateway.configuration.load();
@@ -105,6 +137,12 @@
     }
 }
 
+/// Whether a request waits for an upstream that accepts requests again after `delay`, if it can
+/// wait for `left`. Otherwise it is refused at once, so that its caller comes back in time.
+pub fn waits_for_deferred(delay: Duration, left: Duration) -> bool {
+    delay < left
+}
+
 /// Time after which a caller gives up waiting for the response to begin.
 fn give_up_time(route: &Route) -> Duration {
     match route.kind {
--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -16,16 +16,13 @@
 use http_body_util::Full;
 use thiserror::Error;
 
-use crate::ids::{ClientAccount, Epoch, RequestId, UpstreamId, VmId};
+use crate::ids::{ClientAccount, Epoch, RequestId, UpstreamId, Version, VmId};
 use crate::store::StoreError;
 
 use super::request::{BufferedRequest, HeadError, RequestHead, Target};
+use super::retry_after::RetryAfter;
 use super::upstream::ModelInventory;
 
-/// A revision of the platform's store, from which changes can be followed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct StoreRevision(pub u64);
-
 /// Error for an object whose content is not of the expected form.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 #[error("{message}")]
@@ -42,8 +39,8 @@
 pub struct ObjectList<T> {
     /// Objects, including those that could not be decoded.
     pub items: Vec<NamedObject<T>>,
-    /// Revision of the list; later changes are read from here.
-    pub revision: StoreRevision,
+    /// Version of the whole store at the list; later changes are read from here.
+    pub revision: Version,
 }
 
 /// A change of one object.
@@ -60,8 +57,8 @@
 pub struct ObjectChanges<T> {
     /// Changes, oldest first.
     pub changes: Vec<ObjectChange<T>>,
-    /// Revision after these changes; the next ones are read from here.
-    pub revision: StoreRevision,
+    /// Version of the whole store after these changes; the next ones are read from here.
+    pub revision: Version,
 }
 
 /// The objects of one kind in the platform's store.
@@ -70,10 +67,11 @@
     fn list(&self) -> BoxFuture<'_, Result<ObjectList<T>, StoreError>>;
 
     /// Waits up to `wait` for changes after `revision`; returns an empty list if
-    /// there are none.
+    /// there are none. Fails with [`StoreError::HistoryGone`] if the store no longer has the
+    /// changes, or has come back from an older copy since.
     fn wait_for_changes(
         &self,
-        revision: StoreRevision,
+        revision: Version,
         wait: Duration,
     ) -> BoxFuture<'_, Result<ObjectChanges<T>, StoreError>>;
 }
@@ -111,6 +109,15 @@
     }
 }
 
+/// What an upstream states about itself in the head of any response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamSignals {
+    /// Whether the upstream is leaving and wants no new requests.
+    pub leaving: bool,
+    /// When it accepts requests of this VM again; present only where it refused one with 503.
+    pub retry_after: Option<RetryAfter>,
+}
+
 /// Fields of an upstream's response head that the gateway interprets.
 #[derive(Clone, Debug, Default)]
 pub struct ResponseMeta {
@@ -126,6 +133,8 @@
     pub encoded: bool,
     /// Load of the upstream; absent where not reported.
     pub load: Option<EngineLoad>,
+    /// What the upstream states about itself.
+    pub signals: UpstreamSignals,
 }
 
 /// The platform's HTTP conventions: which headers carry what.
@@ -238,13 +247,29 @@
     Malformed,
 }
 
+/// Outcome of a call to an engine's control interface.
+#[derive(Clone, Debug)]
+pub struct ControlReply<T> {
+    /// Result of the call.
+    pub outcome: Result<T, ControlError>,
+    /// What the engine states about itself in its response.
+    pub signals: UpstreamSignals,
+}
+
+impl<T> ControlReply<T> {
+    /// A call without a response that can be read.
+    pub fn failed(error: ControlError) -> Self {
+        Self {
+            outcome: Err(error),
+            signals: UpstreamSignals::default(),
+        }
+    }
+}
+
 /// Client of the engines' control interface.
 pub trait EngineClient: Send + Sync + Debug {
     /// Reads the state of the engine at `address`.
-    fn fetch_report(
-        &self,
-        address: SocketAddr,
-    ) -> BoxFuture<'_, Result<EngineReport, ControlError>>;
+    fn fetch_report(&self, address: SocketAddr) -> BoxFuture<'_, ControlReply<EngineReport>>;
 
     /// Sends an order to `engine` at `address`.
     fn send_order<'a>(
@@ -252,5 +277,5 @@
         address: SocketAddr,
         engine: &'a UpstreamId,
         order: &'a Order,
-    ) -> BoxFuture<'a, Result<OrderResponse, ControlError>>;
+    ) -> BoxFuture<'a, ControlReply<OrderResponse>>;
 }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -28,6 +28,7 @@
 use super::platform_api::ForwardOptions;
 use super::request::{BufferedRequest, RequestHead, Size};
 use super::response::{self, CallerBody};
+use super::signals::UpstreamObserver;
 use super::state::Gateway;
 use super::stream;
 use super::upstream::Upstream;
@@ -261,6 +262,10 @@
                 Err(NoEngine::Unusable) => {
                     return Self::give_up(attempts, Reason::Capacity, CAPACITY_RETRY);
                 }
+                Err(NoEngine::Deferred(until)) => {
+                    self.wait_for_deferred(until, &attempts).await?;
+                    continue;
+                }
                 Err(NoEngine::NoModel | NoEngine::NoAdapter) => {
                     self.wait_for_model(&attempts).await?;
                     continue;
@@ -426,6 +431,7 @@
             request_id: &head.id,
             request,
             max_wait,
+            observer: &UpstreamObserver { gateway, upstream },
         };
         exchange::send(&gateway.dialect, request, guard).await
     }
@@ -438,9 +444,7 @@
             "upstream" => %registration.id, "why" => ?reason);
         match (reason, &self.request.head.target) {
             (DeclineReason::Elsewhere, _) => {
-                gateway.update_fleet(|fleet, _| {
-                    fleet.on_leaving(&registration.id, registration.started_ms);
-                });
+                gateway.on_upstream_leaving(&registration.id, registration.started_ms);
             }
             (DeclineReason::Missing, Some(target)) => {
                 let adapter = target.adapter.as_ref();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,5 +1,6 @@
 //! Starts the gateway on a VM and shuts it down.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -200,10 +201,14 @@
         let done = match listed.unwrap_or(Err(StoreError::Unavailable)) {
             Ok(list) => {
                 let objects = list.items.into_iter();
-                mesh.add_registered(objects.filter_map(|(name, registration)| {
-                    let vm: VmId = name.parse().ok()?;
-                    Some((vm, registration.ok()?.mesh))
-                }));
+                let vms: BTreeMap<VmId, SocketAddr> = objects
+                    .filter_map(|(name, registration)| {
+                        Some((name.parse().ok()?, registration.ok()?.mesh))
+                    })
+                    .collect();
+                // The store loses registrations when it comes back from an older copy.
+                registered = vms.get(&gateway.vm) == Some(&mesh_address);
+                mesh.add_registered(vms);
                 registered
             }
             Err(e) => {
@@ -213,7 +218,8 @@
         };
         let delay = if done { VMS_INTERVAL } else { VMS_RETRY_DELAY };
         let jitter = rand::rng().random_range(0.8..1.2);
-        tokio::time::sleep(delay.mul_f64(jitter)).await;
+        let returned = gateway.store_returned.notified();
+        let _woken = tokio::time::timeout(delay.mul_f64(jitter), returned).await;
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -13,8 +13,9 @@
 
 use crate::clock::Clock;
 use crate::edge::RequestTracker;
-use crate::ids::{ClientAccount, DataCentre, ServiceId, VmId};
+use crate::ids::{ClientAccount, DataCentre, ServiceId, UpstreamId, VmId};
 use crate::metrics::{EdgeMetrics, Metrics};
+use crate::schema::mesh::LeavingUpstream;
 use crate::units::Tokens;
 
 use super::allowance::Allowance;
@@ -26,6 +27,7 @@
 use super::platform_api::Dialect;
 use super::reachability::Reachability;
 use super::retry_budget::{RetryBound, RetryBudget};
+use super::signals::LeavingHints;
 
 /// Settings that bound what a VM does, fixed at its start.
 #[derive(Clone, Debug)]
@@ -76,6 +78,9 @@
     pub demand_due: Notify,
     /// Notifies waiters when the platform's store responds again after a failure.
     pub store_recovered: Notify,
+    /// Wakes the task that registers this VM when the store has come back from an older copy,
+    /// which may lack the registration.
+    pub store_returned: Notify,
     /// Notifies waiters when this VM begins to shut down.
     pub shutdown_started: Notify,
     /// Requests a round of the leader's decisions at once.
@@ -83,6 +88,7 @@
     bounds: GatewayBounds,
     fleet: Mutex<Fleet>,
     freshness: Mutex<Freshness>,
+    leaving_hints: Mutex<LeavingHints>,
     demand: Mutex<LocalDemand>,
     allowances: Mutex<BTreeMap<ClientAccount, Allowance>>,
     retry_budgets: Mutex<BTreeMap<ServiceId, RetryBudget>>,
@@ -144,11 +150,13 @@
             usage_due: Notify::new(),
             demand_due: Notify::new(),
             store_recovered: Notify::new(),
+            store_returned: Notify::new(),
             shutdown_started: Notify::new(),
             orders_due: Notify::new(),
             bounds: deps.bounds,
             fleet: Mutex::default(),
             freshness: Mutex::new(freshness),
+            leaving_hints: Mutex::default(),
             demand: Mutex::default(),
             allowances: Mutex::default(),
             retry_budgets: Mutex::default(),
@@ -179,6 +187,41 @@
         read(&lock(&self.fleet))
     }
 
+    /// Takes an upstream out of use that stated that it is leaving, and has the other VMs told.
+    /// Only its run that started at `started_ms` (milliseconds since the Unix epoch) is meant.
+    pub fn on_upstream_leaving(&self, id: &UpstreamId, started_ms: u64) {
+        let now = self.clock.now();
+        if !lock(&self.leaving_hints).add(id, started_ms, now) {
+            return;
+        }
+        info!(self.log, "upstream_leaving"; "upstream" => %id, "born" => started_ms);
+        self.update_fleet(|fleet, _| fleet.on_leaving(id, started_ms));
+        self.usage_due.notify_one();
+    }
+
+    /// Takes upstreams out of use that another VM learned to be leaving.
+    pub fn on_leaving_hints(&self, hints: &[LeavingUpstream]) {
+        let upstreams = self.upstreams.load();
+        let in_use = |hint: &&LeavingUpstream| {
+            let upstream = upstreams.get(&hint.upstream);
+            upstream.is_some_and(|upstream| upstream.registration.started_ms == hint.born)
+        };
+        let news: Vec<_> = hints.iter().filter(in_use).collect();
+        if news.is_empty() {
+            return;
+        }
+        self.update_fleet(|fleet, _| {
+            for hint in news {
+                fleet.on_leaving(&hint.upstream, hint.born);
+            }
+        });
+    }
+
+    /// Upstreams that this VM lately learned to be leaving.
+    pub fn leaving_hints(&self) -> Vec<LeavingUpstream> {
+        lock(&self.leaving_hints).current(self.clock.now())
+    }
+
     /// Settings that bound what this VM does.
     pub fn bounds(&self) -> &GatewayBounds {
         &self.bounds
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -13,13 +13,12 @@
 use tokio::task::JoinHandle;
 
 use crate::clock::BootTime;
+use crate::ids::{StoreGeneration, Version};
 use crate::store::StoreError;
 
 use super::configuration::Configuration;
 use super::fleet::Fleet;
-use super::platform_api::{
-    NamedObject, ObjectChange, ObjectChanges, ObjectList, ObjectSource, StoreRevision,
-};
+use super::platform_api::{NamedObject, ObjectChange, ObjectChanges, ObjectList, ObjectSource};
 use super::state::Gateway;
 use super::upstream::Registration;
 
@@ -64,6 +63,8 @@
     fn on_response(&self, sent: BootTime);
     /// Notes that the store responds again after failures for at least [`MIN_OUTAGE`].
     fn on_recovery(&self);
+    /// Notes that the store has come back from an older copy, of which the next list is.
+    fn on_store_return(&self);
 }
 
 /// Starts to watch the configuration.
@@ -92,6 +93,8 @@
     failing_since: Option<Instant>,
     /// Failures since the last success.
     failures: u32,
+    /// Generation of the store in the last list.
+    generation: Option<StoreGeneration>,
 }
 
 impl<T, K> Watcher<T, K>
@@ -106,6 +109,7 @@
             handler,
             failing_since: None,
             failures: 0,
+            generation: None,
         }
     }
 
@@ -131,17 +135,18 @@
         }
     }
 
-    async fn list(&mut self) -> Result<StoreRevision, StoreError> {
+    async fn list(&mut self) -> Result<Version, StoreError> {
         let sent = self.gateway.clock.boot();
         let listed = tokio::time::timeout(RESPONSE_MARGIN, self.source.list()).await;
         let ObjectList { items, revision } = listed.unwrap_or(Err(StoreError::Unavailable))?;
         self.on_success();
+        self.on_generation(revision.generation());
         self.handler.on_list(items);
         self.handler.on_response(sent);
         Ok(revision)
     }
 
-    async fn poll_changes(&mut self, revision: StoreRevision) -> Result<StoreRevision, StoreError> {
+    async fn poll_changes(&mut self, revision: Version) -> Result<Version, StoreError> {
         let sent = self.gateway.clock.boot();
         let wait = self.handler.wait();
         let changes = self.source.wait_for_changes(revision, wait);
@@ -160,6 +165,15 @@
         Ok(revision)
     }
 
+    fn on_generation(&mut self, generation: StoreGeneration) {
+        let before = self.generation.replace(generation);
+        if before.is_some_and(|before| before < generation) {
+            warn!(self.gateway.log, "store_returned_older"; "kind" => K::KIND,
+                "generation" => %generation);
+            self.handler.on_store_return();
+        }
+    }
+
     fn on_success(&mut self) {
         let Some(since) = self.failing_since.take() else {
             return;
@@ -241,6 +255,9 @@
     }
 
     fn on_recovery(&self) {}
+
+    // A configuration older than the one in force is never applied.
+    fn on_store_return(&self) {}
 }
 
 struct RegistrationHandler(Arc<Gateway>);
@@ -335,4 +352,9 @@
     fn on_recovery(&self) {
         self.0.update_fleet(Fleet::on_store_recovery);
     }
+
+    fn on_store_return(&self) {
+        self.0.update_fleet(Fleet::on_store_return);
+        self.0.store_returned.notify_one();
+    }
 }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -70,6 +70,8 @@
     /// Running requests of this VM by model.
     running_models: Mutex<BTreeMap<ModelId, u32>>,
     ejection: Mutex<Ejection>,
+    /// Time before which the upstream wants no requests of this VM.
+    deferred: Mutex<Option<Instant>>,
 }
 
 #[derive(Debug, Default)]
@@ -146,6 +148,21 @@
         self.lock().until.is_some_and(|until| now < until)
     }
 
+    /// Sends no requests to the upstream before `until`, because it asked for that.
+    pub fn defer(&self, until: Instant) {
+        let mut deferred = self.lock_deferred();
+        *deferred = (*deferred).max(Some(until));
+    }
+
+    /// Time before which the upstream wants no requests of this VM; `None` if it accepts them now.
+    pub fn deferred_until(&self, now: Instant) -> Option<Instant> {
+        self.lock_deferred().filter(|until| now < *until)
+    }
+
+    fn lock_deferred(&self) -> std::sync::MutexGuard<'_, Option<Instant>> {
+        self.deferred.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, Ejection> {
         self.ejection.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -159,6 +159,8 @@
     Revision);
 counter_id!(/// Version of an object in the platform's store; 0 stands for absent.
     Version);
+counter_id!(/// Number of times that the platform's store has come back from an older copy.
+    StoreGeneration);
 counter_id!(/// Fencing number carried by orders and held shares.
     Epoch);
 counter_id!(/// Incarnation of a VM or an upstream; grows with each start.
--- a/src/schema/mesh.rs
+++ b/src/schema/mesh.rs
@@ -91,6 +91,14 @@
     pub epoch: ::basilgw::ids::Epoch,
     pub version: ::basilgw::ids::Version,
 }
+#[doc = "An upstream that stated in a response to the sender that it is leaving."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LeavingUpstream {
+    #[doc = "Start time of the upstream, in milliseconds since the Unix epoch."]
+    pub born: u64,
+    pub upstream: ::basilgw::ids::UpstreamId,
+}
 #[doc = "Demand at the sender for a model and its adapters."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Default, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -128,6 +136,9 @@
     pub generation: ::basilgw::ids::Generation,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub lease: ::std::option::Option<LeaderHeartbeat>,
+    #[doc = "Upstreams that the sender lately learned to be leaving."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub leaving: ::std::vec::Vec<LeavingUpstream>,
     #[doc = "Number of the sender's running requests, by upstream."]
     #[serde(
         default,
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -5,6 +5,7 @@
 //! [`StoreError::Unknown`]; the caller then reads the object to see whether the write took effect.
 
 mod directory;
+pub mod generation;
 pub mod http;
 
 use std::fmt::Debug;
@@ -14,7 +15,7 @@
 use futures_util::future::BoxFuture;
 use thiserror::Error;
 
-use crate::ids::{ObjectKey, Version};
+use crate::ids::{ObjectKey, StoreGeneration, Version};
 pub use crate::schema::platform::{Instance, InstanceKind, InstanceList, InstanceState};
 pub use directory::{InstanceDirectory, InstanceSnapshot};
 
@@ -56,6 +57,12 @@
 
 /// A store of versioned objects.
 pub trait ObjectStore: Send + Sync + Debug {
+    /// The newest generation of the store that a response has shown; always the first one for a
+    /// store that never returns from an older copy.
+    fn generation(&self) -> StoreGeneration {
+        StoreGeneration::default()
+    }
+
     /// Reads an object; `None` where it does not exist.
     fn get<'a>(&'a self, key: &'a ObjectKey) -> BoxFuture<'a, Result<Option<Object>, StoreError>>;
 
--- a/tests/gateway_allowance.rs
+++ b/tests/gateway_allowance.rs
@@ -57,6 +57,7 @@
         lease: None,
         accounts: BTreeMap::from([(id("a"), tokens)]),
         upstreams: BTreeMap::new(),
+        leaving: Vec::new(),
     }
 }
 
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -17,7 +17,7 @@
 use basilgw::gateway::request::PromptPart;
 use basilgw::gateway::retry_budget::{RetryBound, RetryBudget};
 use basilgw::gateway::upstream::{ModelInventory, Registration, Upstream};
-use basilgw::ids::{Version, VmId};
+use basilgw::ids::{StoreGeneration, Version, VmId};
 use basilgw::units::Tokens;
 
 mod gateway_support;
@@ -498,12 +498,16 @@
 // The lease of the leader.
 
 fn lease(name: &str) -> Lease {
-    Lease::new(id(name), ms(3000), boot(0))
+    Lease::new(id(name), ms(3000), boot(0), true)
 }
 
 fn record(holder: &str, renewal: u64) -> LeaseRecord {
     let holder: VmId = id(holder);
-    LeaseRecord { holder, renewal }
+    LeaseRecord {
+        holder,
+        renewal,
+        generation: StoreGeneration::default(),
+    }
 }
 
 #[test]
@@ -515,14 +519,14 @@
         own.next_action(false, boot(1)),
         LeaseAction::Write(Version(0), record("v1", 1))
     );
-    own.on_written(Version(11), boot(1));
+    own.on_written(Version(11), boot(1), boot(1));
     let epoch = own.epoch(boot(2)).expect("held");
     assert_eq!(own.next_action(false, boot(500)), LeaseAction::Wait);
     assert_eq!(
         own.next_action(false, boot(1100)),
         LeaseAction::Write(Version(11), record("v1", 2))
     );
-    own.on_written(Version(15), boot(1100));
+    own.on_written(Version(15), boot(1100), boot(1100));
     assert_eq!(own.epoch(boot(1200)), Some(epoch));
 }
 
@@ -530,7 +534,7 @@
 fn a_holder_stops_before_its_lease_is_over_also_when_suspended() {
     let mut own = lease("v1");
     own.on_read(None, boot(0));
-    own.on_written(Version(1), boot(0));
+    own.on_written(Version(1), boot(0), boot(0));
     assert!(own.epoch(boot(2300)).is_some());
     assert!(own.epoch(boot(2500)).is_none());
     assert!(own.epoch(boot(90_000)).is_none());
@@ -573,7 +577,7 @@
 fn a_renewal_whose_answer_was_lost_is_settled_by_reading() {
     let mut own = lease("v1");
     own.on_read(None, boot(0));
-    own.on_written(Version(1), boot(0));
+    own.on_written(Version(1), boot(0), boot(0));
     let epoch = own.epoch(boot(1)).expect("held");
     own.on_failure(boot(1100));
     assert_eq!(own.next_action(false, boot(1400)), LeaseAction::Read);
@@ -582,7 +586,7 @@
         own.next_action(false, boot(1401)),
         LeaseAction::Write(Version(4), record("v1", 3))
     );
-    own.on_written(Version(6), boot(1401));
+    own.on_written(Version(6), boot(1401), boot(1401));
     assert_eq!(own.epoch(boot(1402)), Some(epoch));
 }
 
@@ -594,7 +598,7 @@
         own.next_action(false, boot(0)),
         LeaseAction::Write(Version(40), record("v1", 8))
     );
-    own.on_written(Version(41), boot(0));
+    own.on_written(Version(41), boot(0), boot(0));
     assert_eq!(own.epoch(boot(1)).map(|epoch| epoch.0), Some(41));
 }
 
