--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -46,4 +46,5 @@
 pub mod state;
 pub mod store_watch;
 pub mod stream;
+pub mod stream_progress;
 pub mod upstream;
--- a/src/gateway/model_wait.rs
+++ b/src/gateway/model_wait.rs
@@ -144,7 +144,7 @@
 }
 
 /// Time after which a caller gives up waiting for the response to begin.
-fn give_up_time(route: &Route) -> Duration {
+pub(super) fn give_up_time(route: &Route) -> Duration {
     match route.kind {
         RouteKind::Streaming { gap, .. } => MIN_GIVE_UP
             .max(route.goal * GIVE_UP_GOALS)
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -2,7 +2,7 @@
 //! it is resumed at another engine where its route allows that.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
@@ -15,14 +15,12 @@
 use super::configuration::RouteKind;
 use super::events::EventSplitter;
 use super::exchange::{BodyRead, ResponseError, SendOutcome, UpstreamResponse};
+use super::model_wait::give_up_time;
 use super::relay::{AdmittedRequest, Attempts, ResponseAborted};
 use super::response::CallerBody;
+use super::stream_progress::StreamProgress;
 use super::upstream::Upstream;
 
-/// A resumable stream is moved to another engine after this time without data; callers disconnect
-/// after two seconds without an event.
-const MAX_SILENCE: Duration = Duration::from_millis(1200);
-
 /// Forwards a response that streams events.
 pub fn forward(
     admitted: Arc<AdmittedRequest>,
@@ -35,12 +33,15 @@
     // Another engine that resumes the stream may send a different number of bytes.
     headers.remove(CONTENT_LENGTH);
     let events = EventSplitter::resume_after(admitted.request.head.last_event);
+    let give_up = give_up_time(&admitted.route);
+    let started = admitted.gateway.clock.now();
     let stream = Stream {
         admitted,
         upstream,
         response,
         attempts,
         events,
+        progress: StreamProgress::open(give_up, started),
     };
     let mut response = Response::new(streamed_body(Some(stream), next_event));
     *response.status_mut() = status;
@@ -97,6 +98,7 @@
     response: UpstreamResponse,
     attempts: Attempts,
     events: EventSplitter,
+    progress: StreamProgress,
 }
 
 impl Stream {
@@ -105,7 +107,7 @@
         loop {
             let time_left = self.admitted.time_left();
             let max_wait = if self.resumable() {
-                MAX_SILENCE.min(time_left)
+                self.progress.silence_left(self.now()).min(time_left)
             } else {
                 time_left
             };
@@ -116,12 +118,19 @@
                 && max_wait < time_left
                 && !self.can_resume_now()
             {
+                self.progress.tolerate_silence(self.now());
                 continue;
             }
             let error = match read {
                 BodyRead::Bytes(bytes) => match self.events.push(&bytes) {
-                    Ok(events) if events.is_empty() => continue,
-                    Ok(events) => return Ok(Some(events)),
+                    Ok(events) if events.is_empty() => match self.progress.stalled(self.now()) {
+                        true => ResponseError::Silent,
+                        false => continue,
+                    },
+                    Ok(events) => {
+                        self.progress.on_event(self.now());
+                        return Ok(Some(events));
+                    }
                     Err(_fault) => ResponseError::Invalid,
                 },
                 BodyRead::End if self.events.at_boundary() => return Ok(None),
@@ -129,9 +138,14 @@
                 BodyRead::Failed(error) => error,
             };
             self.resume(error).await?;
+            self.progress.on_event(self.now());
         }
     }
 
+    fn now(&self) -> Instant {
+        self.admitted.gateway.clock.now()
+    }
+
     /// Whether the route allows another attempt to resume the stream.
     fn resumable(&self) -> bool {
         let resumes = matches!(
