--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -2,7 +2,7 @@
 //! it is resumed at another engine where its route allows that.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
@@ -123,10 +123,12 @@
             }
             let error = match read {
                 BodyRead::Bytes(bytes) => match self.events.push(&bytes) {
-                    Ok(events) if events.is_empty() => match self.progress.stalled(self.now()) {
-                        true => ResponseError::Silent,
-                        false => continue,
-                    },
+                    Ok(events) if events.is_empty() => {
+                        if !self.progress.stalled(self.now()) {
+                            continue;
+                        }
+                        ResponseError::Silent
+                    }
                     Ok(events) => {
                         self.progress.on_event(self.now());
                         return Ok(Some(events));
