Ask an unreachable store rarely, and let VMs that read it contend for the lease

Change: a follower pauses three seconds after a failed read, and its reader ends the pause; VMs that do not hold the lease, and those that list the VMs, double their delays; followers contend for the lease only after a longer silence. A pure test of the calls in an outage.

--- a/src/gateway/fanout/coverage.rs
+++ b/src/gateway/fanout/coverage.rs
@@ -89,7 +89,8 @@
         self.role == Role::Reader
     }
 
-    fn follows(&self) -> bool {
+    /// Whether other VMs read the store for this one.
+    pub fn follows(&self) -> bool {
         matches!(self.role, Role::Follower(_))
     }
 }
--- a/src/gateway/fanout/exchange.rs
+++ b/src/gateway/fanout/exchange.rs
@@ -60,6 +60,8 @@
     ];
     if useful.contains(&false) {
         gateway.coverage().follower.pass_over();
+    } else {
+        gateway.store_recovered.notify_waiters();
     }
 }
 
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -24,8 +24,12 @@
 const TAKEOVER_MARGIN: Duration = Duration::from_millis(300);
 /// Renewals within the length of a lease.
 const RENEWALS: u32 = 3;
-/// Delay before the next call to the store after a failed one.
+/// Delay before the next call of the holder to the store after a failed one, and of any other VM
+/// after its first failed one; it doubles with each further one.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Doublings of the delay of a VM that does not hold the lease. All VMs wait for the store when it
+/// is unreachable, and the lease cannot be taken over sooner than its length after its return.
+const MAX_DOUBLINGS: u32 = 3;
 
 /// Contents of the lease object in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -77,6 +81,8 @@
     stale: bool,
     /// The newest known generation of the store.
     generation: StoreGeneration,
+    /// Failed calls since the last response.
+    failures: u32,
     /// Whether the store has responded to this VM.
     answered: bool,
     /// Until when a lease of an earlier generation may still be valid; `None` where there is none.
@@ -98,6 +104,7 @@
             next_call: first,
             stale: true,
             generation: StoreGeneration::default(),
+            failures: 0,
             answered: false,
             earlier_lease_end: (!first_start).then_some(earlier_lease_end),
         }
@@ -186,6 +193,7 @@
     /// Records the object as it was read; `None` where it does not exist.
     pub fn on_read(&mut self, object: Option<(Version, LeaseRecord)>, now: BootTime) {
         self.answered = true;
+        self.failures = 0;
         self.stale = false;
         self.next_call = now;
         let Some((version, record)) = object else {
@@ -235,10 +243,15 @@
     /// Records that a call to the store failed, or that its effect is unknown.
     pub fn on_failure(&mut self, now: BootTime) {
         self.stale = true;
-        self.next_call = now.plus(RETRY_DELAY);
         if self.epoch(now).is_none() {
             self.held = None;
         }
+        let doublings = match self.held {
+            Some(_) => 0,
+            None => self.failures.min(MAX_DOUBLINGS),
+        };
+        self.failures += 1;
+        self.next_call = now.plus(RETRY_DELAY * 2u32.pow(doublings));
     }
 
     fn record_version(&mut self, version: Version, now: BootTime) {
--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -45,6 +45,9 @@
 const RUNNING_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Largest number of models and adapters in one demand report, which must fit into a datagram.
 const MAX_TARGETS_PER_REPORT: usize = 24;
+/// Silence of the leader after which a follower contends for the lease. By then a reader has taken
+/// it over, or is itself lost and this VM no longer its follower.
+const FOLLOWER_PATIENCE: Duration = Duration::from_secs(6);
 /// Interval between a follower's questions, and its upper bound as a share of the time in which a
 /// leaving upstream must be known.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(500);
@@ -134,11 +137,18 @@
         }
     }
 
-    /// Whether a heartbeat of the leader was received within [`MIN_SILENCE_TIMEOUT`].
+    /// Whether a heartbeat of the leader was received within [`MIN_SILENCE_TIMEOUT`]. Followers wait
+    /// longer, so that a VM which reads the store anyway takes the lease over.
     pub fn leader_alive(&self, now: Instant) -> bool {
+        let timeout = if self.gateway.coverage().follows() {
+            FOLLOWER_PATIENCE
+        } else {
+            MIN_SILENCE_TIMEOUT
+        };
         let state = self.lock();
-        let received = state.leader.as_ref().map(|(.., at)| *at);
-        received.is_some_and(|at| now.saturating_duration_since(at) < MIN_SILENCE_TIMEOUT)
+        let received = state.leader.as_ref().map_or(self.started, |(.., at)| *at);
+        let known = state.leader.is_some() || self.gateway.coverage().follows();
+        known && now.saturating_duration_since(received) < timeout
     }
 
     /// Version of the lease in the last heartbeat of the leader.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -35,7 +35,8 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between reads of the VMs' registrations.
 const VMS_INTERVAL: Duration = Duration::from_secs(20);
-/// Interval between these reads until this VM is registered and a read has succeeded.
+/// Interval between these reads until this VM is registered and a read has succeeded; it doubles
+/// with each failure, up to the other interval.
 const VMS_RETRY_DELAY: Duration = Duration::from_millis(700);
 /// Longest wait for a response of the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -203,6 +204,7 @@
         capacity: gateway.capacity,
     };
     let mut registered = false;
+    let mut retry_delay = VMS_RETRY_DELAY;
     loop {
         if !registered {
             registered = register_vm(&gateway, &platform, &own).await;
@@ -226,7 +228,12 @@
                 false
             }
         };
-        let delay = if done { VMS_INTERVAL } else { VMS_RETRY_DELAY };
+        let delay = if done { VMS_INTERVAL } else { retry_delay };
+        retry_delay = if done {
+            VMS_RETRY_DELAY
+        } else {
+            VMS_INTERVAL.min(retry_delay * 2)
+        };
         let jitter = rand::rng().random_range(0.8..1.2);
         let returned = gateway.store_returned.notified();
         let _woken = tokio::time::timeout(delay.mul_f64(jitter), returned).await;
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -48,6 +48,8 @@
 /// Upper bound on the pause after failures for registrations; a success for the configuration
 /// ends the pause early.
 const MAX_REGISTRATIONS_BACKOFF: Duration = Duration::from_secs(2);
+/// Upper bound on the pause of a follower, which its readers end early.
+const FOLLOWER_BACKOFF: Duration = Duration::from_secs(3);
 /// Doublings after which the pause no longer grows.
 const MAX_DOUBLINGS: u32 = 5;
 /// After failures for at least this long, registrations may be missing only because their
@@ -226,10 +228,14 @@
 
     async fn back_off(&self) {
         let doublings = self.failures.saturating_sub(1).min(MAX_DOUBLINGS);
-        let max = (FIRST_BACKOFF * 2u32.pow(doublings)).min(self.handler.max_backoff());
+        let mut max = (FIRST_BACKOFF * 2u32.pow(doublings)).min(self.handler.max_backoff());
+        // The readers notice the return of the store, and tell.
+        if self.gateway.coverage().follows() {
+            max = FOLLOWER_BACKOFF;
+        }
         let jitter = rand::rng().random_range(0.5..1.0);
         let recovered = self.gateway.store_recovered.notified();
-        // Ends early when the watch of the other kind succeeds again.
+        // Ends early when the watch of the other kind, or a reader, succeeds again.
         let _woken = tokio::time::timeout(max.mul_f64(jitter), recovered).await;
     }
 }
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -590,6 +590,26 @@
     assert_eq!(own.epoch(boot(1402)), Some(epoch));
 }
 
+#[test]
+fn vms_that_wait_for_the_store_ask_ever_more_rarely_but_the_holder_does_not() {
+    let mut waiting = lease("v2");
+    let mut calls = 0;
+    for millis in 0..10_000 {
+        if waiting.next_action(false, boot(millis)) == LeaseAction::Read {
+            calls += 1;
+            waiting.on_failure(boot(millis));
+        }
+    }
+    assert!(calls <= 9, "{calls} calls in ten seconds of outage");
+    let mut own = lease("v1");
+    own.on_read(None, boot(0));
+    own.on_written(Version(1), boot(0), boot(0));
+    for millis in [1000, 1200, 1400, 1600] {
+        assert_ne!(own.next_action(false, boot(millis)), LeaseAction::Wait);
+        own.on_failure(boot(millis));
+    }
+}
+
 #[test]
 fn a_vm_that_restarts_under_its_name_gets_a_higher_epoch() {
     let mut own = lease("v1");
