Deny links of the documentation to private items; make an assertion able to fail; drop an error that is never made

An assertion of route_transport compared a value with itself; HeadError::Framing is never constructed; rustdoc warned of links that a reader cannot follow.

--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -91,9 +91,6 @@
     /// The host is missing or repeated.
     #[error("the host is missing or repeated")]
     Host,
-    /// The head has both a content length and a transfer encoding.
-    #[error("the request has both a content length and a transfer encoding")]
-    Framing,
     /// A header that the gateway interprets is repeated or has an invalid value.
     #[error("header {0} is repeated or invalid")]
     Header(&'static str),
--- a/src/gateway/retry_after.rs
+++ b/src/gateway/retry_after.rs
@@ -26,7 +26,7 @@
 pub struct RetryAfterError;
 
 impl RetryAfter {
-    /// Delay from a response that arrived at `wall`, at most [`MAX_DELAY`].
+    /// Delay from a response that arrived at `wall`, at most ten minutes.
     pub fn delay(self, wall: SystemTime) -> Duration {
         let delay = match self {
             Self::Delay(delay) => delay,
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -1,7 +1,7 @@
 //! The stand-in for a model engine.
 //!
 //! [`memory`] decides what is loaded; [`answer`] makes answers that tell which request, model and
-//! prompt they belong to; [`api`] serves both with faults on command.
+//! prompt they belong to; `api` serves both with faults on command.
 
 pub mod answer;
 mod api;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,7 +3,7 @@
 //! Each stand-in is a small server or client with faults on command: [`platform`] is the object
 //! store and the VM list, [`engine`] a model engine, [`service`] a plain service, [`caller`] a
 //! caller that verifies its answers. Every one records a [`history`], which the checker joins.
-//! [`env`] puts them around real VM processes, and [`matrix`] meets each step there with each fault.
+//! [`env`](mod@env) puts them around real VM processes, and [`matrix`] meets each step there with each fault.
 
 pub mod bench;
 pub mod caller;
--- a/tests/route_transport.rs
+++ b/tests/route_transport.rs
@@ -363,10 +363,7 @@
     let start = Instant::now();
     let sent = transport.send(&to, post("/v1/completions", "{}"), start + 2 * SHORT_TIME);
     let end = read(sent.await.expect("a response head")).await;
-    assert_eq!(
-        end,
-        Err(Refusal::unknown(Reason::UpstreamSilent)).or(end.clone())
-    );
+    assert_eq!(end, Err(Refusal::unknown(Reason::Deadline)));
     assert!(start.elapsed() >= 2 * SHORT_TIME);
 }
 
