Give a model another replica where its streams come late

One engine had three times the mean load: prompts of 1,460 tokens keep it reading, while the planner counted slots only and saw no need for a second replica. Change: a VM counts streams with a gap over their route's objective as demand (late); a further replica is worth half of them. No speed of an engine is assumed. The test of the pattern fails without the new value.

--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -589,6 +589,7 @@
     for (target, part) in demand {
         let entry = by_model.entry(target.model.clone()).or_default();
         entry.total.rate += part.rate;
+        entry.total.late += part.late;
         if target.adapter.is_some() {
             entry.adapter_rate += part.rate;
             entry.adapters += 1;
--- a/src/gateway/demand.rs
+++ b/src/gateway/demand.rs
@@ -25,6 +25,8 @@
     pub rate: f64,
     /// Requests that wait for the model or adapter to be loaded.
     pub waiting: u32,
+    /// Streams a second whose events came later than their route's objective.
+    pub late: f64,
 }
 
 /// Measured demand for one target.
@@ -32,6 +34,8 @@
 struct Sample {
     /// Requests a second at `at`; decays from then on.
     rate: f64,
+    /// Late streams a second at `at`; decays in the same way.
+    late: f64,
     at: Instant,
     waiting: u32,
 }
@@ -44,8 +48,15 @@
     /// Counts a request.
     pub fn on_request(&mut self, target: &Target, now: Instant) {
         let sample = self.sample_mut(target, now);
-        sample.rate = decayed_rate(sample, now) + 1.0 / RATE_TIME.as_secs_f64();
-        sample.at = now;
+        sample.decay(now);
+        sample.rate += 1.0 / RATE_TIME.as_secs_f64();
+    }
+
+    /// Counts a stream whose events come late, once a stream: its engine has too much to do.
+    pub fn on_late(&mut self, target: &Target, now: Instant) {
+        let sample = self.sample_mut(target, now);
+        sample.decay(now);
+        sample.late += 1.0 / RATE_TIME.as_secs_f64();
     }
 
     /// Counts a request that starts to wait for `target`; returns whether it is the only one.
@@ -64,12 +75,16 @@
 
     /// Returns the demand at `now` and drops the targets without any.
     pub fn current(&mut self, now: Instant) -> BTreeMap<Target, Demand> {
+        for sample in self.0.values_mut() {
+            sample.decay(now);
+        }
         self.0
-            .retain(|_, sample| sample.waiting > 0 || decayed_rate(sample, now) > MIN_RATE);
+            .retain(|_, sample| sample.waiting > 0 || sample.rate > MIN_RATE);
         let demands = self.0.iter().map(|(target, sample)| {
             let demand = Demand {
-                rate: decayed_rate(sample, now),
+                rate: sample.rate,
                 waiting: sample.waiting,
+                late: sample.late,
             };
             (target.clone(), demand)
         });
@@ -79,15 +94,22 @@
     fn sample_mut(&mut self, target: &Target, now: Instant) -> &mut Sample {
         self.0.entry(target.clone()).or_insert(Sample {
             rate: 0.0,
+            late: 0.0,
             at: now,
             waiting: 0,
         })
     }
 }
 
-fn decayed_rate(sample: &Sample, now: Instant) -> f64 {
-    let span = now.saturating_duration_since(sample.at).as_secs_f64();
-    sample.rate * (-span / RATE_TIME.as_secs_f64()).exp()
+impl Sample {
+    /// Brings the rates up to `now`.
+    fn decay(&mut self, now: Instant) {
+        let span = now.saturating_duration_since(self.at).as_secs_f64();
+        let share = (-span / RATE_TIME.as_secs_f64()).exp();
+        self.rate *= share;
+        self.late *= share;
+        self.at = now;
+    }
 }
 
 /// Selects the part of this VM's demand that each report to the leader carries: targets that
@@ -154,6 +176,7 @@
             for (demand, _) in reports.values() {
                 sum.rate += demand.rate;
                 sum.waiting += demand.waiting;
+                sum.late += demand.late;
             }
             (target.clone(), sum)
         });
--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -175,6 +175,7 @@
             let sum = sums.entry(target).or_default();
             sum.rate += demand.rate;
             sum.waiting += demand.waiting;
+            sum.late += demand.late;
         }
         sums
     }
@@ -534,6 +535,7 @@
                 let demand = Demand {
                     rate: entry.rate,
                     waiting: entry.waiting,
+                    late: entry.late,
                 };
                 (Target { model, adapter }, demand)
             })
@@ -547,6 +549,7 @@
             // Rounded to single precision, which takes half as many bytes in CBOR.
             rate: f64::from(demand.rate as f32),
             waiting: demand.waiting,
+            late: f64::from(demand.late as f32),
         };
         let model = entries.entry(target.model.clone()).or_default();
         match &target.adapter {
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -3,7 +3,8 @@
 //! Most models are rarely used, and the engines together barely have space for all of them. A
 //! replica of a model has a value, in requests a second: the first replica of a model is worth the
 //! whole demand for the model, a further one its share of the demand if one replica cannot serve
-//! it, and little otherwise. The planner starts with the most valuable missing replica. It loads
+//! it, and little otherwise. Streams that come late although an engine holds their model show that
+//! its replicas have too much to do; a further one is then worth a part of them. The planner starts with the most valuable missing replica. It loads
 //! each on the engine where this costs the least, by where the weights are read from (memory, disk
 //! or the weight store) and by the models that must be unloaded to make space. Loads from the
 //! weight store are limited; by their value, models that no engine holds get them first.
@@ -22,6 +23,9 @@
 /// Value of a replica that is needed only to hold all adapters, as a share of the demand for
 /// adapters per replica.
 const ADAPTER_SHARE: f64 = 0.05;
+/// Value of a further replica, as a share of the streams that come late; some of them would come
+/// late all the same, because of the other models on their engines.
+const LATE_SHARE: f64 = 0.5;
 /// Value of the first replica of a model without demand, in requests a second: a request for it may
 /// come at any time.
 const IDLE_VALUE: f64 = 0.08;
@@ -201,7 +205,7 @@
         return rate / count as f64;
     }
     let by_adapters = demand.adapters.div_ceil(spec.adapter_slots.max(1));
-    let surplus = rate * SURPLUS_SHARE / count as f64;
+    let surplus = (rate * SURPLUS_SHARE).max(demand.total.late * LATE_SHARE) / count as f64;
     if count <= by_adapters {
         return surplus + demand.adapter_rate * ADAPTER_SHARE / count as f64;
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -34,6 +34,10 @@
     headers.remove(CONTENT_LENGTH);
     let events = EventSplitter::resume_after(admitted.request.head.last_event);
     let give_up = give_up_time(&admitted.route);
+    let gap = match admitted.route.kind {
+        RouteKind::Streaming { gap, .. } => gap,
+        RouteKind::Idempotent | RouteKind::Mutating => give_up,
+    };
     let started = admitted.gateway.clock.now();
     let stream = Stream {
         admitted,
@@ -41,7 +45,7 @@
         response,
         attempts,
         events,
-        progress: StreamProgress::open(give_up, started),
+        progress: StreamProgress::open(give_up, gap, started),
     };
     let mut response = Response::new(streamed_body(Some(stream), next_event));
     *response.status_mut() = status;
@@ -130,7 +134,7 @@
                         ResponseError::Silent
                     }
                     Ok(events) => {
-                        self.progress.on_event(self.now());
+                        self.record_event();
                         return Ok(Some(events));
                     }
                     Err(_fault) => ResponseError::Invalid,
@@ -140,7 +144,18 @@
                 BodyRead::Failed(error) => error,
             };
             self.resume(error).await?;
-            self.progress.on_event(self.now());
+            self.progress.on_resumed(self.now());
+        }
+    }
+
+    /// Records a complete event, and reports a stream that comes late as demand for its model.
+    fn record_event(&mut self) {
+        let now = self.now();
+        let target = &self.admitted.request.head.target;
+        if self.progress.on_event(now)
+            && let Some(target) = target
+        {
+            self.admitted.gateway.demand().on_late(target, now);
         }
     }
 
--- a/src/gateway/stream_progress.rs
+++ b/src/gateway/stream_progress.rs
@@ -20,20 +20,35 @@
     last_event: Instant,
     /// When the silence began that is not tolerated yet.
     silent_since: Instant,
+    /// Objective for the time between two events.
+    gap: Duration,
+    /// Whether an event came later than that.
+    late: bool,
 }
 
 impl StreamProgress {
     /// Starts at the head of the response, which arrived at `now`.
-    pub fn open(give_up: Duration, now: Instant) -> Self {
+    pub fn open(give_up: Duration, gap: Duration, now: Instant) -> Self {
         Self {
             give_up,
             last_event: now,
             silent_since: now,
+            gap,
+            late: false,
         }
     }
 
-    /// Records a complete event, or that another engine resumed the stream.
-    pub fn on_event(&mut self, now: Instant) {
+    /// Records a complete event. Returns whether it is the first one that came late.
+    pub fn on_event(&mut self, now: Instant) -> bool {
+        let late = now.saturating_duration_since(self.last_event) > self.gap;
+        self.on_resumed(now);
+        let first = late && !self.late;
+        self.late |= late;
+        first
+    }
+
+    /// Records that another engine resumed the stream.
+    pub fn on_resumed(&mut self, now: Instant) {
         self.last_event = now;
         self.silent_since = now;
     }
--- a/src/schema/mesh.rs
+++ b/src/schema/mesh.rs
@@ -191,6 +191,9 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct TargetDemand {
+    #[doc = "Streams a second whose events came later than their route's objective."]
+    #[serde(default = "defaults::target_demand_late")]
+    pub late: f64,
     #[doc = "Requests per second."]
     pub rate: f64,
     #[doc = "Number of requests that wait for the model or adapter to be loaded."]
@@ -232,6 +235,12 @@
     pub capacity: ::basilgw::gateway::fanout::roles::Capacity,
     pub centre: ::basilgw::ids::DataCentre,
 }
+#[doc = " Generation of default values for serde."]
+pub mod defaults {
+    pub(super) fn target_demand_late() -> f64 {
+        0.0_f64
+    }
+}
 #[doc = " Error types."]
 pub mod error {
     #[doc = r" Error from a `TryFrom` or `FromStr` implementation."]
--- a/tests/gateway_place.rs
+++ b/tests/gateway_place.rs
@@ -58,6 +58,7 @@
         let total = Demand {
             rate: *rate,
             waiting: *waiting,
+            ..Demand::default()
         };
         let entry = ModelDemand {
             total,
@@ -200,6 +201,29 @@
     assert_eq!(plan_models(&all, &spec(3), &demand, 4, later).len(), 1);
 }
 
+/// Long prompts keep an engine busy though few of its slots are taken: streams come late.
+#[test]
+fn a_model_whose_streams_come_late_gets_a_second_replica_and_keeps_it() {
+    let one = views(&[("e1", view(&["m0", "m1"])), ("e2", view(&["m1"]))]);
+    let mut demand = demands(&[("m0", 2.0, 0), ("m1", 0.5, 0)]);
+    let plan = |all: &_, demand: &_| plan_models(all, &spec(3), demand, 4, Instant::now());
+    assert_eq!(
+        plan(&one, &demand).get(&id("e2")),
+        Some(&load("m2", StorageTier::Remote))
+    );
+    demand.get_mut(&id("m0")).expect("an entry").total.late = 1.0;
+    assert_eq!(
+        plan(&one, &demand).get(&id("e2")),
+        Some(&load("m0", StorageTier::Remote))
+    );
+    let full = views(&[("e1", view(&["m0", "m1"])), ("e2", view(&["m0", "m1"]))]);
+    demand.insert(id("m2"), demands(&[("m2", 1.0, 0)])[&id("m2")]);
+    for action in plan(&full, &demand).values() {
+        let unloads_m0 = matches!(action, ModelAction::Unload { model, .. } if *model == id("m0"));
+        assert!(!unloads_m0, "{action:?}");
+    }
+}
+
 #[test]
 fn a_model_that_one_engine_cannot_serve_alone_gets_more() {
     let all = views(&[("e1", view(&["m0"])), ("e2", view(&["m1"]))]);
@@ -217,7 +241,10 @@
 }
 
 fn rate_only(rate: f64) -> Demand {
-    Demand { rate, waiting: 0 }
+    Demand {
+        rate,
+        ..Demand::default()
+    }
 }
 
 /// Plans one request that waits for the adapter `name` of model `m0`, beside the other demand.
@@ -230,6 +257,7 @@
     let entry = Demand {
         rate: 0.0,
         waiting: 1,
+        ..Demand::default()
     };
     demand.insert(target("m0", Some(name)), entry);
     let loading: BTreeMap<UpstreamId, LoadingAdapters> = BTreeMap::new();
@@ -247,6 +275,7 @@
         let entry = Demand {
             rate: 0.1,
             waiting: u32::from(n < 5),
+            ..Demand::default()
         };
         (target("m0", Some(&format!("a{n}"))), entry)
     });
@@ -283,6 +312,7 @@
     let entry = Demand {
         rate: 1.0,
         waiting: 1,
+        ..Demand::default()
     };
     let demand = BTreeMap::from([(target("m0", Some("a1")), entry)]);
     let pair = (id("m0"), id("a1"));
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -421,7 +421,11 @@
 #[test]
 fn what_requests_wait_for_is_told_often_and_the_rest_rarely() {
     let start = Instant::now();
-    let target_demand = |rate, waiting| Demand { rate, waiting };
+    let target_demand = |rate, waiting| Demand {
+        rate,
+        waiting,
+        ..Demand::default()
+    };
     let demand = |waiting| {
         BTreeMap::from([
             (target("m1", None), target_demand(2.0, 0)),
@@ -454,6 +458,7 @@
     let demand = Demand {
         rate: 2.0,
         waiting: 1,
+        ..Demand::default()
     };
     for vm in ["v1", "v2"] {
         peers.on_report(&id(vm), target("m1", None), demand, start);
