Answer what was just accepted when a VM stops

Traced by times of the cut requests. A connection whose first request was still on its way was closed at once by the signal (seen: sent before the signal); and the process ended when the last request counted as done, before its response was written (all of eight requests sent at 2.81 s after the signal, with callers that stay longer than the balancer sends them). Change: such a connection ends with its first response; after the last request the listener closes and the process waits 200 ms.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -20,6 +20,7 @@
 use super::fanout::roles::Capacity;
 use super::mesh::Mesh;
 use super::platform_api::{EngineClient, ObjectSource};
+use super::serve::Listening;
 use super::state::Gateway;
 use super::upstream::Registration;
 use super::{serve, store_watch};
@@ -29,6 +30,8 @@
 const DRAIN_DELAY: Duration = Duration::from_millis(2800);
 /// Part of the grace period that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
+/// Time between the end of the last request and the exit of the process; within [`EXIT_MARGIN`].
+const LAST_WRITES: Duration = Duration::from_millis(200);
 /// Part of the grace period that is reserved for refusing requests that still wait for a model.
 const REFUSE_MARGIN: Duration = Duration::from_millis(1500);
 /// Interval between checks for state that expires without an event.
@@ -160,13 +163,13 @@
             _ = hup.recv() => info!(gateway.log, "settings_signal"),
         }
     }
-    drain(&gateway, time_bounds.grace).await;
+    drain(&gateway, &callers, time_bounds.grace).await;
     Ok(())
 }
 
 /// Waits for requests in progress, at most until the grace period ends. New requests are accepted
 /// until the balancer no longer sends any.
-async fn drain(gateway: &Gateway, grace: Duration) {
+async fn drain(gateway: &Gateway, callers: &Listening, grace: Duration) {
     info!(gateway.log, "shutdown_begins"; "running" => gateway.running.count());
     let deadline = gateway.clock.now() + grace.saturating_sub(REFUSE_MARGIN);
     gateway.begin_shutdown(deadline);
@@ -177,6 +180,10 @@
     if drained.is_err() {
         warn!(gateway.log, "shutdown_bound_passed"; "running" => gateway.running.count());
     }
+    callers.task.abort();
+    // A request counts as done before the last bytes of its response have been written, and one
+    // that was read meanwhile still gets its refusal.
+    tokio::time::sleep(LAST_WRITES).await;
     info!(gateway.log, "vm_stopped");
 }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -156,6 +156,8 @@
 struct IdleTracker {
     /// Requests being handled.
     running: AtomicUsize,
+    /// Requests that have arrived so far.
+    arrived: AtomicUsize,
     /// When the last request ended, or the connection was opened.
     since: Mutex<Instant>,
 }
@@ -178,6 +180,7 @@
     let _ignored = stream.set_nodelay(true);
     let idle = Arc::new(IdleTracker {
         running: AtomicUsize::new(0),
+        arrived: AtomicUsize::new(0),
         since: Mutex::new(gateway.clock.now()),
     });
     let raw_head = RawHead::default();
@@ -188,6 +191,7 @@
         let declared = framing::declared_length(request.headers());
         async move {
             idle.running.fetch_add(1, Ordering::Relaxed);
+            idle.arrived.fetch_add(1, Ordering::Relaxed);
             let mut response = relay::handle_request(&gateway, request, &raw_head).await;
             if !raw_head.restart(declared) {
                 let close = HeaderValue::from_static("close");
@@ -216,10 +220,13 @@
             // An error, such as an invalid request, ends only this connection.
             _ended = connection.as_mut() => return,
             // Announces the end of kept-alive connections; a caller that still used one after the
-            // exit would lose its request.
+            // exit would lose its request. The first request of a connection may be on its way; its
+            // response ends the connection.
             () = shutdown.as_mut(), if !closing => {
                 closing = true;
-                connection.as_mut().graceful_shutdown();
+                if idle.arrived.load(Ordering::Relaxed) > 0 {
+                    connection.as_mut().graceful_shutdown();
+                }
             }
             () = tokio::time::sleep(wait) => {
                 if idle_time_left(&gateway, &idle).is_zero() {
