Keep all VMs together to the slack of the retry budget

Each VM used a sixteenth of the slack whatever their number: by a pure test 87 VMs may retry 1,827 times where 1,084 are allowed. Change: a VM uses its part among the VMs that it knows, a sixteenth at most. Measured: the test fails on the former rule (87 VMs) and passes for 7, 16, 87 and 295.

--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -18,9 +18,10 @@
     pub window: Duration,
 }
 
-/// Number of equal parts of the slack, of which each VM uses one; at most this many VMs can use up
-/// their part in the same window without exceeding the slack.
-const SLACK_PARTS: f64 = 16.0;
+/// Fewest equal parts of the slack, of which each VM uses one. There are more among more VMs, so
+/// that all of them can use up their part in the same window without exceeding the slack; a VM that
+/// knows few others may only be cut off from them.
+const MIN_SLACK_PARTS: u32 = 16;
 /// Share of the ratio that a VM uses. The rest is a margin, since the platform's window may start
 /// at another moment than the one counted here.
 const USED_SHARE: f64 = 0.8;
@@ -51,11 +52,12 @@
         self.requests.push_back(now);
     }
 
-    /// Counts a retry and returns true if the budget allows one; returns false otherwise.
-    pub fn try_spend(&mut self, now: Instant) -> bool {
+    /// Counts a retry and returns true if the budget of this VM, one of `vms`, allows one; returns
+    /// false otherwise.
+    pub fn try_spend(&mut self, vms: u32, now: Instant) -> bool {
         self.drop_expired(now);
         let earned = self.requests.len() as f64 * self.bound.ratio * USED_SHARE;
-        let allowed = earned + self.bound.slack / SLACK_PARTS;
+        let allowed = earned + self.bound.slack / f64::from(vms.max(MIN_SLACK_PARTS));
         if self.retries.len() as f64 + 1.0 > allowed {
             return false;
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -421,11 +421,12 @@
     /// Spends one retry of a service's budget; false if none is left.
     pub fn try_retry(&self, service: &ServiceId) -> bool {
         let now = self.clock.now();
+        let vms = self.reachability().vms;
         let mut retry_budgets = lock(&self.retry_budgets);
         let entry = retry_budgets.entry(service.clone());
         let taken = entry
             .or_insert_with(|| RetryBudget::new(self.bounds.retries))
-            .try_spend(now);
+            .try_spend(vms, now);
         if taken {
             self.counters.repeats.inc();
         } else {
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -166,6 +166,30 @@
 
 // Retry budget.
 
+/// All engines of a service fail at once, and every VM retries all it may.
+#[test]
+fn many_vms_together_keep_to_the_slack() {
+    let bound = RetryBound {
+        ratio: 0.2,
+        slack: 214.0,
+        window: Duration::from_secs(10),
+    };
+    let now = Instant::now();
+    for vms in [7_u32, 16, 87, 295] {
+        let mut retries = 0;
+        for _ in 0..vms {
+            let mut budget = RetryBudget::new(bound);
+            (0..50).for_each(|_| budget.on_request(now));
+            retries += (0..50).filter(|_| budget.try_spend(vms, now)).count();
+        }
+        let allowed = 0.2 * 50.0 * f64::from(vms) + bound.slack;
+        assert!(
+            retries as f64 <= allowed,
+            "{retries} of {allowed} by {vms} VMs"
+        );
+    }
+}
+
 #[test]
 fn repeats_stay_within_a_share_of_the_requests() {
     let bound = RetryBound {
@@ -178,12 +202,12 @@
     for _ in 0..100 {
         budget.on_request(start);
     }
-    let taken = (0..100).filter(|_| budget.try_spend(start)).count();
+    let taken = (0..100).filter(|_| budget.try_spend(1, start)).count();
     assert_eq!(taken, 17, "0.8 * 0.2 * 100, plus one from the slack");
     let later = start + Duration::from_secs(11);
-    assert!(budget.try_spend(later), "one from the slack again");
+    assert!(budget.try_spend(1, later), "one from the slack again");
     assert!(
-        !budget.try_spend(later),
+        !budget.try_spend(1, later),
         "the requests are no longer in the window"
     );
 }
