--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -18,6 +18,7 @@
 
 use crate::ids::{ClientAccount, Epoch, RequestId, UpstreamId, Version, VmId};
 use crate::store::StoreError;
+use crate::units::RequestRate;
 
 use super::request::{BufferedRequest, HeadError, RequestHead, Target};
 use super::retry_after::RetryAfter;
@@ -110,12 +111,26 @@
 }
 
 /// What an upstream states about itself in the head of any response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct UpstreamSignals {
     /// Whether the upstream is leaving and wants no new requests.
     pub leaving: bool,
     /// When it accepts requests of this VM again; present only where it refused one with 503.
     pub retry_after: Option<RetryAfter>,
+    /// How many requests a second it takes from all VMs together.
+    pub limit: LimitSignal,
+}
+
+/// What an upstream states in one response about the requests that it takes from all VMs together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum LimitSignal {
+    /// It names no limit.
+    #[default]
+    Unlimited,
+    /// Requests a second.
+    Limited(RequestRate),
+    /// The value is no rate, or there are several; it shows nothing.
+    Invalid,
 }
 
 /// Fields of an upstream's response head that the gateway interprets.
--- a/src/gateway/signals.rs
+++ b/src/gateway/signals.rs
@@ -16,7 +16,7 @@
 use crate::schema::mesh::LeavingUpstream;
 
 use super::exchange::SignalObserver;
-use super::platform_api::UpstreamSignals;
+use super::platform_api::{LimitSignal, UpstreamSignals};
 use super::state::Gateway;
 use super::upstream::Upstream;
 
@@ -66,6 +66,10 @@
             self.gateway
                 .on_upstream_leaving(&registration.id, registration.started_ms);
         }
+        if signals.limit != LimitSignal::Unlimited {
+            info!(self.gateway.log, "upstream_limited"; "upstream" => %registration.id,
+                "limit" => ?signals.limit, "load" => self.upstream.health.load());
+        }
         if let Some(retry_after) = signals.retry_after {
             let delay = retry_after.delay(self.gateway.clock.wall());
             let delay = delay.mul_f64(rand::rng().random_range(DELAY_JITTER));
--- a/src/units.rs
+++ b/src/units.rs
@@ -130,6 +130,59 @@
     }
 }
 
+/// Requests a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+    /// A rate of `per_second` requests a second.
+    ///
+    /// # Errors
+    ///
+    /// [`UnitError::Range`] where the value is negative or not finite.
+    pub fn new(per_second: f64) -> Result<Self, UnitError> {
+        if per_second.is_finite() && per_second >= 0.0 {
+            Ok(Self(per_second))
+        } else {
+            Err(UnitError::Range)
+        }
+    }
+
+    /// Requests a second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        Self::new(text.trim().parse().or(Err(UnitError::Number))?)
+    }
+}
+
+impl TryFrom<f64> for RequestRate {
+    type Error = UnitError;
+
+    fn try_from(per_second: f64) -> Result<Self, UnitError> {
+        Self::new(per_second)
+    }
+}
+
+impl From<RequestRate> for f64 {
+    fn from(rate: RequestRate) -> Self {
+        rate.0
+    }
+}
+
 /// Tokens a second.
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
 #[serde(try_from = "f64", into = "f64")]
