Keep all VMs together to the limit that an upstream names

Callers saw nothing; the upstream got all requests that there were. Cause: nothing read the limit, and no VM could have kept to it alone, since it is a bound over all VMs.

VMs tell each other of limits at once. Where an upstream names a limit, the leader grants the times at which requests may be sent, one after the other. A request that another upstream can serve goes there when there is no room; any other waits for its time if that comes soon, and is refused otherwise.

The two failing tests pass: at most 2 requests a second at an engine that names 2, with all other requests served elsewhere; at most 4 at a service that names 4, of which at least four fifths are used.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -1,7 +1,6 @@
 //! One attempt to send a request to an upstream, and its outcome.
 
 use std::fmt::Debug;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,11 +12,12 @@
 use hyper::body::{Body, Incoming};
 use thiserror::Error;
 
-use crate::ids::{RequestId, UpstreamId};
+use crate::ids::RequestId;
 
 use super::client::{ConnectError, Connection};
 use super::platform_api::{Dialect, EngineLoad, ResponseMeta, UpstreamSignals};
 use super::upstream::RequestGuard;
+use super::upstream_limit::gate::Permit;
 
 /// Longest time to open a connection to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -81,10 +81,8 @@
 /// A request that is ready to be sent to one upstream.
 #[derive(Debug)]
 pub struct UpstreamRequest<'a> {
-    /// Address of the upstream.
-    pub address: SocketAddr,
-    /// Id of the upstream that the request is meant for.
-    pub upstream: &'a UpstreamId,
+    /// Leave to send the request, to the upstream that it names.
+    pub permit: Permit,
     /// Request id, which the response must repeat.
     pub request_id: &'a RequestId,
     /// Encoded request.
@@ -111,7 +109,8 @@
     guard: RequestGuard,
 ) -> SendOutcome {
     let within = CONNECT_TIMEOUT.min(request.max_wait);
-    let mut connection = match Connection::open(request.address, within).await {
+    let upstream = Arc::clone(&request.permit.upstream().registration);
+    let mut connection = match Connection::open(upstream.address, within).await {
         Ok(connection) => connection,
         Err(e) => return SendOutcome::NotSent(e),
     };
@@ -123,16 +122,16 @@
     };
     let (head, body) = response.into_parts();
     let meta = dialect.read_response(&head);
-    let other_instance = meta
-        .instance
-        .as_ref()
-        .is_some_and(|i| i != request.upstream);
+    let other_instance = meta.instance.as_ref().is_some_and(|i| *i != upstream.id);
     let id_matches = meta
         .request_id
         .as_ref()
         .is_none_or(|id| id == request.request_id);
     if id_matches && !other_instance {
-        request.observer.on_signals(meta.signals);
+        request.observer.on_signals(match &meta.request_id {
+            Some(_) => meta.signals,
+            None => meta.signals.unidentified(),
+        });
     }
     if id_matches && head.status == StatusCode::MISDIRECTED_REQUEST {
         return SendOutcome::NotRun(if other_instance {
--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -31,7 +31,8 @@
 use super::state::Gateway;
 use crate::ids::{Epoch, Generation, ModelId, UpstreamId, Version, VmId};
 use crate::schema::mesh::{
-    Datagram, DemandReport, InventoryNotice, InventoryUpdate, LeaderHeartbeat, Usage, VmSite,
+    Datagram, DemandReport, InventoryNotice, InventoryUpdate, LeaderHeartbeat, PermitRequest,
+    Usage, VmSite,
 };
 
 /// Random factor on the interval between usage reports.
@@ -120,6 +121,7 @@
             tokio::spawn(Arc::clone(self).report_usage()),
             tokio::spawn(Arc::clone(self).report_demand()),
             tokio::spawn(Arc::clone(self).follow()),
+            tokio::spawn(Arc::clone(self).ask_permits()),
         ]
     }
 
@@ -162,6 +164,9 @@
     /// Sets the fencing number and version of the lease, or `None` if this VM does not hold it.
     pub fn set_lease(&self, lease: Option<(Epoch, Version)>) {
         self.gateway.set_leads(lease.is_some());
+        let epoch = lease.map(|(epoch, _)| epoch);
+        let now = self.gateway.clock.boot();
+        self.gateway.upstream_limits().set_lease(epoch, now);
         let before = std::mem::replace(&mut self.lock().lease, lease);
         if before.is_none() && lease.is_some() {
             self.gateway.usage_due.notify_one();
@@ -262,6 +267,13 @@
                 self.gateway.orders_due.notify_one();
             }
             Datagram::Quarantine(report) => self.gateway.on_quarantine_report(report),
+            Datagram::Limits(summary) => self.gateway.on_limit_reports(&summary.limits),
+            Datagram::PermitRequest(request) => {
+                if let Some(response) = self.gateway.grant_permits(request) {
+                    self.try_send(&Datagram::PermitResponse(response), from);
+                }
+            }
+            Datagram::PermitResponse(response) => self.gateway.on_permit_response(response),
             Datagram::Follow(request) => {
                 let response = fanout::exchange::respond(&self.gateway, &request);
                 self.try_send(&Datagram::Followed(response), from);
@@ -295,9 +307,14 @@
             }
             if newer {
                 state.leader = Some((usage.vm.clone(), heartbeat.epoch, heartbeat.version, now));
+                let boot = self.gateway.clock.boot();
+                self.gateway
+                    .upstream_limits()
+                    .on_leader(heartbeat.epoch, boot);
             }
         }
         self.gateway.on_leaving_hints(&usage.leaving);
+        self.gateway.on_limit_reports(&usage.limits);
         let quarantine = usage.quarantine.take();
         let vm = usage.vm.clone();
         let change = state.peers.apply_usage(usage, from, now);
@@ -314,6 +331,11 @@
         {
             self.try_send(&Datagram::Quarantine(report), from);
         }
+        if change.started
+            && let Some(summary) = self.gateway.limit_summary()
+        {
+            self.try_send(&Datagram::Limits(summary), from);
+        }
         self.gateway.on_peer_message(now);
         for (account, tokens) in change.admitted {
             self.gateway.add_peer_usage(&account, tokens);
@@ -365,6 +387,7 @@
             upstreams: loads.map(|(id, n)| (id.clone(), n)).collect(),
             leaving: self.gateway.leaving_hints(),
             quarantine: self.gateway.quarantine_report(),
+            limits: self.gateway.limit_report(),
             site: self.own_site(),
         }
     }
@@ -416,6 +439,29 @@
         }
     }
 
+    /// Sends the asks for permits to the leader.
+    async fn ask_permits(self: Arc<Self>) {
+        loop {
+            self.gateway.asks_due.notified().await;
+            let asks = self.gateway.due_asks();
+            let address = {
+                let state = self.lock();
+                let leader = state.leader.as_ref();
+                leader.and_then(|(vm, ..)| state.peers.address(vm))
+            };
+            if let Some(address) = address
+                && !asks.is_empty()
+            {
+                let datagram = Datagram::PermitRequest(PermitRequest {
+                    vm: self.gateway.vm.clone(),
+                    generation: self.generation,
+                    asks,
+                });
+                self.try_send(&datagram, address);
+            }
+        }
+    }
+
     async fn report_demand(self: Arc<Self>) {
         let mut reporter = DemandReporter::default();
         let mut last_leader = None;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,7 +6,8 @@
 //! and charges the request to the account's quota ([`allowance`]). Then [`balancer`] chooses one of
 //! the upstreams in use ([`fleet`]); if no engine holds the model, the request waits for it to be
 //! loaded (`model_wait`, [`demand`]). A request whose prompt holds a part that crashes engines is
-//! not sent ([`quarantine`]). [`exchange`] sends the request, and [`stream`] and [`events`]
+//! not sent ([`quarantine`]). An upstream that names a limit gets no more requests from all VMs
+//! together ([`upstream_limit`]). [`exchange`] sends the request, and [`stream`] and [`events`]
 //! forward the response in complete events.
 //!
 //! In the background, [`store_watch`] keeps the configuration and the registrations up to date,
@@ -54,3 +55,4 @@
 pub mod stream;
 pub mod stream_progress;
 pub mod upstream;
+pub mod upstream_limit;
--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -121,11 +121,25 @@
     pub limit: LimitSignal,
 }
 
+impl UpstreamSignals {
+    /// The signals of a response that does not repeat the request's id. Such a response may come
+    /// from another sender, and does not show that a limit has ended.
+    #[must_use]
+    pub fn unidentified(mut self) -> Self {
+        if self.limit == LimitSignal::Unlimited {
+            self.limit = LimitSignal::Unknown;
+        }
+        self
+    }
+}
+
 /// What an upstream states in one response about the requests that it takes from all VMs together.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum LimitSignal {
-    /// It names no limit.
+    /// It shows nothing, since it does not repeat the request's id.
     #[default]
+    Unknown,
+    /// It names no limit.
     Unlimited,
     /// Requests a second.
     Limited(RequestRate),
--- a/src/gateway/quarantine/crashes.rs
+++ b/src/gateway/quarantine/crashes.rs
@@ -9,7 +9,7 @@
 
 use crate::ids::PartHash;
 
-use super::EngineInstance;
+use crate::gateway::upstream::UpstreamInstance;
 
 /// Largest number of crashes that are remembered; the oldest are forgotten first.
 const MAX_CRASHES: usize = 128;
@@ -95,13 +95,13 @@
 
 /// The crashes of the last minutes.
 #[derive(Debug, Default)]
-pub struct CrashLog(BTreeMap<EngineInstance, Crash>);
+pub struct CrashLog(BTreeMap<UpstreamInstance, Crash>);
 
 impl CrashLog {
     /// Adds suspects of a crash at `at`; reports of several VMs on one crash are joined.
     pub fn add(
         &mut self,
-        engine: EngineInstance,
+        engine: UpstreamInstance,
         suspects: &[PartHash],
         written: Written,
         at: Instant,
@@ -116,13 +116,13 @@
     }
 
     /// Records a crash that a quarantined part explains, or that was none.
-    pub fn explain(&mut self, engine: EngineInstance, at: Instant) {
+    pub fn explain(&mut self, engine: UpstreamInstance, at: Instant) {
         self.entry(engine, at).explain();
     }
 
     /// Records that an engine answers a request sent at `sent`. Returns whether that shows that it
     /// had not crashed.
-    pub fn on_answer(&mut self, engine: &EngineInstance, sent: Instant) -> bool {
+    pub fn on_answer(&mut self, engine: &UpstreamInstance, sent: Instant) -> bool {
         let crash = self.0.get_mut(engine).filter(|crash| !crash.explained);
         let Some(crash) = crash else {
             return false;
@@ -175,7 +175,7 @@
         unexplained
     }
 
-    fn entry(&mut self, engine: EngineInstance, at: Instant) -> &mut Crash {
+    fn entry(&mut self, engine: UpstreamInstance, at: Instant) -> &mut Crash {
         if !self.0.contains_key(&engine) && self.0.len() >= MAX_CRASHES {
             self.drop_oldest();
         }
--- a/src/gateway/quarantine/gate.rs
+++ b/src/gateway/quarantine/gate.rs
@@ -8,12 +8,11 @@
 use crate::ids::PartHash;
 use crate::schema::mesh::QuarantineReport;
 
-use super::EngineInstance;
 use super::crashes::Written;
 use crate::gateway::relay::AdmittedRequest;
 use crate::gateway::request::SharedParts;
 use crate::gateway::state::Gateway;
-use crate::gateway::upstream::Registration;
+use crate::gateway::upstream::{Registration, UpstreamInstance};
 
 /// Number of VMs from which a VM hears of the parts held back in each interval of usage reports.
 const HOLD_REPORTERS: u32 = 8;
@@ -22,15 +21,6 @@
 #[derive(Debug)]
 pub struct Clearance(());
 
-impl From<&Registration> for EngineInstance {
-    fn from(registration: &Registration) -> Self {
-        Self {
-            id: registration.id.clone(),
-            started_ms: registration.started_ms,
-        }
-    }
-}
-
 impl AdmittedRequest {
     /// Asks for leave to send the request once.
     ///
@@ -69,7 +59,7 @@
         if hashes.peek().is_none() {
             return;
         }
-        let instance = EngineInstance::from(engine);
+        let instance = UpstreamInstance::from(engine);
         let now = self.clock.now();
         let added = self.quarantine().on_crash(instance, hashes, written, now);
         self.on_quarantined(&added);
@@ -80,7 +70,7 @@
     pub fn on_engine_answer(&self, engine: &Registration, sent: Instant) {
         let now = self.clock.now();
         self.quarantine()
-            .on_answer(&EngineInstance::from(engine), sent, now);
+            .on_answer(&UpstreamInstance::from(engine), sent, now);
     }
 
     /// Records that a response showed these parts to crash no engine.
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -27,7 +27,8 @@
 
 use std::time::{Duration, Instant};
 
-use crate::ids::{PartHash, UpstreamId};
+use crate::gateway::upstream::UpstreamInstance;
+use crate::ids::PartHash;
 
 use attribution::Attribution;
 use crashes::{CrashLog, Written};
@@ -35,15 +36,6 @@
 use report::Announcements;
 use soundness::SoundParts;
 
-/// One run of an engine, from its start to its end.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct EngineInstance {
-    /// Id of the engine; an engine that is restarted may keep it.
-    pub id: UpstreamId,
-    /// Start time, in milliseconds since the Unix epoch.
-    pub started_ms: u64,
-}
-
 /// The parts that this VM suspects, knows to be sound, or holds back.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -58,7 +50,7 @@
     /// parts. Returns the parts that are quarantined since.
     pub fn on_crash<I>(
         &mut self,
-        engine: EngineInstance,
+        engine: UpstreamInstance,
         parts: I,
         written: Written,
         now: Instant,
@@ -74,7 +66,7 @@
 
     /// Records that an engine answers a request that this VM sent at `sent`. An engine that broke
     /// off responses before, but still answers, has not crashed.
-    pub fn on_answer(&mut self, engine: &EngineInstance, sent: Instant, now: Instant) {
+    pub fn on_answer(&mut self, engine: &UpstreamInstance, sent: Instant, now: Instant) {
         if self.crashes.on_answer(engine, sent) {
             self.announcements.add_survivor(engine, now);
         }
@@ -150,7 +142,7 @@
 
     fn add_crash(
         &mut self,
-        engine: EngineInstance,
+        engine: UpstreamInstance,
         parts: &[PartHash],
         written: Written,
         at: Instant,
--- a/src/gateway/quarantine/report.rs
+++ b/src/gateway/quarantine/report.rs
@@ -11,9 +11,10 @@
 use crate::ids::PartHash;
 use crate::schema::mesh::{EngineCrash, HeldPart, QuarantineReport, SoundPart, SurvivingEngine};
 
+use super::Quarantine;
 use super::crashes::Written;
 use super::holds::Hold;
-use super::{EngineInstance, Quarantine};
+use crate::gateway::upstream::UpstreamInstance;
 
 /// How long an observation is repeated: four usage reports of a VM among many.
 const REPEAT_TIME: Duration = Duration::from_secs(5);
@@ -54,9 +55,9 @@
 /// This VM's observations of the last seconds.
 #[derive(Debug, Default)]
 pub(super) struct Announcements {
-    crashes: BTreeMap<EngineInstance, OwnCrash>,
+    crashes: BTreeMap<UpstreamInstance, OwnCrash>,
     /// Engines that were taken to have crashed but had not, and until when they are reported.
-    survivors: BTreeMap<EngineInstance, Instant>,
+    survivors: BTreeMap<UpstreamInstance, Instant>,
     sound: BTreeMap<PartHash, OwnProof>,
 }
 
@@ -64,7 +65,7 @@
     /// Adds suspects of a crash.
     pub(super) fn add_crash(
         &mut self,
-        engine: &EngineInstance,
+        engine: &UpstreamInstance,
         parts: &[PartHash],
         written: Written,
         now: Instant,
@@ -84,7 +85,7 @@
     }
 
     /// Adds an engine that had not crashed.
-    pub(super) fn add_survivor(&mut self, engine: &EngineInstance, now: Instant) {
+    pub(super) fn add_survivor(&mut self, engine: &UpstreamInstance, now: Instant) {
         self.expire(now);
         self.crashes.remove(engine);
         if self.survivors.len() < MAX_CRASHES {
@@ -173,7 +174,7 @@
             }
         }
         for crash in report.crashes {
-            let engine = EngineInstance {
+            let engine = UpstreamInstance {
                 id: crash.engine,
                 started_ms: crash.born,
             };
@@ -187,7 +188,7 @@
             }
         }
         for survivor in report.survivors {
-            let engine = EngineInstance {
+            let engine = UpstreamInstance {
                 id: survivor.engine,
                 started_ms: survivor.born,
             };
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -34,6 +34,7 @@
 use super::state::Gateway;
 use super::stream;
 use super::upstream::Upstream;
+use super::upstream_limit::gate::{NoPermit, Permit};
 
 /// Requests that one VM handles at once.
 const MAX_RUNNING: usize = 3000;
@@ -252,6 +253,13 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Priority of the request, where 0 is the highest.
+    pub fn priority(&self) -> u8 {
+        let account = self.account.as_ref();
+        let priority = account.and_then(|account| account.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+
     async fn run(self: Arc<Self>) -> Result<Response<CallerBody>, Refusal> {
         let gateway = &self.gateway;
         gateway.count_request(&self.service);
@@ -264,16 +272,19 @@
             if self.time_left().is_zero() {
                 return Self::give_up(attempts, Reason::Deadline, CAPACITY_RETRY);
             }
-            let upstream = match self.choose_upstream(&attempts) {
-                Ok(upstream) => upstream,
-                Err(NoEngine::Unusable) => {
+            let permit = match self.reserve_upstream(&attempts.tried).await {
+                Ok(permit) => permit,
+                Err(NoPermit::Full(delay)) => {
+                    return Self::give_up(attempts, Reason::Capacity, delay);
+                }
+                Err(NoPermit::NoEngine(NoEngine::Unusable)) => {
                     return Self::give_up(attempts, Reason::Capacity, CAPACITY_RETRY);
                 }
-                Err(NoEngine::Deferred(until)) => {
+                Err(NoPermit::NoEngine(NoEngine::Deferred(until))) => {
                     self.wait_for_deferred(until, &attempts).await?;
                     continue;
                 }
-                Err(NoEngine::NoModel | NoEngine::NoAdapter) => {
+                Err(NoPermit::NoEngine(NoEngine::NoModel | NoEngine::NoAdapter)) => {
                     self.wait_for_model(&attempts).await?;
                     continue;
                 }
@@ -288,7 +299,7 @@
             if attempts.sent > 0 && !gateway.try_retry(&self.service) {
                 return Self::give_up(attempts, Reason::UpstreamFailed, CAPACITY_RETRY);
             }
-            let attempt = self.attempt(&upstream, clearance, &mut attempts);
+            let attempt = self.attempt(permit, clearance, &mut attempts);
             if let Some(response) = attempt.await? {
                 return Ok(response);
             }
@@ -321,14 +332,28 @@
         self.choose_excluding(&attempts.tried)
     }
 
-    /// Whether an upstream that is not in `tried` and not ejected could take the request now.
+    /// Whether an upstream that is not in `tried` and not ejected takes the request now for certain.
     pub fn has_alternative(&self, tried: &BTreeSet<UpstreamId>) -> bool {
         let now = self.gateway.clock.now();
-        let chosen = self.choose_excluding(tried);
-        chosen.is_ok_and(|upstream| !upstream.health.is_ejected(now))
+        let mut excluded = tried.clone();
+        while let Ok(upstream) = self.choose_excluding(&excluded) {
+            if !self.is_limited(&upstream) {
+                return !upstream.health.is_ejected(now);
+            }
+            excluded.insert(upstream.registration.id.clone());
+        }
+        false
     }
 
-    fn choose_excluding(&self, tried: &BTreeSet<UpstreamId>) -> Result<Upstream, NoEngine> {
+    /// Selects an upstream that is not in `tried`.
+    ///
+    /// # Errors
+    ///
+    /// [`NoEngine`].
+    pub(super) fn choose_excluding(
+        &self,
+        tried: &BTreeSet<UpstreamId>,
+    ) -> Result<Upstream, NoEngine> {
         let gateway = &self.gateway;
         let upstreams = gateway.upstreams.load();
         let head = &self.request.head;
@@ -341,13 +366,14 @@
     /// this one is then kept in `attempts`.
     async fn attempt(
         self: &Arc<Self>,
-        upstream: &Upstream,
+        permit: Permit,
         clearance: Clearance,
         attempts: &mut Attempts,
     ) -> Result<Option<Response<CallerBody>>, Refusal> {
         let gateway = &self.gateway;
+        let upstream = &permit.upstream().clone();
         let may_retry = attempts.sent + 1 < self.route.attempts;
-        let outcome = self.send(upstream, clearance, None, may_retry).await;
+        let outcome = self.send(permit, clearance, None, may_retry).await;
         let now = gateway.clock.now();
         let registration = &upstream.registration;
         attempts.tried.insert(registration.id.clone());
@@ -412,21 +438,21 @@
     /// tried after it.
     pub async fn send(
         &self,
-        upstream: &Upstream,
+        permit: Permit,
         _clearance: Clearance,
         after: Option<u64>,
         may_retry: bool,
     ) -> SendOutcome {
         let gateway = &self.gateway;
+        let upstream = &permit.upstream().clone();
         let head = &self.request.head;
         let time_left = self.time_left();
         let account = self.account.as_deref();
-        let priority = account.and_then(|a| a.priority);
         let options = ForwardOptions {
             upstream: upstream.registration.id.clone(),
             account: account.map(|account| account.name.clone()),
             time_left,
-            priority: priority.unwrap_or(self.route.priority),
+            priority: self.priority(),
             resume_after: after.or(head.last_event),
         };
         let model = head.target.as_ref().map(|target| &target.model);
@@ -445,12 +471,15 @@
             time_left
         };
         let request = UpstreamRequest {
-            address: upstream.registration.address,
-            upstream: &upstream.registration.id,
+            permit,
             request_id: &head.id,
             request,
             max_wait,
-            observer: &UpstreamObserver { gateway, upstream },
+            observer: &UpstreamObserver {
+                gateway,
+                upstream,
+                sent: gateway.clock.boot(),
+            },
         };
         let sent = gateway.clock.now();
         let outcome = exchange::send(&gateway.dialect, request, guard).await;
--- a/src/gateway/signals.rs
+++ b/src/gateway/signals.rs
@@ -1,5 +1,6 @@
 //! What upstreams state about themselves in the heads of their responses: that they are leaving,
-//! or that they want no further requests of this VM for a while.
+//! that they want no further requests of this VM for a while, or how many they take from all VMs
+//! together ([`super::upstream_limit`]).
 //!
 //! An upstream that is leaving is taken out of use on this VM at once, until it has restarted, and
 //! the other VMs are told with the next usage reports. A delay that an upstream asks for holds on
@@ -12,13 +13,14 @@
 use rand::RngExt;
 use slog::info;
 
+use crate::clock::BootTime;
 use crate::ids::UpstreamId;
 use crate::schema::mesh::LeavingUpstream;
 
 use super::exchange::SignalObserver;
-use super::platform_api::{LimitSignal, UpstreamSignals};
+use super::platform_api::UpstreamSignals;
 use super::state::Gateway;
-use super::upstream::Upstream;
+use super::upstream::{Upstream, UpstreamInstance};
 
 /// How long the other VMs are told that an upstream is leaving: three usage reports of a VM among
 /// many, as a datagram may be lost.
@@ -57,6 +59,8 @@
     pub gateway: &'a Gateway,
     /// Upstream that a request is sent to.
     pub upstream: &'a Upstream,
+    /// When the request is sent.
+    pub sent: BootTime,
 }
 
 impl SignalObserver for UpstreamObserver<'_> {
@@ -66,10 +70,9 @@
             self.gateway
                 .on_upstream_leaving(&registration.id, registration.started_ms);
         }
-        if signals.limit != LimitSignal::Unlimited {
-            info!(self.gateway.log, "upstream_limited"; "upstream" => %registration.id,
-                "limit" => ?signals.limit, "load" => self.upstream.health.load());
-        }
+        let instance = UpstreamInstance::from(&**registration);
+        self.gateway
+            .on_limit_signal(&instance, signals.limit, self.sent);
         if let Some(retry_after) = signals.retry_after {
             let delay = retry_after.delay(self.gateway.clock.wall());
             let delay = delay.mul_f64(rand::rng().random_range(DELAY_JITTER));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -32,6 +32,7 @@
 use super::reachability::Reachability;
 use super::retry_budget::{RetryBound, RetryBudget};
 use super::signals::LeavingHints;
+use super::upstream_limit::UpstreamLimits;
 
 /// Settings that bound what a VM does, fixed at its start.
 #[derive(Clone, Debug)]
@@ -95,6 +96,8 @@
     pub shutdown_started: Notify,
     /// Requests a round of the leader's decisions at once.
     pub orders_due: Notify,
+    /// Requests that asks for permits are sent to the leader.
+    pub asks_due: Notify,
     bounds: GatewayBounds,
     fleet: Mutex<Fleet>,
     freshness: Mutex<Freshness>,
@@ -105,6 +108,7 @@
     retry_budgets: Mutex<BTreeMap<ServiceId, RetryBudget>>,
     reachability: Mutex<Reachability>,
     quarantine: Mutex<Quarantine>,
+    upstream_limits: Mutex<UpstreamLimits>,
     /// Whether this VM holds the lease.
     leads: AtomicBool,
     /// When requests that still wait for a model are refused, once shutdown has begun.
@@ -172,6 +176,7 @@
             store_returned: Notify::new(),
             shutdown_started: Notify::new(),
             orders_due: Notify::new(),
+            asks_due: Notify::new(),
             bounds: deps.bounds,
             fleet: Mutex::default(),
             freshness: Mutex::new(freshness),
@@ -182,6 +187,7 @@
             retry_budgets: Mutex::default(),
             reachability: Mutex::new(reachability),
             quarantine: Mutex::default(),
+            upstream_limits: Mutex::default(),
             leads: AtomicBool::new(false),
             drain_deadline: Mutex::new(None),
         }))
@@ -249,6 +255,11 @@
         lock(&self.quarantine)
     }
 
+    /// The limits that upstreams name.
+    pub fn upstream_limits(&self) -> MutexGuard<'_, UpstreamLimits> {
+        lock(&self.upstream_limits)
+    }
+
     /// Whether this VM is the leader, the only one that may probe a part that is held back.
     pub fn leads(&self) -> bool {
         self.leads.load(Ordering::Relaxed)
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -258,9 +258,10 @@
         self.events.discard_partial();
         while !suspect && self.resumable() && !admitted.time_left().is_zero() {
             let trusted = admitted.account.is_none() || gateway.keys_trusted();
-            let Ok(upstream) = admitted.choose_upstream(&self.attempts) else {
+            let Ok(permit) = admitted.reserve_upstream(&self.attempts.tried).await else {
                 break;
             };
+            let upstream = permit.upstream().clone();
             if !trusted {
                 break;
             }
@@ -272,7 +273,7 @@
             }
             self.attempts.tried.insert(upstream.registration.id.clone());
             let after = self.events.last_id;
-            match admitted.send(&upstream, clearance, after, false).await {
+            match admitted.send(permit, clearance, after, false).await {
                 SendOutcome::Responded(response) if response.head.status.is_success() => {
                     info!(gateway.log, "stream_resumed"; "request" => %id,
                         "upstream" => %upstream.registration.id, "event" => self.events.last_id);
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -34,6 +34,24 @@
     pub inventory: ModelInventory,
 }
 
+/// One run of an upstream, from its start to its end.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct UpstreamInstance {
+    /// Id of the upstream; one that is restarted may keep it.
+    pub id: UpstreamId,
+    /// Start time, in milliseconds since the Unix epoch.
+    pub started_ms: u64,
+}
+
+impl From<&Registration> for UpstreamInstance {
+    fn from(registration: &Registration) -> Self {
+        Self {
+            id: registration.id.clone(),
+            started_ms: registration.started_ms,
+        }
+    }
+}
+
 /// The models and adapters loaded on an engine, and its local copies of weights, from which a
 /// model loads faster than from the weight store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/schema/mesh.rs
+++ b/src/schema/mesh.rs
@@ -18,6 +18,12 @@
     Follow(FollowRequest),
     #[serde(rename = "followed")]
     Followed(FollowResponse),
+    #[serde(rename = "limits")]
+    Limits(LimitSummary),
+    #[serde(rename = "permit_request")]
+    PermitRequest(PermitRequest),
+    #[serde(rename = "permit_response")]
+    PermitResponse(PermitResponse),
 }
 impl ::std::convert::From<Usage> for Datagram {
     fn from(value: Usage) -> Self {
@@ -49,6 +55,21 @@
         Self::Followed(value)
     }
 }
+impl ::std::convert::From<LimitSummary> for Datagram {
+    fn from(value: LimitSummary) -> Self {
+        Self::Limits(value)
+    }
+}
+impl ::std::convert::From<PermitRequest> for Datagram {
+    fn from(value: PermitRequest) -> Self {
+        Self::PermitRequest(value)
+    }
+}
+impl ::std::convert::From<PermitResponse> for Datagram {
+    fn from(value: PermitResponse) -> Self {
+        Self::PermitResponse(value)
+    }
+}
 #[doc = "`DatagramsBetweenVMs`"]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(transparent)]
@@ -188,6 +209,12 @@
     pub born: u64,
     pub upstream: ::basilgw::ids::UpstreamId,
 }
+#[doc = "The limits that the leader knows, sent to a VM that has just started."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct LimitSummary {
+    pub limits: ::std::vec::Vec<UpstreamLimit>,
+}
 #[doc = "Demand at the sender for a model and its adapters."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Default, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -201,6 +228,53 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub whole: ::std::option::Option<TargetDemand>,
 }
+#[doc = "The leader's decision on one ask."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PermitAnswer {
+    pub decision: PermitDecision,
+    #[doc = "Number of the ask."]
+    pub number: u64,
+}
+#[doc = "One request that waits to be sent to an upstream that names a limit."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PermitAsk {
+    #[doc = "The limit as the sender knows it."]
+    pub limit: UpstreamLimit,
+    #[doc = "Longest time that the request can wait, in milliseconds."]
+    pub max_wait_ms: u64,
+    #[doc = "Number of the request at the sender; a repeated one is granted once."]
+    pub number: u64,
+}
+#[doc = "`PermitDecision`"]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub enum PermitDecision {
+    #[doc = "The request may be sent after this time, in milliseconds."]
+    #[serde(rename = "granted")]
+    Granted(u64),
+    #[doc = "There is no room within the time that the request can wait; there may be after this one, in milliseconds."]
+    #[serde(rename = "denied")]
+    Denied(u64),
+    #[doc = "The upstream names no limit any more."]
+    #[serde(rename = "unlimited")]
+    Unlimited,
+}
+#[doc = "Asks the leader for permits to send requests to upstreams that name a limit."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PermitRequest {
+    pub asks: ::std::vec::Vec<PermitAsk>,
+    pub generation: ::basilgw::ids::Generation,
+    pub vm: ::basilgw::ids::VmId,
+}
+#[doc = "The leader's decisions; they count only while the sender is the newest leader known."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct PermitResponse {
+    pub answers: ::std::vec::Vec<PermitAnswer>,
+    pub epoch: ::basilgw::ids::Epoch,
+}
 #[doc = "What the sender knows of parts of prompts that crash engines."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, Default, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -267,6 +341,21 @@
     #[serde(default)]
     pub waiting: u32,
 }
+#[doc = "What an upstream stated in a response about the requests that it takes from all VMs together."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamLimit {
+    #[doc = "Time since the response arrived, in milliseconds."]
+    pub age_ms: u64,
+    #[doc = "Start time of the upstream, in milliseconds since the Unix epoch."]
+    pub born: u64,
+    #[doc = "Requests a second; absent where the upstream names no limit any more."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub rate: ::std::option::Option<::basilgw::units::RequestRate>,
+    #[doc = "Time since the request was sent, in milliseconds."]
+    pub sent_age_ms: u64,
+    pub upstream: ::basilgw::ids::UpstreamId,
+}
 #[doc = "Usage report, which each VM sends to all others several times a second or, among many VMs, about once a second."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -284,6 +373,9 @@
     #[doc = "Upstreams that the sender lately learned to be leaving."]
     #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
     pub leaving: ::std::vec::Vec<LeavingUpstream>,
+    #[doc = "Limits of upstreams that the sender lately learned from their responses; the leader repeats all that it knows."]
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub limits: ::std::vec::Vec<UpstreamLimit>,
     #[doc = "Absent while the sender knows of no such part."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub quarantine: ::std::option::Option<QuarantineReport>,
--- a/tests/gateway_allowance.rs
+++ b/tests/gateway_allowance.rs
@@ -59,6 +59,7 @@
         upstreams: BTreeMap::new(),
         leaving: Vec::new(),
         quarantine: None,
+        limits: Vec::new(),
         site: None,
     }
 }
--- a/tests/gateway_quarantine.rs
+++ b/tests/gateway_quarantine.rs
@@ -2,9 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use basilgw::gateway::quarantine::Quarantine;
 use basilgw::gateway::quarantine::crashes::Written;
-use basilgw::gateway::quarantine::{EngineInstance, Quarantine};
 use basilgw::gateway::request::PromptPart;
+use basilgw::gateway::upstream::UpstreamInstance;
 use basilgw::ids::PartHash;
 use basilgw::units::Tokens;
 
@@ -19,8 +20,8 @@
 /// From the last crash to the first probe of a part that was never sound.
 const FIRST_HOLD: Duration = Duration::from_secs(160);
 
-fn engine(number: u64) -> EngineInstance {
-    EngineInstance {
+fn engine(number: u64) -> UpstreamInstance {
+    UpstreamInstance {
         id: id(&format!("e{number}")),
         started_ms: number,
     }
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -1,6 +1,7 @@
 //! Constructors of test values, shared by the tests of the gateway.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod limited;
 pub mod outbreak;
 
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/gateway_support/outbreak.rs
+++ b/tests/gateway_support/outbreak.rs
@@ -4,8 +4,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use basilgw::gateway::quarantine::Quarantine;
 use basilgw::gateway::quarantine::crashes::Written;
-use basilgw::gateway::quarantine::{EngineInstance, Quarantine};
+use basilgw::gateway::upstream::UpstreamInstance;
 use basilgw::ids::PartHash;
 use basilgw::schema::mesh::QuarantineReport;
 use rand::rngs::StdRng;
@@ -377,7 +378,7 @@
         engine.starts += 1;
         engine.crash_at = None;
         engine.down_until = Some(now + Duration::from_secs(3));
-        let instance = EngineInstance {
+        let instance = UpstreamInstance {
             id: id(&format!("e{index}")),
             started_ms: engine.starts,
         };
