Keep the slack of the retry budget among VMs that have forgotten each other

A VM forgets the others after 12 s of silence and then used the part of a VM among sixteen. Found while looking for bounds over all VMs that each VM keeps alone: in the new test 85 VMs that are cut off for 15 s retried 1,105 times where 214 are allowed. Parts are now counted by the most VMs known at any time, here and for the limits of upstreams, where the same count was kept apart. The test passes at 7, 85, 295 and 360 VMs.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -73,6 +73,8 @@
     peers: BTreeMap<VmId, Peer>,
     /// Running requests of all reachable VMs, by upstream.
     loads: BTreeMap<UpstreamId, u32>,
+    /// Most VMs known at any time, this one included.
+    peak: u32,
 }
 
 impl Peers {
@@ -148,6 +150,7 @@
     /// Removes the running requests of unreachable VMs from the sums, and forgets VMs after a long
     /// silence.
     pub fn expire(&mut self, now: Instant) {
+        self.peak = self.peak.max(self.vm_count());
         let timeout = self.silence_timeout();
         for peer in self.peers.values_mut() {
             if peer.is_reachable(now, timeout) {
@@ -183,6 +186,7 @@
             .max();
         Reachability {
             vms: self.vm_count(),
+            peak: self.peak.max(self.vm_count()),
             reachable: u32::try_from(reachable.count() + 1).unwrap_or(u32::MAX),
             last_received: last_received.unwrap_or(now),
             interval: self.usage_interval(),
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -23,6 +23,9 @@
 pub struct Reachability {
     /// Number of known VMs, this one included.
     pub vms: u32,
+    /// Most VMs known at any time since the start, this one included. A VM that is cut off forgets
+    /// the others after a while, but they may still run.
+    pub peak: u32,
     /// Number of reachable VMs, this one included.
     pub reachable: u32,
     /// When the last message from any other VM was received.
@@ -36,6 +39,7 @@
     pub fn open(now: Instant) -> Self {
         Self {
             vms: 1,
+            peak: 1,
             reachable: 1,
             last_received: now,
             interval: Duration::ZERO,
--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -20,7 +20,7 @@
 
 /// Fewest equal parts of the slack, of which each VM uses one. There are more among more VMs, so
 /// that all of them can use up their part in the same window without exceeding the slack; a VM that
-/// knows few others may only be cut off from them.
+/// knows few others may have been cut off from them since its start.
 const MIN_SLACK_PARTS: u32 = 16;
 /// Share of the ratio that a VM uses. The rest is a margin, since the platform's window may start
 /// at another moment than the one counted here.
@@ -52,8 +52,8 @@
         self.requests.push_back(now);
     }
 
-    /// Counts a retry and returns true if the budget of this VM, one of `vms`, allows one; returns
-    /// false otherwise.
+    /// Counts a retry and returns true if the budget of this VM allows one; returns false otherwise.
+    /// `vms` is the most VMs that this one has known.
     pub fn try_spend(&mut self, vms: u32, now: Instant) -> bool {
         self.drop_expired(now);
         let earned = self.requests.len() as f64 * self.bound.ratio * USED_SHARE;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -454,7 +454,7 @@
     /// Spends one retry of a service's budget; false if none is left.
     pub fn try_retry(&self, service: &ServiceId) -> bool {
         let now = self.clock.now();
-        let vms = self.reachability().vms;
+        let vms = self.reachability().peak;
         let mut retry_budgets = lock(&self.retry_budgets);
         let entry = retry_budgets.entry(service.clone());
         let taken = entry
--- a/src/gateway/upstream_limit/mod.rs
+++ b/src/gateway/upstream_limit/mod.rs
@@ -69,6 +69,8 @@
 pub struct VmCounts {
     /// VMs known, this one included.
     pub known: u32,
+    /// Most VMs known at any time, this one included.
+    pub peak: u32,
     /// VMs reachable, this one included.
     pub reachable: u32,
 }
@@ -77,6 +79,7 @@
     fn from(reachability: Reachability) -> Self {
         Self {
             known: reachability.vms,
+            peak: reachability.peak,
             reachable: reachability.reachable,
         }
     }
@@ -163,7 +166,6 @@
         draw: f64,
         now: BootTime,
     ) -> Step {
-        self.share.note_vms(vms.known);
         let Some(rate) = self.table.rate(instance) else {
             return Step::Decided(Decision::Unlimited);
         };
@@ -173,10 +175,12 @@
         }
         let heard = self.leader.map(|(_, at)| now.since(at));
         if heard.is_none_or(|silence| silence > LEADER_SILENCE) {
-            return Step::Decided(match self.share.try_send(&instance.id, rate, draw, now) {
-                Ok(()) => Decision::Granted(Duration::ZERO),
-                Err(delay) => Decision::Denied(delay.min(MAX_LEADERLESS_DELAY)),
-            });
+            return Step::Decided(
+                match self.share.try_send(&instance.id, rate, vms.peak, draw, now) {
+                    Ok(()) => Decision::Granted(Duration::ZERO),
+                    Err(delay) => Decision::Denied(delay.min(MAX_LEADERLESS_DELAY)),
+                },
+            );
         }
         if let Some(delay) = self.full_for(&instance.id, now)
             && delay > max_wait
--- a/src/gateway/upstream_limit/share.rs
+++ b/src/gateway/upstream_limit/share.rs
@@ -13,7 +13,7 @@
 
 /// Share of the rate that all VMs together use without a leader.
 pub const LEADERLESS_SHARE: f64 = 0.5;
-/// Fewest parts; a VM that knows few others may have been cut off from its start.
+/// Fewest parts; a VM that knows few others may have been cut off from them since its start.
 const MIN_PARTS: u32 = 8;
 /// Longest time between two requests that is counted.
 const MAX_INTERVAL: Duration = Duration::from_hours(1);
@@ -22,23 +22,16 @@
 #[derive(Debug, Default)]
 pub struct LocalShare {
     next: BTreeMap<UpstreamId, BootTime>,
-    /// The most VMs known at any time: VMs that are cut off from this one are forgotten after a
-    /// while, but not gone.
-    vms: u32,
 }
 
 impl LocalShare {
-    /// Records how many VMs are known, this one included.
-    pub fn note_vms(&mut self, vms: u32) {
-        self.vms = self.vms.max(vms);
-    }
-
     /// Forgets what was sent, since a leader is heard.
     pub fn clear(&mut self) {
         self.next.clear();
     }
 
-    /// Counts one request to an upstream that names `rate`. `draw` is a random number from 0 to 1.
+    /// Counts one request to an upstream that names `rate`. `vms` is the most VMs that this one has
+    /// known, and `draw` a random number from 0 to 1.
     ///
     /// # Errors
     ///
@@ -47,10 +40,11 @@
         &mut self,
         id: &UpstreamId,
         rate: RequestRate,
+        vms: u32,
         draw: f64,
         now: BootTime,
     ) -> Result<(), Duration> {
-        let parts = f64::from(self.vms.max(MIN_PARTS));
+        let parts = f64::from(vms.max(MIN_PARTS));
         let per_second = rate.per_second() * LEADERLESS_SHARE / parts;
         let interval = Duration::try_from_secs_f64(1.0 / per_second);
         let interval = interval.unwrap_or(MAX_INTERVAL).min(MAX_INTERVAL);
--- a/tests/gateway_allowance.rs
+++ b/tests/gateway_allowance.rs
@@ -171,6 +171,7 @@
     let start = Instant::now();
     let many = Reachability {
         vms: 72,
+        peak: 72,
         reachable: 72,
         last_received: start,
         interval: ms(1200),
@@ -180,6 +181,7 @@
     // Of two VMs, one receives messages so rarely that only a longer silence means isolation.
     let pair = Reachability {
         vms: 2,
+        peak: 2,
         reachable: 2,
         last_received: start,
         interval: MIN_USAGE_INTERVAL,
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -10,11 +10,14 @@
 use basilgw::gateway::balancer::{NoEngine, choose_upstream};
 use basilgw::gateway::demand::{Demand, DemandReporter, LocalDemand, PeerDemand};
 use basilgw::gateway::events::{EventError, EventSplitter};
+use basilgw::gateway::fanout::roles::Capacity;
 use basilgw::gateway::fleet::Fleet;
 use basilgw::gateway::freshness::Freshness;
 use basilgw::gateway::load_limiter::LoadLimiter;
+use basilgw::gateway::peers::Peers;
 use basilgw::gateway::request::PromptPart;
 use basilgw::gateway::retry_budget::{RetryBound, RetryBudget};
+use basilgw::gateway::run::VmRegistration;
 use basilgw::gateway::upstream::{ModelInventory, Registration, Upstream};
 use basilgw::ids::PartHash;
 use basilgw::units::Tokens;
@@ -190,6 +193,38 @@
     }
 }
 
+// Guards against: VMs that have forgotten each other each use the part of a VM among few.
+#[test]
+fn many_vms_that_are_cut_off_for_long_together_keep_to_the_slack() {
+    let bound = RetryBound {
+        ratio: 0.2,
+        slack: 214.0,
+        window: Duration::from_secs(10),
+    };
+    let start = Instant::now();
+    let later = start + Duration::from_secs(15);
+    for vms in [7_u32, 85, 295, 360] {
+        let mut retries = 0;
+        for _ in 0..vms {
+            let mut peers = Peers::default();
+            for other in 1..vms {
+                let registration = VmRegistration {
+                    mesh: "127.0.0.1:1".parse().expect("an address"),
+                    centre: None,
+                    capacity: Capacity::default(),
+                };
+                peers.add_registered(id(&format!("v{other}")), registration, start);
+            }
+            peers.expire(later);
+            let reachability = peers.reachability(later);
+            let mut budget = RetryBudget::new(bound);
+            let spends = (0..50).filter(|_| budget.try_spend(reachability.peak, later));
+            retries += spends.count();
+        }
+        assert!(retries as f64 <= bound.slack, "{retries} by {vms} VMs");
+    }
+}
+
 #[test]
 fn repeats_stay_within_a_share_of_the_requests() {
     let bound = RetryBound {
--- a/tests/gateway_support/limited.rs
+++ b/tests/gateway_support/limited.rs
@@ -295,7 +295,11 @@
             (true, true) => 1,
             (true, false) => known - cut.vms.len() as u32,
         };
-        VmCounts { known, reachable }
+        VmCounts {
+            known,
+            peak: known,
+            reachable,
+        }
     }
 
     fn step(&mut self, vm: usize, event: Event) {
--- a/tests/gateway_upstream_limit.rs
+++ b/tests/gateway_upstream_limit.rs
@@ -17,6 +17,7 @@
 
 const ALL: VmCounts = VmCounts {
     known: 7,
+    peak: 7,
     reachable: 7,
 };
 /// Time from which a new leader grants.
@@ -200,6 +201,7 @@
 fn the_leader_keeps_parts_back_for_vms_that_it_does_not_hear() {
     let half = VmCounts {
         known: 8,
+        peak: 8,
         reachable: 4,
     };
     let gap = |vms| {
@@ -220,11 +222,10 @@
     let mut sent = 0;
     for vm in 0..295_u32 {
         let mut share = LocalShare::default();
-        share.note_vms(295);
         let draw = f64::from(vm) / 295.0;
         for second in 0..10 {
             let now = at(second * 1000);
-            if share.try_send(&id("u1"), rate(2.0), draw, now).is_ok() {
+            if share.try_send(&id("u1"), rate(2.0), 295, draw, now).is_ok() {
                 sent += 1;
             }
         }
@@ -237,13 +238,26 @@
 
 #[test]
 fn a_vm_that_was_cut_off_for_long_still_counts_the_others() {
-    let mut share = LocalShare::default();
-    share.note_vms(100);
-    share.note_vms(1);
-    let now = at(0);
-    let _first = share.try_send(&id("u1"), rate(2.0), 0.0, now);
-    let next = share.try_send(&id("u1"), rate(2.0), 0.0, now);
-    assert_eq!(next, Err(Duration::from_secs(100)));
+    let forgotten = VmCounts {
+        known: 1,
+        peak: 100,
+        reachable: 1,
+    };
+    let mut limits = follower(1);
+    let send = |limits: &mut UpstreamLimits, millis| match limits.request(
+        &upstream(1),
+        ms(0),
+        forgotten,
+        0.0,
+        at(millis),
+    ) {
+        Step::Decided(decision) => decision,
+        ask @ Step::Ask(_) => panic!("{ask:?}"),
+    };
+    assert_eq!(send(&mut limits, 10_000), Decision::Granted(ms(0)));
+    // A hundred VMs share half of 2 requests a second.
+    assert!(matches!(send(&mut limits, 109_000), Decision::Denied(_)));
+    assert_eq!(send(&mut limits, 110_000), Decision::Granted(ms(0)));
 }
 
 /// A VM that heard the leader with this fencing number, at an upstream that names 2 a second.
