--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -70,7 +70,7 @@
 /// The other VMs known to this one.
 #[derive(Debug, Default)]
 pub struct Peers {
-    peers: BTreeMap<VmId, Peer>,
+    known: BTreeMap<VmId, Peer>,
     /// Running requests of all reachable VMs, by upstream.
     loads: BTreeMap<UpstreamId, u32>,
     /// Most VMs known at any time, this one included.
@@ -82,7 +82,7 @@
     pub fn add_registered(&mut self, vm: VmId, registration: VmRegistration, now: Instant) {
         let address = registration.mesh;
         let peer = self
-            .peers
+            .known
             .entry(vm)
             .or_insert_with(|| Peer::new(address, now));
         let site = registration.centre.map(|centre| VmSite {
@@ -98,8 +98,8 @@
 
     /// Applies a usage report that was sent from `from`.
     pub fn apply_usage(&mut self, usage: Usage, from: SocketAddr, now: Instant) -> UsageChange {
-        let new = !self.peers.contains_key(&usage.vm);
-        let peer = self.peers.entry(usage.vm);
+        let new = !self.known.contains_key(&usage.vm);
+        let peer = self.known.entry(usage.vm);
         let peer = peer.or_insert_with(|| Peer::new(from, now));
         peer.address = from;
         peer.last_received = Some(now);
@@ -152,7 +152,7 @@
     pub fn expire(&mut self, now: Instant) {
         self.peak = self.peak.max(self.vm_count());
         let timeout = self.silence_timeout();
-        for peer in self.peers.values_mut() {
+        for peer in self.known.values_mut() {
             if peer.is_reachable(now, timeout) {
                 continue;
             }
@@ -162,7 +162,7 @@
                 }
             }
         }
-        self.peers
+        self.known
             .retain(|_, peer| now.saturating_duration_since(peer.last_seen()) < FORGET_TIMEOUT);
         self.loads.retain(|_, sum| *sum > 0);
     }
@@ -176,11 +176,11 @@
     pub fn reachability(&self, now: Instant) -> Reachability {
         let timeout = self.silence_timeout();
         let reachable = self
-            .peers
+            .known
             .values()
             .filter(|peer| peer.is_reachable(now, timeout));
         let last_received = self
-            .peers
+            .known
             .values()
             .filter_map(|peer| peer.last_received)
             .max();
@@ -197,7 +197,7 @@
     pub fn in_centre(&self, centre: &DataCentre, now: Instant) -> BTreeMap<VmId, Capacity> {
         let timeout = self.silence_timeout();
         let reachable = self
-            .peers
+            .known
             .iter()
             .filter(|(_, peer)| peer.is_reachable(now, timeout));
         let sites = reachable.filter_map(|(vm, peer)| Some((vm, peer.site.as_ref()?)));
@@ -220,17 +220,17 @@
 
     /// Address of a VM, if it is known.
     pub fn address(&self, vm: &VmId) -> Option<SocketAddr> {
-        self.peers.get(vm).map(|peer| peer.address)
+        self.known.get(vm).map(|peer| peer.address)
     }
 
     /// Addresses of all VMs known.
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.peers.values().map(|peer| peer.address).collect()
+        self.known.values().map(|peer| peer.address).collect()
     }
 
     /// Number of VMs known, including this one.
     fn vm_count(&self) -> u32 {
-        u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX)
+        u32::try_from(self.known.len() + 1).unwrap_or(u32::MAX)
     }
 
     /// Silence after which a VM counts as unreachable.
