--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -37,6 +37,7 @@
     vms_near: IntGauge,
     upstreams: IntGauge,
     parts_held: IntGauge,
+    upstreams_limited: IntGauge,
     running: IntGauge,
     waits: HistogramVec,
 }
@@ -67,6 +68,10 @@
                 "basilgw_parts_held",
                 "Parts of prompts that are held back because they crash engines.",
             )?,
+            upstreams_limited: metrics.gauge(
+                "basilgw_upstreams_limited",
+                "Upstreams that name a limit of requests.",
+            )?,
             running: metrics.gauge("basilgw_running", "Requests that run.")?,
         })
     }
@@ -91,6 +96,8 @@
         let count = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
         self.upstreams.set(count(gateway.upstreams.load().len()));
         self.parts_held.set(count(gateway.quarantine().held()));
+        self.upstreams_limited
+            .set(count(gateway.upstream_limits().count()));
         self.running.set(count(gateway.running.count()));
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 
 pub mod adapter_placement;
 pub mod allowance;
+pub mod attempt;
 pub mod balancer;
 pub mod client;
 pub mod configuration;
--- a/src/gateway/model_wait.rs
+++ b/src/gateway/model_wait.rs
@@ -10,11 +10,12 @@
 
 use crate::outcome::{Ran, Reason, Refusal};
 
+use super::attempt::Attempts;
 use super::balancer::NoEngine;
 use super::configuration::{Route, RouteKind};
 use super::fleet::service_upstreams;
 use super::placement;
-use super::relay::{AdmittedRequest, Attempts, CAPACITY_RETRY};
+use super::relay::{AdmittedRequest, CAPACITY_RETRY};
 use super::request::Target;
 use super::state::Gateway;
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -1,5 +1,5 @@
 //! Handles a request from its head to the start of its response: authentication, the account's
-//! quota, the choice of an upstream, and retries at other upstreams.
+//! quota, the choice of an upstream, and the sequence of attempts ([`super::attempt`]).
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use slog::{info, warn};
@@ -18,23 +18,16 @@
 use crate::outcome::{Ran, Reason, Refusal};
 use crate::units::Tokens;
 
+use super::attempt::Attempts;
 use super::balancer::{self, NoEngine};
-use super::configuration::{Account, Configuration, Route, RouteKind};
-use super::exchange::{
-    self, DeclineReason, ResponseError, SendOutcome, UpstreamRequest, UpstreamResponse,
-};
+use super::configuration::{Account, Configuration, Route};
 use super::fleet::service_upstreams;
 use super::framing::RawHead;
-use super::platform_api::ForwardOptions;
-use super::quarantine::crashes::Written;
-use super::quarantine::gate::Clearance;
 use super::request::{BufferedRequest, RequestHead, Size};
 use super::response::{self, CallerBody};
-use super::signals::UpstreamObserver;
 use super::state::Gateway;
-use super::stream;
 use super::upstream::Upstream;
-use super::upstream_limit::gate::{NoPermit, Permit};
+use super::upstream_limit::gate::NoPermit;
 
 /// Requests that one VM handles at once.
 const MAX_RUNNING: usize = 3000;
@@ -42,14 +35,6 @@
 const NOT_READY_RETRY: Duration = Duration::from_millis(200);
 /// `Retry-After` where no upstream has capacity.
 pub(super) const CAPACITY_RETRY: Duration = Duration::from_millis(300);
-/// Failed connections after which a request is refused.
-const MAX_FAILED_CONNECTS: usize = 4;
-/// A request that may be sent to another upstream waits for the start of a response for this many
-/// times the latency objective of its route.
-const SILENCE_OBJECTIVES: u32 = 3;
-/// Lower bound on that wait.
-const MIN_SILENCE: Duration = Duration::from_millis(900);
-
 /// Error that aborts a response body, so that the caller does not take it for complete.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 #[error("the response was aborted")]
@@ -76,50 +61,6 @@
     _guard: RequestGuard,
 }
 
-/// The attempts made for a request so far.
-#[derive(Debug, Default)]
-pub struct Attempts {
-    /// Upstreams that the request was sent to, or that could not be reached.
-    pub tried: BTreeSet<UpstreamId>,
-    /// Number of times that the request was sent.
-    pub sent: u32,
-    /// Number of connections that could not be opened.
-    failed_connects: usize,
-    /// Whether the request may have run.
-    pub ran: bool,
-    /// Whether a response has shown that the request crashes no engine.
-    pub proven: bool,
-    /// Error response of an upstream, which the caller gets unless a later attempt succeeds.
-    failure: Option<BufferedResponse>,
-}
-
-/// An upstream's response with its complete body.
-#[derive(Debug)]
-struct BufferedResponse {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
-}
-
-impl From<BufferedResponse> for Response<CallerBody> {
-    fn from(failure: BufferedResponse) -> Self {
-        let mut response = Self::new(response::complete_body(failure.body));
-        *response.status_mut() = failure.status;
-        *response.headers_mut() = failure.headers;
-        response
-    }
-}
-
-impl Attempts {
-    /// A refusal that tells the caller whether the request may have run.
-    pub(super) fn refusal(&self, reason: Reason) -> Refusal {
-        if self.ran {
-            return Refusal::unknown(reason);
-        }
-        Refusal::not_run(reason)
-    }
-}
-
 /// Handles a request; `raw_head` holds the raw bytes of its head.
 pub async fn handle_request(
     gateway: &Arc<Gateway>,
@@ -270,15 +211,15 @@
         let mut attempts = Attempts::default();
         loop {
             if self.time_left().is_zero() {
-                return Self::give_up(attempts, Reason::Deadline, CAPACITY_RETRY);
+                return attempts.give_up(Reason::Deadline, CAPACITY_RETRY);
             }
             let permit = match self.reserve_upstream(&attempts.tried).await {
                 Ok(permit) => permit,
                 Err(NoPermit::Full(delay)) => {
-                    return Self::give_up(attempts, Reason::Capacity, delay);
+                    return attempts.give_up(Reason::Capacity, delay);
                 }
                 Err(NoPermit::NoEngine(NoEngine::Unusable)) => {
-                    return Self::give_up(attempts, Reason::Capacity, CAPACITY_RETRY);
+                    return attempts.give_up(Reason::Capacity, CAPACITY_RETRY);
                 }
                 Err(NoPermit::NoEngine(NoEngine::Deferred(until))) => {
                     self.wait_for_deferred(until, &attempts).await?;
@@ -290,14 +231,14 @@
                 }
             };
             if self.account.is_some() && !gateway.keys_trusted() {
-                return Self::give_up(attempts, Reason::NotReady, NOT_READY_RETRY);
+                return attempts.give_up(Reason::NotReady, NOT_READY_RETRY);
             }
             let clearance = match self.clear_to_send() {
                 Ok(clearance) => clearance,
-                Err(delay) => return Self::give_up(attempts, Reason::Quarantined, delay),
+                Err(delay) => return attempts.give_up(Reason::Quarantined, delay),
             };
             if attempts.sent > 0 && !gateway.try_retry(&self.service) {
-                return Self::give_up(attempts, Reason::UpstreamFailed, CAPACITY_RETRY);
+                return attempts.give_up(Reason::UpstreamFailed, CAPACITY_RETRY);
             }
             let attempt = self.attempt(permit, clearance, &mut attempts);
             if let Some(response) = attempt.await? {
@@ -306,23 +247,6 @@
         }
     }
 
-    /// The response after the last attempt: the error response of an upstream if there is one,
-    /// otherwise a refusal.
-    fn give_up(
-        attempts: Attempts,
-        reason: Reason,
-        retry: Duration,
-    ) -> Result<Response<CallerBody>, Refusal> {
-        let refusal = attempts.refusal(reason);
-        if let Some(failure) = attempts.failure {
-            return Ok(failure.into());
-        }
-        Err(match refusal.ran {
-            Ran::No => refusal.retry_after(retry),
-            _ => refusal,
-        })
-    }
-
     /// Selects the upstream for the next attempt.
     ///
     /// # Errors
@@ -361,241 +285,4 @@
         let candidates = service_upstreams(&upstreams, &self.service);
         balancer::choose_upstream(candidates, head, &gateway.centre, tried, now).cloned()
     }
-
-    /// Makes one attempt. `None` means that another upstream may be tried; an error response of
-    /// this one is then kept in `attempts`.
-    async fn attempt(
-        self: &Arc<Self>,
-        permit: Permit,
-        clearance: Clearance,
-        attempts: &mut Attempts,
-    ) -> Result<Option<Response<CallerBody>>, Refusal> {
-        let gateway = &self.gateway;
-        let upstream = &permit.upstream().clone();
-        let may_retry = attempts.sent + 1 < self.route.attempts;
-        let outcome = self.send(permit, clearance, None, may_retry).await;
-        let now = gateway.clock.now();
-        let registration = &upstream.registration;
-        attempts.tried.insert(registration.id.clone());
-        let mut begun = false;
-        let error = match outcome {
-            SendOutcome::NotSent(e) => {
-                info!(gateway.log, "upstream_unreachable"; "request" => %self.request.head.id,
-                    "upstream" => %registration.id, "error" => %e);
-                upstream.health.on_failure(now);
-                attempts.failed_connects += 1;
-                if attempts.failed_connects < MAX_FAILED_CONNECTS {
-                    return Ok(None);
-                }
-                let refusal = attempts.refusal(Reason::Capacity);
-                return Err(refusal.retry_after(CAPACITY_RETRY));
-            }
-            SendOutcome::NotRun(reason) => {
-                attempts.sent += 1;
-                self.on_declined(upstream, reason);
-                if attempts.sent < self.route.attempts {
-                    return Ok(None);
-                }
-                let refusal = attempts.refusal(Reason::Capacity);
-                return Err(refusal.retry_after(CAPACITY_RETRY));
-            }
-            SendOutcome::Responded(response) => {
-                attempts.sent += 1;
-                attempts.ran = true;
-                begun = true;
-                match self.handle_response(upstream, *response, attempts).await {
-                    Ok(response) => return Ok(response),
-                    Err(error) => error,
-                }
-            }
-            SendOutcome::Unknown(error) => {
-                attempts.sent += 1;
-                attempts.ran = true;
-                error
-            }
-        };
-        warn!(gateway.log, "answer_lost"; "request" => %self.request.head.id,
-            "upstream" => %registration.id, "why" => %error, "sent" => attempts.sent,
-            "parts" => %self.request.head.shared_parts());
-        upstream.health.on_failure(now);
-        let broken_off = begun && error == ResponseError::Disconnected;
-        let suspect = broken_off && self.may_crash_engines();
-        if self.route.kind.retryable() && attempts.sent < self.route.attempts && !suspect {
-            return Ok(None);
-        }
-        if let Some(failure) = attempts.failure.take() {
-            return Ok(Some(failure.into()));
-        }
-        Err(attempts.refusal(match (error, self.time_left().is_zero()) {
-            (_, true) => Reason::Deadline,
-            (ResponseError::Silent, _) => Reason::UpstreamSilent,
-            _ => Reason::UpstreamFailed,
-        }))
-    }
-
-    /// Sends the request to one upstream. `after` is the last event that was forwarded to the
-    /// caller. With `may_retry` the wait for a response is shorter, because another upstream may be
-    /// tried after it.
-    pub async fn send(
-        &self,
-        permit: Permit,
-        _clearance: Clearance,
-        after: Option<u64>,
-        may_retry: bool,
-    ) -> SendOutcome {
-        let gateway = &self.gateway;
-        let upstream = &permit.upstream().clone();
-        let head = &self.request.head;
-        let time_left = self.time_left();
-        let account = self.account.as_deref();
-        let options = ForwardOptions {
-            upstream: upstream.registration.id.clone(),
-            account: account.map(|account| account.name.clone()),
-            time_left,
-            priority: self.priority(),
-            resume_after: after.or(head.last_event),
-        };
-        let model = head.target.as_ref().map(|target| &target.model);
-        let guard = upstream.health.start_request(model);
-        let request = match gateway.dialect.write_request(&self.request, &options) {
-            Ok(request) => request,
-            Err(e) => {
-                warn!(gateway.log, "request_unwritable"; "request" => %head.id, "error" => %e);
-                return SendOutcome::NotRun(DeclineReason::Other);
-            }
-        };
-        let silence = (self.route.goal * SILENCE_OBJECTIVES).max(MIN_SILENCE);
-        let max_wait = if may_retry && self.route.kind.retryable() {
-            silence.min(time_left)
-        } else {
-            time_left
-        };
-        let request = UpstreamRequest {
-            permit,
-            request_id: &head.id,
-            request,
-            max_wait,
-            observer: &UpstreamObserver {
-                gateway,
-                upstream,
-                sent: gateway.clock.boot(),
-            },
-        };
-        let sent = gateway.clock.now();
-        let outcome = exchange::send(&gateway.dialect, request, guard).await;
-        let answered = match &outcome {
-            SendOutcome::Responded(_) => true,
-            SendOutcome::NotRun(reason) => *reason != DeclineReason::Elsewhere,
-            SendOutcome::NotSent(_) | SendOutcome::Unknown(_) => false,
-        };
-        if answered {
-            gateway.on_engine_answer(&upstream.registration, sent);
-        }
-        outcome
-    }
-
-    /// Updates the upstream's state after it refused the request.
-    pub fn on_declined(&self, upstream: &Upstream, reason: DeclineReason) {
-        let gateway = &self.gateway;
-        let registration = &upstream.registration;
-        info!(gateway.log, "request_declined"; "request" => %self.request.head.id,
-            "upstream" => %registration.id, "why" => ?reason);
-        match (reason, &self.request.head.target) {
-            (DeclineReason::Elsewhere, _) => {
-                gateway.on_upstream_leaving(&registration.id, registration.started_ms);
-            }
-            (DeclineReason::Missing, Some(target)) => {
-                let adapter = target.adapter.as_ref();
-                gateway.update_fleet(|fleet, now| {
-                    fleet.on_inventory_update(&registration.id, &target.model, adapter, false, now);
-                });
-            }
-            _ => {}
-        }
-    }
-
-    /// Records whether the engine crashed while it wrote a response that is read completely, or
-    /// the response shows that the request crashes no engine.
-    fn observe_buffered(
-        &self,
-        upstream: &Upstream,
-        response: &UpstreamResponse,
-        read: &Result<Option<Bytes>, ResponseError>,
-    ) {
-        let parts = self.request.head.shared_parts();
-        match read {
-            Err(ResponseError::Disconnected) => {
-                let gateway = &self.gateway;
-                gateway.on_engine_crash(&upstream.registration, parts, Written::Nothing);
-            }
-            Ok(Some(_body)) if response.head.status.is_success() && response.is_framed() => {
-                self.gateway.on_sound_response(parts);
-            }
-            _ => {}
-        }
-    }
-
-    /// Converts an upstream's response to the caller's; `None` if another upstream is tried first.
-    async fn handle_response(
-        self: &Arc<Self>,
-        upstream: &Upstream,
-        mut response: UpstreamResponse,
-        attempts: &mut Attempts,
-    ) -> Result<Option<Response<CallerBody>>, ResponseError> {
-        let status = response.head.status;
-        let streams = matches!(self.route.kind, RouteKind::Streaming { .. });
-        if streams && status == StatusCode::OK {
-            upstream.health.on_success();
-            let admitted = Arc::clone(self);
-            let attempts = std::mem::take(attempts);
-            return Ok(Some(stream::forward(
-                admitted,
-                upstream.clone(),
-                response,
-                attempts,
-            )));
-        }
-        if claims_not_run(status) {
-            upstream.health.on_failure(self.gateway.clock.now());
-            return Err(ResponseError::Invalid);
-        }
-        let headers = self.gateway.dialect.response_headers(&response.head);
-        let read = response.read_buffered(self.time_left()).await;
-        self.observe_buffered(upstream, &response, &read);
-        let Some(body) = read? else {
-            let mut forwarded = Response::new(stream::forward_plain(Arc::clone(self), response));
-            *forwarded.status_mut() = status;
-            *forwarded.headers_mut() = headers;
-            return Ok(Some(forwarded));
-        };
-        let buffered = BufferedResponse {
-            status,
-            headers,
-            body,
-        };
-        if !status.is_server_error() {
-            upstream.health.on_success();
-            return Ok(Some(buffered.into()));
-        }
-        upstream.health.on_failure(self.gateway.clock.now());
-        if attempts.sent < self.route.attempts && self.route.kind == RouteKind::Idempotent {
-            attempts.failure = Some(buffered);
-            return Ok(None);
-        }
-        Ok(Some(buffered.into()))
-    }
-}
-
-/// Whether a status tells a caller that the request did not run.
-///
-/// A response with such a status must not be forwarded unless the upstream states that it did not
-/// run the request, and responses with that statement have been handled before.
-fn claims_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-    )
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -12,13 +12,14 @@
 use hyper::body::Frame;
 use slog::{info, warn};
 
+use super::attempt::Attempts;
 use super::configuration::RouteKind;
 use super::engine_run::EngineRun;
 use super::events::EventSplitter;
 use super::exchange::{BodyRead, ResponseError, SendOutcome, UpstreamResponse};
 use super::model_wait::give_up_time;
 use super::quarantine::crashes::Written;
-use super::relay::{AdmittedRequest, Attempts, ResponseAborted};
+use super::relay::{AdmittedRequest, ResponseAborted};
 use super::response::CallerBody;
 use super::stream_progress::StreamProgress;
 use super::upstream::Upstream;
