--- a/src/units.rs
+++ b/src/units.rs
@@ -130,114 +130,74 @@
     }
 }
 
-/// Requests a second.
-#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
-#[serde(try_from = "f64", into = "f64")]
-pub struct RequestRate(f64);
-
-impl RequestRate {
-    /// A rate of `per_second` requests a second.
-    ///
-    /// # Errors
-    ///
-    /// [`UnitError::Range`] where the value is negative or not finite.
-    pub fn new(per_second: f64) -> Result<Self, UnitError> {
-        if per_second.is_finite() && per_second >= 0.0 {
-            Ok(Self(per_second))
-        } else {
-            Err(UnitError::Range)
-        }
-    }
-
-    /// Requests a second.
-    pub fn per_second(self) -> f64 {
-        self.0
-    }
-}
-
-impl fmt::Display for RequestRate {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
-impl FromStr for RequestRate {
-    type Err = UnitError;
-
-    fn from_str(text: &str) -> Result<Self, UnitError> {
-        Self::new(text.trim().parse().or(Err(UnitError::Number))?)
-    }
-}
-
-impl TryFrom<f64> for RequestRate {
-    type Error = UnitError;
+macro_rules! rate {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+        #[serde(try_from = "f64", into = "f64")]
+        pub struct $name(f64);
 
-    fn try_from(per_second: f64) -> Result<Self, UnitError> {
-        Self::new(per_second)
-    }
-}
+        impl $name {
+            /// A rate of `per_second`.
+            ///
+            /// # Errors
+            ///
+            /// [`UnitError::Range`] where the value is negative or not finite.
+            pub fn new(per_second: f64) -> Result<Self, UnitError> {
+                if per_second.is_finite() && per_second >= 0.0 {
+                    Ok(Self(per_second))
+                } else {
+                    Err(UnitError::Range)
+                }
+            }
 
-impl From<RequestRate> for f64 {
-    fn from(rate: RequestRate) -> Self {
-        rate.0
-    }
-}
+            /// The number a second.
+            pub fn per_second(self) -> f64 {
+                self.0
+            }
 
-/// Tokens a second.
-#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
-#[serde(try_from = "f64", into = "f64")]
-pub struct TokenRate(f64);
-
-impl TokenRate {
-    /// A rate of `per_second` tokens a second.
-    ///
-    /// # Errors
-    ///
-    /// [`UnitError::Range`] where the value is negative or not finite.
-    pub fn new(per_second: f64) -> Result<Self, UnitError> {
-        if per_second.is_finite() && per_second >= 0.0 {
-            Ok(Self(per_second))
-        } else {
-            Err(UnitError::Range)
+            /// The number that gathers within `span`.
+            pub fn over(self, span: Duration) -> f64 {
+                self.0 * span.as_secs_f64()
+            }
         }
-    }
 
-    /// Tokens a second.
-    pub fn per_second(self) -> f64 {
-        self.0
-    }
-
-    /// Tokens that gather within `span`.
-    pub fn over(self, span: Duration) -> f64 {
-        self.0 * span.as_secs_f64()
-    }
-}
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}/s", self.0)
+            }
+        }
 
-impl fmt::Display for TokenRate {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/s", self.0)
-    }
-}
+        impl FromStr for $name {
+            type Err = UnitError;
 
-impl FromStr for TokenRate {
-    type Err = UnitError;
+            fn from_str(text: &str) -> Result<Self, UnitError> {
+                let number = text.trim().trim_end_matches("/s");
+                Self::new(number.parse().or(Err(UnitError::Number))?)
+            }
+        }
 
-    fn from_str(text: &str) -> Result<Self, UnitError> {
-        let number = text.trim().trim_end_matches("/s");
-        Self::new(number.parse().or(Err(UnitError::Number))?)
-    }
-}
+        impl TryFrom<f64> for $name {
+            type Error = UnitError;
 
-impl TryFrom<f64> for TokenRate {
-    type Error = UnitError;
+            fn try_from(per_second: f64) -> Result<Self, UnitError> {
+                Self::new(per_second)
+            }
+        }
 
-    fn try_from(per_second: f64) -> Result<Self, UnitError> {
-        Self::new(per_second)
-    }
+        impl From<$name> for f64 {
+            fn from(rate: $name) -> Self {
+                rate.0
+            }
+        }
+    };
 }
 
-impl From<TokenRate> for f64 {
-    fn from(rate: TokenRate) -> Self {
-        rate.0
-    }
-}
+rate!(
+    /// Tokens a second.
+    TokenRate
+);
+rate!(
+    /// Requests a second.
+    RequestRate
+);
