--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -10,6 +10,9 @@
 //! registrations in the platform's store, and a VM also learns the address of any VM that sends it
 //! a usage report.
 
+mod demand;
+mod usage;
+
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -18,34 +21,23 @@
 use std::time::{Duration, Instant};
 
 use rand::RngExt;
-use slog::{debug, info, warn};
+use slog::{debug, warn};
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
-use super::demand::{Demand, DemandReporter, PeerDemand};
-use super::demand_entries::{read_demand, write_demand};
-use super::fanout::{self, roles::assign};
-use super::peers::{MIN_SILENCE_TIMEOUT, MIN_USAGE_INTERVAL, Peers};
-use super::request::Target;
+use super::demand::PeerDemand;
+use super::demand_entries::read_demand;
+use super::fanout;
+use super::peers::{MIN_SILENCE_TIMEOUT, Peers};
 use super::run::VmRegistration;
 use super::state::Gateway;
 use crate::ids::{Epoch, Generation, ModelId, UpstreamId, Version, VmId};
-use crate::schema::mesh::{
-    Datagram, DemandReport, InventoryNotice, InventoryUpdate, LeaderHeartbeat, PermitRequest,
-    Usage, VmSite,
-};
+use crate::schema::mesh::{Datagram, InventoryNotice, InventoryUpdate, PermitRequest};
 
 /// Random factor on the interval between usage reports.
 const INTERVAL_JITTER: Range<f64> = 0.75..1.25;
-/// Interval between reports of the models that requests of a VM wait for; a request that begins to
-/// wait is reported at once.
-const DEMAND_INTERVAL: Duration = Duration::from_millis(250);
 /// Largest datagram accepted, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
-/// How long a VM's report of its running requests counts; each complete demand report repeats it.
-const RUNNING_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Largest number of models and adapters in one demand report, which must fit into a datagram.
-const MAX_TARGETS_PER_REPORT: usize = 24;
 /// Silence of the leader after which a follower contends for the lease. By then a reader has taken
 /// it over, or is itself lost and this VM no longer its follower.
 const FOLLOWER_PATIENCE: Duration = Duration::from_secs(6);
@@ -53,14 +45,6 @@
 /// leaving upstream must be known.
 const FOLLOW_INTERVAL: Duration = Duration::from_millis(500);
 const FOLLOW_SHARE: f64 = 0.15;
-/// Shortest interval between demand reports.
-const MIN_DEMAND_INTERVAL: Duration = Duration::from_millis(10);
-/// How long after its start a VM's usage reports name its data centre. VMs that start later read it
-/// in the store, so a few reports in a row suffice.
-const SITE_REPORT_TIME: Duration = Duration::from_secs(10);
-/// Shortest interval between usage reports.
-const MIN_USAGE_DELAY: Duration = Duration::from_millis(40);
-
 /// Number of running requests by engine and model.
 type RunningRequests = BTreeMap<UpstreamId, BTreeMap<ModelId, u32>>;
 
@@ -173,45 +157,6 @@
         }
     }
 
-    /// Demand of all VMs, including this one.
-    pub fn total_demand(&self) -> BTreeMap<Target, Demand> {
-        let now = self.gateway.clock.now();
-        let mut sums = self.lock().peer_demand.total(now);
-        for (target, demand) in self.gateway.demand().current(now) {
-            let sum = sums.entry(target).or_default();
-            sum.rate += demand.rate;
-            sum.waiting += demand.waiting;
-            sum.late += demand.late;
-        }
-        sums
-    }
-
-    /// Running requests of all VMs, by engine and model.
-    pub fn running_requests(&self) -> BTreeMap<(UpstreamId, ModelId), u32> {
-        let now = self.gateway.clock.now();
-        let mut sums: BTreeMap<_, u32> = BTreeMap::new();
-        let mut state = self.lock();
-        state
-            .peer_running
-            .retain(|_, (_, at)| now.saturating_duration_since(*at) < RUNNING_TIMEOUT);
-        let own = self.own_running_requests();
-        let reported = state.peer_running.values().map(|(running, _)| running);
-        for (engine, models) in reported.chain([&own]).flatten() {
-            for (model, requests) in models {
-                *sums.entry((engine.clone(), model.clone())).or_default() += requests;
-            }
-        }
-        sums
-    }
-
-    fn own_running_requests(&self) -> RunningRequests {
-        let upstreams = self.gateway.upstreams.load();
-        let running = upstreams
-            .iter()
-            .map(|(id, u)| (id.clone(), u.health.running_by_model()));
-        running.filter(|(_, models)| !models.is_empty()).collect()
-    }
-
     /// Sends inventory updates to every VM, and applies them on this one.
     pub async fn broadcast_updates(&self, epoch: Epoch, updates: Vec<InventoryUpdate>) {
         apply_updates(&self.gateway, &updates);
@@ -290,139 +235,6 @@
         }
     }
 
-    fn handle_usage(&self, mut usage: Usage, from: SocketAddr) {
-        let now = self.gateway.clock.now();
-        let mut state = self.lock();
-        if let Some(heartbeat) = &usage.lease {
-            let newer = state
-                .leader
-                .as_ref()
-                .is_none_or(|(_, epoch, ..)| *epoch <= heartbeat.epoch);
-            let same = state
-                .leader
-                .as_ref()
-                .is_some_and(|(vm, ..)| *vm == usage.vm);
-            if newer && !same {
-                self.gateway.demand_due.notify_one();
-            }
-            if newer {
-                state.leader = Some((usage.vm.clone(), heartbeat.epoch, heartbeat.version, now));
-                let boot = self.gateway.clock.boot();
-                self.gateway
-                    .upstream_limits()
-                    .on_leader(heartbeat.epoch, boot);
-            }
-        }
-        self.gateway.on_leaving_hints(&usage.leaving);
-        self.gateway.on_limit_reports(&usage.limits);
-        let quarantine = usage.quarantine.take();
-        let vm = usage.vm.clone();
-        let change = state.peers.apply_usage(usage, from, now);
-        drop(state);
-        if change.new {
-            info!(self.gateway.log, "vm_heard"; "peer" => %vm);
-        }
-        if let Some(report) = quarantine {
-            self.gateway.on_quarantine_report(report);
-        }
-        // A VM that has just started must not wait until the next usage report for what is held back.
-        if change.started
-            && let Some(report) = self.gateway.quarantine_summary()
-        {
-            self.try_send(&Datagram::Quarantine(report), from);
-        }
-        if change.started
-            && let Some(summary) = self.gateway.limit_summary()
-        {
-            self.try_send(&Datagram::Limits(summary), from);
-        }
-        self.gateway.on_peer_message(now);
-        for (account, tokens) in change.admitted {
-            self.gateway.add_peer_usage(&account, tokens);
-        }
-        let upstreams = self.gateway.upstreams.load();
-        for (id, requests) in change.loads {
-            if let Some(upstream) = upstreams.get(&id) {
-                upstream.health.set_peer_load(requests);
-            }
-        }
-    }
-
-    async fn report_usage(self: Arc<Self>) {
-        loop {
-            let datagram = Datagram::Usage(self.usage_report());
-            self.send_all(&datagram).await;
-            self.refresh_peers();
-            tokio::time::sleep(MIN_USAGE_DELAY).await;
-            let due = self.gateway.usage_due.notified();
-            // Ends early when usage should be reported at once. The random factor keeps VMs that
-            // started together from reporting at the same moments.
-            let interval = self
-                .usage_interval()
-                .mul_f64(rand::rng().random_range(INTERVAL_JITTER));
-            let _woken = tokio::time::timeout(interval.saturating_sub(MIN_USAGE_DELAY), due).await;
-        }
-    }
-
-    /// Interval between usage reports of this VM. The leader always uses the shortest one, because
-    /// the others count it as lost after a short silence.
-    fn usage_interval(&self) -> Duration {
-        let state = self.lock();
-        if state.lease.is_some() {
-            return MIN_USAGE_INTERVAL;
-        }
-        state.peers.usage_interval()
-    }
-
-    fn usage_report(&self) -> Usage {
-        let upstreams = self.gateway.upstreams.load();
-        let loads = upstreams.iter().map(|(id, u)| (id, u.health.running()));
-        let loads = loads.filter(|(_, requests)| *requests > 0);
-        let lease = self.lock().lease;
-        Usage {
-            vm: self.gateway.vm.clone(),
-            generation: self.generation,
-            lease: lease.map(|(epoch, version)| LeaderHeartbeat { epoch, version }),
-            accounts: self.gateway.report_admitted(),
-            upstreams: loads.map(|(id, n)| (id.clone(), n)).collect(),
-            leaving: self.gateway.leaving_hints(),
-            quarantine: self.gateway.quarantine_report(),
-            limits: self.gateway.limit_report(),
-            site: self.own_site(),
-        }
-    }
-
-    /// Data centre and capacity of this VM, for its first reports.
-    fn own_site(&self) -> Option<VmSite> {
-        let age = self
-            .gateway
-            .clock
-            .now()
-            .saturating_duration_since(self.started);
-        (age < SITE_REPORT_TIME).then(|| VmSite {
-            centre: self.gateway.centre.clone(),
-            capacity: self.gateway.capacity,
-        })
-    }
-
-    /// Removes VMs that no longer report, and publishes reachability and upstream loads anew.
-    fn refresh_peers(&self) {
-        let now = self.gateway.clock.now();
-        let mut state = self.lock();
-        state.peers.expire(now);
-        let reachability = state.peers.reachability(now);
-        let loads = state.peers.loads().clone();
-        let mut local = state.peers.in_centre(&self.gateway.centre, now);
-        drop(state);
-        local.insert(self.gateway.vm.clone(), self.gateway.capacity);
-        self.gateway.set_role(assign(&self.gateway.vm, &local));
-        self.gateway.set_reachability(reachability);
-        for (id, upstream) in self.gateway.upstreams.load().iter() {
-            let requests = loads.get(id).copied().unwrap_or_default();
-            upstream.health.set_peer_load(requests);
-        }
-    }
-
     /// Asks the VM that reads the store for this one, while there is one.
     async fn follow(self: Arc<Self>) {
         let interval = FOLLOW_INTERVAL.min(self.gateway.bounds().leaving.mul_f64(FOLLOW_SHARE));
@@ -462,57 +274,6 @@
         }
     }
 
-    async fn report_demand(self: Arc<Self>) {
-        let mut reporter = DemandReporter::default();
-        let mut last_leader = None;
-        loop {
-            let due = self.gateway.demand_due.notified();
-            // Ends early when a request begins to wait or the leader changes.
-            let _woken = tokio::time::timeout(DEMAND_INTERVAL, due).await;
-            let (leader, address, interval) = {
-                let state = self.lock();
-                let leader = state.leader.as_ref().filter(|_| state.lease.is_none());
-                let leader = leader.map(|(vm, epoch, ..)| (vm.clone(), *epoch));
-                let address = leader.as_ref();
-                let address = address.and_then(|(vm, _)| state.peers.address(vm));
-                (leader, address, state.peers.demand_interval())
-            };
-            if leader != last_leader {
-                reporter.reset();
-            }
-            if let Some(address) = address {
-                let now = self.gateway.clock.now();
-                let (demand, full) =
-                    reporter.select_due(self.gateway.demand().current(now), now, interval);
-                let running = if full {
-                    self.own_running_requests()
-                } else {
-                    RunningRequests::new()
-                };
-                self.send_demand(demand, running, address).await;
-            }
-            last_leader = leader;
-            tokio::time::sleep(MIN_DEMAND_INTERVAL).await;
-        }
-    }
-
-    async fn send_demand(
-        &self,
-        demand: BTreeMap<Target, Demand>,
-        mut running: RunningRequests,
-        to: SocketAddr,
-    ) {
-        let targets: Vec<_> = demand.into_iter().collect();
-        for chunk in targets.chunks(MAX_TARGETS_PER_REPORT) {
-            let datagram = Datagram::Wants(DemandReport {
-                vm: self.gateway.vm.clone(),
-                wants: write_demand(chunk),
-                runs: std::mem::take(&mut running),
-            });
-            self.send(&datagram, to).await;
-        }
-    }
-
     async fn send_all(&self, datagram: &Datagram) {
         let Some(bytes) = self.encode(datagram) else {
             return;
