End a limit only on a response that is the upstream's own; spread the return of refused callers

A response without the upstream's mark or without the request's id may be cut or come from another sender, and could have ended a limit for all VMs. Callers that find no room come back over one to two times the time told, not all at once.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -128,10 +128,7 @@
         .as_ref()
         .is_none_or(|id| id == request.request_id);
     if id_matches && !other_instance {
-        request.observer.on_signals(match &meta.request_id {
-            Some(_) => meta.signals,
-            None => meta.signals.unidentified(),
-        });
+        request.observer.on_signals(meta.proven_signals());
     }
     if id_matches && head.status == StatusCode::MISDIRECTED_REQUEST {
         return SendOutcome::NotRun(if other_instance {
--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -121,22 +121,10 @@
     pub limit: LimitSignal,
 }
 
-impl UpstreamSignals {
-    /// The signals of a response that does not repeat the request's id. Such a response may come
-    /// from another sender, and does not show that a limit has ended.
-    #[must_use]
-    pub fn unidentified(mut self) -> Self {
-        if self.limit == LimitSignal::Unlimited {
-            self.limit = LimitSignal::Unknown;
-        }
-        self
-    }
-}
-
 /// What an upstream states in one response about the requests that it takes from all VMs together.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum LimitSignal {
-    /// It shows nothing, since it does not repeat the request's id.
+    /// The response shows nothing, since the upstream may not have written it.
     #[default]
     Unknown,
     /// It names no limit.
@@ -166,6 +154,19 @@
     pub signals: UpstreamSignals,
 }
 
+impl ResponseMeta {
+    /// What the upstream states about itself. A response that may not be its own, or not whole, does
+    /// not show that a limit has ended.
+    pub fn proven_signals(&self) -> UpstreamSignals {
+        let own = self.request_id.is_some() && (self.sealed || self.not_run);
+        let mut signals = self.signals;
+        if !own && signals.limit == LimitSignal::Unlimited {
+            signals.limit = LimitSignal::Unknown;
+        }
+        signals
+    }
+}
+
 /// The platform's HTTP conventions: which headers carry what.
 pub trait Dialect: Send + Sync + Debug {
     /// Decodes the head of a caller's request.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -2,6 +2,7 @@
 //! quota, the choice of an upstream, and the sequence of attempts ([`super::attempt`]).
 
 use std::collections::BTreeSet;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -10,6 +11,7 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use rand::RngExt;
 use slog::{info, warn};
 use thiserror::Error;
 
@@ -35,6 +37,10 @@
 const NOT_READY_RETRY: Duration = Duration::from_millis(200);
 /// `Retry-After` where no upstream has capacity.
 pub(super) const CAPACITY_RETRY: Duration = Duration::from_millis(300);
+/// Random factor on the time after which an upstream has room, so that the callers that it has no
+/// room for don't come back together.
+const RETURN_SPREAD: Range<f64> = 1.0..2.0;
+
 /// Error that aborts a response body, so that the caller does not take it for complete.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 #[error("the response was aborted")]
@@ -216,7 +222,8 @@
             let permit = match self.reserve_upstream(&attempts.tried).await {
                 Ok(permit) => permit,
                 Err(NoPermit::Full(delay)) => {
-                    return attempts.give_up(Reason::Capacity, delay);
+                    let spread = rand::rng().random_range(RETURN_SPREAD);
+                    return attempts.give_up(Reason::Capacity, delay.mul_f64(spread));
                 }
                 Err(NoPermit::NoEngine(NoEngine::Unusable)) => {
                     return attempts.give_up(Reason::Capacity, CAPACITY_RETRY);
--- a/tests/gateway_upstream_limit.rs
+++ b/tests/gateway_upstream_limit.rs
@@ -5,6 +5,7 @@
 
 mod gateway_support;
 use basilgw::clock::BootTime;
+use basilgw::gateway::platform_api::{LimitSignal, ResponseMeta, UpstreamSignals};
 use basilgw::gateway::upstream::UpstreamInstance;
 use basilgw::gateway::upstream_limit::granter::{Ask, Granter};
 use basilgw::gateway::upstream_limit::share::LocalShare;
@@ -143,6 +144,28 @@
     }
 }
 
+#[test]
+fn only_a_response_of_the_upstream_itself_shows_that_its_limit_has_ended() {
+    let meta = |request_id: Option<&str>, sealed, not_run| ResponseMeta {
+        request_id: request_id.map(id),
+        sealed,
+        not_run,
+        signals: UpstreamSignals {
+            limit: LimitSignal::Unlimited,
+            ..UpstreamSignals::default()
+        },
+        ..ResponseMeta::default()
+    };
+    let limit = |meta: ResponseMeta| meta.proven_signals().limit;
+    assert_eq!(limit(meta(Some("r"), true, false)), LimitSignal::Unlimited);
+    assert_eq!(limit(meta(Some("r"), false, true)), LimitSignal::Unlimited);
+    assert_eq!(limit(meta(None, true, false)), LimitSignal::Unknown);
+    assert_eq!(limit(meta(Some("r"), false, false)), LimitSignal::Unknown);
+    let mut named = meta(None, false, false);
+    named.signals.limit = LimitSignal::Limited(rate(2.0));
+    assert_eq!(limit(named), LimitSignal::Limited(rate(2.0)));
+}
+
 fn leader() -> Granter {
     let mut granter = Granter::default();
     granter.set_lease(Some(Epoch(1)), at(0));
