Release a part early that was held back beside the one that crashes engines

Callers were refused for 160 s for a system prompt that all requests share, where an outbreak came before any part was known to be sound: the prompt explained the same crashes as the cause. Parts held back together are now probed after 10 s, and only by requests that hold no other held part, since their crash would tell nothing. When one of them proves sound, the last one left waits its 160 s as before, so the cause is probed no more often.

--- a/src/gateway/quarantine/holds.rs
+++ b/src/gateway/quarantine/holds.rs
@@ -3,7 +3,9 @@
 //! A part is held back for a while after the last crash that it caused. Then one VM, the leader,
 //! may send a single request with it as a probe. Unless the probe shows that the part is sound, the
 //! next one follows after a longer time. A part that was sound before is probed early, as it is
-//! more likely to be held wrongly. A part that nobody asks for any more is forgotten.
+//! more likely to be held wrongly, and so are parts that explain the same crashes, of which at most
+//! one is the cause. A request with several parts that are held back is no probe: its crash would
+//! tell nothing. A part that nobody asks for any more is forgotten.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -36,18 +38,28 @@
     pub requested: Instant,
     /// Grows with each probe, and the time to the next one with it.
     pub level: u32,
+    /// Time of the last crash when the part was first held back; the same for parts that explained
+    /// the same crashes.
+    pub blamed: Instant,
 }
 
 impl Hold {
-    /// Holds a part back whose last crash was at `since`; `new` if it was never sound.
-    pub fn open(since: Instant, new: bool, now: Instant) -> Self {
+    /// Holds a part back whose last crash was at `since`; `certain` if it alone explains the crashes
+    /// and was never sound.
+    pub fn open(since: Instant, certain: bool, now: Instant) -> Self {
         Self {
             since,
             requested: now,
-            level: if new { NEW_PART_LEVEL } else { 0 },
+            level: if certain { NEW_PART_LEVEL } else { 0 },
+            blamed: since,
         }
     }
 
+    /// Records that the part alone is left to explain its crashes.
+    pub fn on_certain(&mut self) {
+        self.level = self.level.max(NEW_PART_LEVEL);
+    }
+
     /// Records a request with the part.
     pub fn on_request(&mut self, now: Instant) {
         self.requested = self.requested.max(now);
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -97,6 +97,12 @@
     where
         I: IntoIterator<Item = PartHash>,
     {
+        let parts: Vec<_> = parts.into_iter().collect();
+        let count = parts
+            .iter()
+            .filter(|part| self.holds.contains(**part))
+            .count();
+        let probes = probes && count <= 1;
         let delays = parts.into_iter().filter_map(|part| {
             let hold = self.holds.get_mut(part)?;
             hold.on_request(now);
@@ -185,9 +191,10 @@
                 return found;
             }
             let at = self.crashes.explain_by(&causes).unwrap_or(now);
+            let alone = causes.len() == 1;
             for part in causes {
-                let new = self.sound.last(part).is_none();
-                self.holds.insert(part, Hold::open(at, new, now), now);
+                let certain = alone && self.sound.last(part).is_none();
+                self.holds.insert(part, Hold::open(at, certain, now), now);
                 found.push(part);
             }
         }
@@ -196,11 +203,31 @@
     /// Clears a part of the crashes before `at`; returns whether it was held back.
     fn clear(&mut self, part: PartHash, at: Instant) -> bool {
         self.crashes.clear(part, at);
-        let held = self.holds.get_mut(part);
-        let released = held.is_some_and(|hold| hold.is_disproved(at));
-        if released {
-            self.holds.remove(part);
+        let Some(hold) = self.holds.get_mut(part).copied() else {
+            return false;
+        };
+        if !hold.is_disproved(at) {
+            return false;
+        }
+        self.holds.remove(part);
+        self.convict_last(hold.blamed);
+        true
+    }
+
+    /// Where one part is left of those that were blamed for the same crashes, and was never sound,
+    /// it is the cause.
+    fn convict_last(&mut self, blamed: Instant) {
+        let left: Vec<_> = self
+            .holds
+            .iter()
+            .filter(|(_, hold)| hold.blamed == blamed)
+            .map(|(part, _)| part)
+            .collect();
+        if let [last] = left[..]
+            && self.sound.last(last).is_none()
+            && let Some(hold) = self.holds.get_mut(last)
+        {
+            hold.on_certain();
         }
-        released
     }
 }
--- a/src/gateway/quarantine/report.rs
+++ b/src/gateway/quarantine/report.rs
@@ -168,6 +168,7 @@
                 since: time_of(held.age_ms, now),
                 requested: time_of(held.idle_ms, now),
                 level: held.level,
+                blamed: time_of(held.age_ms, now),
             };
             if self.adopt(held.part, hold, now) {
                 added.push(held.part);
--- a/tests/gateway_quarantine.rs
+++ b/tests/gateway_quarantine.rs
@@ -286,6 +286,35 @@
     assert!(probes[2] - probes[1] > probes[1] - probes[0]);
 }
 
+// Guards against: a part that all requests share, and none had shown to be sound yet, is held back
+// for as long as the one that crashes engines.
+#[test]
+fn a_part_held_back_beside_the_cause_is_released_early() {
+    let now = start();
+    let mut vm = Quarantine::default();
+    for n in 0..5 {
+        crash(&mut vm, n, &[SYSTEM, BAD], now + ms(1000 * n));
+    }
+    let at = now + Duration::from_secs(6);
+    assert!(held(&mut vm, SYSTEM, at) && held(&mut vm, BAD, at));
+    let probe = now + Duration::from_secs(16);
+    assert!(
+        vm.try_send([SYSTEM, BAD], true, probe).is_err(),
+        "shows nothing"
+    );
+    assert!(
+        vm.try_send([SYSTEM], false, probe).is_err(),
+        "not the leader"
+    );
+    assert_eq!(vm.try_send([SYSTEM], true, probe), Ok(()));
+    vm.on_sound([SYSTEM], probe + ms(600));
+    assert!(!held(&mut vm, SYSTEM, probe + ms(700)));
+    for second in 17..100 {
+        let at = now + Duration::from_secs(second);
+        assert!(vm.try_send([SYSTEM, BAD], true, at).is_err(), "{second} s");
+    }
+}
+
 #[test]
 fn a_part_that_was_sound_before_is_probed_early() {
     let now = start();
