Count an upstream as full only where the leader was silent; wait once for all limited upstreams; name asks by a type

A caller that left while the leader was asked made its VM take the upstream for full for 0.2 s. A request that several limited upstreams could serve could wait at each of them in turn. Both seen while reading; the tests of limits pass as before.

--- a/src/gateway/upstream_limit/asks.rs
+++ b/src/gateway/upstream_limit/asks.rs
@@ -8,7 +8,7 @@
 use crate::ids::UpstreamId;
 use crate::schema::mesh::{PermitAsk, UpstreamLimit};
 
-use super::Decision;
+use super::{DecidedAsk, Decision};
 
 /// One ask.
 #[derive(Debug)]
@@ -67,11 +67,11 @@
     }
 
     /// Delivers a decision.
-    pub(super) fn decide(&mut self, number: u64, decision: Decision) {
-        let open = self.open.get_mut(&number);
+    pub(super) fn decide(&mut self, decided: DecidedAsk) {
+        let open = self.open.get_mut(&decided.number);
         if let Some(sender) = open.and_then(|open| open.decided.take()) {
             // The request may have ended meanwhile.
-            let _gone = sender.send(decision);
+            let _gone = sender.send(decided.decision);
         }
     }
 
--- a/src/gateway/upstream_limit/gate.rs
+++ b/src/gateway/upstream_limit/gate.rs
@@ -82,14 +82,22 @@
     /// Waits for room at one of the upstreams, each with the time after which there may be some.
     async fn wait_for_room(&self, mut full: Vec<(Duration, Upstream)>) -> Result<Permit, NoPermit> {
         full.sort_by_key(|(delay, _)| *delay);
-        let mut soonest = Duration::MAX;
-        for (_, upstream) in full {
-            match self.reserve(&upstream, self.longest_queueing()).await {
+        let clock = &self.gateway.clock;
+        let until = clock.boot().plus(self.longest_queueing());
+        let mut delays = Vec::new();
+        for (delay, upstream) in full {
+            let left = until.since(clock.boot());
+            if left.is_zero() {
+                delays.push(delay);
+                continue;
+            }
+            match self.reserve(&upstream, left).await {
                 Ok(permit) => return Ok(permit),
-                Err(delay) => soonest = soonest.min(delay),
+                Err(delay) => delays.push(delay),
             }
         }
-        Err(NoPermit::Full(soonest))
+        let soonest = delays.into_iter().min();
+        Err(NoPermit::Full(soonest.unwrap_or(SILENCE_PAUSE)))
     }
 
     /// Longest time that the request may wait for room: less at a lower priority, so that the
@@ -236,8 +244,8 @@
     pub fn on_permit_response(&self, response: PermitResponse) {
         let now = self.clock.boot();
         let mut limits = self.upstream_limits();
-        for (number, decision) in limits.on_response(response, now) {
-            limits.asks.decide(number, decision);
+        for decided in limits.on_response(response, now) {
+            limits.asks.decide(decided);
         }
     }
 
@@ -257,21 +265,21 @@
     /// Has an ask sent to the leader, more than once if the request can wait, and waits for the
     /// decision.
     async fn ask_leader(self: &Arc<Self>, ask: PermitAsk, max_wait: Duration) -> Decision {
-        let mut guard = AskGuard {
+        let _guard = AskGuard {
             gateway: self,
             ask: &ask,
-            answered: false,
         };
         let attempts = if max_wait.is_zero() { 1 } else { ASK_ATTEMPTS };
         for _ in 0..attempts {
             let decision = self.upstream_limits().asks.send(ask.number);
             self.asks_due.notify_one();
             if let Ok(Ok(decision)) = tokio::time::timeout(ANSWER_TIMEOUT, decision).await {
-                guard.answered = true;
                 return decision;
             }
         }
         info!(self.log, "leader_silent"; "upstream" => %ask.limit.upstream);
+        let now = self.clock.boot();
+        self.upstream_limits().on_silence(&ask, now);
         Decision::Denied(SILENCE_PAUSE)
     }
 }
@@ -281,14 +289,10 @@
 struct AskGuard<'a> {
     gateway: &'a Gateway,
     ask: &'a PermitAsk,
-    answered: bool,
 }
 
 impl Drop for AskGuard<'_> {
     fn drop(&mut self) {
-        let now = self.gateway.clock.boot();
-        self.gateway
-            .upstream_limits()
-            .close_ask(self.ask, self.answered, now);
+        self.gateway.upstream_limits().close_ask(self.ask);
     }
 }
--- a/src/gateway/upstream_limit/granter.rs
+++ b/src/gateway/upstream_limit/granter.rs
@@ -33,14 +33,23 @@
 const MIN_RATE: f64 = 0.1;
 /// Time after which an upstream is forgotten that no request was granted for.
 const IDLE_LIFETIME: Duration = Duration::from_mins(1);
-/// A VM's process.
-type Process = (VmId, Generation);
+
+/// Identifies an ask of another VM.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AskId {
+    /// VM that asks.
+    pub vm: VmId,
+    /// Start of its process, whose numbers begin anew.
+    pub generation: Generation,
+    /// Number of the ask at that process.
+    pub number: u64,
+}
 
 /// An ask for a grant.
 #[derive(Clone, Debug)]
 pub struct Ask {
-    /// The process that asks and the number of the ask; absent for a request of this VM.
-    from: Option<(Process, u64)>,
+    /// Absent for a request of this VM.
+    id: Option<AskId>,
     instance: UpstreamInstance,
     max_wait: Duration,
 }
@@ -49,21 +58,16 @@
     /// An ask for a request of this VM.
     pub fn own(instance: UpstreamInstance, max_wait: Duration) -> Self {
         Self {
-            from: None,
+            id: None,
             instance,
             max_wait,
         }
     }
 
-    /// An ask of another VM; `number` identifies it there.
-    pub fn of_vm(
-        process: Process,
-        number: u64,
-        instance: UpstreamInstance,
-        max_wait: Duration,
-    ) -> Self {
+    /// An ask of another VM.
+    pub fn of_vm(id: AskId, instance: UpstreamInstance, max_wait: Duration) -> Self {
         Self {
-            from: Some((process, number)),
+            id: Some(id),
             instance,
             max_wait,
         }
@@ -77,7 +81,7 @@
     /// When the next request may be sent.
     next: BootTime,
     /// Times granted lately, by ask.
-    granted: BTreeMap<(Process, u64), BootTime>,
+    granted: BTreeMap<AskId, BootTime>,
 }
 
 /// The lease of this VM.
@@ -160,7 +164,7 @@
 
     fn grant(&mut self, ask: Ask, interval: Duration, now: BootTime) -> Decision {
         self.granted.retain(|_, at| now.since(*at) < GRANT_LIFETIME);
-        let repeated = ask.from.as_ref().and_then(|from| self.granted.get(from));
+        let repeated = ask.id.as_ref().and_then(|id| self.granted.get(id));
         if let Some(at) = repeated {
             return Decision::Granted(at.since(now));
         }
@@ -172,8 +176,8 @@
             return Decision::Denied(wait);
         }
         self.next = next.plus(interval);
-        if let Some(from) = ask.from {
-            self.granted.insert(from, at);
+        if let Some(id) = ask.id {
+            self.granted.insert(id, at);
         }
         Decision::Granted(wait)
     }
--- a/src/gateway/upstream_limit/mod.rs
+++ b/src/gateway/upstream_limit/mod.rs
@@ -31,7 +31,7 @@
 use super::reachability::Reachability;
 use super::upstream::UpstreamInstance;
 use asks::Asks;
-use granter::{Ask, Granter};
+use granter::{Ask, AskId, Granter};
 use share::LocalShare;
 use table::{LimitTable, Statement};
 
@@ -64,6 +64,15 @@
     Ask(PermitAsk),
 }
 
+/// The leader's decision on an ask of this VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DecidedAsk {
+    /// Number of the ask.
+    pub number: u64,
+    /// What the leader decided.
+    pub decision: Decision,
+}
+
 /// The other VMs, as far as they matter here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct VmCounts {
@@ -208,9 +217,13 @@
             let decision = match self.table.rate(&instance) {
                 None => Decision::Unlimited,
                 Some(rate) => {
-                    let from = (request.vm.clone(), request.generation);
+                    let id = AskId {
+                        vm: request.vm.clone(),
+                        generation: request.generation,
+                        number: ask.number,
+                    };
                     let max_wait = Duration::from_millis(ask.max_wait_ms);
-                    let of_vm = Ask::of_vm(from, ask.number, instance, max_wait);
+                    let of_vm = Ask::of_vm(id, instance, max_wait);
                     self.granter.grant(of_vm, rate, vms, now)
                 }
             };
@@ -223,7 +236,7 @@
     }
 
     /// Takes the decisions of the leader. Those of an earlier leader do not count.
-    pub fn on_response(&mut self, response: PermitResponse, now: BootTime) -> Vec<(u64, Decision)> {
+    pub fn on_response(&mut self, response: PermitResponse, now: BootTime) -> Vec<DecidedAsk> {
         if self.leader.is_none_or(|(epoch, _)| response.epoch < epoch) {
             return Vec::new();
         }
@@ -235,19 +248,24 @@
             {
                 self.full.insert(id.clone(), now.plus(delay));
             }
-            decisions.push((answer.number, decision));
+            decisions.push(DecidedAsk {
+                number: answer.number,
+                decision,
+            });
         }
         decisions
     }
 
-    /// Forgets an ask. Where the leader did not answer it, the upstream counts as full for a moment,
-    /// so that not each request waits for an answer.
-    pub fn close_ask(&mut self, ask: &PermitAsk, answered: bool, now: BootTime) {
+    /// Forgets an ask.
+    pub fn close_ask(&mut self, ask: &PermitAsk) {
         self.asks.close(ask.number);
-        if !answered {
-            let id = ask.limit.upstream.clone();
-            self.full.insert(id, now.plus(SILENCE_PAUSE));
-        }
+    }
+
+    /// Records that the leader did not answer an ask. The upstream counts as full for a moment, so
+    /// that not each request waits for an answer.
+    pub fn on_silence(&mut self, ask: &PermitAsk, now: BootTime) {
+        let id = ask.limit.upstream.clone();
+        self.full.insert(id, now.plus(SILENCE_PAUSE));
     }
 
     /// Time until there may be room at an upstream; `None` if there may be now.
--- a/tests/gateway_support/limited.rs
+++ b/tests/gateway_support/limited.rs
@@ -378,7 +378,9 @@
             return self.ask(vm, ask, sent + 1);
         }
         self.vms[vm].waiting.remove(&number);
-        self.vms[vm].limits.close_ask(&ask, false, boot(self.now));
+        let limits = &mut self.vms[vm].limits;
+        limits.close_ask(&ask);
+        limits.on_silence(&ask, boot(self.now));
         self.outcome.denied += 1;
     }
 
@@ -494,12 +496,12 @@
 
     fn response(&mut self, vm: usize, response: PermitResponse) {
         let now = boot(self.now);
-        for (number, decision) in self.vms[vm].limits.on_response(response, now) {
-            let Some(waiting) = self.vms[vm].waiting.remove(&number) else {
+        for decided in self.vms[vm].limits.on_response(response, now) {
+            let Some(waiting) = self.vms[vm].waiting.remove(&decided.number) else {
                 continue;
             };
-            self.vms[vm].limits.close_ask(&waiting.ask, true, now);
-            self.decided(vm, decision, waiting.asked);
+            self.vms[vm].limits.close_ask(&waiting.ask);
+            self.decided(vm, decided.decision, waiting.asked);
         }
     }
 
--- a/tests/gateway_upstream_limit.rs
+++ b/tests/gateway_upstream_limit.rs
@@ -7,7 +7,7 @@
 use basilgw::clock::BootTime;
 use basilgw::gateway::platform_api::{LimitSignal, ResponseMeta, UpstreamSignals};
 use basilgw::gateway::upstream::UpstreamInstance;
-use basilgw::gateway::upstream_limit::granter::{Ask, Granter};
+use basilgw::gateway::upstream_limit::granter::{Ask, AskId, Granter};
 use basilgw::gateway::upstream_limit::share::LocalShare;
 use basilgw::gateway::upstream_limit::table::{LimitTable, Statement};
 use basilgw::gateway::upstream_limit::{Decision, Step, UpstreamLimits, VmCounts};
@@ -174,8 +174,12 @@
 }
 
 fn ask(number: u64, max_wait: u64) -> Ask {
-    let process = (id("vm-1"), Generation(1));
-    Ask::of_vm(process, number, upstream(1), ms(max_wait))
+    let ask = AskId {
+        vm: id("vm-1"),
+        generation: Generation(1),
+        number,
+    };
+    Ask::of_vm(ask, upstream(1), ms(max_wait))
 }
 
 #[test]
