Forward broadcasts within data centres

Cause: each VM sent its usage reports, and the leader its notices, to every other VM. Ruled out: fewer or smaller reports; quotas and loads would be known later, or a lost datagram would cost several reports. Change: each other data centre gets one copy, which a VM drawn for this message passes on; two where the loss would be felt. A report that arrives twice or out of order is ignored.

--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -11,6 +11,7 @@
 //! a usage report.
 
 mod demand;
+mod forwarding;
 mod usage;
 
 use std::collections::BTreeMap;
@@ -32,7 +33,8 @@
 use super::run::VmRegistration;
 use super::state::Gateway;
 use crate::ids::{Epoch, Generation, ModelId, UpstreamId, Version, VmId};
-use crate::schema::mesh::{Datagram, InventoryNotice, InventoryUpdate, PermitRequest};
+use crate::schema::mesh::{Broadcast, Datagram, InventoryNotice, InventoryUpdate, PermitRequest};
+use forwarding::URGENT_COPIES;
 
 /// Random factor on the interval between usage reports.
 const INTERVAL_JITTER: Range<f64> = 0.75..1.25;
@@ -161,11 +163,12 @@
     /// Sends inventory updates to every VM, and applies them on this one.
     pub async fn broadcast_updates(&self, epoch: Epoch, updates: Vec<InventoryUpdate>) {
         apply_updates(&self.gateway, &updates);
-        let datagram = Datagram::Notice(InventoryNotice {
+        let notice = InventoryNotice {
             epoch,
             words: updates,
-        });
-        self.send_all(&datagram).await;
+        };
+        self.broadcast(Broadcast::Notice(notice), URGENT_COPIES)
+            .await;
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -225,14 +228,17 @@
                 self.try_send(&Datagram::Followed(response), from);
             }
             Datagram::Followed(response) => fanout::exchange::apply(&self.gateway, response),
-            Datagram::Notice(notice) => {
-                let state = self.lock();
-                let known = state.leader.as_ref().map(|(_, epoch, ..)| *epoch);
-                drop(state);
-                if known.is_none_or(|epoch| epoch <= notice.epoch) {
-                    apply_updates(&self.gateway, &notice.words);
-                }
-            }
+            Datagram::Notice(notice) => self.handle_notice(&notice),
+            Datagram::Forwarded(forwarded) => self.handle_forwarded(forwarded, from),
+        }
+    }
+
+    fn handle_notice(&self, notice: &InventoryNotice) {
+        let state = self.lock();
+        let known = state.leader.as_ref().map(|(_, epoch, ..)| *epoch);
+        drop(state);
+        if known.is_none_or(|epoch| epoch <= notice.epoch) {
+            apply_updates(&self.gateway, &notice.words);
         }
     }
 
@@ -275,16 +281,6 @@
         }
     }
 
-    async fn send_all(&self, datagram: &Datagram) {
-        let Some(bytes) = self.encode(datagram) else {
-            return;
-        };
-        let peers = self.lock().peers.addresses();
-        for address in peers {
-            self.send_bytes(&bytes, address).await;
-        }
-    }
-
     async fn send(&self, datagram: &Datagram, to: SocketAddr) {
         if let Some(bytes) = self.encode(datagram) {
             self.send_bytes(&bytes, to).await;
@@ -304,10 +300,13 @@
 
     /// Sends a datagram that its receiver asks for again if it is lost.
     fn try_send(&self, datagram: &Datagram, to: SocketAddr) {
-        let Some(bytes) = self.encode(datagram) else {
-            return;
-        };
-        match self.socket.try_send_to(&bytes, to) {
+        if let Some(bytes) = self.encode(datagram) {
+            self.try_send_bytes(&bytes, to);
+        }
+    }
+
+    fn try_send_bytes(&self, bytes: &[u8], to: SocketAddr) {
+        match self.socket.try_send_to(bytes, to) {
             Ok(sent) => {
                 self.gateway.counters.datagrams_out.inc();
                 self.gateway.counters.datagram_bytes_out.inc_by(sent as u64);
--- a/src/gateway/mesh/usage.rs
+++ b/src/gateway/mesh/usage.rs
@@ -9,8 +9,9 @@
 
 use crate::gateway::fanout::roles::assign;
 use crate::gateway::peers::MIN_USAGE_INTERVAL;
-use crate::schema::mesh::{Datagram, LeaderHeartbeat, Usage, VmSite};
+use crate::schema::mesh::{Broadcast, Datagram, LeaderHeartbeat, Usage, VmSite};
 
+use super::forwarding::{COPIES, URGENT_COPIES};
 use super::{INTERVAL_JITTER, Mesh};
 
 /// How long after its start a VM's usage reports name its data centre. VMs that start later read it
@@ -82,9 +83,10 @@
     }
 
     pub(super) async fn report_usage(self: Arc<Self>) {
+        let mut copies = COPIES;
         loop {
-            let datagram = Datagram::Usage(self.usage_report());
-            self.send_all(&datagram).await;
+            self.broadcast(Broadcast::Usage(self.usage_report()), copies)
+                .await;
             self.refresh_peers();
             tokio::time::sleep(MIN_USAGE_DELAY).await;
             let due = self.gateway.usage_due.notified();
@@ -93,7 +95,8 @@
             let interval = self
                 .usage_interval()
                 .mul_f64(rand::rng().random_range(INTERVAL_JITTER));
-            let _woken = tokio::time::timeout(interval.saturating_sub(MIN_USAGE_DELAY), due).await;
+            let woken = tokio::time::timeout(interval.saturating_sub(MIN_USAGE_DELAY), due).await;
+            copies = if woken.is_ok() { URGENT_COPIES } else { COPIES };
         }
     }
 
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -26,6 +26,7 @@
     datagrams_in: "Datagrams taken from other VMs.",
     datagrams_out: "Datagrams sent to other VMs.",
     datagram_bytes_out: "Bytes of datagrams sent to other VMs.",
+    broadcasts_forwarded: "Messages of other data centres passed on to the VMs of this one.",
 }
 
 /// Gauges that are set from the gateway's state at each scrape, and the histogram of waits for
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -16,6 +16,7 @@
 use crate::schema::mesh::{Usage, VmSite};
 use crate::units::Tokens;
 
+use super::broadcast::{self, Destination, Recipients};
 use super::fanout::roles::Capacity;
 use super::reachability::Reachability;
 use super::run::VmRegistration;
@@ -71,6 +72,8 @@
     address: SocketAddr,
     /// When the VM's last usage report arrived.
     last_received: Option<Instant>,
+    /// Process that sent its last report, and the age in milliseconds that the report states.
+    report: Option<(Generation, u64)>,
     /// When its registration was last read, or it was first added.
     last_listed: Instant,
     /// What the process that sent the last report has admitted; absent before the first report.
@@ -156,11 +159,15 @@
 
     /// Applies a usage report that was sent from `from`.
     pub fn apply_usage(&mut self, usage: Usage, from: SocketAddr, now: Instant) -> UsageChange {
+        if self.is_outdated(&usage) {
+            return UsageChange::default();
+        }
         let new = !self.known.contains_key(&usage.vm);
         let peer = self.known.entry(usage.vm.clone());
         let peer = peer.or_insert_with(|| Peer::new(from, now));
         peer.address = from;
         peer.last_received = Some(now);
+        peer.report = usage.age_ms.map(|age_ms| (usage.generation, age_ms));
         peer.site = usage.site.or(peer.site.take());
         let known = peer.totals.as_ref();
         let started = known.is_none_or(|totals| totals.generation != usage.generation);
@@ -205,6 +212,16 @@
         }
     }
 
+    /// Whether a report of the same process that is as new, or newer, was applied already. Forwarders
+    /// may deliver a report twice, or after the next one.
+    fn is_outdated(&self, usage: &Usage) -> bool {
+        let Some(age_ms) = usage.age_ms else {
+            return false;
+        };
+        let applied = self.known.get(&usage.vm).and_then(|peer| peer.report);
+        applied.is_some_and(|(generation, age)| generation == usage.generation && age_ms <= age)
+    }
+
     /// Removes the running requests of unreachable VMs from the sums, and forgets VMs after a long
     /// silence.
     pub fn expire(&mut self, now: Instant) {
@@ -304,9 +321,31 @@
         self.known.get(vm).map(|peer| peer.address)
     }
 
-    /// Addresses of all VMs known.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.known.values().map(|peer| peer.address).collect()
+    /// Whom a broadcast of a VM in the data centre `home` is sent to, as
+    /// [`broadcast::recipients`] chooses.
+    pub fn recipients(
+        &self,
+        home: &DataCentre,
+        copies: usize,
+        draw: u64,
+        now: Instant,
+    ) -> Recipients {
+        let timeout = self.silence_timeout();
+        let others = self.known.iter().map(|(vm, peer)| Destination {
+            vm,
+            address: peer.address,
+            centre: peer.site.as_ref().map(|site| &site.centre),
+            reachable: peer.is_reachable(now, timeout),
+        });
+        broadcast::recipients(others, home, copies, draw)
+    }
+
+    /// Addresses of the VMs that a forwarded message is passed on to: those of the data centre
+    /// `home`, and those whose data centre is not known.
+    pub fn addresses_in(&self, home: &DataCentre) -> Vec<SocketAddr> {
+        let local = |peer: &&Peer| peer.site.as_ref().is_none_or(|site| site.centre == *home);
+        let peers = self.known.values().filter(local);
+        peers.map(|peer| peer.address).collect()
     }
 
     /// Number of VMs known, including this one.
@@ -325,6 +364,7 @@
         Self {
             address,
             last_received: None,
+            report: None,
             last_listed: now,
             totals: None,
             loads: BTreeMap::new(),
--- a/src/schema/mesh.rs
+++ b/src/schema/mesh.rs
@@ -3,6 +3,24 @@
 #![allow(clippy::match_single_binding)]
 #![allow(clippy::clone_on_copy)]
 
+#[doc = "A message for all VMs."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+pub enum Broadcast {
+    #[serde(rename = "usage")]
+    Usage(Usage),
+    #[serde(rename = "notice")]
+    Notice(InventoryNotice),
+}
+impl ::std::convert::From<Usage> for Broadcast {
+    fn from(value: Usage) -> Self {
+        Self::Usage(value)
+    }
+}
+impl ::std::convert::From<InventoryNotice> for Broadcast {
+    fn from(value: InventoryNotice) -> Self {
+        Self::Notice(value)
+    }
+}
 #[doc = "A request whose response an engine broke off."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -32,6 +50,8 @@
     PermitRequest(PermitRequest),
     #[serde(rename = "permit_response")]
     PermitResponse(PermitResponse),
+    #[serde(rename = "forwarded")]
+    Forwarded(Forwarded),
 }
 impl ::std::convert::From<Usage> for Datagram {
     fn from(value: Usage) -> Self {
@@ -78,6 +98,11 @@
         Self::PermitResponse(value)
     }
 }
+impl ::std::convert::From<Forwarded> for Datagram {
+    fn from(value: Forwarded) -> Self {
+        Self::Forwarded(value)
+    }
+}
 #[doc = "`DatagramsBetweenVMs`"]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(transparent)]
@@ -157,6 +182,15 @@
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub registrations: ::std::option::Option<KnownRegistrations>,
 }
+#[doc = "A broadcast that the receiver passes on to the VMs of its data centre, or that was passed on to it."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Forwarded {
+    pub message: Broadcast,
+    #[doc = "Address of the VM that the broadcast comes from; absent where the sender is that VM, and the receiver is to pass it on."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub origin: ::std::option::Option<::basilgw::gateway::broadcast::PeerAddress>,
+}
 #[doc = "A part of prompts, or a request, that the sender holds back, because it crashes engines."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
