--- a/src/gateway/broadcast.rs
+++ b/src/gateway/broadcast.rs
@@ -59,7 +59,7 @@
     for other in others {
         match other.centre {
             Some(centre) if !few && centre != home => {
-                centres.entry(centre).or_default().push(other)
+                centres.entry(centre).or_default().push(other);
             }
             _ => recipients.direct.push(other.address),
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -340,6 +340,11 @@
         broadcast::recipients(others, home, copies, draw)
     }
 
+    /// Addresses of all VMs known.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.known.values().map(|peer| peer.address).collect()
+    }
+
     /// Addresses of the VMs that a forwarded message is passed on to: those of the data centre
     /// `home`, and those whose data centre is not known.
     pub fn addresses_in(&self, home: &DataCentre) -> Vec<SocketAddr> {
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -9,6 +9,7 @@
     clippy::pedantic,
     clippy::style,
     clippy::complexity,
+    clippy::perf,
     clippy::restriction,
     reason = "generated code"
 )]
