Give crowded models a replica before their rate rises

The planner counts replicas by a rate over 20 s, and a request that never begins makes no stream late. Change: requests at engines without a free slot ask for one more replica, one at a time; full engines are avoided. Nothing changes where no engine has more requests than slots. Not measured yet.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,8 +12,8 @@
 //!
 //! In the background, [`store_watch`] keeps the configuration and the registrations up to date,
 //! [`mesh`] reports this VM's usage to the other VMs, and [`controller`] orders engines to load and
-//! unload models and adapters while this VM holds the [`lease`], as planned by [`placement`] and
-//! [`adapter_placement`].
+//! unload models and adapters while this VM holds the [`lease`], as planned by [`placement`],
+//! [`crowding`] and [`adapter_placement`].
 
 pub mod adapter_placement;
 pub mod allowance;
@@ -23,6 +23,7 @@
 pub mod client;
 pub mod configuration;
 pub mod controller;
+pub mod crowding;
 pub mod demand;
 mod demand_entries;
 pub mod engine_run;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -4,8 +4,9 @@
 //! replica of a model has a value, in requests a second: the first replica of a model is worth the
 //! whole demand for the model, a further one its share of the demand if one replica cannot serve
 //! it, and little otherwise. Streams that come late although an engine holds their model show that
-//! its replicas have too much to do; a further one is then worth a part of them. The planner starts with the most valuable missing replica. It loads
-//! each on the engine where this costs the least, by where the weights are read from (memory, disk
+//! its replicas have too much to do; a further one is then worth a part of them. So do requests at
+//! engines without a free slot ([`super::crowding`]). The planner starts with the most valuable
+//! missing replica. It loads each on the engine where this costs the least, by where the weights are read from (memory, disk
 //! or the weight store) and by the models that must be unloaded to make space. Loads from the
 //! weight store are limited; by their value, models that no engine holds get them first.
 
@@ -15,6 +16,7 @@
 use crate::ids::{ModelId, UpstreamId};
 
 use super::configuration::{EngineSpec, Model};
+use super::crowding::{self, Crowding};
 use super::demand::Demand;
 use super::upstream::ModelInventory;
 
@@ -38,7 +40,7 @@
 const FINISH_SECONDS: f64 = 3.0;
 /// Share of an engine's adapter requests that are delayed while the engine loads a model.
 const DELAYED_SHARE: f64 = 0.5;
-/// Demand that one waiting request counts as, in requests a second.
+/// Demand that one waiting request counts as, or one at a full engine, in requests a second.
 const WAITING_RATE: f64 = 0.5;
 /// Greatest value of the unloaded models together, as a share of the value of the incoming one.
 const MAX_LOSS_SHARE: f64 = 0.7;
@@ -46,6 +48,9 @@
 const MIN_LOADED_TIME: Duration = Duration::from_secs(3);
 /// Least time counted for an engine to finish the order that it is carrying out.
 const MIN_WAIT: Duration = Duration::from_millis(200);
+/// Delay that a full engine means for the requests of one more model, for each time that its slots
+/// are taken, in seconds.
+const FULL_SECONDS: f64 = 1.0;
 /// Rate that a replica serves for each slot of its engine before another replica is needed, in
 /// requests a second.
 const RATE_PER_SLOT: f64 = 0.5;
@@ -143,7 +148,7 @@
 ) -> BTreeMap<UpstreamId, ModelAction> {
     let mut actions = BTreeMap::new();
     let mut planner = Planner::open(engines, spec, demand, now);
-    let mut additions = additional_replicas(spec, demand, &planner.replicas, planner.slots);
+    let mut additions = planner.additional_replicas();
     additions.sort_by(|a, b| b.0.total_cmp(&a.0));
     for (id, candidate) in &planner.candidates {
         let incoming = candidate.engine.incoming_model.as_ref();
@@ -195,7 +200,13 @@
 }
 
 /// Value of replica number `count` (from 1) of a model, in requests a second.
-fn replica_value(demand: &ModelDemand, count: usize, spec: &EngineSpec, slots: u32) -> f64 {
+fn replica_value(
+    demand: &ModelDemand,
+    crowding: Crowding,
+    count: usize,
+    spec: &EngineSpec,
+    slots: u32,
+) -> f64 {
     let rate = demand.total.rate + f64::from(demand.total.waiting) * WAITING_RATE;
     if count <= 1 {
         return rate + IDLE_VALUE;
@@ -204,6 +215,9 @@
     if (count as f64) <= by_rate {
         return rate / count as f64;
     }
+    if crowding.needs(count) {
+        return rate.max(f64::from(crowding.requests) * WAITING_RATE) / count as f64;
+    }
     let by_adapters = demand.adapters.div_ceil(spec.adapter_slots.max(1));
     let surplus = (rate * SURPLUS_SHARE).max(demand.total.late * LATE_SHARE) / count as f64;
     if count <= by_adapters {
@@ -212,24 +226,6 @@
     surplus
 }
 
-/// Models for which one more replica would have a value, with this value.
-fn additional_replicas(
-    spec: &EngineSpec,
-    demand: &BTreeMap<ModelId, ModelDemand>,
-    replicas: &BTreeMap<ModelId, usize>,
-    slots: u32,
-) -> Vec<(f64, ModelId)> {
-    let next = spec.models.keys().map(|model| {
-        let count = replicas.get(model).copied().unwrap_or_default();
-        let model_demand = demand.get(model).copied().unwrap_or_default();
-        (
-            replica_value(&model_demand, count + 1, spec, slots),
-            model.clone(),
-        )
-    });
-    next.filter(|(value, _)| *value > 0.0).collect()
-}
-
 /// What it takes to make space for a model on an engine.
 #[derive(Debug, Default)]
 struct Eviction<'a> {
@@ -270,6 +266,8 @@
     demand: &'a BTreeMap<ModelId, ModelDemand>,
     /// Number of replicas of each model, as planned so far.
     replicas: BTreeMap<ModelId, usize>,
+    /// How full the engines are that the models' requests are at.
+    crowding: BTreeMap<ModelId, Crowding>,
     /// Slots of the engine with the fewest.
     slots: u32,
     now: Instant,
@@ -287,6 +285,7 @@
             spec,
             demand,
             replicas: count_replicas(engines, spec),
+            crowding: crowding::by_model(engines, now),
             slots: engines.values().map(|e| e.slots).min().unwrap_or(1),
             now,
             candidates: BTreeMap::new(),
@@ -305,6 +304,22 @@
         }
     }
 
+    /// Value of replica number `count` (from 1) of a model, in requests a second.
+    fn replica_value(&self, model: &ModelId, count: usize) -> f64 {
+        let demand = self.demand.get(model).copied().unwrap_or_default();
+        let crowding = self.crowding.get(model).copied().unwrap_or_default();
+        replica_value(&demand, crowding, count, self.spec, self.slots)
+    }
+
+    /// Models for which one more replica would have a value, with this value.
+    fn additional_replicas(&self) -> Vec<(f64, ModelId)> {
+        let next = self.spec.models.keys().map(|model| {
+            let count = self.replicas.get(model).copied().unwrap_or_default();
+            (self.replica_value(model, count + 1), model.clone())
+        });
+        next.filter(|(value, _)| *value > 0.0).collect()
+    }
+
     /// Counts a replica that is unloaded, which raises the value of the model's other replicas.
     fn remove_replica(&mut self, model: &ModelId) {
         if let Some(count) = self.replicas.get_mut(model) {
@@ -350,7 +365,12 @@
             };
             let time = (wait + load_time(model_spec, tier)).as_secs_f64() + eviction.time;
             let delayed = candidate.adapter_rate * DELAYED_SHARE;
-            let cost = time * (value + delayed) + eviction.loss;
+            let full = if crowding::is_full(engine) {
+                crowding::occupancy(engine) * FULL_SECONDS
+            } else {
+                0.0
+            };
+            let cost = (time + full) * value + time * delayed + eviction.loss;
             if best.as_ref().is_some_and(|(lowest, ..)| cost >= *lowest) {
                 continue;
             }
@@ -448,18 +468,12 @@
             .filter(|model| settled(model));
         let victims = models.map(|model| {
             let count = self.replicas.get(model).copied().unwrap_or(1);
-            let demand = self.demand.get(model).copied().unwrap_or_default();
-            let running = f64::from(
-                engine
-                    .running_requests
-                    .get(model)
-                    .copied()
-                    .unwrap_or_default(),
-            );
+            let running = engine.running_requests.get(model);
+            let running = f64::from(running.copied().unwrap_or_default());
             let model_spec = self.spec.models.get(model);
             Victim {
                 model,
-                value: replica_value(&demand, count, self.spec, self.slots),
+                value: self.replica_value(model, count),
                 size_mb: self.size_mb(engine, model),
                 unload_time: UNLOAD_SECONDS + FINISH_SECONDS * (1.0 - (-running).exp()),
                 reload_time: model_spec.map_or(0.0, |m| m.memory_time.as_secs_f64()),
