Let names of accounts, routes, services and data centres hold blanks

An account's name with a blank made the whole configuration unreadable, so that no VM which started with it served. Class: texts that operators choose freely, checked like identifiers that become paths.

Such a name now holds whatever a header carries unchanged: no control character, so no header can be injected, no blank at its ends, 128 bytes. Ruled out: the same for VMs, models, adapters and upstreams, whose names become paths, objects' keys or parts of MODEL/ADAPTER.

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -1,8 +1,14 @@
 //! Identifiers.
 //!
 //! Every identifier is a newtype, so that a model cannot be passed where an adapter is meant. Text
-//! identifiers hold 1 to 128 characters out of `A-Z a-z 0-9 . _ : / -`; numeric ones are ordered
-//! counters. Both kinds print with `Display`, parse with `FromStr` and serialise as their plain value.
+//! identifiers hold 1 to 128 bytes; numeric ones are ordered counters. Both kinds print with
+//! `Display`, parse with `FromStr` and serialise as their plain value.
+//!
+//! Most text identifiers become part of a path or of an object's key, and hold only
+//! `A-Z a-z 0-9 . _ : / -`. Operators choose the names of accounts, routes, services and data
+//! centres freely; such a name holds whatever a header carries unchanged: no control character,
+//! and no blank at its ends. Where one becomes part of an object's key, a name that does not fit
+//! there is hashed.
 
 use std::fmt;
 use std::str::FromStr;
@@ -26,27 +32,52 @@
     /// The text holds a character outside the allowed set.
     #[error("character {0:?} is not allowed in an identifier")]
     Character(char),
+    /// A name begins or ends with a blank, which headers drop.
+    #[error("a name must not begin or end with a blank")]
+    OuterBlank,
     /// The text is not a number.
     #[error("expected a whole number")]
     Number,
 }
 
-fn check_text(text: &str) -> Result<(), IdError> {
-    if text.is_empty() {
-        return Err(IdError::Empty);
-    }
-    if text.len() > MAX_ID_BYTES {
-        return Err(IdError::TooLong(text.len()));
+fn check_length(text: &str) -> Result<(), IdError> {
+    match text.len() {
+        0 => Err(IdError::Empty),
+        1..=MAX_ID_BYTES => Ok(()),
+        length => Err(IdError::TooLong(length)),
     }
-    let allowed = |c: char| c.is_ascii_alphanumeric() || "._:/-".contains(c);
+}
+
+fn check_characters<F>(text: &str, allowed: F) -> Result<(), IdError>
+where
+    F: Fn(char) -> bool,
+{
     match text.chars().find(|&c| !allowed(c)) {
         Some(c) => Err(IdError::Character(c)),
         None => Ok(()),
     }
 }
 
+/// Checks an identifier that may become part of a path or of an object's key.
+fn check_id(text: &str) -> Result<(), IdError> {
+    check_length(text)?;
+    check_characters(text, |c| c.is_ascii_alphanumeric() || "._:/-".contains(c))
+}
+
+/// Checks a name that is sent in headers and never becomes a path.
+fn check_name(text: &str) -> Result<(), IdError> {
+    check_length(text)?;
+    if text.trim() != text {
+        return Err(IdError::OuterBlank);
+    }
+    check_characters(text, |c| !c.is_control())
+}
+
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident) => {
+        text_id!($(#[$doc])* $name, check_id);
+    };
+    ($(#[$doc:meta])* $name:ident, $check:ident) => {
         $(#[$doc])*
         #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(try_from = "CompactString", into = "CompactString")]
@@ -69,7 +100,7 @@
             type Err = IdError;
 
             fn from_str(text: &str) -> Result<Self, IdError> {
-                check_text(text)?;
+                $check(text)?;
                 Ok(Self(CompactString::new(text)))
             }
         }
@@ -78,7 +109,7 @@
             type Error = IdError;
 
             fn try_from(text: CompactString) -> Result<Self, IdError> {
-                check_text(&text)?;
+                $check(&text)?;
                 Ok(Self(text))
             }
         }
@@ -127,9 +158,9 @@
 text_id!(/// A VM that runs basilgw.
     VmId);
 text_id!(/// A data centre.
-    DataCentre);
+    DataCentre, check_name);
 text_id!(/// A client account.
-    ClientAccount);
+    ClientAccount, check_name);
 text_id!(/// A caller within a client account.
     CallerId);
 text_id!(/// A key's public name; never the key itself.
@@ -137,7 +168,7 @@
 text_id!(/// A model engine or a plain service instance.
     UpstreamId);
 text_id!(/// A group of upstreams that answer the same plain routes.
-    ServiceId);
+    ServiceId, check_name);
 text_id!(/// A model.
     ModelId);
 text_id!(/// An adapter of a model.
@@ -145,7 +176,7 @@
 text_id!(/// A version of a model or an adapter.
     VersionId);
 text_id!(/// A plain service route.
-    RouteId);
+    RouteId, check_name);
 text_id!(/// One request, as named by its caller or by the edge.
     RequestId);
 text_id!(/// One replica of a model on one engine.
