Read the entries of the configuration one by one

One odd text, number or list anywhere in the configuration made all of it unreadable. Running VMs went on with the one before, those that started were never ready.

Each entry is now read by itself; only a version that cannot be read spoils the whole. Ruled out: keeping an entry of the configuration before, as a VM that starts has none and would decide otherwise than one that runs.

Each unreadable entry counts in entries_unreadable and has one log line, 20 for one configuration at most.

--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -1,8 +1,10 @@
 //! The configuration in force: routes, services, client accounts and limits on callers.
 //!
-//! A [`Configuration`] is immutable; a newer one replaces it as a whole.
+//! A [`Configuration`] is immutable; a newer one replaces it as a whole. Its entries are read one
+//! by one. What an unreadable entry would have decided is not decided by the others in its place:
+//! requests under such a route, and those with a key of such an account, are refused as not ready.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -171,6 +173,56 @@
     pub idle_time: Duration,
 }
 
+/// Host and prefix of a route that could not be read; each is absent where it could not be read
+/// either.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct UnreadableRoute {
+    /// Host of its requests, in lowercase.
+    pub host: Option<CompactString>,
+    /// Prefix of their paths.
+    pub prefix: Option<CompactString>,
+}
+
+impl UnreadableRoute {
+    /// Length of its prefix, 0 if that is not known, where it may be the request's route.
+    fn match_length(&self, host: &str, path: &str) -> Option<usize> {
+        let prefix = self.prefix.as_deref().unwrap_or_default();
+        let same_host = self.host.as_deref().is_none_or(|own| own == host);
+        (same_host && path.starts_with(prefix)).then_some(prefix.len())
+    }
+}
+
+/// Why an entry of a configuration could not be read, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryFault {
+    /// Section, position and, where it can be read, the name of the entry.
+    pub entry: CompactString,
+    /// What is wrong.
+    pub error: CompactString,
+}
+
+/// Entries of a configuration that could not be read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct UnreadableEntries {
+    /// Routes among them.
+    pub routes: Vec<UnreadableRoute>,
+    /// Keys of the client accounts among them.
+    pub keys: BTreeSet<CompactString>,
+    /// Whether these accounts may have keys that could not be read either.
+    pub more_keys: bool,
+    /// What was wrong with each entry.
+    pub faults: Vec<EntryFault>,
+}
+
+/// Why the configuration names no route or account for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Missing {
+    /// There is none.
+    Unknown,
+    /// An entry that could not be read may name one.
+    Unreadable,
+}
+
 /// A version of the operators' configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Configuration {
@@ -184,18 +236,47 @@
     pub keys: Option<BTreeMap<CompactString, Arc<Account>>>,
     /// Limits on callers.
     pub bounds: CallerBounds,
+    /// Entries that could not be read.
+    pub unreadable: UnreadableEntries,
 }
 
 impl Configuration {
     /// Finds the route with the longest prefix that matches the host and the path.
-    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let routes = self.routes.get(host)?;
-        routes.iter().find(|route| path.starts_with(&*route.prefix))
+    ///
+    /// # Errors
+    ///
+    /// [`Missing`], also where an unreadable route has a prefix as long.
+    pub fn route(&self, host: &str, path: &str) -> Result<&Arc<Route>, Missing> {
+        let routes = self.routes.get(host).into_iter().flatten();
+        let found = routes
+            .into_iter()
+            .find(|route| path.starts_with(&*route.prefix));
+        let unreadable = self.unreadable.routes.iter();
+        let longest = unreadable.filter_map(|r| r.match_length(host, path)).max();
+        match (found, longest) {
+            (Some(route), Some(length)) if length >= route.prefix.len() => Err(Missing::Unreadable),
+            (Some(route), _) => Ok(route),
+            (None, Some(_)) => Err(Missing::Unreadable),
+            (None, None) => Err(Missing::Unknown),
+        }
     }
 
     /// Finds the client account that owns a key.
-    pub fn account(&self, key: &str) -> Option<&Arc<Account>> {
-        self.keys.as_ref()?.get(key)
+    ///
+    /// # Errors
+    ///
+    /// [`Missing`], also where an unreadable account has the key as well.
+    pub fn account(&self, key: &str) -> Result<&Arc<Account>, Missing> {
+        if self.unreadable.keys.contains(key) {
+            return Err(Missing::Unreadable);
+        }
+        let found = self.keys.as_ref().and_then(|keys| keys.get(key));
+        let missing = if self.unreadable.more_keys {
+            Missing::Unreadable
+        } else {
+            Missing::Unknown
+        };
+        found.ok_or(missing)
     }
 
     /// All client accounts by name; an account with several keys is listed once.
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -21,6 +21,7 @@
     limits_invalid: "Responses whose limit could not be read.",
     orders: "Orders given to engines.",
     store_loads: "Loads from the weight store among them.",
+    entries_unreadable: "Entries of the configuration, and objects of the store, that cannot be read.",
     leases: "Times that this VM began to give orders.",
     store_failures: "Questions to the platform's store that failed.",
     datagrams_in: "Datagrams taken from other VMs.",
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -22,7 +22,7 @@
 
 use super::attempt::Attempts;
 use super::balancer::{self, NoEngine};
-use super::configuration::{Account, Configuration, Route};
+use super::configuration::{Account, Configuration, Missing, Route};
 use super::fleet::service_upstreams;
 use super::framing::RawHead;
 use super::request::{BufferedRequest, RequestHead, Size};
@@ -126,7 +126,6 @@
 ) -> Result<Response<CallerBody>, Refusal> {
     let guard = gateway.running.try_start(MAX_RUNNING)?;
     let configuration = gateway.configuration.load_full();
-    let not_ready = || Refusal::not_run(Reason::NotReady).retry_after(NOT_READY_RETRY);
     let configuration = configuration.ok_or_else(not_ready)?;
     // With a configuration that may be outdated, a withdrawn key could be accepted and a new one
     // rejected.
@@ -134,7 +133,7 @@
         return Err(not_ready());
     }
     let found = configuration.route(&head.host, head.uri.path());
-    let route = found.ok_or(Refusal::not_run(Reason::UnknownRoute))?;
+    let route = found.map_err(|missing| refuse_missing(missing, Reason::UnknownRoute))?;
     let account = authenticate(&configuration, route, &head)?;
     let max_wait = head.max_wait.unwrap_or(route.timeout).min(route.timeout);
     let draw = balancer::stable_hash(head.id.as_str().as_bytes(), 0);
@@ -173,6 +172,19 @@
     outcome
 }
 
+fn not_ready() -> Refusal {
+    Refusal::not_run(Reason::NotReady).retry_after(NOT_READY_RETRY)
+}
+
+/// The refusal of a request for which the configuration names no route or account; `reason` is for
+/// one that no entry may allow.
+fn refuse_missing(missing: Missing, reason: Reason) -> Refusal {
+    match missing {
+        Missing::Unknown => Refusal::not_run(reason),
+        Missing::Unreadable => not_ready(),
+    }
+}
+
 fn authenticate(
     configuration: &Configuration,
     route: &Route,
@@ -181,11 +193,11 @@
     if configuration.keys.is_none() {
         return Ok(None);
     }
-    let account = head.key.as_ref().and_then(|key| configuration.account(key));
-    match account {
-        Some(account) => Ok(Some(Arc::clone(account))),
-        None if route.public => Ok(None),
-        None => Err(Refusal::not_run(Reason::Unauthorized)),
+    let key = head.key.as_ref().ok_or(Missing::Unknown);
+    match key.and_then(|key| configuration.account(key)) {
+        Ok(account) => Ok(Some(Arc::clone(account))),
+        Err(Missing::Unknown) if route.public => Ok(None),
+        Err(missing) => Err(refuse_missing(missing, Reason::Unauthorized)),
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 
 use crate::clock::{BootTime, Clock};
@@ -34,6 +34,9 @@
 use super::signals::LeavingHints;
 use super::upstream_limit::UpstreamLimits;
 
+/// Most unreadable entries of one configuration that are named in the log.
+const MAX_FAULT_LINES: usize = 20;
+
 /// Settings that bound what a VM does, fixed at its start.
 #[derive(Clone, Debug)]
 pub struct GatewayBounds {
@@ -356,10 +359,21 @@
         info!(self.log, "configuration_taken"; "version" => configuration.version,
             "routes" => configuration.routes.values().map(Vec::len).sum::<usize>(),
             "services" => configuration.services.len());
+        self.report_unreadable(&configuration);
         self.update_allowances(&configuration);
         self.configuration.store(Some(Arc::new(configuration)));
     }
 
+    /// Counts the entries that could not be read, and names the first of them in the log.
+    fn report_unreadable(&self, configuration: &Configuration) {
+        let faults = &configuration.unreadable.faults;
+        self.counters.entries_unreadable.inc_by(faults.len() as u64);
+        for fault in faults.iter().take(MAX_FAULT_LINES) {
+            warn!(self.log, "configuration_entry_unreadable"; "version" => configuration.version,
+                "entry" => %fault.entry, "error" => %fault.error);
+        }
+    }
+
     fn update_allowances(&self, configuration: &Configuration) {
         let now = self.clock.now();
         let full = self.bounds.first_start && self.configuration.load().is_none();
