Load no adapter beside a model of unknown size

An engine that holds a model which the configuration does not contain, since it was taken out or cannot be read, counted it as 0 MB, so adapters could be loaded beyond the engine's memory. The planner of models counts it as the whole engine already. Unloading adapters there could not make room either, so such an engine is passed over. The test fails with the model passed over in the sum.

--- a/src/gateway/adapter_placement.rs
+++ b/src/gateway/adapter_placement.rs
@@ -98,7 +98,10 @@
         }
         let loading_count = loading.get(id).map_or(0, |adapters| adapters.0.len());
         let held_count: usize = view.inventory.loaded.values().map(BTreeSet::len).sum();
-        let free = free_mb(view, spec) - loading_count as f64 * model_spec.adapter_mb;
+        let Some(free) = free_mb(view, spec) else {
+            continue;
+        };
+        let free = free - loading_count as f64 * model_spec.adapter_mb;
         let fits = free >= model_spec.adapter_mb && held_count + loading_count < spec.adapter_slots;
         if loading_count >= MAX_LOADING {
             continue;
@@ -120,17 +123,17 @@
 }
 
 /// Space that an engine has left beside what it holds and the model that it is about to load, in
-/// megabytes.
-fn free_mb(view: &EngineView, spec: &EngineSpec) -> f64 {
-    let sizes = view.inventory.loaded.iter().map(|(model, adapters)| {
-        let model_spec = spec.models.get(model);
-        model_spec.map_or(0.0, |m| m.size_mb + adapters.len() as f64 * m.adapter_mb)
-    });
-    let incoming = view
-        .incoming_model
-        .as_ref()
-        .and_then(|m| spec.models.get(m));
-    spec.capacity_mb - sizes.sum::<f64>() - incoming.map_or(0.0, |model_spec| model_spec.size_mb)
+/// megabytes; `None` where it holds a model that the configuration does not contain, whose size is
+/// unknown.
+fn free_mb(view: &EngineView, spec: &EngineSpec) -> Option<f64> {
+    let mut free = spec.capacity_mb;
+    for (model, adapters) in &view.inventory.loaded {
+        let model_spec = spec.models.get(model)?;
+        free -= model_spec.size_mb + adapters.len() as f64 * model_spec.adapter_mb;
+    }
+    let incoming = view.incoming_model.as_ref();
+    let incoming = incoming.and_then(|model| spec.models.get(model));
+    Some(free - incoming.map_or(0.0, |model_spec| model_spec.size_mb))
 }
 
 /// The adapter of an engine with the lowest demand; `None` if the engine holds none.
--- a/tests/gateway_place.rs
+++ b/tests/gateway_place.rs
@@ -353,6 +353,12 @@
     );
 }
 
+#[test]
+fn an_engine_with_a_model_of_unknown_size_gets_no_adapter() {
+    let all = views(&[("e1", view(&["m0", "unreadable"]))]);
+    assert_eq!(plan_waiting(&all, &BTreeMap::new(), "a1"), None);
+}
+
 #[test]
 fn an_engine_under_order_gets_no_adapter() {
     let mut busy = view(&["m0"]);
