Count and log each unreadable object once

Engines repeat their registrations, so one that cannot be read filled the log with a line for each beat, while unreadable registrations of VMs were passed over in silence; a source of unreadable datagrams could fill the log as well.

--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -20,6 +20,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use compact_str::format_compact;
 use rand::RngExt;
 use slog::{debug, warn};
 use tokio::net::UdpSocket;
@@ -29,6 +30,7 @@
 use super::demand_entries::read_demand;
 use super::fanout;
 use super::peers::{MIN_SILENCE_TIMEOUT, Peers};
+use super::platform_api::DecodeError;
 use super::run::VmRegistration;
 use super::state::Gateway;
 use crate::ids::{Epoch, Generation, ModelId, UpstreamId, Version, VmId};
@@ -189,7 +191,11 @@
                     self.handle(datagram, from);
                 }
                 Err(e) => {
-                    warn!(self.gateway.log, "datagram_unreadable"; "from" => %from, "error" => %e);
+                    let (name, error) = (format_compact!("{from}"), DecodeError::new(&e));
+                    if self.gateway.on_unreadable("datagrams", &name, &error) {
+                        warn!(self.gateway.log, "datagram_unreadable"; "from" => %from,
+                            "error" => %e);
+                    }
                 }
             }
         }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -56,5 +56,6 @@
 pub mod store_watch;
 pub mod stream;
 pub mod stream_progress;
+mod unreadable_objects;
 pub mod upstream;
 pub mod upstream_limit;
--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use compact_str::CompactString;
+use compact_str::{CompactString, format_compact};
 use futures_util::future::BoxFuture;
 use http::request::Parts as RequestParts;
 use http::response::Parts as ResponseParts;
@@ -32,6 +32,18 @@
     pub message: CompactString,
 }
 
+impl DecodeError {
+    /// The fault that `error` describes.
+    pub fn new<E>(error: &E) -> Self
+    where
+        E: fmt::Display,
+    {
+        Self {
+            message: format_compact!("{error}"),
+        }
+    }
+}
+
 /// An object's name and its decoded content.
 pub type NamedObject<T> = (CompactString, Result<T, DecodeError>);
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -12,14 +12,14 @@
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::ids::{DataCentre, ObjectKey, Version, VmId};
+use crate::ids::{DataCentre, IdError, ObjectKey, Version, VmId};
 use crate::store::{ObjectStore, StoreError};
 
 use super::configuration::Configuration;
 use super::controller::{self, ControllerDeps};
 use super::fanout::roles::Capacity;
 use super::mesh::Mesh;
-use super::platform_api::{EngineClient, ObjectSource};
+use super::platform_api::{DecodeError, EngineClient, NamedObject, ObjectSource};
 use super::serve::Listening;
 use super::state::Gateway;
 use super::upstream::Registration;
@@ -221,9 +221,7 @@
             Ok(list) => {
                 let objects = list.items.into_iter();
                 let vms: BTreeMap<VmId, VmRegistration> = objects
-                    .filter_map(|(name, registration)| {
-                        Some((name.parse().ok()?, registration.ok()?))
-                    })
+                    .filter_map(|object| read_vm(&gateway, object))
                     .collect();
                 // The store loses registrations when it comes back from an older copy.
                 registered = vms.get(&gateway.vm) == Some(&own);
@@ -247,6 +245,23 @@
     }
 }
 
+/// Returns a VM's registration, or logs why it cannot be read.
+fn read_vm(
+    gateway: &Gateway,
+    (name, registration): NamedObject<VmRegistration>,
+) -> Option<(VmId, VmRegistration)> {
+    let read = registration.and_then(|registration| {
+        let vm = name.parse().map_err(|e: IdError| DecodeError::new(&e))?;
+        Ok((vm, registration))
+    });
+    read.inspect_err(|e| {
+        if gateway.on_unreadable("vms", &name, e) {
+            warn!(gateway.log, "vm_unreadable"; "name" => %name, "error" => %e);
+        }
+    })
+    .ok()
+}
+
 /// Writes this VM's registration; returns whether that succeeded.
 async fn register_vm(
     gateway: &Gateway,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -27,11 +27,12 @@
 use super::fleet::{Fleet, UpstreamMap};
 use super::freshness::Freshness;
 use super::metrics::{Counters, Gauges};
-use super::platform_api::Dialect;
+use super::platform_api::{DecodeError, Dialect};
 use super::quarantine::Quarantine;
 use super::reachability::Reachability;
 use super::retry_budget::{RetryBound, RetryBudget};
 use super::signals::LeavingHints;
+use super::unreadable_objects::UnreadableObjects;
 use super::upstream_limit::UpstreamLimits;
 
 /// Most unreadable entries of one configuration that are named in the log.
@@ -116,6 +117,7 @@
     leads: AtomicBool,
     /// When requests that still wait for a model are refused, once shutdown has begun.
     drain_deadline: Mutex<Option<Instant>>,
+    unreadable: Mutex<UnreadableObjects>,
 }
 
 /// What [`Gateway::open`] needs.
@@ -193,6 +195,7 @@
             upstream_limits: Mutex::default(),
             leads: AtomicBool::new(false),
             drain_deadline: Mutex::new(None),
+            unreadable: Mutex::default(),
         }))
     }
 
@@ -374,6 +377,15 @@
         }
     }
 
+    /// Counts an object of the store that cannot be read; true if the log has not named it yet.
+    pub fn on_unreadable(&self, kind: &'static str, name: &str, error: &DecodeError) -> bool {
+        let first = lock(&self.unreadable).add(kind, name, error);
+        if first {
+            self.counters.entries_unreadable.inc();
+        }
+        first
+    }
+
     fn update_allowances(&self, configuration: &Configuration) {
         let now = self.clock.now();
         let full = self.bounds.first_start && self.configuration.load().is_none();
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -247,7 +247,9 @@
         match item {
             (_, Ok(configuration)) => self.0.apply_configuration(configuration),
             (name, Err(e)) => {
-                warn!(self.0.log, "configuration_unreadable"; "name" => %name, "error" => %e);
+                if self.0.on_unreadable(Self::KIND, &name, &e) {
+                    warn!(self.0.log, "configuration_unreadable"; "name" => %name, "error" => %e);
+                }
             }
         }
     }
@@ -320,7 +322,9 @@
         match item {
             (_, Ok(registration)) => Some(registration),
             (name, Err(e)) => {
-                warn!(self.0.log, "registration_unreadable"; "name" => %name, "error" => %e);
+                if self.0.on_unreadable(Self::KIND, &name, &e) {
+                    warn!(self.0.log, "registration_unreadable"; "name" => %name, "error" => %e);
+                }
                 None
             }
         }
