Trust no keys while the configuration cannot be read

Each read of a configuration whose version cannot be read counted as fresh, so a VM that ran kept the keys of the one before for as long as that lay in the store, also those that it took away.

Such a read no longer counts, if the object is the one that holds the configuration in force, or none is in force yet; any other object beside it is passed over as before.

--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -2,7 +2,8 @@
 //!
 //! The platform bounds how long a withdrawn key may keep working. A VM trusts keys only while its
 //! last linearizable read of the configuration is younger than that bound. The age counts from when
-//! the read was sent, on a clock that keeps running while the VM is suspended.
+//! the read was sent, on a clock that keeps running while the VM is suspended. A read of a
+//! configuration that cannot be decoded shows nothing of its keys and does not count.
 
 use std::time::Duration;
 
@@ -26,6 +27,8 @@
     bound: Duration,
     /// When the newest read that was answered had been sent.
     read_sent: Option<BootTime>,
+    /// Whether the object in the store could not be decoded when last read.
+    unreadable: bool,
 }
 
 impl Freshness {
@@ -35,6 +38,7 @@
         Self {
             bound,
             read_sent: None,
+            unreadable: false,
         }
     }
 
@@ -43,8 +47,16 @@
         MAX_WAIT.min(self.bound.mul_f64(WAIT_SHARE))
     }
 
+    /// Records whether the configuration that was read could be decoded.
+    pub fn set_unreadable(&mut self, unreadable: bool) {
+        self.unreadable = unreadable;
+    }
+
     /// Records the response to a read that was sent at `sent`.
     pub fn on_response(&mut self, sent: BootTime) {
+        if self.unreadable {
+            return;
+        }
         self.read_sent = self.read_sent.max(Some(sent));
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -350,14 +350,14 @@
         *lock(&self.drain_deadline)
     }
 
-    /// Puts a configuration into force if it is newer than the current one.
-    pub fn apply_configuration(&self, configuration: Configuration) {
+    /// Puts a configuration into force if it is newer than the current one; returns whether it is.
+    pub fn apply_configuration(&self, configuration: Configuration) -> bool {
         let in_force = self.configuration.load();
         if in_force
             .as_ref()
             .is_some_and(|old| old.version >= configuration.version)
         {
-            return;
+            return false;
         }
         info!(self.log, "configuration_taken"; "version" => configuration.version,
             "routes" => configuration.routes.values().map(Vec::len).sum::<usize>(),
@@ -365,6 +365,7 @@
         self.report_unreadable(&configuration);
         self.update_allowances(&configuration);
         self.configuration.store(Some(Arc::new(configuration)));
+        true
     }
 
     /// Counts the entries that could not be read, and names the first of them in the log.
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -6,9 +6,10 @@
 //! revision, the objects are listed again. While another VM reads the store for this one
 //! ([`super::fanout`]), nothing is read here.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
 use rand::RngExt;
 use slog::{info, warn};
 use tokio::task::JoinHandle;
@@ -90,7 +91,11 @@
     gateway: &Arc<Gateway>,
     source: Arc<dyn ObjectSource<Configuration>>,
 ) -> JoinHandle<()> {
-    let watcher = Watcher::new(gateway, source, ConfigurationHandler(Arc::clone(gateway)));
+    let handler = ConfigurationHandler {
+        gateway: Arc::clone(gateway),
+        source: Mutex::default(),
+    };
+    let watcher = Watcher::new(gateway, source, handler);
     tokio::spawn(watcher.run())
 }
 
@@ -240,15 +245,30 @@
     }
 }
 
-struct ConfigurationHandler(Arc<Gateway>);
+struct ConfigurationHandler {
+    gateway: Arc<Gateway>,
+    /// Name of the object that holds the configuration in force; absent before the first one.
+    source: Mutex<Option<CompactString>>,
+}
 
 impl ConfigurationHandler {
     fn apply(&self, item: NamedObject<Configuration>) {
+        let mut source = self.source.lock().unwrap_or_else(PoisonError::into_inner);
         match item {
-            (_, Ok(configuration)) => self.0.apply_configuration(configuration),
+            (name, Ok(configuration)) => {
+                let newer = self.gateway.apply_configuration(configuration);
+                if newer || source.as_ref() == Some(&name) {
+                    *source = Some(name);
+                    self.gateway.freshness().set_unreadable(false);
+                }
+            }
             (name, Err(e)) => {
-                if self.0.on_unreadable(Self::KIND, &name, &e) {
-                    warn!(self.0.log, "configuration_unreadable"; "name" => %name, "error" => %e);
+                // Any other object beside the one in force is passed over.
+                if source.as_ref().is_none_or(|source| *source == name) {
+                    self.gateway.freshness().set_unreadable(true);
+                }
+                if self.gateway.on_unreadable(Self::KIND, &name, &e) {
+                    warn!(self.gateway.log, "configuration_unreadable"; "name" => %name, "error" => %e);
                 }
             }
         }
@@ -267,9 +287,9 @@
     }
 
     fn covered(&self) -> bool {
-        let age = self.0.freshness().age(self.0.clock.boot());
-        let bound = self.0.bounds().withdrawal;
-        self.0.coverage().covers_configuration(age, bound)
+        let age = self.gateway.freshness().age(self.gateway.clock.boot());
+        let bound = self.gateway.bounds().withdrawal;
+        self.gateway.coverage().covers_configuration(age, bound)
     }
 
     // Readers hand on no changes of the configuration.
@@ -278,16 +298,16 @@
     }
 
     fn wait(&self) -> Duration {
-        let wait = self.0.freshness().poll_wait();
-        if self.0.coverage().reads_for_others() {
-            let bound = self.0.bounds().withdrawal;
+        let wait = self.gateway.freshness().poll_wait();
+        if self.gateway.coverage().reads_for_others() {
+            let bound = self.gateway.bounds().withdrawal;
             return wait.min(bound.mul_f64(READER_CONFIGURATION_SHARE));
         }
         wait
     }
 
     fn on_list(&self, items: Vec<NamedObject<Configuration>>, _version: Version) {
-        self.0.coverage().on_configuration_listed();
+        self.gateway.coverage().on_configuration_listed();
         for item in items {
             self.apply(item);
         }
@@ -298,14 +318,14 @@
             match change {
                 ObjectChange::Set(item) => self.apply(item),
                 ObjectChange::Removed(name) => {
-                    warn!(self.0.log, "configuration_removed"; "name" => %name);
+                    warn!(self.gateway.log, "configuration_removed"; "name" => %name);
                 }
             }
         }
     }
 
     fn on_response(&self, sent: BootTime) {
-        self.0.freshness().on_response(sent);
+        self.gateway.freshness().on_response(sent);
     }
 
     fn on_recovery(&self) {}
