Take over a lease whose object cannot be decoded

One odd object under the key of the lease kept all VMs from leading for ever: each read failed and was tried again. It is now treated like the lease of a VM that is not known: it stays valid for its whole length after it was last seen to change, and is then replaced at its version. A holder whose object is replaced so gives the lease up at once.

The tests fail without the change, and where the holder goes on.

--- a/src/gateway/leadership.rs
+++ b/src/gateway/leadership.rs
@@ -11,6 +11,7 @@
 
 use super::lease::{Lease, LeaseAction, LeaseRecord};
 use super::mesh::Mesh;
+use super::platform_api::DecodeError;
 use super::state::Gateway;
 
 /// Timeout for reading or writing the lease in the store.
@@ -86,8 +87,14 @@
             Ok(Some(object)) => match serde_json::from_slice(&object.value) {
                 Ok(record) => self.lease.on_read(Some((object.version, record)), boot),
                 Err(e) => {
-                    warn!(self.gateway.log, "lease_unreadable"; "error" => %e);
-                    self.lease.on_failure(boot);
+                    if self.gateway.on_unreadable(
+                        "leases",
+                        self.lease_key.as_str(),
+                        &DecodeError::new(&e),
+                    ) {
+                        warn!(self.gateway.log, "lease_unreadable"; "error" => %e);
+                    }
+                    self.lease.on_unreadable(object.version, boot);
                 }
             },
             Ok(None) => self.lease.on_read(None, boot),
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -218,6 +218,19 @@
         self.holder = Some(record.holder);
     }
 
+    /// Records that the object was read at `version` and its content cannot be decoded. Whoever wrote
+    /// it may hold the lease, so it is taken over like that of any other VM.
+    pub fn on_unreadable(&mut self, version: Version, now: BootTime) {
+        self.answered = true;
+        self.failures = 0;
+        self.on_generation(version.generation(), now);
+        self.next_call = now;
+        self.stale = false;
+        self.held = None;
+        self.holder = None;
+        self.record_version(version, now);
+    }
+
     /// Records a successful write that was sent at `sent`. A write that reached a later generation
     /// of the store than it was meant for renews nothing.
     pub fn on_written(&mut self, version: Version, sent: BootTime, now: BootTime) {
--- a/tests/gateway_lease.rs
+++ b/tests/gateway_lease.rs
@@ -54,6 +54,28 @@
     assert!(own.epoch(boot(90_000)).is_none());
 }
 
+#[test]
+fn a_lease_that_cannot_be_decoded_is_taken_over_once_it_has_expired() {
+    let mut next = lease("v2");
+    next.on_unreadable(Version(7), boot(0));
+    assert_eq!(next.next_action(false, boot(2900)), LeaseAction::Wait);
+    assert_eq!(next.next_action(true, boot(3400)), LeaseAction::Wait);
+    assert_eq!(
+        next.next_action(false, boot(3400)),
+        LeaseAction::Write(Version(7), record("v2", 1))
+    );
+}
+
+#[test]
+fn a_holder_whose_object_cannot_be_decoded_gives_the_lease_up() {
+    let mut own = lease("v1");
+    own.on_read(None, boot(0));
+    own.on_written(Version(1), boot(0), boot(0));
+    own.on_unreadable(Version(2), boot(100));
+    assert_eq!(own.epoch(boot(100)), None);
+    assert_eq!(own.next_action(false, boot(200)), LeaseAction::Wait);
+}
+
 #[test]
 fn a_successor_waits_longer_than_the_lease_since_the_last_change() {
     let mut next = lease("v2");
