Trust no configuration that the store may have lost a newer one of

A VM that started just after the store had come back from an older copy accepted keys that had been taken away, until the operators had written again. Class: reads in a generation of the store that has just begun, by a VM which has not seen what was in force before: one that starts, one that was cut off or suspended over the return, one that had missed the last version.

A read now renews the freshness only if no VM heard of has a newer configuration in force, and if the store's generation is trusted: in the first start, where this VM was fresh as it first saw it, where the leader's record in the store names it, where another VM trusts it, or after the bound on withdrawn keys.

In calm, all VMs that start at once wait for nothing, as one object that the leader writes once a generation says so; the process tests bound that below half of the bound, and the wait after a return between the bound and twice it.

Breaks of nine rules in freshness.rs were each found by a pure test. Where each read counts as before, the process tests of VMs that start after a return fail.

--- a/src/gateway/fanout/exchange.rs
+++ b/src/gateway/fanout/exchange.rs
@@ -78,7 +78,7 @@
         return false;
     }
     let read = sent.minus(Duration::from_millis(known.age_ms));
-    gateway.freshness().on_response(read);
+    gateway.update_freshness(|freshness, now| freshness.on_reader_response(read, now));
     let age = gateway.clock.boot().since(read);
     gateway
         .coverage()
--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -219,6 +219,11 @@
                 self.gateway.orders_due.notify_one();
             }
             Datagram::Quarantine(report) => self.gateway.on_quarantine_report(report),
+            Datagram::Configuration(report) => {
+                if let Some(answer) = self.gateway.on_configuration_report(&report) {
+                    self.try_send(&Datagram::Configuration(answer), from);
+                }
+            }
             Datagram::Limits(summary) => self.gateway.on_limit_reports(&summary.limits),
             Datagram::PermitRequest(request) => {
                 if let Some(response) = self.gateway.grant_permits(request) {
--- a/src/gateway/mesh/usage.rs
+++ b/src/gateway/mesh/usage.rs
@@ -85,6 +85,7 @@
         loop {
             let datagram = Datagram::Usage(self.usage_report());
             self.send_all(&datagram).await;
+            self.report_configuration().await;
             self.refresh_peers();
             tokio::time::sleep(MIN_USAGE_DELAY).await;
             let due = self.gateway.usage_due.notified();
@@ -97,6 +98,16 @@
         }
     }
 
+    /// Tells the others of a change of the configuration, and asks them while this VM does not trust
+    /// what it reads.
+    async fn report_configuration(&self) {
+        let now = self.gateway.clock.boot();
+        let due = self.gateway.freshness().due_report(now);
+        if let Some(report) = due {
+            self.send_all(&Datagram::Configuration(report)).await;
+        }
+    }
+
     /// Interval between usage reports of this VM. The leader always uses the shortest one, because
     /// the others count it as lost after a short silence.
     fn usage_interval(&self) -> Duration {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -41,6 +41,7 @@
     requests_held: IntGauge,
     upstreams_limited: IntGauge,
     running: IntGauge,
+    configuration_awaited: IntGauge,
     waits: HistogramVec,
 }
 
@@ -80,6 +81,10 @@
                 "Upstreams that name a limit of requests.",
             )?,
             running: metrics.gauge("basilgw_running", "Requests that run.")?,
+            configuration_awaited: metrics.gauge(
+                "basilgw_configuration_awaited",
+                "1 while reads of the configuration don't count, as the store may have lost a newer one.",
+            )?,
         })
     }
 
@@ -94,7 +99,11 @@
     /// Sets the gauges from the gateway's state, for a scrape.
     pub fn refresh(&self, gateway: &Gateway) {
         let boot = gateway.clock.boot();
-        let age = gateway.freshness().age(boot);
+        let freshness = gateway.freshness();
+        let age = freshness.age(boot);
+        let awaited = freshness.awaits_trust() || freshness.is_outdated();
+        drop(freshness);
+        self.configuration_awaited.set(i64::from(awaited));
         let age = age.and_then(|age| i64::try_from(age.as_millis()).ok());
         self.trust_age.set(age.unwrap_or(-1));
         let reachability = gateway.reachability();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 pub mod fleet;
 pub mod framing;
 pub mod freshness;
+mod generation_record;
 mod leadership;
 pub mod lease;
 pub mod load_limiter;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -18,6 +18,7 @@
 use super::configuration::Configuration;
 use super::controller::{self, ControllerDeps};
 use super::fanout::roles::Capacity;
+use super::generation_record::RecordKeeper;
 use super::mesh::Mesh;
 use super::platform_api::{DecodeError, EngineClient, NamedObject, ObjectSource};
 use super::serve::Listening;
@@ -74,6 +75,8 @@
     pub lease_key: ObjectKey,
     /// Key of this VM's registration in the store.
     pub vm_key: ObjectKey,
+    /// Key of the generation record in the store.
+    pub generation_key: ObjectKey,
 }
 
 /// Registration of a VM in the store.
@@ -146,6 +149,8 @@
         mesh_address,
     ));
     tokio::spawn(publish_expiry(Arc::clone(&gateway)));
+    let record = RecordKeeper::open(&gateway, &platform.store, platform.generation_key);
+    tokio::spawn(record.run());
     controller::spawn(ControllerDeps {
         gateway: Arc::clone(&gateway),
         mesh,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -16,7 +16,7 @@
 use crate::edge::RequestTracker;
 use crate::ids::{ClientAccount, DataCentre, ServiceId, UpstreamId, VmId};
 use crate::metrics::{EdgeMetrics, Metrics};
-use crate::schema::mesh::{FollowRequest, LeavingUpstream};
+use crate::schema::mesh::{ConfigurationReport, FollowRequest, LeavingUpstream};
 use crate::units::Tokens;
 
 use super::allowance::Allowance;
@@ -152,7 +152,7 @@
     ///
     /// If the name of a metric is already registered.
     pub fn open(deps: GatewayDeps) -> Result<Arc<Self>, prometheus::Error> {
-        let freshness = Freshness::new(deps.bounds.withdrawal);
+        let freshness = Freshness::new(deps.bounds.withdrawal, deps.bounds.first_start);
         let reachability = Reachability::open(deps.clock.now());
         let edge_metrics = EdgeMetrics::open(&deps.metrics)?;
         let counters = Counters::open()?;
@@ -291,6 +291,35 @@
         lock(&self.freshness)
     }
 
+    /// Changes the freshness of the configuration, and logs whether reads of it count.
+    pub fn update_freshness<F>(&self, change: F)
+    where
+        F: FnOnce(&mut Freshness, BootTime),
+    {
+        let now = self.clock.boot();
+        let mut freshness = self.freshness();
+        let before = (freshness.doubted(), freshness.age(now).is_some());
+        change(&mut freshness, now);
+        let after = (freshness.doubted(), freshness.age(now).is_some());
+        drop(freshness);
+        if before.0 != after.0 {
+            info!(self.log, "store_generation_trusted"; "generation" => ?after.0.or(before.0),
+                "trusted" => after.0.is_none());
+        }
+        if before.1 && !after.1 {
+            warn!(self.log, "configuration_lost_by_store");
+        }
+    }
+
+    /// Applies what another VM says of its configuration; returns what must be answered, if it asks.
+    pub fn on_configuration_report(
+        &self,
+        report: &ConfigurationReport,
+    ) -> Option<ConfigurationReport> {
+        self.update_freshness(|freshness, now| freshness.on_report(report, now));
+        self.freshness().answer(report)
+    }
+
     /// What this VM and its readers have read of the store.
     pub fn coverage(&self) -> MutexGuard<'_, Coverage> {
         lock(&self.coverage)
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -256,7 +256,11 @@
         let mut source = self.source.lock().unwrap_or_else(PoisonError::into_inner);
         match item {
             (name, Ok(configuration)) => {
+                let version = configuration.version;
                 let newer = self.gateway.apply_configuration(configuration);
+                self.gateway.update_freshness(|freshness, now| {
+                    freshness.on_configuration(version, newer, now);
+                });
                 if newer || source.as_ref() == Some(&name) {
                     *source = Some(name);
                     self.gateway.freshness().set_unreadable(false);
@@ -306,7 +310,10 @@
         wait
     }
 
-    fn on_list(&self, items: Vec<NamedObject<Configuration>>, _version: Version) {
+    fn on_list(&self, items: Vec<NamedObject<Configuration>>, version: Version) {
+        self.gateway.update_freshness(|freshness, now| {
+            freshness.on_generation(version.generation(), now);
+        });
         self.gateway.coverage().on_configuration_listed();
         for item in items {
             self.apply(item);
@@ -325,7 +332,8 @@
     }
 
     fn on_response(&self, sent: BootTime) {
-        self.gateway.freshness().on_response(sent);
+        self.gateway
+            .update_freshness(|freshness, _| freshness.on_response(sent));
     }
 
     fn on_recovery(&self) {}
--- a/src/schema/mesh.rs
+++ b/src/schema/mesh.rs
@@ -11,6 +11,20 @@
     pub age_ms: u64,
     pub request: ::basilgw::ids::RequestDigest,
 }
+#[doc = "The configuration in force at the sender."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ConfigurationReport {
+    #[doc = "Whether the sender does not trust what it reads and asks for what others know."]
+    pub asked: bool,
+    #[doc = "Generation of the store in which the sender first read it."]
+    pub generation: ::basilgw::ids::StoreGeneration,
+    #[doc = "Newest generation whose configuration the sender trusts; absent where it trusts none yet."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub trusted: ::std::option::Option<::basilgw::ids::StoreGeneration>,
+    #[doc = "Version that the operators gave it; 0 where none is in force."]
+    pub version: u64,
+}
 #[doc = "A datagram between VMs, CBOR-encoded."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub enum Datagram {
@@ -32,6 +46,8 @@
     PermitRequest(PermitRequest),
     #[serde(rename = "permit_response")]
     PermitResponse(PermitResponse),
+    #[serde(rename = "configuration")]
+    Configuration(ConfigurationReport),
 }
 impl ::std::convert::From<Usage> for Datagram {
     fn from(value: Usage) -> Self {
@@ -78,6 +94,11 @@
         Self::PermitResponse(value)
     }
 }
+impl ::std::convert::From<ConfigurationReport> for Datagram {
+    fn from(value: ConfigurationReport) -> Self {
+        Self::Configuration(value)
+    }
+}
 #[doc = "`DatagramsBetweenVMs`"]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(transparent)]
--- a/tests/gateway_fanout.rs
+++ b/tests/gateway_fanout.rs
@@ -269,12 +269,12 @@
         let applied = stated_at + delays.answer_sent;
 
         let reader = |at| boot(at + reader_offset);
-        let mut known = Freshness::new(KEYS_BOUND);
+        let mut known = Freshness::new(KEYS_BOUND, true);
         known.on_response(reader(read));
         let age = known.age(reader(stated_at)).expect("read");
 
         let own = |at| boot(at + follower_offset);
-        let mut told = Freshness::new(KEYS_BOUND);
+        let mut told = Freshness::new(KEYS_BOUND, true);
         told.on_response(own(asked).minus(age));
         let used = applied + later;
         prop_assert!(told.age(own(used)) >= Some(ms(used - read)));
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -40,7 +40,7 @@
 
 #[test]
 fn trust_is_counted_from_the_question_not_from_its_answer() {
-    let mut freshness = Freshness::new(ms(5000));
+    let mut freshness = Freshness::new(ms(5000), true);
     assert!(
         !freshness.is_fresh(boot(0)),
         "no configuration was read yet"
@@ -60,7 +60,7 @@
 
 #[test]
 fn a_vm_out_of_touch_sends_new_callers_away_before_it_refuses_known_ones() {
-    let mut freshness = Freshness::new(ms(5000));
+    let mut freshness = Freshness::new(ms(5000), true);
     freshness.on_response(boot(0));
     assert!(freshness.ready(boot(2900)));
     assert!(!freshness.ready(boot(3100)));
@@ -70,7 +70,7 @@
 #[test]
 fn a_vm_whose_questions_are_answered_in_time_is_always_ready() {
     for bound in [1000, 2000, 5000, 20_000] {
-        let mut freshness = Freshness::new(ms(bound));
+        let mut freshness = Freshness::new(ms(bound), true);
         let mut sent = boot(0);
         for _ in 0..10 {
             // The store answers a little after the wait that was requested.
@@ -85,7 +85,7 @@
 
 #[test]
 fn a_suspended_vm_wakes_without_trust() {
-    let mut freshness = Freshness::new(ms(5000));
+    let mut freshness = Freshness::new(ms(5000), true);
     freshness.on_response(boot(0));
     assert!(!freshness.is_fresh(boot(60_000)));
 }
