Renew no lease that has expired

Two VMs could lead over a return of the store. A VM that missed the return replaced the next holder's object under a revision that was given out twice; the former holder, whose lease had expired unnoticed, read that object of an earlier generation, which takes no lease from a holder, and renewed with its old fencing number.

A lease that has expired now counts as not held wherever the state machine looks: it is not renewed, and an object that this VM wrote itself is taken over with a new fencing number, after the wait that a return asks for. Ruled out: having the store refuse the write, as it compares revisions alone; the property test keeps such a store.

--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -9,7 +9,10 @@
 //! When the store comes back from an older copy ([`crate::store::generation`]), renewals and
 //! take-overs may be lost with it, so the object no longer proves who holds the lease. No VM takes
 //! the lease over until a lease that was renewed just before the return has expired. A holder
-//! whose lease is still valid renews it in the new generation and keeps its fencing number.
+//! whose lease is still valid renews it in the new generation and keeps its fencing number. One whose
+//! lease has expired holds nothing: another VM may have taken the lease over meanwhile, also if the
+//! object does not show it, since a VM that missed the return may have replaced the object under a
+//! revision that was given out twice.
 
 use std::time::Duration;
 
@@ -56,7 +59,7 @@
     Write(Version, LeaseRecord),
 }
 
-/// The lease while this VM holds it.
+/// The lease that this VM acquired, which may have expired since.
 #[derive(Clone, Copy, Debug)]
 struct Held {
     epoch: Epoch,
@@ -122,9 +125,6 @@
         self.holder = None;
         self.stale = true;
         self.next_call = now;
-        if self.epoch(now).is_none() {
-            self.held = None;
-        }
         // Before the first response, the generation is not new but was unknown.
         if self.answered || self.earlier_lease_end.is_some() {
             self.earlier_lease_end = Some(now.plus(self.length + TAKEOVER_MARGIN));
@@ -150,7 +150,7 @@
         self.on_generation(version.generation(), now);
         let current = version.generation() == self.generation;
         let newer = current && self.seen.is_none_or(|(known, _)| known < version);
-        if self.held.is_none() && newer {
+        if self.epoch(now).is_none() && newer {
             self.record_version(version, now);
             // The VM that wrote this version holds the lease, whichever VM was read as its holder.
             self.holder = None;
@@ -164,7 +164,7 @@
             return LeaseAction::Wait;
         }
         if self.stale {
-            let idle = self.held.is_none() && leader_alive;
+            let idle = self.epoch(now).is_none() && leader_alive;
             return if idle {
                 LeaseAction::Wait
             } else {
@@ -181,7 +181,7 @@
         let expired = now.since(since) >= self.length + TAKEOVER_MARGIN;
         let own = self.holder.as_ref() == Some(&self.own_id);
         let absent = self.seen.is_none();
-        if self.held.is_some() || (own || absent) && !earlier_lease {
+        if self.epoch(now).is_some() || (own || absent) && !earlier_lease {
             return LeaseAction::Write(version, record);
         }
         if expired && !leader_alive && !earlier_lease {
@@ -237,7 +237,7 @@
         if self.on_generation(version.generation(), now) {
             return;
         }
-        let epoch = self.held.map_or(Epoch(version.0), |held| held.epoch);
+        let epoch = self.epoch(sent).unwrap_or(Epoch(version.0));
         self.held = Some(Held { epoch, sent });
         self.holder = Some(self.own_id.clone());
         self.renewal += 1;
@@ -256,10 +256,7 @@
     /// Records that a call to the store failed, or that its effect is unknown.
     pub fn on_failure(&mut self, now: BootTime) {
         self.stale = true;
-        if self.epoch(now).is_none() {
-            self.held = None;
-        }
-        let doublings = match self.held {
+        let doublings = match self.epoch(now) {
             Some(_) => 0,
             None => self.failures.min(MAX_DOUBLINGS),
         };
--- a/tests/gateway_store_return.rs
+++ b/tests/gateway_store_return.rs
@@ -158,6 +158,19 @@
     assert_eq!(own.epoch(boot(9001)), None);
 }
 
+// Guards against: two leaders where a VM that missed the return has replaced the object of the next
+// holder, since the store gave its revision out twice (ONE).
+#[test]
+fn a_holder_whose_lease_expired_renews_nothing_of_an_earlier_generation() {
+    let mut own = holder("v1", 0);
+    own.on_generation(StoreGeneration(2), boot(500));
+    assert!(own.epoch(boot(500)).is_some());
+    own.on_read(Some((version(2, 2), record("v3", 2, 1))), boot(4000));
+    assert_eq!(own.next_action(false, boot(4000)), LeaseAction::Wait);
+    own.on_written(version(2, 3), boot(4000), boot(4000));
+    assert_eq!(own.epoch(boot(4000)), Some(Epoch(version(2, 3).0)));
+}
+
 /// The lease object in a store that can come back from a copy.
 #[derive(Clone, Debug, Default)]
 struct Copy {
