--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -21,6 +21,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use compact_str::format_compact;
 use rand::RngExt;
 use slog::{debug, warn};
 use tokio::net::UdpSocket;
@@ -30,10 +31,13 @@
 use super::demand_entries::read_demand;
 use super::fanout;
 use super::peers::{MIN_SILENCE_TIMEOUT, Peers};
+use super::platform_api::DecodeError;
 use super::run::VmRegistration;
 use super::state::Gateway;
 use crate::ids::{Epoch, Generation, ModelId, UpstreamId, Version, VmId};
-use crate::schema::mesh::{Broadcast, Datagram, InventoryNotice, InventoryUpdate, PermitRequest};
+use crate::schema::mesh::{
+    Broadcast, ConfigurationReport, Datagram, InventoryNotice, InventoryUpdate, PermitRequest,
+};
 use forwarding::URGENT_COPIES;
 
 /// Random factor on the interval between usage reports.
@@ -192,7 +196,11 @@
                     self.handle(datagram, from);
                 }
                 Err(e) => {
-                    warn!(self.gateway.log, "datagram_unreadable"; "from" => %from, "error" => %e);
+                    let (name, error) = (format_compact!("{from}"), DecodeError::new(&e));
+                    if self.gateway.on_unreadable("datagrams", &name, &error) {
+                        warn!(self.gateway.log, "datagram_unreadable"; "from" => %from,
+                            "error" => %e);
+                    }
                 }
             }
         }
@@ -216,6 +224,7 @@
                 self.gateway.orders_due.notify_one();
             }
             Datagram::Quarantine(report) => self.gateway.on_quarantine_report(report),
+            Datagram::Configuration(report) => self.handle_configuration(&report, from),
             Datagram::Limits(summary) => self.gateway.on_limit_reports(&summary.limits),
             Datagram::PermitRequest(request) => {
                 if let Some(response) = self.gateway.grant_permits(request) {
@@ -233,6 +242,12 @@
         }
     }
 
+    fn handle_configuration(&self, report: &ConfigurationReport, from: SocketAddr) {
+        if let Some(answer) = self.gateway.on_configuration_report(report) {
+            self.try_send(&Datagram::Configuration(answer), from);
+        }
+    }
+
     fn handle_notice(&self, notice: &InventoryNotice) {
         let state = self.lock();
         let known = state.leader.as_ref().map(|(_, epoch, ..)| *epoch);
--- a/src/gateway/mesh/usage.rs
+++ b/src/gateway/mesh/usage.rs
@@ -87,6 +87,7 @@
         loop {
             self.broadcast(Broadcast::Usage(self.usage_report()), copies)
                 .await;
+            self.report_configuration().await;
             self.refresh_peers();
             tokio::time::sleep(MIN_USAGE_DELAY).await;
             let due = self.gateway.usage_due.notified();
@@ -100,6 +101,17 @@
         }
     }
 
+    /// Tells the others of a change of the configuration, and asks them while this VM does not trust
+    /// what it reads.
+    async fn report_configuration(&self) {
+        let now = self.gateway.clock.boot();
+        let due = self.gateway.freshness().due_report(now);
+        if let Some(report) = due {
+            self.broadcast(Broadcast::Configuration(report), COPIES)
+                .await;
+        }
+    }
+
     /// Interval between usage reports of this VM. The leader always uses the shortest one, because
     /// the others count it as lost after a short silence.
     fn usage_interval(&self) -> Duration {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -21,6 +21,7 @@
     limits_invalid: "Responses whose limit could not be read.",
     orders: "Orders given to engines.",
     store_loads: "Loads from the weight store among them.",
+    entries_unreadable: "Entries of the configuration, and objects of the store, that cannot be read.",
     leases: "Times that this VM began to give orders.",
     store_failures: "Questions to the platform's store that failed.",
     datagrams_in: "Datagrams taken from other VMs.",
@@ -41,6 +42,7 @@
     requests_held: IntGauge,
     upstreams_limited: IntGauge,
     running: IntGauge,
+    configuration_awaited: IntGauge,
     waits: HistogramVec,
 }
 
@@ -80,6 +82,10 @@
                 "Upstreams that name a limit of requests.",
             )?,
             running: metrics.gauge("basilgw_running", "Requests that run.")?,
+            configuration_awaited: metrics.gauge(
+                "basilgw_configuration_awaited",
+                "1 while reads of the configuration don't count, as the store may have lost a newer one.",
+            )?,
         })
     }
 
@@ -94,7 +100,11 @@
     /// Sets the gauges from the gateway's state, for a scrape.
     pub fn refresh(&self, gateway: &Gateway) {
         let boot = gateway.clock.boot();
-        let age = gateway.freshness().age(boot);
+        let freshness = gateway.freshness();
+        let age = freshness.age(boot);
+        let awaited = freshness.awaits_trust() || freshness.is_outdated();
+        drop(freshness);
+        self.configuration_awaited.set(i64::from(awaited));
         let age = age.and_then(|age| i64::try_from(age.as_millis()).ok());
         self.trust_age.set(age.unwrap_or(-1));
         let reachability = gateway.reachability();
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,14 +9,14 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 
 use crate::clock::{BootTime, Clock};
 use crate::edge::RequestTracker;
 use crate::ids::{ClientAccount, DataCentre, ServiceId, UpstreamId, VmId};
 use crate::metrics::{EdgeMetrics, Metrics};
-use crate::schema::mesh::{FollowRequest, LeavingUpstream};
+use crate::schema::mesh::{ConfigurationReport, FollowRequest, LeavingUpstream};
 use crate::units::Tokens;
 
 use super::allowance::Allowance;
@@ -27,13 +27,17 @@
 use super::fleet::{Fleet, UpstreamMap};
 use super::freshness::Freshness;
 use super::metrics::{Counters, Gauges};
-use super::platform_api::Dialect;
+use super::platform_api::{DecodeError, Dialect};
 use super::quarantine::Quarantine;
 use super::reachability::Reachability;
 use super::retry_budget::{RetryBound, RetryBudget};
 use super::signals::LeavingHints;
+use super::unreadable_objects::UnreadableObjects;
 use super::upstream_limit::UpstreamLimits;
 
+/// Most unreadable entries of one configuration that are named in the log.
+const MAX_FAULT_LINES: usize = 20;
+
 /// Settings that bound what a VM does, fixed at its start.
 #[derive(Clone, Debug)]
 pub struct GatewayBounds {
@@ -113,6 +117,7 @@
     leads: AtomicBool,
     /// When requests that still wait for a model are refused, once shutdown has begun.
     drain_deadline: Mutex<Option<Instant>>,
+    unreadable: Mutex<UnreadableObjects>,
 }
 
 /// What [`Gateway::open`] needs.
@@ -147,7 +152,7 @@
     ///
     /// If the name of a metric is already registered.
     pub fn open(deps: GatewayDeps) -> Result<Arc<Self>, prometheus::Error> {
-        let freshness = Freshness::new(deps.bounds.withdrawal);
+        let freshness = Freshness::new(deps.bounds.withdrawal, deps.bounds.first_start);
         let reachability = Reachability::open(deps.clock.now());
         let edge_metrics = EdgeMetrics::open(&deps.metrics)?;
         let counters = Counters::open()?;
@@ -190,6 +195,7 @@
             upstream_limits: Mutex::default(),
             leads: AtomicBool::new(false),
             drain_deadline: Mutex::new(None),
+            unreadable: Mutex::default(),
         }))
     }
 
@@ -285,6 +291,35 @@
         lock(&self.freshness)
     }
 
+    /// Changes the freshness of the configuration, and logs whether reads of it count.
+    pub fn update_freshness<F>(&self, change: F)
+    where
+        F: FnOnce(&mut Freshness, BootTime),
+    {
+        let now = self.clock.boot();
+        let mut freshness = self.freshness();
+        let before = (freshness.doubted(), freshness.age(now).is_some());
+        change(&mut freshness, now);
+        let after = (freshness.doubted(), freshness.age(now).is_some());
+        drop(freshness);
+        if before.0 != after.0 {
+            info!(self.log, "store_generation_trusted"; "generation" => ?after.0.or(before.0),
+                "trusted" => after.0.is_none());
+        }
+        if before.1 && !after.1 {
+            warn!(self.log, "configuration_lost_by_store");
+        }
+    }
+
+    /// Applies what another VM says of its configuration; returns what must be answered, if it asks.
+    pub fn on_configuration_report(
+        &self,
+        report: &ConfigurationReport,
+    ) -> Option<ConfigurationReport> {
+        self.update_freshness(|freshness, now| freshness.on_report(report, now));
+        self.freshness().answer(report)
+    }
+
     /// What this VM and its readers have read of the store.
     pub fn coverage(&self) -> MutexGuard<'_, Coverage> {
         lock(&self.coverage)
@@ -344,20 +379,41 @@
         *lock(&self.drain_deadline)
     }
 
-    /// Puts a configuration into force if it is newer than the current one.
-    pub fn apply_configuration(&self, configuration: Configuration) {
+    /// Puts a configuration into force if it is newer than the current one; returns whether it is.
+    pub fn apply_configuration(&self, configuration: Configuration) -> bool {
         let in_force = self.configuration.load();
         if in_force
             .as_ref()
             .is_some_and(|old| old.version >= configuration.version)
         {
-            return;
+            return false;
         }
         info!(self.log, "configuration_taken"; "version" => configuration.version,
             "routes" => configuration.routes.values().map(Vec::len).sum::<usize>(),
             "services" => configuration.services.len());
+        self.report_unreadable(&configuration);
         self.update_allowances(&configuration);
         self.configuration.store(Some(Arc::new(configuration)));
+        true
+    }
+
+    /// Counts the entries that could not be read, and names the first of them in the log.
+    fn report_unreadable(&self, configuration: &Configuration) {
+        let faults = &configuration.unreadable.faults;
+        self.counters.entries_unreadable.inc_by(faults.len() as u64);
+        for fault in faults.iter().take(MAX_FAULT_LINES) {
+            warn!(self.log, "configuration_entry_unreadable"; "version" => configuration.version,
+                "entry" => %fault.entry, "error" => %fault.error);
+        }
+    }
+
+    /// Counts an object of the store that cannot be read; true if the log has not named it yet.
+    pub fn on_unreadable(&self, kind: &'static str, name: &str, error: &DecodeError) -> bool {
+        let first = lock(&self.unreadable).add(kind, name, error);
+        if first {
+            self.counters.entries_unreadable.inc();
+        }
+        first
     }
 
     fn update_allowances(&self, configuration: &Configuration) {
