Judge the number of each event before it is forwarded

The class: a number that an engine hands out was believed where nothing had confirmed it. EventSplitter took any number for the first event of a stream, forwarded an event whose number it could not read, and dropped the sound events that came in one read with a faulty one, after it had advanced the number that the stream is resumed after. A sound engine whose numbers rise by more than one was taken for a faulty one. Streams without numbers were resumed from their start.

Ruled out: to hold each event until the next one confirms it, which delays every stream by a pause between events; to remember the step of a service, which one faulty engine could spoil; to accept every rising number, since a stream is resumed after it.

Change. event_numbers, a state machine without time or I/O, learns the step of the stream from several events and holds only an event whose number the step does not ask for, until the next event or the end tells.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -1,12 +1,15 @@
 //! Splits a stream of server-sent events into complete events.
 //!
-//! An engine may fail in the middle of an event. Only complete events are forwarded, so that
-//! another engine can resume the stream after the last one. Their bytes are forwarded unchanged.
+//! An engine may fail in the middle of an event, or hand out a wrong number. Only complete events
+//! with sound numbers ([`super::event_numbers`]) are forwarded, so that another engine can resume the
+//! stream after the last one. Their bytes are forwarded unchanged.
 
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
 
-/// Largest event accepted, in bytes.
+use super::event_numbers::{EventNumber, EventNumbers, Verdict};
+
+/// Largest size of an event, and of the events held until their numbers are judged, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Why the rest of a stream must not be forwarded.
@@ -15,63 +18,154 @@
     /// An event exceeds the largest size accepted.
     #[error("an event is too large")]
     TooLarge,
-    /// The event of this number does not follow the last one: some are missing or repeated.
+    /// The event of this number does not follow the last one: its number is wrong, or events are
+    /// missing or repeated.
     #[error("event {0} is out of order")]
     OutOfOrder(u64),
+    /// An event has no number, or one that cannot be read.
+    #[error("an event has no number")]
+    Unnumbered,
+}
+
+/// What bytes of a stream have completed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Completed {
+    /// Events that may be forwarded.
+    pub events: Bytes,
+    /// Whether an event was completed, also one that is not forwarded.
+    pub any: bool,
+    /// Why nothing after these events may be forwarded.
+    pub fault: Option<EventError>,
 }
 
-/// Splits the bytes of a stream into complete events and checks that their numbers are consecutive.
+/// Splits the bytes of a stream into complete events and judges their numbers.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
+    /// Events that are held, then the beginning of the next one.
     buffer: BytesMut,
-    /// Number of the last complete event; absent before the first one that has a number.
-    pub last_id: Option<u64>,
+    /// Length of the events that are held.
+    held: usize,
+    /// Numbers of the events so far.
+    numbers: EventNumbers,
 }
 
 impl EventSplitter {
     /// Starts in front of a stream, or after event `last_id` where the stream is resumed.
     pub fn resume_after(last_id: Option<u64>) -> Self {
         Self {
-            buffer: BytesMut::new(),
-            last_id,
+            numbers: EventNumbers::resume_after(last_id),
+            ..Self::default()
         }
     }
 
-    /// Adds bytes and returns the events that they complete.
-    ///
-    /// # Errors
-    ///
-    /// [`EventError`]; nothing more may be forwarded then.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventError> {
+    /// Number of the last event that the caller has; absent before the first one that has a number.
+    pub fn last_id(&self) -> Option<u64> {
+        self.numbers.last()
+    }
+
+    /// Whether another engine may go on after that event: it is certain that it is the last one.
+    pub fn is_certain(&self) -> bool {
+        self.numbers.is_certain()
+    }
+
+    /// Adds bytes and returns the events that may be forwarded now. After a fault nothing more may
+    /// be added before [`Self::on_resumed`].
+    pub fn push(&mut self, bytes: &[u8]) -> Completed {
         self.buffer.extend_from_slice(bytes);
-        let mut end = 0;
+        let mut completed = Completed::default();
+        let mut ready = 0;
+        let mut end = self.held;
         while let Some(length) = event_end(&self.buffer[end..]) {
-            let event = &self.buffer[end..end + length];
-            if let Some(id) = event_id(event) {
-                if self.last_id.is_some_and(|last| id != last + 1) {
-                    return Err(EventError::OutOfOrder(id));
+            let event = Event::read(&self.buffer[end..end + length]);
+            let verdict = match event {
+                Event::Comment if end == ready => Verdict::Forward,
+                Event::Comment => Verdict::Hold,
+                Event::Data(number) => {
+                    completed.any = true;
+                    self.numbers.on_event(number)
                 }
-                self.last_id = Some(id);
-            }
+            };
             end += length;
+            match verdict {
+                Verdict::Forward => ready = end,
+                Verdict::Hold => {}
+                Verdict::Fault => {
+                    completed.fault = Some(event.fault());
+                    break;
+                }
+            }
         }
-        if self.buffer.len() - end > MAX_EVENT_BYTES {
-            return Err(EventError::TooLarge);
+        completed.events = self.buffer.split_to(ready).freeze();
+        self.held = end - ready;
+        if completed.fault.is_none() && self.buffer.len() > MAX_EVENT_BYTES {
+            completed.fault = Some(EventError::TooLarge);
         }
-        Ok(self.buffer.split_to(end).freeze())
+        completed
+    }
+
+    /// Ends the stream of this engine and returns the events that were held.
+    ///
+    /// # Errors
+    ///
+    /// [`EventError`]; the stream is not complete then.
+    pub fn finish(&mut self) -> Result<Bytes, EventError> {
+        self.numbers.on_end().map_err(EventError::OutOfOrder)?;
+        let held = std::mem::take(&mut self.held);
+        Ok(self.buffer.split_to(held).freeze())
     }
 
     /// Whether the bytes so far end with a complete event.
     pub fn at_boundary(&self) -> bool {
-        self.buffer.is_empty()
+        self.buffer.len() == self.held
     }
 
-    /// Discards the bytes of an incomplete event.
-    pub fn discard_partial(&mut self) {
+    /// Discards what was not forwarded, as another engine sends it again.
+    pub fn on_resumed(&mut self) {
         self.buffer.clear();
+        self.held = 0;
+        self.numbers.discard_held();
+    }
+}
+
+/// What the numbers are judged by.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// It has neither data nor a number, and is no event for the caller.
+    Comment,
+    /// It has a number, or should have one.
+    Data(EventNumber),
+}
+
+impl Event {
+    fn read(bytes: &[u8]) -> Self {
+        let lines = bytes.split(|byte| *byte == b'\n');
+        let mut ids = lines.clone().filter_map(|line| line.strip_prefix(b"id:"));
+        match (ids.next(), ids.next()) {
+            (Some(id), None) => Self::Data(read_number(id)),
+            (Some(_), Some(_)) => Self::Data(EventNumber::Unreadable),
+            _ if lines.clone().any(|line| line.starts_with(b"data")) => {
+                Self::Data(EventNumber::Absent)
+            }
+            _ => Self::Comment,
+        }
+    }
+
+    fn fault(self) -> EventError {
+        match self {
+            Self::Data(EventNumber::Number(number)) => EventError::OutOfOrder(number),
+            _ => EventError::Unnumbered,
+        }
     }
 }
 
+fn read_number(bytes: &[u8]) -> EventNumber {
+    let text = bytes.trim_ascii();
+    let digits = !text.is_empty() && text.iter().all(u8::is_ascii_digit);
+    let text = std::str::from_utf8(text).ok().filter(|_| digits);
+    let number = text.and_then(|text| text.parse().ok());
+    number.map_or(EventNumber::Unreadable, EventNumber::Number)
+}
+
 /// Length of the first event, including the empty line that ends it.
 fn event_end(bytes: &[u8]) -> Option<usize> {
     let mut from = 0;
@@ -85,11 +179,3 @@
     }
     None
 }
-
-fn event_id(event: &[u8]) -> Option<u64> {
-    let line = event
-        .split(|b| *b == b'\n')
-        .find(|line| line.starts_with(b"id:"))?;
-    let text = std::str::from_utf8(&line[3..]).ok()?;
-    text.trim().parse().ok()
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,7 +8,7 @@
 //! loaded (`model_wait`, [`demand`]). A request that crashes engines, as such or by a part of its prompt, is
 //! not sent ([`quarantine`]). An upstream that names a limit gets no more requests from all VMs
 //! together ([`upstream_limit`]). [`exchange`] sends the request, and [`stream`] and [`events`]
-//! forward the response in complete events.
+//! forward the response in complete events whose numbers are sound ([`event_numbers`]).
 //!
 //! In the background, [`store_watch`] keeps the configuration and the registrations up to date,
 //! [`mesh`] reports this VM's usage to the other VMs, and [`controller`] orders engines to load and
@@ -26,6 +26,7 @@
 mod demand_entries;
 pub mod engine_run;
 mod engine_state;
+pub mod event_numbers;
 pub mod events;
 pub mod exchange;
 pub mod fanout;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -15,7 +15,7 @@
 use super::attempt::{Attempts, Origin};
 use super::configuration::RouteKind;
 use super::engine_run::EngineRun;
-use super::events::EventSplitter;
+use super::events::{EventError, EventSplitter};
 use super::exchange::{BodyRead, ResponseError, SendOutcome, UpstreamResponse};
 use super::model_wait::give_up_time;
 use super::quarantine::crashes::Written;
@@ -50,6 +50,7 @@
         events,
         progress: StreamProgress::open(give_up, gap, started),
         run: EngineRun::open(started),
+        next: Next::Read,
     };
     let mut response = Response::new(streamed_body(Some(stream), next_event));
     *response.status_mut() = status;
@@ -138,12 +139,38 @@
     progress: StreamProgress,
     /// The response of the engine that is being forwarded now.
     run: EngineRun,
+    /// What follows the events that were returned last.
+    next: Next,
+}
+
+/// What a stream does next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Next {
+    /// It reads from the engine.
+    Read,
+    /// It leaves the engine, whose next event is faulty.
+    Leave,
+    /// It ends as complete.
+    End,
 }
 
 impl Stream {
     /// The next complete events; `None` at the end of the stream.
     async fn next(&mut self) -> Result<Option<Bytes>, ResponseAborted> {
         loop {
+            match self.next {
+                Next::Read => {}
+                Next::Leave => {
+                    self.next = Next::Read;
+                    self.resume(ResponseError::Invalid).await?;
+                    self.progress.on_resumed(self.now());
+                    continue;
+                }
+                Next::End => {
+                    self.on_end();
+                    return Ok(None);
+                }
+            }
             let time_left = self.admitted.time_left();
             let max_wait = if self.resumable() {
                 self.progress.silence_left(self.now()).min(time_left)
@@ -161,23 +188,16 @@
                 continue;
             }
             let error = match read {
-                BodyRead::Bytes(bytes) => match self.events.push(&bytes) {
-                    Ok(events) if events.is_empty() => {
-                        if !self.progress.stalled(self.now()) {
-                            continue;
-                        }
-                        ResponseError::Silent
-                    }
-                    Ok(events) => {
-                        self.record_event();
-                        return Ok(Some(events));
-                    }
-                    Err(_fault) => ResponseError::Invalid,
+                BodyRead::Bytes(bytes) => match self.take(&bytes) {
+                    Some(events) => return Ok(Some(events)),
+                    None if self.next == Next::Leave => continue,
+                    None if !self.progress.stalled(self.now()) => continue,
+                    None => ResponseError::Silent,
+                },
+                BodyRead::End if self.ends_complete() => match self.finish() {
+                    Some(events) => return Ok(Some(events)),
+                    None => continue,
                 },
-                BodyRead::End if self.ends_complete() => {
-                    self.on_end();
-                    return Ok(None);
-                }
                 BodyRead::End => ResponseError::Disconnected,
                 BodyRead::Failed(error) => error,
             };
@@ -186,6 +206,42 @@
         }
     }
 
+    /// Takes bytes of the engine; returns the events that they let forward, if there are any.
+    fn take(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let completed = self.events.push(bytes);
+        if completed.any {
+            self.record_event();
+        }
+        if let Some(fault) = completed.fault {
+            self.on_fault(fault);
+        }
+        (!completed.events.is_empty()).then_some(completed.events)
+    }
+
+    /// Takes the end of the body; returns the events that it lets forward, if there are any.
+    fn finish(&mut self) -> Option<Bytes> {
+        match self.events.finish() {
+            Ok(events) => {
+                self.next = Next::End;
+                (!events.is_empty()).then_some(events)
+            }
+            Err(fault) => {
+                self.on_fault(fault);
+                None
+            }
+        }
+    }
+
+    /// Leaves the engine once the events before the faulty one are forwarded.
+    fn on_fault(&mut self, fault: EventError) {
+        let gateway = &self.admitted.gateway;
+        gateway.counters.event_faults.inc();
+        warn!(gateway.log, "event_faulty"; "request" => %self.admitted.request.head.id,
+            "upstream" => %self.origin.upstream.registration.id, "why" => %fault,
+            "event" => self.events.last_id());
+        self.next = Next::Leave;
+    }
+
     /// Records a complete event, and reports a stream that comes late as demand for its model.
     fn record_event(&mut self) {
         let now = self.now();
@@ -286,7 +342,7 @@
         let parts = admitted.request.head.shared_parts();
         let now = gateway.clock.now();
         warn!(gateway.log, "stream_lost"; "request" => %id, "why" => %error,
-            "upstream" => %self.origin.upstream.registration.id, "event" => self.events.last_id,
+            "upstream" => %self.origin.upstream.registration.id, "event" => self.events.last_id(),
             "left_ms" => admitted.time_left().as_millis() as u64, "parts" => %parts,
             "digest" => %admitted.digest, "answered_ms" => self.run.age(now).as_millis() as u64,
             "written" => ?self.run.written());
@@ -295,8 +351,9 @@
         }
         let suspect = error == ResponseError::Disconnected && self.is_suspect();
         self.origin.upstream.health.on_failure(gateway.clock.now());
-        self.events.discard_partial();
-        while !suspect && self.resumable() && !admitted.time_left().is_zero() {
+        self.events.on_resumed();
+        let certain = self.events.is_certain();
+        while certain && !suspect && self.resumable() && !admitted.time_left().is_zero() {
             let trusted = admitted.account.is_none() || gateway.keys_trusted();
             let Ok(permit) = admitted.reserve_upstream(&self.attempts.tried).await else {
                 break;
@@ -312,12 +369,12 @@
                 break;
             }
             self.attempts.tried.insert(upstream.registration.id.clone());
-            let after = self.events.last_id;
+            let after = self.events.last_id();
             let sent = gateway.clock.now();
             match admitted.send(permit, clearance, after, false).await {
                 SendOutcome::Responded(response) if response.head.status.is_success() => {
                     info!(gateway.log, "stream_resumed"; "request" => %id,
-                        "upstream" => %upstream.registration.id, "event" => self.events.last_id);
+                        "upstream" => %upstream.registration.id, "event" => self.events.last_id());
                     self.attempts.sent += 1;
                     self.response = *response;
                     self.run = EngineRun::open(gateway.clock.now());
@@ -345,8 +402,8 @@
                 }
             }
         }
-        warn!(gateway.log, "stream_cut"; "request" => %id, "event" => self.events.last_id,
-            "resumable" => self.resumable(), "suspect" => suspect, "sent" => self.attempts.sent,
+        warn!(gateway.log, "stream_cut"; "request" => %id, "event" => self.events.last_id(),
+            "resumable" => self.resumable(), "certain" => certain, "suspect" => suspect, "sent" => self.attempts.sent,
             "left_ms" => admitted.time_left().as_millis() as u64);
         Err(ResponseAborted)
     }
