Close the former engine's connection before a stream is resumed

The class: work that is taken over was ended only when the one who takes it over had answered. Stream::resume kept the response of the former engine, and so its connection, until the head of the next one had arrived.

Ruled out: the other way to a further upstream, AdmittedRequest::attempt, whose connection ends within exchange::send before the next one is opened; a close some time after the next request was sent, which needs the former response to be read meanwhile.

The response is closed, with its connection and its place in the load of the engine, once the next upstream, its permit and a retry are there, and before the request is sent.

--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -93,6 +93,11 @@
         response.map_err(|_ended| NoResponse)
     }
 
+    /// Closes the socket; what has not been read is lost.
+    pub fn close(&self) {
+        self.driver.abort();
+    }
+
     /// Waits until another request can be sent, which needs the last response to have been read to
     /// its end; false if the connection is closed.
     pub async fn wait_ready(&mut self) -> bool {
@@ -102,6 +107,6 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        self.driver.abort();
+        self.close();
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -74,8 +74,9 @@
     /// Fields of the head that the gateway interprets.
     pub meta: ResponseMeta,
     body: Incoming,
-    _connection: Connection,
-    _guard: RequestGuard,
+    connection: Connection,
+    /// Absent once the response is closed.
+    guard: Option<RequestGuard>,
 }
 
 /// A request that is ready to be sent to one upstream.
@@ -155,8 +156,8 @@
         head,
         meta,
         body,
-        _connection: connection,
-        _guard: guard,
+        connection,
+        guard: Some(guard),
     }))
 }
 
@@ -179,6 +180,13 @@
         headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
     }
 
+    /// Closes the connection, which ends the upstream's work on the request. What has not been read
+    /// by then is lost.
+    pub fn close(&mut self) {
+        self.connection.close();
+        self.guard = None;
+    }
+
     /// Reads the next part of the body, waiting at most `max_wait`.
     pub async fn read_next(&mut self, max_wait: Duration) -> BodyRead {
         loop {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -369,6 +369,8 @@
                 break;
             }
             self.attempts.tried.insert(upstream.registration.id.clone());
+            // The former engine must not go on with the request beside this one.
+            self.response.close();
             let after = self.events.last_id();
             let sent = gateway.clock.now();
             match admitted.send(permit, clearance, after, false).await {
