Keep a silent stream at an engine that is busy, and never cut it for lack of budget

The class: lateness was taken for failure, and a check that could not be paid for ended what still worked.

Ruled out: a longer fixed time, which keeps streams of hung engines; the route's objective alone, which knows nothing of the burst; asking the engine, which costs requests. To wait for the budget after an engine broke off as well: its caller can resume at once, and would come later.

A full engine that is slow is no longer counted as failed.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -240,6 +240,11 @@
             SendOutcome::NotRun(reason) => *reason != DeclineReason::Elsewhere,
             SendOutcome::NotSent(_) | SendOutcome::Unknown(_) => false,
         };
+        if let SendOutcome::Responded(response) = &outcome
+            && let Some(load) = response.meta.load
+        {
+            upstream.health.pace().on_load(load, gateway.clock.now());
+        }
         if answered {
             gateway.on_engine_answer(&upstream.registration, sent);
         }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -17,6 +17,7 @@
     repeats_spared: "Requests not sent to a further upstream for lack of budget.",
     early_breaks: "Streams that broke before their engine had written for long.",
     event_faults: "Events of streams that were not forwarded as their numbers were faulty.",
+    silences_kept: "Streams that stayed at a silent engine, as it was busy or no other could resume them.",
     permits_granted: "Requests granted at upstreams that name a limit.",
     permits_denied: "Requests that found no room at an upstream that names a limit.",
     limits_invalid: "Responses whose limit could not be read.",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod controller;
 pub mod demand;
 mod demand_entries;
+pub mod engine_pace;
 pub mod engine_run;
 mod engine_state;
 pub mod event_numbers;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -260,6 +260,11 @@
         }
     }
 
+    /// Whether the retry budget of its service has a retry left.
+    pub fn has_retry(&self) -> bool {
+        self.gateway.has_retry(&self.service)
+    }
+
     /// Selects the upstream for the next attempt.
     ///
     /// # Errors
--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -55,14 +55,19 @@
     /// Counts a retry and returns true if the budget of this VM allows one; returns false otherwise.
     /// `vms` is the most VMs that this one has known.
     pub fn try_spend(&mut self, vms: u32, now: Instant) -> bool {
+        let allowed = self.is_left(vms, now);
+        if allowed {
+            self.retries.push_back(now);
+        }
+        allowed
+    }
+
+    /// Whether the budget of this VM allows a retry now.
+    pub fn is_left(&mut self, vms: u32, now: Instant) -> bool {
         self.drop_expired(now);
         let earned = self.requests.len() as f64 * self.bound.ratio * USED_SHARE;
         let allowed = earned + self.bound.slack / f64::from(vms.max(MIN_SLACK_PARTS));
-        if self.retries.len() as f64 + 1.0 > allowed {
-            return false;
-        }
-        self.retries.push_back(now);
-        true
+        self.retries.len() as f64 + 1.0 <= allowed
     }
 
     fn drop_expired(&mut self, now: Instant) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -458,6 +458,17 @@
             .on_request(now);
     }
 
+    /// Whether a service's budget has a retry left.
+    pub fn has_retry(&self, service: &ServiceId) -> bool {
+        let now = self.clock.now();
+        let vms = self.reachability().peak;
+        let mut retry_budgets = lock(&self.retry_budgets);
+        let entry = retry_budgets.entry(service.clone());
+        entry
+            .or_insert_with(|| RetryBudget::new(self.bounds.retries))
+            .is_left(vms, now)
+    }
+
     /// Spends one retry of a service's budget; false if none is left.
     pub fn try_retry(&self, service: &ServiceId) -> bool {
         let now = self.clock.now();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -2,7 +2,7 @@
 //! it is resumed at another engine where its route allows that.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
@@ -14,15 +14,21 @@
 
 use super::attempt::{Attempts, Origin};
 use super::configuration::RouteKind;
+use super::engine_pace::{Silent, Standing};
 use super::engine_run::EngineRun;
 use super::events::{EventError, EventSplitter};
 use super::exchange::{BodyRead, ResponseError, SendOutcome, UpstreamResponse};
 use super::model_wait::give_up_time;
 use super::quarantine::crashes::Written;
+use super::quarantine::gate::Clearance;
 use super::relay::{AdmittedRequest, ResponseAborted};
 use super::request::SharedParts;
 use super::response::CallerBody;
 use super::stream_progress::StreamProgress;
+use super::upstream_limit::gate::Permit;
+
+/// Time between two looks at a retry budget that is used up.
+const RETRY_LOOK: Duration = Duration::from_millis(50);
 
 /// Forwards a response that streams events.
 pub fn forward(
@@ -51,6 +57,7 @@
         progress: StreamProgress::open(give_up, gap, started),
         run: EngineRun::open(started),
         next: Next::Read,
+        kept: false,
     };
     let mut response = Response::new(streamed_body(Some(stream), next_event));
     *response.status_mut() = status;
@@ -141,6 +148,26 @@
     run: EngineRun,
     /// What follows the events that were returned last.
     next: Next,
+    /// Whether it was recorded that this silence is tolerated.
+    kept: bool,
+}
+
+/// Outcome of resuming a stream at one engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Attempted {
+    /// The stream goes on there.
+    Resumed,
+    /// It does not.
+    Failed,
+    /// The engine broke the connection.
+    Crashed,
+}
+
+/// Leave to send a request to another engine.
+#[derive(Debug)]
+struct Place {
+    permit: Permit,
+    clearance: Clearance,
 }
 
 /// What a stream does next.
@@ -162,8 +189,7 @@
                 Next::Read => {}
                 Next::Leave => {
                     self.next = Next::Read;
-                    self.resume(ResponseError::Invalid).await?;
-                    self.progress.on_resumed(self.now());
+                    self.resume(ResponseError::Invalid, None).await?;
                     continue;
                 }
                 Next::End => {
@@ -173,18 +199,16 @@
             }
             let time_left = self.admitted.time_left();
             let max_wait = if self.resumable() {
-                self.progress.silence_left(self.now()).min(time_left)
+                self.progress.next_look(self.now()).min(time_left)
             } else {
                 time_left
             };
             let read = self.response.read_next(max_wait).await;
-            // While no other engine could resume the stream, silence is tolerated until the
-            // deadline.
-            if matches!(read, BodyRead::Failed(ResponseError::Silent))
-                && max_wait < time_left
-                && !self.can_resume_now()
-            {
-                self.progress.tolerate_silence(self.now());
+            let silent = matches!(read, BodyRead::Failed(ResponseError::Silent));
+            if silent && max_wait < time_left {
+                if let Some(place) = self.leave_silent().await {
+                    self.resume(ResponseError::Silent, Some(place)).await?;
+                }
                 continue;
             }
             let error = match read {
@@ -201,9 +225,51 @@
                 BodyRead::End => ResponseError::Disconnected,
                 BodyRead::Failed(error) => error,
             };
-            self.resume(error).await?;
-            self.progress.on_resumed(self.now());
+            self.resume(error, None).await?;
+        }
+    }
+
+    /// Decides whether a silent engine is left; returns where the stream may go on then.
+    async fn leave_silent(&mut self) -> Option<Place> {
+        let now = self.now();
+        let standing = self.standing(now);
+        let longest = self.origin.upstream.health.pace().longest_silence(now);
+        let waits = !self.progress.silence_left(standing, longest, now).is_zero();
+        if !waits && self.can_resume_now() && self.admitted.has_retry() {
+            let place = self.reserve().await;
+            if place.is_some() {
+                return place;
+            }
+        }
+        self.on_kept(standing, now);
+        if !waits {
+            self.progress.tolerate_silence(self.now());
+        }
+        None
+    }
+
+    /// Records, once for each silence, that the stream stays at its engine.
+    fn on_kept(&mut self, standing: Standing, now: Instant) {
+        if self.kept {
+            return;
         }
+        self.kept = true;
+        let gateway = &self.admitted.gateway;
+        gateway.counters.silences_kept.inc();
+        info!(gateway.log, "stream_kept"; "request" => %self.admitted.request.head.id,
+            "upstream" => %self.origin.upstream.registration.id, "standing" => ?standing,
+            "silent_ms" => self.progress.silence(now).as_millis() as u64);
+    }
+
+    /// What the silence of the engine may mean.
+    fn standing(&self, now: Instant) -> Standing {
+        let pace = self.origin.upstream.health.pace();
+        let silent = Silent {
+            sent: self.origin.sent,
+            begun: self.run.written() == Written::Events,
+            since: self.progress.silent_since(),
+        };
+        pace.standing(silent, now)
     }
 
     /// Takes bytes of the engine; returns the events that they let forward, if there are any.
@@ -245,6 +311,11 @@
     /// Records a complete event, and reports a stream that comes late as demand for its model.
     fn record_event(&mut self) {
         let now = self.now();
+        let silence = self.progress.gap(now);
+        let mut pace = self.origin.upstream.health.pace();
+        pace.on_event(self.origin.sent, silence, now);
+        drop(pace);
+        self.kept = false;
         self.run.on_event(now);
         if !self.run.is_early(now) {
             self.prove();
@@ -334,79 +405,127 @@
         self.admitted.has_alternative(&tried)
     }
 
-    /// Resumes the stream at another engine after the last complete event.
-    async fn resume(&mut self, error: ResponseError) -> Result<(), ResponseAborted> {
-        let admitted = Arc::clone(&self.admitted);
-        let gateway = &admitted.gateway;
-        let id = &admitted.request.head.id;
-        let parts = admitted.request.head.shared_parts();
-        let now = gateway.clock.now();
-        warn!(gateway.log, "stream_lost"; "request" => %id, "why" => %error,
-            "upstream" => %self.origin.upstream.registration.id, "event" => self.events.last_id(),
-            "left_ms" => admitted.time_left().as_millis() as u64, "parts" => %parts,
-            "digest" => %admitted.digest, "answered_ms" => self.run.age(now).as_millis() as u64,
-            "written" => ?self.run.written());
-        if error == ResponseError::Disconnected {
-            self.on_disconnected();
-        }
+    /// Resumes the stream at another engine after the last complete event, first at `place` if there
+    /// is one.
+    async fn resume(
+        &mut self,
+        error: ResponseError,
+        place: Option<Place>,
+    ) -> Result<(), ResponseAborted> {
         let suspect = error == ResponseError::Disconnected && self.is_suspect();
-        self.origin.upstream.health.on_failure(gateway.clock.now());
+        self.on_lost(error);
         self.events.on_resumed();
         let certain = self.events.is_certain();
-        while certain && !suspect && self.resumable() && !admitted.time_left().is_zero() {
-            let trusted = admitted.account.is_none() || gateway.keys_trusted();
-            let Ok(permit) = admitted.reserve_upstream(&self.attempts.tried).await else {
-                break;
-            };
-            let upstream = permit.upstream().clone();
-            if !trusted {
-                break;
+        let mut place = place;
+        while certain && !suspect && self.resumable() && !self.admitted.time_left().is_zero() {
+            if place.is_none() {
+                if error == ResponseError::Silent {
+                    self.wait_for_retry().await;
+                }
+                place = self.reserve().await;
             }
-            let Ok(clearance) = admitted.clear_to_send() else {
+            let Some(next) = place.take() else {
                 break;
             };
-            if !gateway.try_retry(&admitted.service) {
-                break;
-            }
-            self.attempts.tried.insert(upstream.registration.id.clone());
-            // The former engine must not go on with the request beside this one.
-            self.response.close();
-            let after = self.events.last_id();
-            let sent = gateway.clock.now();
-            match admitted.send(permit, clearance, after, false).await {
-                SendOutcome::Responded(response) if response.head.status.is_success() => {
-                    info!(gateway.log, "stream_resumed"; "request" => %id,
-                        "upstream" => %upstream.registration.id, "event" => self.events.last_id());
-                    self.attempts.sent += 1;
-                    self.response = *response;
-                    self.run = EngineRun::open(gateway.clock.now());
-                    self.origin = Origin { upstream, sent };
+            match self.go_on_at(next).await {
+                Attempted::Resumed => {
+                    self.progress.on_resumed(self.now());
                     return Ok(());
                 }
-                SendOutcome::NotSent(_) => upstream.health.on_failure(gateway.clock.now()),
-                SendOutcome::NotRun(reason) => {
-                    self.attempts.sent += 1;
-                    admitted.on_declined(&upstream, reason);
-                }
-                SendOutcome::Unknown(ResponseError::Disconnected) => {
-                    self.attempts.sent += 1;
-                    let parts = self.unproven_parts();
-                    let engine = &upstream.registration;
-                    admitted.on_engine_crash(engine, parts, Written::NoHead, sent);
-                    upstream.health.on_failure(gateway.clock.now());
-                    if admitted.stops_retries() {
-                        break;
-                    }
-                }
-                SendOutcome::Responded(_) | SendOutcome::Unknown(_) => {
-                    self.attempts.sent += 1;
-                    upstream.health.on_failure(gateway.clock.now());
-                }
+                Attempted::Crashed if self.admitted.stops_retries() => break,
+                Attempted::Crashed | Attempted::Failed => {}
             }
         }
-        warn!(gateway.log, "stream_cut"; "request" => %id, "event" => self.events.last_id(),
-            "resumable" => self.resumable(), "certain" => certain, "suspect" => suspect, "sent" => self.attempts.sent,
-            "left_ms" => admitted.time_left().as_millis() as u64);
+        let gateway = &self.admitted.gateway;
+        warn!(gateway.log, "stream_cut"; "request" => %self.admitted.request.head.id,
+            "event" => self.events.last_id(), "resumable" => self.resumable(),
+            "certain" => certain, "suspect" => suspect, "sent" => self.attempts.sent,
+            "left_ms" => self.admitted.time_left().as_millis() as u64);
         Err(ResponseAborted)
     }
+
+    /// Records that the engine is given up.
+    fn on_lost(&mut self, error: ResponseError) {
+        let now = self.now();
+        let standing = self.standing(now);
+        let admitted = &self.admitted;
+        let parts = admitted.request.head.shared_parts();
+        warn!(admitted.gateway.log, "stream_lost"; "request" => %admitted.request.head.id,
+            "why" => %error, "upstream" => %self.origin.upstream.registration.id,
+            "event" => self.events.last_id(), "standing" => ?standing,
+            "left_ms" => admitted.time_left().as_millis() as u64, "parts" => %parts,
+            "digest" => %admitted.digest, "answered_ms" => self.run.age(now).as_millis() as u64,
+            "written" => ?self.run.written());
+        if error == ResponseError::Disconnected {
+            self.on_disconnected();
+        }
+        // A full engine that is slow has not failed.
+        if error != ResponseError::Silent || standing != Standing::Queued {
+            self.origin.upstream.health.on_failure(now);
+        }
+    }
+
+    /// Waits until the retry budget allows a retry, or the caller no longer waits for an event. An
+    /// engine that was silent may have been sound, so the stream is not cut for lack of budget.
+    async fn wait_for_retry(&self) {
+        while !self.admitted.has_retry()
+            && self.progress.is_awaited(self.now())
+            && !self.admitted.time_left().is_zero()
+        {
+            tokio::time::sleep(RETRY_LOOK).await;
+        }
+    }
+
+    /// Takes what it needs to send the request to another engine; `None` if that is not possible.
+    async fn reserve(&self) -> Option<Place> {
+        let admitted = &self.admitted;
+        let gateway = &admitted.gateway;
+        let trusted = admitted.account.is_none() || gateway.keys_trusted();
+        let permit = admitted.reserve_upstream(&self.attempts.tried).await.ok()?;
+        if !trusted {
+            return None;
+        }
+        let clearance = admitted.clear_to_send().ok()?;
+        let place = Place { permit, clearance };
+        gateway.try_retry(&admitted.service).then_some(place)
+    }
+
+    /// Sends the request to another engine.
+    async fn go_on_at(&mut self, place: Place) -> Attempted {
+        let admitted = Arc::clone(&self.admitted);
+        let gateway = &admitted.gateway;
+        let Place { permit, clearance } = place;
+        let upstream = permit.upstream().clone();
+        self.attempts.tried.insert(upstream.registration.id.clone());
+        // The former engine must not go on with the request beside this one.
+        self.response.close();
+        let after = self.events.last_id();
+        let sent = gateway.clock.now();
+        let outcome = admitted.send(permit, clearance, after, false).await;
+        if !matches!(outcome, SendOutcome::NotSent(_)) {
+            self.attempts.sent += 1;
+        }
+        match outcome {
+            SendOutcome::Responded(response) if response.head.status.is_success() => {
+                info!(gateway.log, "stream_resumed"; "request" => %admitted.request.head.id,
+                    "upstream" => %upstream.registration.id, "event" => after);
+                self.response = *response;
+                self.run = EngineRun::open(gateway.clock.now());
+                self.origin = Origin { upstream, sent };
+                return Attempted::Resumed;
+            }
+            SendOutcome::NotRun(reason) => admitted.on_declined(&upstream, reason),
+            SendOutcome::Unknown(ResponseError::Disconnected) => {
+                let parts = self.unproven_parts();
+                let engine = &upstream.registration;
+                admitted.on_engine_crash(engine, parts, Written::NoHead, sent);
+                upstream.health.on_failure(gateway.clock.now());
+                return Attempted::Crashed;
+            }
+            SendOutcome::NotSent(_) | SendOutcome::Responded(_) | SendOutcome::Unknown(_) => {
+                upstream.health.on_failure(gateway.clock.now());
+            }
+        }
+        Attempted::Failed
+    }
 }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -10,6 +10,7 @@
 
 use crate::ids::{AdapterId, DataCentre, ModelId, ServiceId, UpstreamId};
 
+use super::engine_pace::EnginePace;
 use super::request::Target;
 
 /// An upstream's registration in the platform's store, which the upstream itself writes.
@@ -94,6 +95,8 @@
     ejection: Mutex<Ejection>,
     /// Time before which the upstream wants no requests of this VM.
     deferred: Mutex<Option<Instant>>,
+    /// What the streams of this VM show of it.
+    pace: Mutex<EnginePace>,
 }
 
 #[derive(Debug, Default)]
@@ -181,6 +184,11 @@
         self.lock_deferred().filter(|until| now < *until)
     }
 
+    /// What the streams of this VM show of the upstream.
+    pub fn pace(&self) -> std::sync::MutexGuard<'_, EnginePace> {
+        self.pace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_deferred(&self) -> std::sync::MutexGuard<'_, Option<Instant>> {
         self.deferred.lock().unwrap_or_else(PoisonError::into_inner)
     }
