Tell requests apart by the shared parts of their prompts

The digest of a whole request covered its path, account, model and body. Prompts travel in the parts that a header names, and bodies may be empty: then all requests of a route had one digest. Two or three crashes had the whole request quarantined besides the part that caused them, and sound requests of that route were refused with it.

Ruled out: to include the last part too. It belongs to the request or to its session, and a crashing request comes again with the same path, caller and body only, so a copy in another session must still be known. To leave whole requests with prompts out: they crash engines as others do.

The digest covers the hashes of the shared parts, with their number. While VMs of both versions run, they don't join what they see of a request whose prompt has shared parts.

Before: requests_that_differ_in_a_shared_part_are_no_copies fails. After: gateway_request_digest passes; without the number of parts it fails.

--- a/src/gateway/request_digest.rs
+++ b/src/gateway/request_digest.rs
@@ -2,8 +2,9 @@
 //!
 //! A caller that tries again sends a new request id, and may change headers, its key or the framing
 //! of the body. A request is therefore known by what an upstream works on: the client account, the
-//! method, the host, the path with its query, the model and the body. The account is part of it, so
-//! that no account can have the requests of another one held back. 128 bits of the digest suffice:
+//! method, the host, the path with its query, the model, the shared parts of the prompt and the body.
+//! The last part of the prompt is left out, as a copy may come in another session. The account is part
+//! of it, so that no account can have the requests of another one held back. 128 bits of the digest suffice:
 //! two requests of one account that collide harm this account alone, and the digest of another
 //! account's request cannot be met on purpose.
 
@@ -34,6 +35,11 @@
     add(&mut hasher, path.as_bytes());
     add_optional(&mut hasher, target.map(|target| target.model.as_str()));
     add_optional(&mut hasher, adapter.map(AdapterId::as_str));
+    let parts = head.shared_parts();
+    hasher.update(&(parts.hashes().count() as u64).to_be_bytes());
+    for part in parts.hashes() {
+        hasher.update(&part.0.to_be_bytes());
+    }
     add(&mut hasher, body);
     let mut digest = [0; DIGEST_BYTES];
     hasher.finalize_xof().fill(&mut digest);
--- a/tests/gateway_request_digest.rs
+++ b/tests/gateway_request_digest.rs
@@ -1,8 +1,9 @@
 //! Which requests are copies of each other.
 
-use basilgw::gateway::request::{RequestHead, Target};
+use basilgw::gateway::request::{PromptPart, RequestHead, Target};
 use basilgw::gateway::request_digest::request_digest;
-use basilgw::ids::{ClientAccount, RequestDigest};
+use basilgw::ids::{ClientAccount, PartHash, RequestDigest};
+use basilgw::units::Tokens;
 use http::{HeaderValue, Method};
 
 mod gateway_support;
@@ -68,6 +69,44 @@
     assert_ne!(of_model, digest(Some("club"), &model, "body"));
 }
 
+fn prompt(hashes: &[u64]) -> RequestHead {
+    let mut head = plain("/chat/");
+    let parts = hashes.iter().map(|hash| PromptPart {
+        hash: PartHash(*hash),
+        tokens: Tokens(5),
+    });
+    head.prompt_parts = parts.collect();
+    head
+}
+
+// Guards against: sound prompts without a body held back with one that has a part that crashes engines.
+#[test]
+fn requests_that_differ_in_a_shared_part_are_no_copies() {
+    let digests = [
+        &[1, 2, 9][..],
+        &[1, 3, 9],
+        &[2, 1, 9],
+        &[1, 9],
+        &[1, 2, 3, 9],
+    ]
+    .map(|hashes| digest(Some("club"), &prompt(hashes), ""));
+    for (n, known) in digests.iter().enumerate() {
+        assert!(!digests[..n].contains(known), "prompt {n}");
+    }
+    let zeros = "\0".repeat(8);
+    assert_ne!(
+        digest(None, &prompt(&[8, 9]), ""),
+        digest(None, &prompt(&[9]), &zeros)
+    );
+}
+
+// Guards against: a copy in another session that is taken for another request.
+#[test]
+fn copies_may_differ_in_the_last_part() {
+    let known = digest(Some("club"), &prompt(&[1, 2, 8]), "");
+    assert_eq!(known, digest(Some("club"), &prompt(&[1, 2, 9]), ""));
+}
+
 // Guards against: bytes that move from one field to the next and give the same digest.
 #[test]
 fn fields_are_delimited() {
