Let no answer of an engine's next run disprove its crash

The class: a proof of life that may come from another run. An engine that breaks off responses and answers a request sent within 1.5 s was taken to be alive, and its crash forgotten. Where it is back within that time under its id, and the VM has not yet read its new registration, that answer is the next run's. Crashes by one request were forgotten so, and more copies reached upstreams than may (the tests of crashing_request, whose upstreams are back after 0.7 s).

Ruled out: a shorter time for such answers, which leaves the race; no such proof at all, as engines that break single connections would be taken to have crashed.

Such an answer only suspends the crash. It counts again as soon as another run of the engine is registered within 10 s of it, at each VM by what that VM has read; the evidence stays reported meanwhile. A later restart revives nothing.

The pure test of a restart fails without on_replaced.

--- a/src/gateway/quarantine/crashes.rs
+++ b/src/gateway/quarantine/crashes.rs
@@ -22,13 +22,16 @@
 /// Largest number of parts, and of requests, that are suspected of one crash. Callers could otherwise
 /// raise it at will.
 const MAX_SUSPECTS: usize = 128;
-/// How long a crash is remembered that is explained.
+/// How long a crash is remembered that is explained or was none.
 const EXPLAINED_LIFETIME: Duration = Duration::from_mins(10);
 /// How long another one is; a request that comes again rarely crashes as many engines in the end.
 const LIFETIME: Duration = Duration::from_hours(24);
 /// An engine that answers a request sent within this time after it broke off responses has not
 /// crashed; later, another run of it may answer.
 const ANSWER_TIME: Duration = Duration::from_millis(1500);
+/// An engine of which another run is registered within this time after it broke off responses has
+/// crashed, whatever answered in between.
+const RESTART_TIME: Duration = Duration::from_secs(10);
 
 /// How far an engine had come with a response when it crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,9 +57,10 @@
     written: BTreeSet<PartHash>,
     /// Whole requests, and when a copy of each was last sent to the engine.
     requests: BTreeMap<RequestDigest, Instant>,
-    /// Whether a suspect that is held back explains it, or it was none; it is held against no other
-    /// suspect.
+    /// Whether a suspect that is held back explains it; it is held against no other suspect.
     explained: bool,
+    /// Whether the engine seems to have answered since, so that it was none.
+    survived: bool,
 }
 
 impl Crash {
@@ -68,9 +72,15 @@
             written: BTreeSet::new(),
             requests: BTreeMap::new(),
             explained: false,
+            survived: false,
         }
     }
 
+    /// Whether it is held against its suspects.
+    fn counts(&self) -> bool {
+        !self.explained && !self.survived
+    }
+
     /// What may be the cause. Empty while the reports of other VMs may be on their way.
     pub(super) fn suspects(&self, now: Instant) -> impl Iterator<Item = Suspect> {
         let parts = self.suspected_parts(now).into_iter().flatten();
@@ -195,7 +205,7 @@
         }
     }
 
-    /// Records a crash that something held back explains, or that was none.
+    /// Records a crash that something held back explains.
     pub fn explain(&mut self, engine: UpstreamInstance, at: Instant) {
         self.entry(engine, at).explain();
     }
@@ -203,22 +213,38 @@
     /// Records that an engine answers a request sent at `sent`. Returns whether that shows that it
     /// had not crashed.
     pub fn on_answer(&mut self, engine: &UpstreamInstance, sent: Instant) -> bool {
-        let crash = self.0.get_mut(engine).filter(|crash| !crash.explained);
+        let crash = self.0.get_mut(engine).filter(|crash| crash.counts());
         let Some(crash) = crash else {
             return false;
         };
-        let survived = (crash.at..crash.at + ANSWER_TIME).contains(&sent);
-        if survived {
-            crash.explain();
+        crash.survived = (crash.at..crash.at + ANSWER_TIME).contains(&sent);
+        crash.survived
+    }
+
+    /// Records that an engine which broke off responses has answered another VM.
+    pub fn on_survivor(&mut self, engine: UpstreamInstance, now: Instant) {
+        self.entry(engine, now).survived = true;
+    }
+
+    /// Has those crashes count of which `is_replaced` says that another run of the engine is
+    /// registered, also where the engine seems to have answered.
+    pub fn on_replaced<F>(&mut self, is_replaced: F, now: Instant)
+    where
+        F: Fn(&UpstreamInstance) -> bool,
+    {
+        for (engine, crash) in &mut self.0 {
+            let recent = now.saturating_duration_since(crash.at) < RESTART_TIME;
+            if crash.survived && recent && is_replaced(engine) {
+                crash.survived = false;
+            }
         }
-        survived
     }
 
     /// Takes `causes` as the cause of every crash that they are suspected of, and returns the time
     /// of the last one.
     pub fn explain_by(&mut self, causes: &[Suspect]) -> Option<Instant> {
         let mut last = None;
-        for crash in self.0.values_mut() {
+        for crash in self.0.values_mut().filter(|crash| crash.counts()) {
             if causes.iter().any(|suspect| crash.names(*suspect)) {
                 crash.explain();
                 last = last.max(Some(crash.at));
@@ -239,16 +265,17 @@
     /// Number of crashes that something is suspected of.
     pub fn count(&self, suspect: Suspect) -> usize {
         let crashes = self.0.values();
-        crashes.filter(|crash| crash.names(suspect)).count()
+        let counted = crashes.filter(|crash| crash.counts() && crash.names(suspect));
+        counted.count()
     }
 
     /// Forgets old crashes.
     pub fn expire(&mut self, now: Instant) {
         self.0.retain(|_, crash| {
-            let lifetime = if crash.explained {
-                EXPLAINED_LIFETIME
-            } else {
+            let lifetime = if crash.counts() {
                 LIFETIME
+            } else {
+                EXPLAINED_LIFETIME
             };
             now.saturating_duration_since(crash.at) < lifetime
         });
@@ -257,7 +284,7 @@
     /// Crashes that nothing explains yet, oldest first.
     pub(super) fn unexplained(&self) -> Vec<&Crash> {
         let crashes = self.0.values();
-        let mut unexplained: Vec<_> = crashes.filter(|crash| !crash.explained).collect();
+        let mut unexplained: Vec<_> = crashes.filter(|crash| crash.counts()).collect();
         unexplained.sort_by_key(|crash| crash.at);
         unexplained
     }
@@ -271,7 +298,7 @@
 
     fn drop_oldest(&mut self) {
         let crashes = self.0.iter();
-        let oldest = crashes.min_by_key(|(_, crash)| (!crash.explained, crash.at));
+        let oldest = crashes.min_by_key(|(_, crash)| (crash.counts(), crash.at));
         if let Some(engine) = oldest.map(|(engine, _)| engine.clone()) {
             self.0.remove(&engine);
         }
--- a/src/gateway/quarantine/gate.rs
+++ b/src/gateway/quarantine/gate.rs
@@ -144,6 +144,7 @@
         let held = rand::rng().random_ratio(HOLD_REPORTERS, vms);
         let now = self.clock.now();
         let mut quarantine = self.quarantine();
+        quarantine.on_replaced(|engine| self.is_replaced(engine), now);
         let added = quarantine.attribute_crashes(now);
         let report = quarantine.report(held, now);
         drop(quarantine);
@@ -151,6 +152,13 @@
         report
     }
 
+    /// Whether another run of an engine is registered.
+    fn is_replaced(&self, engine: &UpstreamInstance) -> bool {
+        let upstreams = self.upstreams.load();
+        let current = upstreams.get(&engine.id);
+        current.is_some_and(|upstream| upstream.registration.started_ms != engine.started_ms)
+    }
+
     /// What a VM is told that has just started.
     pub fn quarantine_summary(&self) -> Option<QuarantineReport> {
         let now = self.clock.now();
@@ -160,7 +168,10 @@
     /// Applies what another VM reports.
     pub fn on_quarantine_report(&self, report: QuarantineReport) {
         let now = self.clock.now();
-        let added = self.quarantine().on_report(report, now);
+        let mut quarantine = self.quarantine();
+        quarantine.on_replaced(|engine| self.is_replaced(engine), now);
+        let added = quarantine.on_report(report, now);
+        drop(quarantine);
         self.on_quarantined(&added);
     }
 
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -74,6 +74,15 @@
         }
     }
 
+    /// Has crashes count again of which `is_replaced` says that another run of the engine is
+    /// registered: it may be that run which answered.
+    pub fn on_replaced<F>(&mut self, is_replaced: F, now: Instant)
+    where
+        F: Fn(&UpstreamInstance) -> bool,
+    {
+        self.crashes.on_replaced(is_replaced, now);
+    }
+
     /// Records that a response showed these suspects to crash no engine. Returns those that are
     /// released by it.
     pub fn on_sound<I>(&mut self, suspects: I, now: Instant) -> Vec<Suspect>
--- a/src/gateway/quarantine/report.rs
+++ b/src/gateway/quarantine/report.rs
@@ -109,10 +109,10 @@
         }
     }
 
-    /// Adds an engine that had not crashed.
+    /// Adds an engine that seems not to have crashed. What it broke off stays reported, as it counts
+    /// if another run of it turns out to have answered.
     pub(super) fn add_survivor(&mut self, engine: &UpstreamInstance, now: Instant) {
         self.expire(now);
-        self.crashes.remove(engine);
         if self.survivors.len() < MAX_CRASHES {
             self.survivors.insert(engine.clone(), now + REPEAT_TIME);
         }
@@ -206,7 +206,7 @@
                 id: survivor.engine,
                 started_ms: survivor.born,
             };
-            self.crashes.explain(engine, now);
+            self.crashes.on_survivor(engine, now);
         }
         if evidence {
             added.extend(self.attribute_crashes(now));
--- a/tests/gateway_quarantine_requests.rs
+++ b/tests/gateway_quarantine_requests.rs
@@ -266,6 +266,41 @@
     assert!(!held(&mut vm, BAD, now + SETTLED * 4));
 }
 
+// Guards against: the answer of an upstream's next run, taken for a proof that the last one is alive,
+// while its registration is not known yet.
+#[test]
+fn an_upstream_that_answers_after_a_restart_has_crashed() {
+    let now = start();
+    let mut vms = [Quarantine::default(), Quarantine::default()];
+    for n in 0..3 {
+        let at = now + ms(1000 * n);
+        crash(&mut vms[0], n, BAD, at);
+        vms[0].on_answer(&engine(n), at + ms(800), at + ms(900));
+        let [one, two] = &mut vms;
+        tell(one, two, at + ms(910));
+        for vm in &mut vms {
+            vm.on_replaced(|replaced| replaced.started_ms <= n, at + ms(950));
+        }
+    }
+    for vm in &mut vms {
+        assert!(held(vm, BAD, now + SETTLED * 2));
+    }
+}
+
+// Guards against: a planned restart that makes a crash of a broken connection.
+#[test]
+fn an_upstream_that_restarts_much_later_had_not_crashed() {
+    let now = start();
+    let mut vm = Quarantine::default();
+    for n in 0..3 {
+        let at = now + ms(1000 * n);
+        crash(&mut vm, n, BAD, at);
+        vm.on_answer(&engine(n), at + ms(100), at + ms(150));
+    }
+    vm.on_replaced(|_| true, now + Duration::from_secs(20));
+    assert!(!held(&mut vm, BAD, now + Duration::from_secs(21)));
+}
+
 // Guards against: callers who vary their bodies, or invent parts, and displace what is held back.
 #[test]
 fn callers_who_vary_their_requests_displace_no_hold() {
