--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod allowance;
 pub mod attempt;
 pub mod balancer;
+pub mod caller_limit;
 pub mod client;
 pub mod configuration;
 pub mod controller;
