Hold callers to a VM's memory and descriptors

Cause: up to 3,000 requests were taken at once, each body read to its end, copied into one piece and kept; responses were kept for callers that don't read; heads and idle connections took descriptors without a bound, and a head that never ended stayed open for ever.

Change: each connection has a place in the ledger, each buffer a charge that ends with its last copy. The declared length of a body is judged before a byte is read (413, or 503 not run), and it is read into one buffer without a second copy; one without a length is charged as it grows. A response without room is forwarded as its caller takes it. What is still sent after a refusal is thrown away for at most a second. header_timeout_ms is enforced, and a caller that takes nothing of a response for the idle time is closed. A connection counts as busy until the last byte of a response is written, so that a stream that outlasts the idle time no longer wakes its connection again and again. The end of a head is searched only in new bytes.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -14,7 +14,8 @@
 
 use super::configuration::RouteKind;
 use super::exchange::{
-    self, DeclineReason, ResponseError, SendOutcome, UpstreamRequest, UpstreamResponse,
+    self, BufferedBody, DeclineReason, ResponseError, SendOutcome, UpstreamRequest,
+    UpstreamResponse,
 };
 use super::platform_api::ForwardOptions;
 use super::quarantine::crashes::Written;
@@ -272,7 +273,7 @@
         &self,
         origin: &Origin,
         response: &UpstreamResponse,
-        read: &Result<Option<Bytes>, ResponseError>,
+        read: &Result<BufferedBody, ResponseError>,
     ) {
         match read {
             Err(ResponseError::Disconnected) => {
@@ -280,7 +281,7 @@
                 let parts = self.request.head.shared_parts();
                 self.on_engine_crash(engine, parts, Written::Nothing, origin.sent);
             }
-            Ok(Some(_body)) if response.is_framed() && response.meta.sealed => {
+            Ok(BufferedBody::Whole(_)) if response.is_framed() && response.meta.sealed => {
                 if response.head.status.is_success() {
                     self.on_sound_parts();
                 }
@@ -311,14 +312,19 @@
             return Err(ResponseError::Invalid);
         }
         let headers = self.gateway.dialect.response_headers(&response.head);
-        let read = response.read_buffered(self.time_left()).await;
+        let slot = &self.connection.slot;
+        let read = response.read_buffered(slot, self.time_left()).await;
         self.observe_buffered(&origin, &response, &read);
-        let Some(body) = read? else {
-            let body = stream::forward_plain(Arc::clone(self), origin, response);
-            let mut forwarded = Response::new(body);
-            *forwarded.status_mut() = status;
-            *forwarded.headers_mut() = headers;
-            return Ok(Some(forwarded));
+        let body = match read? {
+            BufferedBody::Whole(body) => body,
+            BufferedBody::Begun(first, next) => {
+                let begun = [first, next];
+                let body = stream::forward_plain(Arc::clone(self), origin, response, begun);
+                let mut forwarded = Response::new(body);
+                *forwarded.status_mut() = status;
+                *forwarded.headers_mut() = headers;
+                return Ok(Some(forwarded));
+            }
         };
         let buffered = BufferedResponse {
             status,
--- /dev/null
+++ b/src/gateway/connection.rs
@@ -0,0 +1,296 @@
+//! What a caller's connection is doing, from the first byte of a request to the last one of its
+//! response.
+//!
+//! The HTTP library drops the body of a response once it has taken the last bytes, which may still
+//! wait in its buffer. It flushes the stream when the buffer is empty: a request counts as in
+//! progress until then ([`CallerStream`]).
+
+use std::io;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::Sleep;
+
+use crate::clock::Clock;
+use crate::edge::RequestGuard;
+
+use super::caller_limit::CallerSlot;
+use super::relay::ResponseAborted;
+use super::response::CallerBody;
+
+/// Longest time for which what a caller still sends after its refusal is thrown away. Without it
+/// the connection would be reset, and the refusal might be lost.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+/// Bytes thrown away at once.
+const DISCARD_BYTES: usize = 4096;
+
+/// The state of a caller's connection.
+#[derive(Debug)]
+pub struct CallerConnection {
+    /// Its place among all callers.
+    pub slot: CallerSlot,
+    clock: Arc<dyn Clock>,
+    /// Whether the caller takes nothing of what is to be written.
+    is_blocked: AtomicBool,
+    progress: Mutex<Progress>,
+}
+
+#[derive(Debug)]
+struct Progress {
+    /// Requests that have arrived so far.
+    arrived: usize,
+    /// Whether a request is in progress.
+    busy: bool,
+    /// Whether the HTTP library has taken the whole response.
+    taken: bool,
+    /// Whether the body of the last request was not read to its end.
+    unread: bool,
+    /// When the last request ended, or the connection was opened.
+    idle_since: Instant,
+    /// Since when the caller takes nothing.
+    blocked_since: Option<Instant>,
+    /// Counts the request as in progress for the shutdown.
+    guard: Option<RequestGuard>,
+}
+
+impl CallerConnection {
+    /// Makes the state of a connection that was just accepted.
+    pub fn open(slot: CallerSlot, clock: Arc<dyn Clock>) -> Arc<Self> {
+        let progress = Progress {
+            arrived: 0,
+            busy: false,
+            taken: false,
+            unread: false,
+            idle_since: clock.now(),
+            blocked_since: None,
+            guard: None,
+        };
+        Arc::new(Self {
+            slot,
+            clock,
+            is_blocked: AtomicBool::new(false),
+            progress: Mutex::new(progress),
+        })
+    }
+
+    /// Notes that the head of a request has arrived.
+    pub fn begin_request(&self) {
+        let mut progress = self.lock();
+        progress.arrived += 1;
+        progress.busy = true;
+        progress.taken = false;
+        progress.unread = false;
+    }
+
+    /// Keeps the guard of the request until the last byte of its response is written.
+    pub fn keep_guard(&self, guard: RequestGuard) {
+        self.lock().guard = Some(guard);
+    }
+
+    /// Notes whether the body of the request was not read to its end.
+    pub fn set_unread(&self, unread: bool) {
+        self.lock().unread = unread;
+    }
+
+    /// Makes the request last until this body is written.
+    pub fn watch_body(self: &Arc<Self>, body: CallerBody) -> CallerBody {
+        self.slot.begin_response();
+        let body = WatchedBody {
+            body,
+            connection: Arc::clone(self),
+        };
+        body.boxed_unsync()
+    }
+
+    /// Whether a request has arrived so far.
+    pub fn has_served(&self) -> bool {
+        self.lock().arrived > 0
+    }
+
+    /// Since when there is no request in progress; `None` if there is one.
+    pub fn idle_since(&self) -> Option<Instant> {
+        let progress = self.lock();
+        (!progress.busy).then_some(progress.idle_since)
+    }
+
+    /// Since when the caller takes nothing of a response; `None` if it does, or there is none.
+    pub fn blocked_since(&self) -> Option<Instant> {
+        self.lock().blocked_since
+    }
+
+    /// Ends the request if its response was taken whole; all bytes taken so far are written.
+    fn on_flushed(&self) {
+        let mut progress = self.lock();
+        if !progress.busy || !progress.taken {
+            return;
+        }
+        progress.busy = false;
+        progress.idle_since = self.clock.now();
+        let guard = progress.guard.take();
+        drop(progress);
+        self.slot.end();
+        drop(guard);
+    }
+
+    fn on_write(&self, pending: bool) {
+        if self.is_blocked.swap(pending, Ordering::Relaxed) == pending {
+            return;
+        }
+        let since = pending.then(|| self.clock.now());
+        self.lock().blocked_since = since;
+        self.slot.set_blocked(since);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Progress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A body that tells its connection when the HTTP library has taken it whole.
+#[derive(Debug)]
+struct WatchedBody {
+    body: CallerBody,
+    connection: Arc<CallerConnection>,
+}
+
+impl Body for WatchedBody {
+    type Data = Bytes;
+    type Error = ResponseAborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for WatchedBody {
+    fn drop(&mut self) {
+        self.connection.lock().taken = true;
+    }
+}
+
+/// A caller's socket, which tells its connection what is written.
+#[derive(Debug)]
+pub struct CallerStream<S> {
+    stream: S,
+    connection: Arc<CallerConnection>,
+    closing: Closing,
+}
+
+/// How far the end of a connection has come.
+#[derive(Debug)]
+enum Closing {
+    Open,
+    /// What still arrives is thrown away until then.
+    Discarding(Pin<Box<Sleep>>),
+}
+
+impl<S> CallerStream<S> {
+    /// Wraps the socket of a connection.
+    pub fn new(stream: S, connection: Arc<CallerConnection>) -> Self {
+        Self {
+            stream,
+            connection,
+            closing: Closing::Open,
+        }
+    }
+}
+
+impl<S> AsyncRead for CallerStream<S>
+where
+    S: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl<S> AsyncWrite for CallerStream<S>
+where
+    S: AsyncRead + AsyncWrite + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.connection.on_write(written.is_pending());
+        written
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.connection.on_write(written.is_pending());
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.connection.on_flushed();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if matches!(self.closing, Closing::Open) {
+            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
+            if !self.connection.lock().unread {
+                return Poll::Ready(Ok(()));
+            }
+            self.closing = Closing::Discarding(Box::pin(tokio::time::sleep(DISCARD_TIME)));
+        }
+        let Self {
+            stream, closing, ..
+        } = &mut *self;
+        if let Closing::Discarding(end) = closing
+            && end.as_mut().poll(cx).is_pending()
+        {
+            ready!(poll_discard(stream, cx));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// Reads and throws away until the peer has ended its side.
+fn poll_discard<S>(stream: &mut S, cx: &mut Context<'_>) -> Poll<()>
+where
+    S: AsyncRead + Unpin,
+{
+    loop {
+        let mut bytes = [0; DISCARD_BYTES];
+        let mut buffer = ReadBuf::new(&mut bytes);
+        let read = ready!(Pin::new(&mut *stream).poll_read(cx, &mut buffer));
+        if read.is_err() || buffer.filled().is_empty() {
+            return Poll::Ready(());
+        }
+    }
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::response::Parts;
 use http::{Request, StatusCode};
@@ -14,6 +14,8 @@
 
 use crate::ids::RequestId;
 
+use super::caller_limit::CallerSlot;
+use super::caller_limit::buffer::ChargedBuffer;
 use super::client::{ConnectError, Connection};
 use super::platform_api::{Dialect, EngineLoad, ResponseMeta, UpstreamSignals};
 use super::upstream::RequestGuard;
@@ -171,6 +173,16 @@
     Failed(ResponseError),
 }
 
+/// A response as far as it was read before it is forwarded.
+#[derive(Debug)]
+pub enum BufferedBody {
+    /// To its end.
+    Whole(Bytes),
+    /// Up to here, in two parts, as there is no room for the rest; it must be forwarded while it
+    /// is read.
+    Begun(Bytes, Bytes),
+}
+
 impl UpstreamResponse {
     /// Whether the response declares its length or comes in chunks. Otherwise its body ends with
     /// the connection, whether the upstream has finished it or not.
@@ -195,34 +207,56 @@
         }
     }
 
-    /// Reads the complete body within `max_wait`; `None` if its declared length exceeds the largest
-    /// size that is buffered.
+    /// Reads the complete body within `max_wait`, as far as there is room for it among what the
+    /// caller holds. A body whose declared length exceeds the largest size that is buffered is not
+    /// read.
     ///
     /// # Errors
     ///
     /// [`ResponseError`]; also where a body of undeclared length exceeds that size.
     pub async fn read_buffered(
         &mut self,
+        slot: &CallerSlot,
         max_wait: Duration,
-    ) -> Result<Option<Bytes>, ResponseError> {
-        let declared = self.body.size_hint().upper();
-        if declared.is_some_and(|bytes| bytes > MAX_BUFFERED_BYTES as u64) {
-            return Ok(None);
+    ) -> Result<BufferedBody, ResponseError> {
+        let mut buffer = ChargedBuffer::default();
+        let declared = self.body.size_hint().exact();
+        if let Some(bytes) = declared {
+            let fits = usize::try_from(bytes).is_ok_and(|bytes| bytes <= MAX_BUFFERED_BYTES);
+            if !fits || !reserve(slot, &mut buffer, bytes as usize, bytes as usize) {
+                return Ok(BufferedBody::Begun(Bytes::new(), Bytes::new()));
+            }
         }
         let read = async {
-            let mut bytes = BytesMut::new();
             loop {
-                match self.read_next(max_wait).await {
-                    BodyRead::Bytes(more) => bytes.extend_from_slice(&more),
-                    BodyRead::End => return Ok(Some(bytes.freeze())),
+                let bytes = match self.read_next(max_wait).await {
+                    BodyRead::Bytes(bytes) => bytes,
+                    BodyRead::End => return Ok(BufferedBody::Whole(buffer.freeze())),
                     BodyRead::Failed(error) => return Err(error),
-                }
-                if bytes.len() > MAX_BUFFERED_BYTES {
+                };
+                if bytes.len() > MAX_BUFFERED_BYTES - buffer.len() {
                     return Err(ResponseError::Invalid);
                 }
+                if !reserve(slot, &mut buffer, bytes.len(), MAX_BUFFERED_BYTES) {
+                    return Ok(BufferedBody::Begun(buffer.freeze(), bytes));
+                }
+                buffer.push(&bytes);
             }
         };
         let read = tokio::time::timeout(max_wait, read).await;
         read.unwrap_or(Err(ResponseError::Silent))
     }
 }
+
+/// Makes room in the buffer for `more` bytes of a response; false if there is none.
+fn reserve(slot: &CallerSlot, buffer: &mut ChargedBuffer, more: usize, max: usize) -> bool {
+    let missing = buffer.missing(more, max);
+    if missing == 0 {
+        return true;
+    }
+    let charge = slot.charge_response(missing as u64);
+    charge.is_some_and(|charge| {
+        buffer.grow(missing, charge);
+        true
+    })
+}
--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -59,6 +59,12 @@
             .any(|name| name.eq_ignore_ascii_case(LENGTH_NAME))
     }
 
+    /// Whether a head has begun and not come to its end.
+    pub fn is_partial(&self) -> bool {
+        let buffer = self.lock();
+        !buffer.complete && !buffer.bytes.is_empty()
+    }
+
     /// Starts to record the next head, after a request that declared a body of length `declared`.
     ///
     /// Returns false if the bytes received do not end with that body, so that the start of the
@@ -74,8 +80,11 @@
             buffer.body_bytes += bytes.len() as u64;
             return;
         }
+        // The end may begin in what came before.
+        let searched = buffer.bytes.len().saturating_sub(HEAD_END.len() - 1);
         buffer.bytes.extend_from_slice(bytes);
-        if let Some(end) = head_end(&buffer.bytes) {
+        if let Some(end) = head_end(&buffer.bytes[searched..]) {
+            let end = searched + end;
             buffer.complete = true;
             buffer.body_bytes = (buffer.bytes.len() - end - HEAD_END.len()) as u64;
         }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -108,5 +108,6 @@
         self.upstreams_limited
             .set(count(gateway.upstream_limits().count()));
         self.running.set(count(gateway.running.count()));
+        gateway.caller_limits.refresh_gauges();
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,7 +3,8 @@
 //! A request passes through these modules: [`serve`] accepts it; [`relay`] decodes its head with
 //! the platform's [`platform_api::Dialect`], looks up the route and the client account in the
 //! [`configuration`], checks that the configuration is fresh enough to trust keys ([`freshness`])
-//! and charges the request to the account's quota ([`allowance`]). Then [`balancer`] chooses one of
+//! and charges the request to the account's quota ([`allowance`]). What callers hold of the VM's memory
+//! and descriptors meanwhile is bounded ([`caller_limit`], [`connection`]). Then [`balancer`] chooses one of
 //! the upstreams in use ([`fleet`]); if no engine holds the model, the request waits for it to be
 //! loaded (`model_wait`, [`demand`]). A request that crashes engines, as such or by a part of its prompt, is
 //! not sent ([`quarantine`]). An upstream that names a limit gets no more requests from all VMs
@@ -22,6 +23,7 @@
 pub mod caller_limit;
 pub mod client;
 pub mod configuration;
+pub mod connection;
 pub mod controller;
 pub mod demand;
 mod demand_entries;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,20 +9,22 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use http::{Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use rand::RngExt;
 use slog::{info, warn};
 use thiserror::Error;
 
-use crate::edge::RequestGuard;
 use crate::ids::{RequestDigest, ServiceId, UpstreamId};
 use crate::outcome::{Ran, Reason, Refusal};
 use crate::units::Tokens;
 
 use super::attempt::Attempts;
 use super::balancer::{self, NoEngine};
+use super::caller_limit::NoRoom;
+use super::caller_limit::buffer::{self, BodyError};
+use super::caller_limit::metrics::Lack;
 use super::configuration::{Account, Configuration, Route};
+use super::connection::CallerConnection;
 use super::fleet::service_upstreams;
 use super::framing::RawHead;
 use super::request::{BufferedRequest, RequestHead, Size};
@@ -32,8 +34,6 @@
 use super::upstream::Upstream;
 use super::upstream_limit::gate::NoPermit;
 
-/// Requests that one VM handles at once.
-const MAX_RUNNING: usize = 3000;
 /// `Retry-After` of a VM that is not ready; by then the balancer sends the caller to another VM.
 const NOT_READY_RETRY: Duration = Duration::from_millis(200);
 /// `Retry-After` where no upstream has capacity.
@@ -66,13 +66,26 @@
     pub started: Instant,
     /// When its response must be complete.
     pub deadline: Instant,
-    /// Counts the request as in progress until it is dropped.
-    _guard: RequestGuard,
+    /// Connection of its caller.
+    pub connection: Arc<CallerConnection>,
 }
 
 /// Handles a request; `raw_head` holds the raw bytes of its head.
 pub async fn handle_request(
     gateway: &Arc<Gateway>,
+    connection: &Arc<CallerConnection>,
+    request: Request<Incoming>,
+    raw_head: &RawHead,
+) -> Response<CallerBody> {
+    connection.begin_request();
+    connection.set_unread(!request.body().is_end_stream());
+    let response = respond(gateway, connection, request, raw_head).await;
+    response.map(|body| connection.watch_body(body))
+}
+
+async fn respond(
+    gateway: &Arc<Gateway>,
+    connection: &Arc<CallerConnection>,
     request: Request<Incoming>,
     raw_head: &RawHead,
 ) -> Response<CallerBody> {
@@ -89,7 +102,7 @@
     };
     let id = head.id.clone();
     let started = gateway.clock.now();
-    let outcome = admit(gateway, head, body, started).await;
+    let outcome = admit(gateway, connection, head, body, started).await;
     let spent = gateway.clock.now().saturating_duration_since(started);
     let mut response = match outcome {
         Ok(response) => {
@@ -120,11 +133,12 @@
 /// returned if it did not run.
 async fn admit(
     gateway: &Arc<Gateway>,
+    connection: &Arc<CallerConnection>,
     head: RequestHead,
     body: Incoming,
     started: Instant,
 ) -> Result<Response<CallerBody>, Refusal> {
-    let guard = gateway.running.try_start(MAX_RUNNING)?;
+    connection.keep_guard(gateway.running.try_start(usize::MAX)?);
     let configuration = gateway.configuration.load_full();
     let not_ready = || Refusal::not_run(Reason::NotReady).retry_after(NOT_READY_RETRY);
     let configuration = configuration.ok_or_else(not_ready)?;
@@ -140,8 +154,11 @@
     let draw = balancer::stable_hash(head.id.as_str().as_bytes(), 0);
     let service = route.service(draw).ok_or_else(not_ready)?.clone();
     let deadline = started + max_wait;
-    let body = read_body(body, configuration.bounds.body_bytes, max_wait).await?;
     let name = account.as_ref().map(|account| &account.name);
+    let placed = connection.slot.start(name).await;
+    placed.map_err(|NoRoom| no_room(gateway, Lack::Request))?;
+    let max_bytes = configuration.bounds.body_bytes;
+    let body = read_body(gateway, connection, body, max_bytes, max_wait).await?;
     let digest = request_digest(name, &head, &body);
     if let Some(delay) = gateway.quarantine_delay(head.shared_parts(), digest) {
         return Err(Refusal::not_run(Reason::Quarantined).retry_after(delay));
@@ -162,7 +179,7 @@
         deadline,
         request: BufferedRequest { head, body },
         digest,
-        _guard: guard,
+        connection: Arc::clone(connection),
     };
     let outcome = Arc::new(admitted).run().await;
     if let (Err(refusal), Some(account)) = (&outcome, &account)
@@ -189,14 +206,40 @@
     }
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, max_wait: Duration) -> Result<Bytes, Refusal> {
-    let read = tokio::time::timeout(max_wait, Limited::new(body, max_bytes).collect()).await;
-    let read = read.map_err(|_late| Refusal::not_run(Reason::Timeout))?;
-    match read {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Refusal::not_run(Reason::TooLarge)),
-        Err(_broken) => Err(Refusal::not_run(Reason::Malformed)),
-    }
+/// Reads the body of a request, which must not be sent if this fails.
+async fn read_body(
+    gateway: &Gateway,
+    connection: &CallerConnection,
+    body: Incoming,
+    max_bytes: usize,
+    max_wait: Duration,
+) -> Result<Bytes, Refusal> {
+    let read = async {
+        let body = buffer::read_body(&connection.slot, body, max_bytes).await?;
+        connection.slot.finish_body()?;
+        Ok(body)
+    };
+    let read = tokio::select! {
+        biased;
+        () = connection.slot.evicted() => Err(BodyError::from(NoRoom)),
+        read = tokio::time::timeout(max_wait, read) => {
+            read.map_err(|_late| Refusal::not_run(Reason::Timeout))?
+        }
+    };
+    let body = read.map_err(|error| match error {
+        BodyError::TooLong => Refusal::not_run(Reason::TooLarge),
+        BodyError::Broken => Refusal::not_run(Reason::Malformed),
+        BodyError::NoRoom(_) => no_room(gateway, Lack::Body),
+    })?;
+    connection.set_unread(false);
+    Ok(body)
+}
+
+/// The refusal of a request that there is no room for at this VM.
+fn no_room(gateway: &Gateway, lack: Lack) -> Refusal {
+    gateway.caller_limits.metrics.refused(lack);
+    let spread = rand::rng().random_range(RETURN_SPREAD);
+    Refusal::not_run(Reason::Capacity).retry_after(CAPACITY_RETRY.mul_f64(spread))
 }
 
 impl AdmittedRequest {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -1,11 +1,13 @@
 //! The HTTP listeners of a VM: for callers, for the balancer's readiness checks, and for metrics.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
@@ -17,22 +19,32 @@
 use slog::warn;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
+use tokio::time::Sleep;
 
 use crate::listen;
 
+use super::caller_limit::CallerSlot;
+use super::caller_limit::metrics::CloseReason;
+use super::configuration::CallerBounds;
+use super::connection::{CallerConnection, CallerStream};
 use super::framing::{self, RawHead, RecordedStream};
 use super::relay;
 use super::response::{self, CallerBody};
 use super::state::Gateway;
 
-/// Longest idle time of a connection before the first configuration is known.
-const DEFAULT_IDLE: Duration = Duration::from_secs(15);
-/// Largest request head before the first configuration is known, in bytes.
-const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
+/// Limits on callers before the first configuration is known.
+const DEFAULT_BOUNDS: CallerBounds = CallerBounds {
+    head_bytes: 16 * 1024,
+    body_bytes: 4 << 20,
+    head_time: Duration::from_secs(3),
+    idle_time: Duration::from_secs(15),
+};
 /// Smallest buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Added to the idle time, so that a request sent just before it ends still arrives in time.
 const IDLE_GRACE: Duration = Duration::from_millis(500);
+/// Added to the time of a head, which the caller counts from its first byte too.
+const HEAD_GRACE: Duration = Duration::from_millis(500);
 /// Pause after a failed accept, without which a persistent error would cause a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -57,8 +69,9 @@
     let task = tokio::spawn(async move {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::spawn(serve_connection(Arc::clone(&gateway), stream));
+                Ok((stream, peer)) => {
+                    let slot = gateway.caller_limits.connect(peer.ip()).await;
+                    tokio::spawn(serve_connection(Arc::clone(&gateway), slot, stream));
                 }
                 Err(e) => pause_after(&gateway, &e).await,
             }
@@ -151,72 +164,45 @@
     tokio::time::sleep(ACCEPT_PAUSE).await;
 }
 
-/// Tracks how long a connection has been idle.
-#[derive(Debug)]
-struct IdleTracker {
-    /// Requests being handled.
-    running: AtomicUsize,
-    /// Requests that have arrived so far.
-    arrived: AtomicUsize,
-    /// When the last request ended, or the connection was opened.
-    since: Mutex<Instant>,
-}
-
-impl IdleTracker {
-    fn idle_since(&self) -> Option<Instant> {
-        let idle = self.running.load(Ordering::Relaxed) == 0;
-        idle.then(|| *self.since.lock().unwrap_or_else(PoisonError::into_inner))
-    }
-
-    fn end_request(&self, now: Instant) {
-        *self.since.lock().unwrap_or_else(PoisonError::into_inner) = now;
-        self.running.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream) {
+async fn serve_connection(gateway: Arc<Gateway>, slot: CallerSlot, stream: TcpStream) {
     // Otherwise Nagle's algorithm delays small events until the caller has acknowledged earlier
     // ones. A failure is ignored, because the connection works without the option.
     let _ignored = stream.set_nodelay(true);
-    let idle = Arc::new(IdleTracker {
-        running: AtomicUsize::new(0),
-        arrived: AtomicUsize::new(0),
-        since: Mutex::new(gateway.clock.now()),
-    });
+    let caller = CallerConnection::open(slot, Arc::clone(&gateway.clock));
     let raw_head = RawHead::default();
     let service = service_fn(|request: Request<Incoming>| {
         let gateway = Arc::clone(&gateway);
-        let idle = Arc::clone(&idle);
+        let caller = Arc::clone(&caller);
         let raw_head = raw_head.clone();
         let declared = framing::declared_length(request.headers());
         async move {
-            idle.running.fetch_add(1, Ordering::Relaxed);
-            idle.arrived.fetch_add(1, Ordering::Relaxed);
-            let mut response = relay::handle_request(&gateway, request, &raw_head).await;
+            let mut response = relay::handle_request(&gateway, &caller, request, &raw_head).await;
             if !raw_head.restart(declared) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
-            idle.end_request(gateway.clock.now());
             Ok::<_, Infallible>(response)
         }
     });
-    let configuration = gateway.configuration.load();
-    let head_bytes = configuration
-        .as_ref()
-        .map_or(DEFAULT_HEAD_BYTES, |c| c.bounds.head_bytes);
-    drop(configuration);
+    let head_bytes = caller_bounds(&gateway).head_bytes;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(head_bytes.max(MIN_BUFFER_BYTES));
+    let stream = CallerStream::new(stream, Arc::clone(&caller));
     let stream = RecordedStream::new(stream, raw_head.clone());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let shutdown = gateway.shutdown_started.notified();
     tokio::pin!(shutdown);
-    let mut closing = false;
-    loop {
-        let wait = idle_time_left(&gateway, &idle);
+    let evicted = caller.slot.evicted();
+    tokio::pin!(evicted);
+    let head_late = head_late(&gateway, &caller, &raw_head);
+    tokio::pin!(head_late);
+    let (mut closing, mut leaving) = (false, false);
+    let closed = loop {
+        let wait = time_left(&gateway, &caller);
         tokio::select! {
+            // The connection goes first, as it reads what the others look at.
+            biased;
             // An error, such as an invalid request, ends only this connection.
             _ended = connection.as_mut() => return,
             // Announces the end of kept-alive connections; a caller that still used one after the
@@ -224,28 +210,76 @@
             // response ends the connection.
             () = shutdown.as_mut(), if !closing => {
                 closing = true;
-                if idle.arrived.load(Ordering::Relaxed) > 0 {
+                if caller.has_served() {
                     connection.as_mut().graceful_shutdown();
                 }
             }
+            () = evicted.as_mut(), if !leaving => {
+                leaving = true;
+                if !caller.slot.is_reading() {
+                    break CloseReason::GaveWay;
+                }
+                // The request is refused, and that ends the connection.
+                connection.as_mut().graceful_shutdown();
+            }
+            () = head_late.as_mut() => break CloseReason::HeadTimeout,
             () = tokio::time::sleep(wait) => {
-                if idle_time_left(&gateway, &idle).is_zero() {
+                if unread_time_left(&gateway, &caller).is_some_and(|left| left.is_zero()) {
+                    break CloseReason::Unread;
+                }
+                if idle_time_left(&gateway, &caller).is_some_and(|left| left.is_zero()) {
                     connection.as_mut().graceful_shutdown();
                 }
             }
         }
-    }
+    };
+    gateway.caller_limits.metrics.closed(closed);
 }
 
-/// Time until the connection has been idle for too long.
-fn idle_time_left(gateway: &Gateway, idle: &IdleTracker) -> Duration {
+/// Limits on callers, those of the configuration if there is one.
+fn caller_bounds(gateway: &Gateway) -> CallerBounds {
     let configuration = gateway.configuration.load();
-    let bound = configuration
-        .as_ref()
-        .map_or(DEFAULT_IDLE, |c| c.bounds.idle_time)
-        + IDLE_GRACE;
-    match idle.idle_since() {
-        Some(since) => (since + bound).saturating_duration_since(gateway.clock.now()),
-        None => bound,
-    }
+    configuration.as_ref().map_or(DEFAULT_BOUNDS, |c| c.bounds)
+}
+
+/// Waits until the head of a request has taken too long to arrive, counted from its first byte.
+async fn head_late(gateway: &Gateway, caller: &CallerConnection, raw_head: &RawHead) {
+    let mut begun: Option<Pin<Box<Sleep>>> = None;
+    // Polled whenever the connection has been.
+    poll_fn(|cx| {
+        if caller.idle_since().is_none() || !raw_head.is_partial() {
+            begun = None;
+            return Poll::Pending;
+        }
+        let late = begun.get_or_insert_with(|| {
+            let head_time = caller_bounds(gateway).head_time + HEAD_GRACE;
+            Box::pin(tokio::time::sleep(head_time))
+        });
+        late.as_mut().poll(cx)
+    })
+    .await;
+}
+
+/// Time until the state of the connection has to be looked at again.
+fn time_left(gateway: &Gateway, caller: &CallerConnection) -> Duration {
+    let bound = idle_bound(gateway);
+    let idle = idle_time_left(gateway, caller).unwrap_or(bound);
+    let unread = unread_time_left(gateway, caller).unwrap_or(bound);
+    idle.min(unread)
+}
+
+/// Time until the connection has been idle for too long; `None` while a request is in progress.
+fn idle_time_left(gateway: &Gateway, caller: &CallerConnection) -> Option<Duration> {
+    let until = caller.idle_since()? + idle_bound(gateway);
+    Some(until.saturating_duration_since(gateway.clock.now()))
+}
+
+/// Time until the caller has taken nothing of a response for too long; `None` if it takes it.
+fn unread_time_left(gateway: &Gateway, caller: &CallerConnection) -> Option<Duration> {
+    let until = caller.blocked_since()? + idle_bound(gateway);
+    Some(until.saturating_duration_since(gateway.clock.now()))
+}
+
+fn idle_bound(gateway: &Gateway) -> Duration {
+    caller_bounds(gateway).idle_time + IDLE_GRACE
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,6 +20,9 @@
 use crate::units::Tokens;
 
 use super::allowance::Allowance;
+use super::caller_limit::CallerLimits;
+use super::caller_limit::bounds::ProcessLimits;
+use super::caller_limit::metrics::CallerLimitMetrics;
 use super::configuration::{Account, Configuration};
 use super::demand::LocalDemand;
 use super::fanout::coverage::Coverage;
@@ -46,6 +49,8 @@
     /// Whether the whole system starts for the first time, so that accounts start with a full
     /// burst.
     pub first_start: bool,
+    /// What the process may use.
+    pub process: ProcessLimits,
 }
 
 /// The state of the gateway on one VM.
@@ -113,6 +118,8 @@
     leads: AtomicBool,
     /// When requests that still wait for a model are refused, once shutdown has begun.
     drain_deadline: Mutex<Option<Instant>>,
+    /// What callers hold of this VM's memory and descriptors.
+    pub caller_limits: Arc<CallerLimits>,
 }
 
 /// What [`Gateway::open`] needs.
@@ -153,6 +160,11 @@
         let counters = Counters::open()?;
         counters.register(deps.metrics.registry())?;
         let gauges = Gauges::open(&deps.metrics)?;
+        let caller_limits = CallerLimits::open(
+            deps.bounds.process.into(),
+            Arc::clone(&deps.clock),
+            CallerLimitMetrics::open(&deps.metrics)?,
+        );
         Ok(Arc::new(Self {
             counters,
             gauges,
@@ -190,6 +202,7 @@
             upstream_limits: Mutex::default(),
             leads: AtomicBool::new(false),
             drain_deadline: Mutex::new(None),
+            caller_limits,
         }))
     }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,6 +1,7 @@
 //! Forwards response bodies. A stream of events is forwarded event by event, and after a failure
 //! it is resumed at another engine where its route allows that.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -57,13 +58,16 @@
     response
 }
 
-/// Forwards a body that is too large to be buffered.
+/// Forwards a body that is not buffered whole; `begun` is what was read of it.
 pub fn forward_plain(
     admitted: Arc<AdmittedRequest>,
     origin: Origin,
     response: UpstreamResponse,
+    begun: [Bytes; 2],
 ) -> CallerBody {
+    let begun = begun.into_iter().filter(|bytes| !bytes.is_empty());
     let body = PlainBody {
+        begun: begun.collect(),
         admitted,
         origin,
         response,
@@ -87,6 +91,8 @@
 /// A body that is forwarded as it arrives.
 #[derive(Debug)]
 struct PlainBody {
+    /// Read before the rest, and not forwarded yet.
+    begun: VecDeque<Bytes>,
     admitted: Arc<AdmittedRequest>,
     origin: Origin,
     response: UpstreamResponse,
@@ -95,6 +101,9 @@
 async fn next_bytes(
     mut body: PlainBody,
 ) -> Option<(Result<Bytes, ResponseAborted>, Option<PlainBody>)> {
+    if let Some(bytes) = body.begun.pop_front() {
+        return Some((Ok(bytes), Some(body)));
+    }
     let time_left = body.admitted.time_left();
     match body.response.read_next(time_left).await {
         BodyRead::Bytes(bytes) => Some((Ok(bytes), Some(body))),
