--- a/review/machines.py
+++ b/review/machines.py
@@ -138,7 +138,7 @@
         self.name, self.front, self.ready = name, front, ready
         self.settings = {
             "node": name, "zone": zone, "bootstrap": bootstrap, "ip": "127.0.0.1",
-            "limits": {"cpu_share": 0.25}, "port_range": [mesh, metrics], "bounds": BOUNDS,
+            "limits": {"cpu_share": 0.25, "memory_mb": 260, "max_fds": 4100}, "port_range": [mesh, metrics], "bounds": BOUNDS,
             "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
             "provider": {"addr": f"127.0.0.1:{store_port}"}}
         self.folder = tempfile.mkdtemp(prefix="basilgw-review-")
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -148,6 +148,7 @@
                 attempts.sent += 1;
                 attempts.ran = true;
                 begun = true;
+                self.release_body(attempts.sent);
                 let origin = Origin {
                     upstream: upstream.clone(),
                     sent,
--- a/src/gateway/caller_limit/bounds.rs
+++ b/src/gateway/caller_limit/bounds.rs
@@ -41,7 +41,7 @@
         let share = |sixteenths: usize| (sockets * sixteenths / 16).max(1);
         Self {
             bytes,
-            large_bytes: bytes / 4 * 3,
+            large_bytes: bytes / 8 * 7,
             response_bytes: bytes / 2,
             connections: share(CALLER_SIXTEENTHS),
             requests: share(UPSTREAM_SIXTEENTHS).min(MAX_REQUESTS),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -27,7 +27,7 @@
 use super::connection::CallerConnection;
 use super::fleet::service_upstreams;
 use super::framing::RawHead;
-use super::request::{BufferedRequest, RequestHead, Size};
+use super::request::{BufferedRequest, KeptBody, RequestHead, Size};
 use super::request_digest::request_digest;
 use super::response::{self, CallerBody};
 use super::state::Gateway;
@@ -177,7 +177,10 @@
         account: account.clone(),
         started,
         deadline,
-        request: BufferedRequest { head, body },
+        request: BufferedRequest {
+            head,
+            body: KeptBody::new(body),
+        },
         digest,
         connection: Arc::clone(connection),
     };
@@ -249,6 +252,13 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Releases the body if the request, sent `sent` times and answered, is not sent again.
+    pub fn release_body(&self, sent: u32) {
+        if !self.route.kind.retryable() || sent >= self.route.attempts {
+            self.request.body.release();
+        }
+    }
+
     /// Priority of the request, where 0 is the highest.
     pub fn priority(&self) -> u8 {
         let account = self.account.as_ref();
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -1,7 +1,8 @@
 //! A caller's request, decoded from the platform's HTTP headers.
 
-use std::fmt;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
+use std::{fmt, mem};
 
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -127,10 +128,35 @@
 }
 
 /// A request whose body was read completely, so that it can be sent more than once.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct BufferedRequest {
     /// Head, decoded from the HTTP headers.
     pub head: RequestHead,
     /// Body, read to its end.
-    pub body: Bytes,
+    pub body: KeptBody,
+}
+
+/// The body of a request, kept as long as it may have to be sent once more.
+#[derive(Debug, Default)]
+pub struct KeptBody(Mutex<Bytes>);
+
+impl KeptBody {
+    /// Keeps a body.
+    pub fn new(bytes: Bytes) -> Self {
+        Self(Mutex::new(bytes))
+    }
+
+    /// The body; empty once it was released.
+    pub fn bytes(&self) -> Bytes {
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Drops the body, which must not be sent any more.
+    pub fn release(&self) {
+        let bytes = mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner));
+        drop(bytes);
+    }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -328,6 +328,7 @@
                     info!(gateway.log, "stream_resumed"; "request" => %id,
                         "upstream" => %upstream.registration.id, "event" => self.events.last_id);
                     self.attempts.sent += 1;
+                    admitted.release_body(self.attempts.sent);
                     self.response = *response;
                     self.run = EngineRun::open(gateway.clock.now());
                     self.origin = Origin { upstream, sent };
