Answer bookings over half closed connections and bound the lines on refusals

Cause: a caller that shuts down its sending side after a request was taken for one that has left: a booking ran, and no answer came. And each refused request writes a line, as often as a caller likes.

Change: the end of the sending side is kept from the HTTP library while a request of a mutating route is in progress whose body is whole; it is not sent to an upstream later than 250 ms after that end. Idempotent requests and streams are cancelled as before, since an upstream must not work for a caller that has left, and nothing but writing tells the two apart. Of the lines on refusals that callers can cause at will, 50 a second are written; the rest is counted and told.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -4,12 +4,16 @@
 //! The HTTP library drops the body of a response once it has taken the last bytes, which may still
 //! wait in its buffer. It flushes the stream when the buffer is empty: a request counts as in
 //! progress until then ([`CallerStream`]).
+//!
+//! A caller that shuts down its sending side looks like one that has left. A request that runs at most
+//! once goes on, as its caller may wait for the response; it is sent only if the end came just
+//! before. Any other request is cancelled, as an upstream must not work for a caller that has left.
 
 use std::io;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -22,12 +26,16 @@
 use crate::edge::RequestGuard;
 
 use super::caller_limit::CallerSlot;
+use super::framing::RawHead;
 use super::relay::ResponseAborted;
 use super::response::CallerBody;
 
 /// Longest time for which what a caller still sends after its refusal is thrown away. Without it
 /// the connection would be reset, and the refusal might be lost.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
+/// Longest time after the end of a caller's sending side in which its request is still sent to an
+/// upstream.
+const END_GRACE: Duration = Duration::from_millis(250);
 /// Bytes thrown away at once.
 const DISCARD_BYTES: usize = 4096;
 
@@ -37,6 +45,7 @@
     /// Its place among all callers.
     pub slot: CallerSlot,
     clock: Arc<dyn Clock>,
+    raw_head: RawHead,
     /// Whether the caller takes nothing of what is to be written.
     is_blocked: AtomicBool,
     progress: Mutex<Progress>,
@@ -58,11 +67,27 @@
     blocked_since: Option<Instant>,
     /// Counts the request as in progress for the shutdown.
     guard: Option<RequestGuard>,
+    /// Length of the body that the head of the request declares, in bytes.
+    declared: Option<u64>,
+    /// Whether the request goes on after the end of the caller's sending side.
+    outlives_end: bool,
+    /// When the caller ended its sending side; absent if it was not yet kept from the HTTP library.
+    ended: Option<Instant>,
+    /// Wakes the connection to see that end.
+    reader: Option<Waker>,
+}
+
+impl Progress {
+    fn wake_reader(&mut self) {
+        if let Some(reader) = self.reader.take() {
+            reader.wake();
+        }
+    }
 }
 
 impl CallerConnection {
     /// Makes the state of a connection that was just accepted.
-    pub fn open(slot: CallerSlot, clock: Arc<dyn Clock>) -> Arc<Self> {
+    pub fn open(slot: CallerSlot, clock: Arc<dyn Clock>, raw_head: RawHead) -> Arc<Self> {
         let progress = Progress {
             arrived: 0,
             busy: false,
@@ -71,22 +96,47 @@
             idle_since: clock.now(),
             blocked_since: None,
             guard: None,
+            declared: None,
+            outlives_end: false,
+            ended: None,
+            reader: None,
         };
         Arc::new(Self {
             slot,
             clock,
+            raw_head,
             is_blocked: AtomicBool::new(false),
             progress: Mutex::new(progress),
         })
     }
 
-    /// Notes that the head of a request has arrived.
-    pub fn begin_request(&self) {
+    /// Notes that the head of a request has arrived, which declares a body of length `declared`.
+    /// `unread` is whether it has a body.
+    pub fn begin_request(&self, declared: Option<u64>, unread: bool) {
         let mut progress = self.lock();
         progress.arrived += 1;
         progress.busy = true;
         progress.taken = false;
-        progress.unread = false;
+        progress.unread = unread;
+        progress.declared = declared;
+        progress.outlives_end = true;
+    }
+
+    /// Sets whether the request goes on after the end of the caller's sending side; it does until
+    /// this is known.
+    pub fn set_outlives_end(&self, outlives: bool) {
+        let mut progress = self.lock();
+        progress.outlives_end = outlives;
+        if !outlives {
+            progress.wake_reader();
+        }
+    }
+
+    /// Whether the caller has ended its sending side so long ago that its request must not be sent
+    /// to an upstream any more.
+    pub fn ended_before(&self) -> bool {
+        let ended = self.lock().ended;
+        ended.is_some_and(|at| self.clock.now().saturating_duration_since(at) > END_GRACE)
     }
 
     /// Keeps the guard of the request until the last byte of its response is written.
@@ -134,11 +184,25 @@
         progress.busy = false;
         progress.idle_since = self.clock.now();
         let guard = progress.guard.take();
+        progress.wake_reader();
         drop(progress);
         self.slot.end();
         drop(guard);
     }
 
+    /// Whether the end of the caller's sending side is kept from the HTTP library, which would
+    /// cancel the request.
+    fn keeps_end(&self, cx: &Context<'_>) -> bool {
+        let mut progress = self.lock();
+        let whole = !progress.unread || progress.declared == Some(self.raw_head.body_bytes());
+        let keeps = progress.busy && progress.outlives_end && whole;
+        if keeps {
+            progress.ended.get_or_insert(self.clock.now());
+            progress.reader = Some(cx.waker().clone());
+        }
+        keeps
+    }
+
     fn on_write(&self, pending: bool) {
         if self.is_blocked.swap(pending, Ordering::Relaxed) == pending {
             return;
@@ -222,7 +286,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        let ended = read.is_ok() && buf.filled().len() == before && buf.remaining() > 0;
+        if ended && self.connection.keeps_end(cx) {
+            return Poll::Pending;
+        }
+        Poll::Ready(read)
     }
 }
 
--- a/src/gateway/framing.rs
+++ b/src/gateway/framing.rs
@@ -65,6 +65,11 @@
         !buffer.complete && !buffer.bytes.is_empty()
     }
 
+    /// Number of bytes received after the head.
+    pub fn body_bytes(&self) -> u64 {
+        self.lock().body_bytes
+    }
+
     /// Starts to record the next head, after a request that declared a body of length `declared`.
     ///
     /// Returns false if the bytes received do not end with that body, so that the start of the
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -22,6 +22,7 @@
     orders: "Orders given to engines.",
     store_loads: "Loads from the weight store among them.",
     leases: "Times that this VM began to give orders.",
+    log_lines_left_out: "Log lines on refused requests that were left out.",
     store_failures: "Questions to the platform's store that failed.",
     datagrams_in: "Datagrams taken from other VMs.",
     datagrams_out: "Datagrams sent to other VMs.",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -38,6 +38,7 @@
 mod leadership;
 pub mod lease;
 pub mod load_limiter;
+pub mod log_limit;
 pub mod mesh;
 pub mod metrics;
 pub mod model_wait;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use http::{Request, Response};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use rand::RngExt;
 use slog::{info, warn};
 use thiserror::Error;
@@ -23,7 +23,7 @@
 use super::caller_limit::NoRoom;
 use super::caller_limit::buffer::{self, BodyError};
 use super::caller_limit::metrics::Lack;
-use super::configuration::{Account, Configuration, Route};
+use super::configuration::{Account, Configuration, Route, RouteKind};
 use super::connection::CallerConnection;
 use super::fleet::service_upstreams;
 use super::framing::RawHead;
@@ -77,8 +77,6 @@
     request: Request<Incoming>,
     raw_head: &RawHead,
 ) -> Response<CallerBody> {
-    connection.begin_request();
-    connection.set_unread(!request.body().is_end_stream());
     let response = respond(gateway, connection, request, raw_head).await;
     response.map(|body| connection.watch_body(body))
 }
@@ -96,7 +94,9 @@
         Ok(head) if !conflicting => head,
         Ok(_) => return response::refusal_response(&Refusal::not_run(Reason::Malformed)),
         Err(fault) => {
-            warn!(gateway.log, "request_malformed"; "fault" => %fault);
+            if gateway.may_log() {
+                warn!(gateway.log, "request_malformed"; "fault" => %fault);
+            }
             return response::refusal_response(&Refusal::not_run(Reason::Malformed));
         }
     };
@@ -111,9 +111,11 @@
         }
         Err(refusal) => {
             gateway.edge_metrics.refused(refusal.reason, spent);
-            info!(gateway.log, "request_refused"; "request" => %id, "reason" => %refusal.reason,
-                "ran" => ?refusal.ran, "spent_ms" => spent.as_millis() as u64,
-                "retry_ms" => refusal.retry.map(|wait| wait.as_millis() as u64));
+            if !caused_by_caller(refusal.reason) || gateway.may_log() {
+                info!(gateway.log, "request_refused"; "request" => %id, "reason" => %refusal.reason,
+                    "ran" => ?refusal.ran, "spent_ms" => spent.as_millis() as u64,
+                    "retry_ms" => refusal.retry.map(|wait| wait.as_millis() as u64));
+            }
             let mut response = response::refusal_response(&refusal);
             response
                 .headers_mut()
@@ -129,6 +131,19 @@
     response
 }
 
+/// Whether callers can cause refusals with this reason as often as they like.
+fn caused_by_caller(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::Malformed
+            | Reason::TooLarge
+            | Reason::Unauthorized
+            | Reason::UnknownRoute
+            | Reason::Timeout
+            | Reason::Capacity
+    )
+}
+
 /// Authenticates a request, takes its tokens from the account's quota and runs it; the tokens are
 /// returned if it did not run.
 async fn admit(
@@ -150,6 +165,7 @@
     let found = configuration.route(&head.host, head.uri.path());
     let route = found.ok_or(Refusal::not_run(Reason::UnknownRoute))?;
     let account = authenticate(&configuration, route, &head)?;
+    connection.set_outlives_end(route.kind == RouteKind::Mutating);
     let max_wait = head.max_wait.unwrap_or(route.timeout).min(route.timeout);
     let draw = balancer::stable_hash(head.id.as_str().as_bytes(), 0);
     let service = route.service(draw).ok_or_else(not_ready)?.clone();
@@ -299,6 +315,9 @@
             if self.account.is_some() && !gateway.keys_trusted() {
                 return attempts.give_up(Reason::NotReady, NOT_READY_RETRY);
             }
+            if self.connection.ended_before() {
+                return attempts.give_up(Reason::Capacity, CAPACITY_RETRY);
+            }
             let clearance = match self.clear_to_send() {
                 Ok(clearance) => clearance,
                 Err(delay) => return attempts.give_up(Reason::Quarantined, delay),
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -168,13 +168,14 @@
     // Otherwise Nagle's algorithm delays small events until the caller has acknowledged earlier
     // ones. A failure is ignored, because the connection works without the option.
     let _ignored = stream.set_nodelay(true);
-    let caller = CallerConnection::open(slot, Arc::clone(&gateway.clock));
     let raw_head = RawHead::default();
+    let caller = CallerConnection::open(slot, Arc::clone(&gateway.clock), raw_head.clone());
     let service = service_fn(|request: Request<Incoming>| {
         let gateway = Arc::clone(&gateway);
         let caller = Arc::clone(&caller);
         let raw_head = raw_head.clone();
         let declared = framing::declared_length(request.headers());
+        caller.begin_request(declared, !request.body().is_end_stream());
         async move {
             let mut response = relay::handle_request(&gateway, &caller, request, &raw_head).await;
             if !raw_head.restart(declared) {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -29,6 +29,7 @@
 use super::fanout::roles::{Capacity, Role};
 use super::fleet::{Fleet, UpstreamMap};
 use super::freshness::Freshness;
+use super::log_limit::{LineVerdict, LogLimit};
 use super::metrics::{Counters, Gauges};
 use super::platform_api::Dialect;
 use super::quarantine::Quarantine;
@@ -120,6 +121,7 @@
     drain_deadline: Mutex<Option<Instant>>,
     /// What callers hold of this VM's memory and descriptors.
     pub caller_limits: Arc<CallerLimits>,
+    log_limit: Mutex<LogLimit>,
 }
 
 /// What [`Gateway::open`] needs.
@@ -203,6 +205,7 @@
             leads: AtomicBool::new(false),
             drain_deadline: Mutex::new(None),
             caller_limits,
+            log_limit: Mutex::default(),
         }))
     }
 
@@ -273,6 +276,22 @@
         lock(&self.upstream_limits)
     }
 
+    /// Whether a line that callers can cause at will is written to the log.
+    pub fn may_log(&self) -> bool {
+        let verdict = lock(&self.log_limit).on_line(self.clock.now());
+        match verdict {
+            LineVerdict::LeaveOut => {
+                self.counters.log_lines_left_out.inc();
+                false
+            }
+            LineVerdict::Write { left_out: 0 } => true,
+            LineVerdict::Write { left_out } => {
+                info!(self.log, "log_lines_left_out"; "lines" => left_out);
+                true
+            }
+        }
+    }
+
     /// Whether this VM is the leader, the only one that may probe what is held back.
     pub fn leads(&self) -> bool {
         self.leads.load(Ordering::Relaxed)
