--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -25,6 +25,7 @@
     store_loads: "Loads from the weight store among them.",
     entries_unreadable: "Entries of the configuration, and objects of the store, that cannot be read.",
     leases: "Times that this VM began to give orders.",
+    log_lines_left_out: "Log lines on refused requests that were left out.",
     store_failures: "Questions to the platform's store that failed.",
     datagrams_in: "Datagrams taken from other VMs.",
     datagrams_out: "Datagrams sent to other VMs.",
@@ -121,5 +122,6 @@
         self.upstreams_limited
             .set(count(gateway.upstream_limits().count()));
         self.running.set(count(gateway.running.count()));
+        gateway.caller_limits.refresh_gauges();
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,12 +20,16 @@
 use crate::units::Tokens;
 
 use super::allowance::Allowance;
+use super::caller_limit::CallerLimits;
+use super::caller_limit::bounds::ProcessLimits;
+use super::caller_limit::metrics::CallerLimitMetrics;
 use super::configuration::{Account, Configuration};
 use super::demand::LocalDemand;
 use super::fanout::coverage::Coverage;
 use super::fanout::roles::{Capacity, Role};
 use super::fleet::{Fleet, UpstreamMap};
 use super::freshness::Freshness;
+use super::log_limit::{LineVerdict, LogLimit};
 use super::metrics::{Counters, Gauges};
 use super::platform_api::{DecodeError, Dialect};
 use super::quarantine::Quarantine;
@@ -50,6 +54,8 @@
     /// Whether the whole system starts for the first time, so that accounts start with a full
     /// burst.
     pub first_start: bool,
+    /// What the process may use.
+    pub process: ProcessLimits,
 }
 
 /// The state of the gateway on one VM.
@@ -118,6 +124,9 @@
     /// When requests that still wait for a model are refused, once shutdown has begun.
     drain_deadline: Mutex<Option<Instant>>,
     unreadable: Mutex<UnreadableObjects>,
+    /// What callers hold of this VM's memory and descriptors.
+    pub caller_limits: Arc<CallerLimits>,
+    log_limit: Mutex<LogLimit>,
 }
 
 /// What [`Gateway::open`] needs.
@@ -158,6 +167,11 @@
         let counters = Counters::open()?;
         counters.register(deps.metrics.registry())?;
         let gauges = Gauges::open(&deps.metrics)?;
+        let caller_limits = CallerLimits::open(
+            deps.bounds.process.into(),
+            Arc::clone(&deps.clock),
+            CallerLimitMetrics::open(&deps.metrics)?,
+        );
         Ok(Arc::new(Self {
             counters,
             gauges,
@@ -196,6 +210,8 @@
             leads: AtomicBool::new(false),
             drain_deadline: Mutex::new(None),
             unreadable: Mutex::default(),
+            caller_limits,
+            log_limit: Mutex::default(),
         }))
     }
 
@@ -266,6 +282,22 @@
         lock(&self.upstream_limits)
     }
 
+    /// Whether a line that callers can cause at will is written to the log.
+    pub fn may_log(&self) -> bool {
+        let verdict = lock(&self.log_limit).on_line(self.clock.now());
+        match verdict {
+            LineVerdict::LeaveOut => {
+                self.counters.log_lines_left_out.inc();
+                false
+            }
+            LineVerdict::Write { left_out: 0 } => true,
+            LineVerdict::Write { left_out } => {
+                info!(self.log, "log_lines_left_out"; "lines" => left_out);
+                true
+            }
+        }
+    }
+
     /// Whether this VM is the leader, the only one that may probe what is held back.
     pub fn leads(&self) -> bool {
         self.leads.load(Ordering::Relaxed)
