Give each VM slots of its own while it hears no leader, and count warm-ups as a rate

Cause: without a leader each VM drew at random for each request. Chance weighed more at low rates (14 requests in 2 s where 11 may be sent, at 360 VMs and 4 a second), and a VM with few requests used next to nothing of its part. An upstream that warms up had no rate at all.

Ruled out: parts that are saved up (after a pause all VMs would send at one moment); ranks by hash, as several VMs then share a slot; slots by the monotonic clock, which no two VMs share.

Change: a VM owns one slot of each cycle by its rank among all VMs that it has ever known, and sends in it, up to 1 s later, or waits for it. A warm-up is a second source of the rate that the leader grants, beside the limit that an upstream names: the lower of both holds.

--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -119,6 +119,10 @@
         I: IntoIterator<Item = (VmId, VmRegistration)>,
     {
         let now = self.gateway.clock.now();
+        let vms: Vec<_> = vms.into_iter().collect();
+        let ids = vms.iter().map(|(vm, _)| vm.clone());
+        let own = &self.gateway.vm;
+        self.gateway.upstream_limits().roster.add(own, ids);
         let others = vms.into_iter().filter(|(vm, _)| *vm != self.gateway.vm);
         self.lock().peers.on_list(others, complete, now);
         self.gateway.usage_due.notify_one();
--- a/src/gateway/mesh/usage.rs
+++ b/src/gateway/mesh/usage.rs
@@ -51,6 +51,8 @@
         drop(state);
         if change.new {
             info!(self.gateway.log, "vm_heard"; "peer" => %vm);
+            let own = &self.gateway.vm;
+            self.gateway.upstream_limits().roster.add(own, [vm]);
         }
         if let Some(report) = quarantine {
             self.gateway.on_quarantine_report(report);
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -11,7 +11,7 @@
 /// unreachable, and until then they use its part too.
 const ISOLATED_SHARE: f64 = 0.5;
 /// Number of VMs assumed until the registered ones were read: the most that are designed for.
-const UNLISTED_VMS: u32 = 360;
+pub(super) const UNLISTED_VMS: u32 = 360;
 /// Number of messages expected from all other VMs together whose absence makes a VM isolated.
 const MISSED_MESSAGES: u32 = 10;
 /// Divisor of the interval between two messages of one VM that gives the shortest silence which
--- a/src/gateway/upstream_limit/gate.rs
+++ b/src/gateway/upstream_limit/gate.rs
@@ -4,14 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::RngExt;
 use slog::{info, warn};
 
+use super::preference::{Choice, Pool, pools};
 use super::table::Statement;
 use super::{Decision, GRANT_LIFETIME, SILENCE_PAUSE, Step, VmCounts};
 use crate::clock::BootTime;
 use crate::gateway::balancer::NoEngine;
+use crate::gateway::fleet::service_upstreams;
 use crate::gateway::platform_api::LimitSignal;
+use crate::gateway::reachability::UNLISTED_VMS;
 use crate::gateway::relay::AdmittedRequest;
 use crate::gateway::state::Gateway;
 use crate::gateway::upstream::{Upstream, UpstreamInstance};
@@ -23,6 +25,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
 /// Times that an ask is sent for a request that can wait.
 const ASK_ATTEMPTS: u32 = 4;
+/// Upstreams that warm up which a patient request asks for before it turns to the others.
+const WARMING_UP_TRIES: usize = 1;
 
 /// Leave to send one request to one upstream, at once; only the gate makes it.
 #[derive(Debug)]
@@ -55,28 +59,87 @@
     ///
     /// [`NoPermit`].
     pub async fn reserve_upstream(&self, tried: &BTreeSet<UpstreamId>) -> Result<Permit, NoPermit> {
-        let mut excluded = tried.clone();
-        let mut full = Vec::new();
-        loop {
-            let upstream = match self.choose_excluding(&excluded) {
-                Ok(upstream) => upstream,
-                Err(missing) if full.is_empty() => return Err(NoPermit::NoEngine(missing)),
-                Err(_) => break,
+        let mut full: Vec<(Duration, Upstream)> = Vec::new();
+        let mut missing = NoEngine::Unusable;
+        let warming_up = self.warming_up();
+        for pool in self.pools(&warming_up, tried) {
+            let mut excluded = tried.clone();
+            excluded.extend(full.iter().map(|(_, u)| u.registration.id.clone()));
+            self.exclude_beyond(pool, &warming_up, &mut excluded);
+            let tries = match pool {
+                Pool::WarmingUp => WARMING_UP_TRIES,
+                Pool::All | Pool::Warm => usize::MAX,
             };
-            excluded.insert(upstream.registration.id.clone());
-            match self.reserve(&upstream, Duration::ZERO).await {
-                Ok(permit) => return Ok(permit),
-                Err(delay) => full.push((delay, upstream)),
+            for _ in 0..tries {
+                let upstream = match self.choose_excluding(&excluded) {
+                    Ok(upstream) => upstream,
+                    Err(none) => {
+                        missing = none;
+                        break;
+                    }
+                };
+                excluded.insert(upstream.registration.id.clone());
+                match self.reserve(&upstream, Duration::ZERO).await {
+                    Ok(permit) => return Ok(permit),
+                    Err(delay) => full.push((delay, upstream)),
+                }
             }
         }
+        if full.is_empty() {
+            return Err(NoPermit::NoEngine(missing));
+        }
         self.note_limited();
         self.wait_for_room(full).await
     }
 
-    /// Whether an upstream names a limit, so that a request may find no room there.
+    /// The upstreams that are warming up, of all services.
+    fn warming_up(&self) -> BTreeSet<UpstreamId> {
+        let now = self.gateway.clock.boot();
+        self.gateway.upstream_limits().warming_up(now)
+    }
+
+    /// The pools of upstreams that the request tries in turn.
+    fn pools(&self, warming_up: &BTreeSet<UpstreamId>, tried: &BTreeSet<UpstreamId>) -> Vec<Pool> {
+        if warming_up.is_empty() {
+            return vec![Pool::All];
+        }
+        let upstreams = self.gateway.upstreams.load();
+        let target = self.request.head.target.as_ref();
+        let able = service_upstreams(&upstreams, &self.service).filter(|upstream| {
+            let registration = &upstream.registration;
+            let serves = target.is_none_or(|target| registration.inventory.can_serve(target));
+            serves && !tried.contains(&registration.id)
+        });
+        let choices = able.map(|upstream| Choice {
+            warming_up: warming_up.contains(&upstream.registration.id),
+            free: upstream.health.load() < upstream.registration.slots,
+        });
+        pools(choices, self.route.goal)
+    }
+
+    /// Excludes the upstreams that are not in a pool.
+    fn exclude_beyond(
+        &self,
+        pool: Pool,
+        warming_up: &BTreeSet<UpstreamId>,
+        excluded: &mut BTreeSet<UpstreamId>,
+    ) {
+        match pool {
+            Pool::All => {}
+            Pool::Warm => excluded.extend(warming_up.iter().cloned()),
+            Pool::WarmingUp => {
+                let upstreams = self.gateway.upstreams.load();
+                let warm = upstreams.keys().filter(|id| !warming_up.contains(*id));
+                excluded.extend(warm.cloned());
+            }
+        }
+    }
+
+    /// Whether an upstream names a limit or is warming up, so that a request may find no room there.
     pub fn is_limited(&self, upstream: &Upstream) -> bool {
         let instance = UpstreamInstance::from(&*upstream.registration);
-        self.gateway.upstream_limits().is_limited(&instance)
+        let now = self.gateway.clock.boot();
+        self.gateway.upstream_limits().is_limited(&instance, now)
     }
 
     /// Waits for room at one of the upstreams, each with the time after which there may be some.
@@ -235,7 +298,7 @@
 
     /// Decides on the asks of another VM, if this VM leads.
     pub fn grant_permits(&self, request: PermitRequest) -> Option<PermitResponse> {
-        let vms = VmCounts::from(self.reachability());
+        let vms = self.vm_counts();
         let now = self.clock.boot();
         self.upstream_limits().grant(request, vms, now)
     }
@@ -255,11 +318,26 @@
     }
 
     fn request_permit(&self, instance: &UpstreamInstance, max_wait: Duration) -> Step {
-        let vms = VmCounts::from(self.reachability());
-        let draw = rand::rng().random();
-        let now = self.clock.boot();
+        let vms = self.vm_counts();
+        let (wall, now) = (self.clock.wall(), self.clock.boot());
         self.upstream_limits()
-            .request(instance, max_wait, vms, draw, now)
+            .request(instance, max_wait, vms, wall, now)
+    }
+
+    /// The VMs as far as they matter for limits. Before the registered VMs were read, there may be
+    /// as many as are designed for.
+    fn vm_counts(&self) -> VmCounts {
+        let reachability = self.reachability();
+        let least = if reachability.listed {
+            reachability.peak
+        } else {
+            reachability.peak.max(UNLISTED_VMS)
+        };
+        VmCounts {
+            known: reachability.vms,
+            reachable: reachability.reachable,
+            part: self.upstream_limits().roster.part(&self.vm, least),
+        }
     }
 
     /// Has an ask sent to the leader, more than once if the request can wait, and waits for the
--- a/src/gateway/upstream_limit/mod.rs
+++ b/src/gateway/upstream_limit/mod.rs
@@ -1,39 +1,45 @@
-//! Keeps all VMs together to the rate of requests that an upstream names.
+//! Keeps all VMs together to the rate of requests that an upstream takes.
 //!
 //! An upstream in need states in its responses how many requests a second it takes from all VMs
-//! together. No VM can keep to that alone, so the leader grants each request:
+//! together, and one that is warming up takes few for a while. No VM can keep to that alone, so the
+//! leader grants each request:
 //!
-//! - Every VM records what upstreams state to it, and tells the others at once ([`table`]).
+//! - Every VM records what upstreams state to it, and tells the others at once ([`table`]). It
+//!   records from the registrations which upstreams are warming up ([`warm_up`]).
 //! - To send a request to such an upstream, a VM asks the leader, which gives out the times at
 //!   which requests may be sent, one after the other ([`granter`]). A grant is for one request and
 //!   expires soon after its time.
-//! - A VM that hears no leader sends only its equal part of half the rate ([`share`]). The leader
-//!   keeps such a part back for each VM that it does not hear.
+//! - A VM that hears no leader sends only in slots of its own, its equal part of half the rate
+//!   ([`share`]). The leader keeps such a part back for each VM that it does not hear.
 //!
 //! Each attempt needs a permit ([`gate`]), which names its upstream. A request that another upstream
 //! can serve goes there if there is no room at once; any other waits for its time if that is in
 //! time, and is refused otherwise. An upstream with room gets requests like any other, so that the
-//! end of a limit is noticed.
+//! end of a limit is noticed. While some upstreams warm up, patient requests go to them first and
+//! others to warm ones ([`preference`]).
 
 mod asks;
 pub mod gate;
 pub mod granter;
+pub mod preference;
 pub mod share;
 pub mod table;
+pub mod warm_up;
 
-use std::collections::BTreeMap;
-use std::time::Duration;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, SystemTime};
 
 use crate::clock::BootTime;
 use crate::ids::{Epoch, UpstreamId};
 use crate::schema::mesh::{PermitAnswer, PermitAsk, PermitRequest, PermitResponse, UpstreamLimit};
 
-use super::reachability::Reachability;
 use super::upstream::UpstreamInstance;
+use crate::units::RequestRate;
 use asks::Asks;
 use granter::{Ask, AskId, Granter};
-use share::LocalShare;
+use share::{LocalShare, Part, Roster};
 use table::{LimitTable, Statement};
+use warm_up::{Audience, WarmUp, WarmUps};
 
 /// Time within which a granted request must be sent, counted from the time granted.
 pub const GRANT_LIFETIME: Duration = Duration::from_millis(300);
@@ -78,26 +84,19 @@
 pub struct VmCounts {
     /// VMs known, this one included.
     pub known: u32,
-    /// Most VMs known at any time, this one included.
-    pub peak: u32,
     /// VMs reachable, this one included.
     pub reachable: u32,
-}
-
-impl From<Reachability> for VmCounts {
-    fn from(reachability: Reachability) -> Self {
-        Self {
-            known: reachability.vms,
-            peak: reachability.peak,
-            reachable: reachability.reachable,
-        }
-    }
+    /// The part that is this VM's own while it hears no leader.
+    pub part: Part,
 }
 
 /// What one VM knows of the upstreams' limits and, as the leader, has granted.
 #[derive(Debug, Default)]
 pub struct UpstreamLimits {
+    /// All VMs that were ever known.
+    pub roster: Roster,
     table: LimitTable,
+    warm_ups: WarmUps,
     granter: Granter,
     share: LocalShare,
     asks: Asks,
@@ -121,10 +120,58 @@
     /// Records what other VMs know.
     pub fn on_reports(&mut self, reports: &[UpstreamLimit], now: BootTime) {
         for report in reports {
+            self.apply_report(report, now);
+        }
+    }
+
+    fn apply_report(&mut self, report: &UpstreamLimit, now: BootTime) {
+        if report.warm_up_ms.is_some() {
+            self.warm_ups.apply_report(report, now);
+        } else {
             self.table.apply_report(report, now);
         }
     }
 
+    /// Records that an upstream is warming up; returns whether that was not known.
+    pub fn on_warm_up(
+        &mut self,
+        instance: &UpstreamInstance,
+        warm_up: WarmUp,
+        audience: Audience,
+        now: BootTime,
+    ) -> bool {
+        self.warm_ups.extend(instance, warm_up, audience, now)
+    }
+
+    /// The upstreams that are warming up.
+    pub fn warming_up(&self, now: BootTime) -> BTreeSet<UpstreamId> {
+        self.warm_ups.current(now)
+    }
+
+    /// The lowest rate that holds for an upstream, and the run of it that is counted.
+    fn rate(
+        &self,
+        instance: &UpstreamInstance,
+        now: BootTime,
+    ) -> Option<(UpstreamInstance, RequestRate)> {
+        let named = self.table.rate(instance);
+        let Some((run, warm_up)) = self.warm_ups.rate(instance, now) else {
+            return named.map(|rate| (instance.clone(), rate));
+        };
+        let lowest = named.filter(|named| *named < warm_up).unwrap_or(warm_up);
+        Some((run, lowest))
+    }
+
+    /// What the leader is told with an ask; `None` if no limit holds.
+    fn limit(&self, instance: &UpstreamInstance, now: BootTime) -> Option<UpstreamLimit> {
+        let (_, lowest) = self.rate(instance, now)?;
+        let named = self.table.limit(instance, now);
+        match self.warm_ups.limit(instance, now) {
+            Some(warm_up) if warm_up.rate == Some(lowest) => Some(warm_up),
+            _ => named,
+        }
+    }
+
     /// Records that a leader was heard, which is not this VM.
     pub fn on_leader(&mut self, epoch: Epoch, now: BootTime) {
         self.leader = Some((epoch, now));
@@ -139,9 +186,9 @@
         self.granter.set_lease(epoch, now);
     }
 
-    /// Whether the upstream names a limit.
-    pub fn is_limited(&self, instance: &UpstreamInstance) -> bool {
-        self.table.rate(instance).is_some()
+    /// Whether the upstream names a limit or is warming up.
+    pub fn is_limited(&self, instance: &UpstreamInstance, now: BootTime) -> bool {
+        self.rate(instance, now).is_some()
     }
 
     /// Number of upstreams that name a limit.
@@ -153,49 +200,53 @@
     pub fn report(&mut self, now: BootTime) -> Vec<UpstreamLimit> {
         self.granter.expire(now);
         self.full.retain(|_, free| now < *free);
-        self.table.report(self.granter.leads(now), now)
+        let mut reports = self.table.report(self.granter.leads(now), now);
+        reports.extend(self.warm_ups.report(now));
+        reports
     }
 
     /// What the leader tells a VM that has just started; empty at any other VM.
     pub fn summary(&self, now: BootTime) -> Vec<UpstreamLimit> {
-        if self.granter.leads(now) {
-            return self.table.all(now);
+        if !self.granter.leads(now) {
+            return Vec::new();
         }
-        Vec::new()
+        let mut reports = self.table.all(now);
+        reports.extend(self.warm_ups.all(now));
+        reports
     }
 
-    /// Requests leave to send one request, which can wait for `max_wait`. `draw`, a random number
-    /// from 0 to 1, spreads the VMs while there is no leader.
+    /// Requests leave to send one request, which can wait for `max_wait`. The slots of the VMs are
+    /// counted on the `wall` clock while there is no leader.
     pub fn request(
         &mut self,
         instance: &UpstreamInstance,
         max_wait: Duration,
         vms: VmCounts,
-        draw: f64,
+        wall: SystemTime,
         now: BootTime,
     ) -> Step {
-        let Some(rate) = self.table.rate(instance) else {
+        let Some((run, rate)) = self.rate(instance, now) else {
             return Step::Decided(Decision::Unlimited);
         };
         if self.granter.leads(now) {
-            let ask = Ask::own(instance.clone(), max_wait);
+            let ask = Ask::own(run, max_wait);
             return Step::Decided(self.granter.grant(ask, rate, vms, now));
         }
         let heard = self.leader.map(|(_, at)| now.since(at));
         if heard.is_none_or(|silence| silence > LEADER_SILENCE) {
-            return Step::Decided(
-                match self.share.try_send(&instance.id, rate, vms.peak, draw, now) {
-                    Ok(()) => Decision::Granted(Duration::ZERO),
-                    Err(delay) => Decision::Denied(delay.min(MAX_LEADERLESS_DELAY)),
-                },
-            );
+            let share = &mut self.share;
+            let sent = share.try_send(&instance.id, rate, vms.part, max_wait, wall, now);
+            return Step::Decided(match sent {
+                Ok(wait) => Decision::Granted(wait),
+                Err(delay) => Decision::Denied(delay.min(MAX_LEADERLESS_DELAY)),
+            });
         }
         if let Some(delay) = self.full_for(&instance.id, now)
             && delay > max_wait
         {
             return Step::Decided(Decision::Denied(delay));
         }
-        match self.table.limit(instance, now) {
+        match self.limit(instance, now) {
             Some(limit) => Step::Ask(self.asks.open(limit, max_wait)),
             None => Step::Decided(Decision::Unlimited),
         }
@@ -211,18 +262,18 @@
         let epoch = self.granter.epoch(now)?;
         let mut answers = Vec::new();
         for ask in request.asks {
-            self.table.apply_report(&ask.limit, now);
+            self.apply_report(&ask.limit, now);
             let instance = table::instance(&ask.limit);
-            let decision = match self.table.rate(&instance) {
+            let decision = match self.rate(&instance, now) {
                 None => Decision::Unlimited,
-                Some(rate) => {
+                Some((run, rate)) => {
                     let id = AskId {
                         vm: request.vm.clone(),
                         generation: request.generation,
                         number: ask.number,
                     };
                     let max_wait = Duration::from_millis(ask.max_wait_ms);
-                    let of_vm = Ask::of_vm(id, instance, max_wait);
+                    let of_vm = Ask::of_vm(id, run, max_wait);
                     self.granter.grant(of_vm, rate, vms, now)
                 }
             };
--- a/src/gateway/upstream_limit/table.rs
+++ b/src/gateway/upstream_limit/table.rs
@@ -230,6 +230,7 @@
             rate: self.statement.rate,
             sent_age_ms: age(self.statement.sent),
             age_ms: age(self.statement.received),
+            warm_up_ms: None,
         }
     }
 }
--- a/src/schema/mesh.rs
+++ b/src/schema/mesh.rs
@@ -369,6 +369,9 @@
     #[doc = "Time since the request was sent, in milliseconds."]
     pub sent_age_ms: u64,
     pub upstream: ::basilgw::ids::UpstreamId,
+    #[doc = "Time for which the upstream still warms up at this rate, in milliseconds; absent where it named the limit in a response."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub warm_up_ms: ::std::option::Option<u64>,
 }
 #[doc = "Usage report, which each VM sends to all others several times a second or, among many VMs, about once a second."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
--- a/tests/gateway_upstream_limit_fleet.rs
+++ b/tests/gateway_upstream_limit_fleet.rs
@@ -243,3 +243,78 @@
         check(&outcome, &plan, limit);
     }
 }
+
+/// Requests a second of the upstreams that warm up.
+const WARM_UP_RATE: f64 = 12.0;
+const SECOND: Duration = Duration::from_secs(1);
+/// What the platform tolerates in any second: this factor on the rate, and these requests.
+const WARM_UP_BURST: f64 = 1.5;
+const WARM_UP_SLACK: f64 = 5.0;
+
+fn check_warm_up(outcome: &Outcome, plan: &Plan) {
+    let most = outcome.most_within(SECOND, Duration::ZERO, plan.length);
+    let allowed = WARM_UP_RATE * WARM_UP_BURST + WARM_UP_SLACK;
+    assert!(
+        most as f64 <= allowed,
+        "{most} requests in a second of {allowed}, {} VMs",
+        plan.vms
+    );
+}
+
+// Guards against: VMs each send to an upstream that has just started as to any other (FAILBACK).
+#[test]
+fn an_upstream_that_warms_up_gets_its_rate_and_no_more() {
+    for vms in [7, 60, 360] {
+        for seed in SEEDS {
+            let plan = Plan::warm_up(vms, WARM_UP_RATE);
+            let outcome = Simulation::play(plan.clone(), seed);
+            check_warm_up(&outcome, &plan);
+            let used = outcome.used(WARM_UP_RATE, secs(4), plan.length);
+            assert!(used >= 0.9, "{vms} VMs: used {used}");
+        }
+    }
+}
+
+// Guards against: VMs that hear no leader when an upstream starts send each for itself.
+#[test]
+fn vms_without_a_leader_keep_to_the_rate_of_an_upstream_that_warms_up() {
+    for (vms, least) in [(7, 0.4), (60, 0.15), (360, 0.04)] {
+        let mut plan = Plan::warm_up(vms, WARM_UP_RATE);
+        plan.cut = Disturbed {
+            vms: (0..vms).collect(),
+            from: Duration::ZERO,
+            to: plan.length,
+        };
+        let outcome = Simulation::play(plan.clone(), 13);
+        check_warm_up(&outcome, &plan);
+        let used = outcome.used(WARM_UP_RATE, secs(4), plan.length);
+        println!("{vms} VMs use {used:.2} of the rate without a leader");
+        assert!(used >= least, "{vms} VMs: used {used}");
+    }
+}
+
+// Guards against: the two parts of a split, VMs that start, wake or lose datagrams, and a new
+// leader, together send more than an upstream bears that warms up.
+#[test]
+fn disturbed_vms_keep_to_the_rate_of_an_upstream_that_warms_up() {
+    for vms in [7, 60, 360] {
+        for seed in SEEDS {
+            let mut plan = Plan::warm_up(vms, WARM_UP_RATE);
+            plan.loss = 0.05;
+            plan.cut = Disturbed {
+                vms: (1..vms / 2).collect(),
+                from: secs(3),
+                to: secs(9),
+            };
+            plan.frozen = Disturbed {
+                vms: (vms / 2..vms * 2 / 3).collect(),
+                from: secs(7),
+                to: secs(10),
+            };
+            plan.restart = Some((secs(11), (1..vms).step_by(3).collect()));
+            plan.leader_lost = (seed != 1).then_some(secs(8));
+            let outcome = Simulation::play(plan.clone(), seed);
+            check_warm_up(&outcome, &plan);
+        }
+    }
+}
