Limit requests to upstreams that warm up, as their registrations state

Cause: an engine that has started takes few requests a second for a while; VMs sent to it as to any other, and more than others, as its load was the lowest.

Ruled out: a part of the rate for each VM alone (sum over VMs), and checks of health by each VM, which are dear. The time left counts from when a registration is read, never from the clock of its writer.

Change: registrations, and answers that say so, start a warm-up in the mechanism of the limits that upstreams name, at the service's rate. An upstream that could not be reached may have been restarted and counts as warming up until its registration must show that. Patient requests go first to upstreams that warm up, others to warm ones with a free slot. Services without a rate are as before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -127,6 +127,7 @@
                 info!(gateway.log, "upstream_unreachable"; "request" => %self.request.head.id,
                     "upstream" => %registration.id, "error" => %e);
                 upstream.health.on_failure(now);
+                gateway.on_unreachable(registration);
                 attempts.failed_connects += 1;
                 if attempts.failed_connects < MAX_FAILED_CONNECTS {
                     return Ok(None);
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -9,7 +9,7 @@
 use compact_str::CompactString;
 
 use crate::ids::{ClientAccount, ModelId, RouteId, ServiceId};
-use crate::units::{TokenRate, Tokens};
+use crate::units::{RequestRate, TokenRate, Tokens};
 
 /// Kind of the requests on a route, which decides whether they may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -114,11 +114,22 @@
     pub remote_rate: f64,
 }
 
+/// How the upstreams of a service warm up after their start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowStart {
+    /// How long that takes.
+    pub length: Duration,
+    /// Requests a second that such an upstream takes from all VMs together.
+    pub rate: RequestRate,
+}
+
 /// A group of interchangeable upstreams.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// What its upstreams can hold, if they are engines; `None` for a plain service.
     pub engines: Option<Arc<EngineSpec>>,
+    /// How its upstreams warm up; `None` where they need not.
+    pub slow_start: Option<SlowStart>,
 }
 
 /// A client account and its quota.
@@ -208,4 +219,17 @@
     pub fn engine_spec(&self, service: &ServiceId) -> Option<&Arc<EngineSpec>> {
         self.services.get(service)?.engines.as_ref()
     }
+
+    /// How the upstreams of each service warm up that need it.
+    pub fn slow_starts(&self) -> BTreeMap<&ServiceId, SlowStart> {
+        let services = self.services.iter();
+        services
+            .filter_map(|(name, service)| Some((name, service.slow_start?)))
+            .collect()
+    }
+
+    /// How the upstreams of a service warm up; `None` if they need not.
+    pub fn slow_start(&self, service: &ServiceId) -> Option<SlowStart> {
+        self.services.get(service)?.slow_start
+    }
 }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -19,6 +19,7 @@
     permits_granted: "Requests granted at upstreams that name a limit.",
     permits_denied: "Requests that found no room at an upstream that names a limit.",
     limits_invalid: "Responses whose limit could not be read.",
+    warm_ups: "Upstreams that began to warm up, as far as this VM was told.",
     orders: "Orders given to engines.",
     store_loads: "Loads from the weight store among them.",
     leases: "Times that this VM began to give orders.",
@@ -39,6 +40,7 @@
     parts_held: IntGauge,
     requests_held: IntGauge,
     upstreams_limited: IntGauge,
+    upstreams_warming: IntGauge,
     running: IntGauge,
     waits: HistogramVec,
 }
@@ -78,6 +80,10 @@
                 "basilgw_upstreams_limited",
                 "Upstreams that name a limit of requests.",
             )?,
+            upstreams_warming: metrics.gauge(
+                "basilgw_upstreams_warming",
+                "Upstreams that are warming up.",
+            )?,
             running: metrics.gauge("basilgw_running", "Requests that run.")?,
         })
     }
@@ -107,6 +113,8 @@
         drop(quarantine);
         self.upstreams_limited
             .set(count(gateway.upstream_limits().count()));
+        let warming = gateway.upstream_limits().warming_up(boot);
+        self.upstreams_warming.set(count(warming.len()));
         self.running.set(count(gateway.running.count()));
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -7,7 +7,7 @@
 //! the upstreams in use ([`fleet`]); if no engine holds the model, the request waits for it to be
 //! loaded (`model_wait`, [`demand`]). A request that crashes engines, as such or by a part of its prompt, is
 //! not sent ([`quarantine`]). An upstream that names a limit gets no more requests from all VMs
-//! together ([`upstream_limit`]). [`exchange`] sends the request, and [`stream`] and [`events`]
+//! together ([`upstream_limit`]), and neither does one that is warming up (`warm_up`). [`exchange`] sends the request, and [`stream`] and [`events`]
 //! forward the response in complete events.
 //!
 //! In the background, [`store_watch`] keeps the configuration and the registrations up to date,
@@ -58,3 +58,4 @@
 pub mod stream_progress;
 pub mod upstream;
 pub mod upstream_limit;
+mod warm_up;
--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -119,6 +119,8 @@
     pub retry_after: Option<RetryAfter>,
     /// How many requests a second it takes from all VMs together.
     pub limit: LimitSignal,
+    /// Time for which it still warms up; absent where it does not say, or has none left.
+    pub warm_up: Option<Duration>,
 }
 
 /// What an upstream states in one response about the requests that it takes from all VMs together.
--- a/src/gateway/signals.rs
+++ b/src/gateway/signals.rs
@@ -73,6 +73,9 @@
         let instance = UpstreamInstance::from(&**registration);
         self.gateway
             .on_limit_signal(&instance, signals.limit, self.sent);
+        if let Some(left) = signals.warm_up {
+            self.gateway.on_warm_up_signal(registration, left);
+        }
         if let Some(retry_after) = signals.retry_after {
             let delay = retry_after.delay(self.gateway.clock.wall());
             let delay = delay.mul_f64(rand::rng().random_range(DELAY_JITTER));
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -357,7 +357,12 @@
             "routes" => configuration.routes.values().map(Vec::len).sum::<usize>(),
             "services" => configuration.services.len());
         self.update_allowances(&configuration);
+        let slow_starts = in_force.as_ref().map(|old| old.slow_starts());
+        let slow_start_changed = slow_starts != Some(configuration.slow_starts());
         self.configuration.store(Some(Arc::new(configuration)));
+        if slow_start_changed {
+            self.on_slow_start_changed();
+        }
     }
 
     fn update_allowances(&self, configuration: &Configuration) {
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -352,9 +352,11 @@
     {
         info!(gateway.log, "upstream_told"; "upstream" => %registration.id,
                 "born" => registration.started_ms, "leaving" => registration.leaving,
-                "models" => registration.inventory.loaded.len());
+                "models" => registration.inventory.loaded.len(),
+                "warm_up_ms" => registration.warm_up_ms);
     }
     drop(upstreams);
+    gateway.on_registration_written(&registration);
     gateway.update_fleet(|fleet, _| fleet.on_registration(registration));
 }
 
@@ -402,6 +404,7 @@
             .filter_map(|item| self.filter_decoded(item));
         let registrations: Vec<_> = decoded.collect();
         info!(self.0.log, "registrations_listed"; "count" => registrations.len());
+        self.0.on_registrations_listed(&registrations);
         self.0
             .update_fleet(|fleet, now| fleet.on_list(registrations, now));
         self.0.coverage().on_registrations_listed(version);
--- a/src/gateway/upstream_limit/gate.rs
+++ b/src/gateway/upstream_limit/gate.rs
@@ -66,11 +66,11 @@
             let mut excluded = tried.clone();
             excluded.extend(full.iter().map(|(_, u)| u.registration.id.clone()));
             self.exclude_beyond(pool, &warming_up, &mut excluded);
-            let tries = match pool {
+            let most = match pool {
                 Pool::WarmingUp => WARMING_UP_TRIES,
                 Pool::All | Pool::Warm => usize::MAX,
             };
-            for _ in 0..tries {
+            for _ in 0..most {
                 let upstream = match self.choose_excluding(&excluded) {
                     Ok(upstream) => upstream,
                     Err(none) => {
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -59,6 +59,7 @@
         slots: 8,
         leaving: false,
         inventory: ModelInventory::default(),
+        warm_up_ms: None,
     }
 }
 
