Close data centres as the operator asks, and open them again

Cause: an operator empties a data centre by an object in the store; nothing read it.

Ruled out: a field in the usage reports, as each VM would have to judge which of two reports is newer; reading by each VM, which costs calls to the store.

Change: VMs that read the store for others watch the closures where the settings have bounds.closure_ms, and hand them on to their followers. Upstreams there are out of use for requests and for the leader's orders; what runs there finishes. If all of a service's upstreams are closed, requests are refused at once. After it is opened, the upstreams count as warming up.

--- a/src/gateway/fanout/coverage.rs
+++ b/src/gateway/fanout/coverage.rs
@@ -14,6 +14,8 @@
 const CONFIGURATION_SHARE: f64 = 0.48;
 /// The same for registrations, as a share of the time in which a leaving upstream must be known.
 const REGISTRATIONS_SHARE: f64 = 0.66;
+/// The same for closed data centres, as a share of the time in which a closure must be in force.
+const CLOSURES_SHARE: f64 = 0.8;
 
 /// What a VM's own reads, and its readers, have told it.
 #[derive(Clone, Debug, Default)]
@@ -26,6 +28,8 @@
     pub log: ChangeLog,
     /// When the newest read of the registrations that was answered had been sent.
     registrations_read: Option<BootTime>,
+    /// When the newest read of the closed data centres that was answered had been sent.
+    closures_read: Option<BootTime>,
     /// Whether the configuration must be read, as a reader has a newer one.
     configuration_due: bool,
     /// Whether the registrations must be listed, as no reader has the changes to them.
@@ -43,6 +47,16 @@
         self.registrations_read.map(|sent| now.since(sent))
     }
 
+    /// Records a read of the closed data centres that was sent at `sent`, by this VM or by its reader.
+    pub fn on_closures_read(&mut self, sent: BootTime) {
+        self.closures_read = self.closures_read.max(Some(sent));
+    }
+
+    /// Time since the newest read of the closed data centres; `None` before the first.
+    pub fn closures_age(&self, now: BootTime) -> Option<Duration> {
+        self.closures_read.map(|sent| now.since(sent))
+    }
+
     /// Has this VM read the configuration itself.
     pub fn require_configuration(&mut self) {
         self.configuration_due = true;
@@ -84,6 +98,14 @@
         self.follows() && fresh && !self.registrations_due
     }
 
+    /// Whether this VM's reader spares it a read of the closed data centres. `bound` is the time in
+    /// which a closure must be in force.
+    pub fn covers_closures(&self, now: BootTime, bound: Duration) -> bool {
+        let age = self.closures_age(now);
+        let fresh = age.is_some_and(|age| age < bound.mul_f64(CLOSURES_SHARE));
+        self.follows() && fresh
+    }
+
     /// Whether other VMs rely on this one's reads.
     pub fn reads_for_others(&self) -> bool {
         self.role == Role::Reader
--- a/src/gateway/fanout/exchange.rs
+++ b/src/gateway/fanout/exchange.rs
@@ -1,12 +1,15 @@
 //! Responds to the requests of followers, and applies the responses of readers.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::clock::BootTime;
 use crate::gateway::state::Gateway;
 use crate::gateway::store_watch;
+use crate::ids::{DataCentre, Version};
 use crate::schema::mesh::{
-    FollowRequest, FollowResponse, KnownConfiguration, KnownRegistrations, RegistrationChanges,
+    FollowRequest, FollowResponse, KnownClosures, KnownConfiguration, KnownRegistrations,
+    RegistrationChanges,
 };
 
 use super::follower::FollowId;
@@ -16,6 +19,7 @@
     let now = gateway.clock.boot();
     let configuration = gateway.configuration.load();
     let read = gateway.freshness().age(now);
+    let closures = known_closures(gateway);
     let coverage = gateway.coverage();
     let known = |age| KnownRegistrations {
         age_ms: millis_up(age),
@@ -38,9 +42,28 @@
                 age_ms: millis_up(age),
             }),
         registrations: coverage.registrations_age(now).map(known),
+        closures: coverage
+            .closures_age(now)
+            .zip(closures)
+            .map(|(age, known)| {
+                let (centres, version) = known;
+                KnownClosures {
+                    age_ms: millis_up(age),
+                    centres,
+                    version,
+                }
+            }),
     }
 }
 
+/// The closed data centres, and the version of the store that they were read at.
+fn known_closures(gateway: &Gateway) -> Option<(Vec<DataCentre>, Version)> {
+    let now = gateway.clock.now();
+    let mut closures = gateway.closures();
+    let version = closures.version()?;
+    Some((closures.current(now).into_iter().collect(), version))
+}
+
 /// Applies the response of a reader; responses to earlier requests are ignored.
 pub fn apply(gateway: &Gateway, response: FollowResponse) {
     let sent = gateway
@@ -57,6 +80,9 @@
         response
             .registrations
             .is_some_and(|known| apply_registrations(gateway, known, sent)),
+        response
+            .closures
+            .is_none_or(|known| apply_closures(gateway, known, sent)),
     ];
     if useful.contains(&false) {
         gateway.coverage().follower.pass_over();
@@ -111,6 +137,23 @@
     coverage.covers_registrations(now, gateway.bounds().leaving)
 }
 
+/// Returns whether the reader is up to date.
+fn apply_closures(gateway: &Gateway, known: KnownClosures, sent: BootTime) -> bool {
+    let Some(bound) = gateway.bounds().closure else {
+        return true;
+    };
+    if Some(known.version) < gateway.closures().version() {
+        return false;
+    }
+    let centres: BTreeSet<_> = known.centres.into_iter().collect();
+    gateway.update_closures(|closures, now| closures.on_list(centres, known.version, now));
+    let read = sent.minus(Duration::from_millis(known.age_ms));
+    let now = gateway.clock.boot();
+    let mut coverage = gateway.coverage();
+    coverage.on_closures_read(read);
+    coverage.covers_closures(now, bound)
+}
+
 /// Milliseconds, rounded up: an age may be overstated, never understated.
 fn millis_up(age: Duration) -> u64 {
     age.as_micros().div_ceil(1000) as u64
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -9,12 +9,14 @@
 //! shows upstreams that have left since, and earlier runs of those that were restarted. It takes
 //! back nothing that is known: an upstream that was removed is used again only once it has
 //! registered again, or is still listed when every upstream has had the time to.
+//!
+//! Upstreams in data centres that the operator has closed are known, but out of use.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::ids::{AdapterId, ModelId, ServiceId, UpstreamId};
+use crate::ids::{AdapterId, DataCentre, ModelId, ServiceId, UpstreamId};
 
 use super::upstream::{Registration, Upstream, UpstreamHealth};
 
@@ -70,6 +72,8 @@
     /// Upstreams that were removed lately.
     removed: BTreeMap<UpstreamId, Removed>,
     updates: Vec<Update>,
+    /// Data centres that the operator has closed.
+    closed: BTreeSet<DataCentre>,
     /// When the store last answered again after an outage.
     store_recovered: Option<Instant>,
     /// When the store last came back from an older copy.
@@ -228,9 +232,44 @@
         changes.chain(updates).min()
     }
 
-    /// The registrations of all upstreams that are not known to be leaving, without the updates.
+    /// Sets the data centres that are closed, whose upstreams are out of use.
+    pub fn set_closed(&mut self, closed: BTreeSet<DataCentre>) {
+        self.closed = closed;
+    }
+
+    /// The data centres that are closed.
+    pub fn closed(&self) -> &BTreeSet<DataCentre> {
+        &self.closed
+    }
+
+    /// The registrations of a data centre, also of a closed one.
+    pub fn registered_in(&self, centre: &DataCentre) -> Vec<Arc<Registration>> {
+        let known = self.known.values();
+        let registrations = known.map(|known| &known.upstream.registration);
+        let local = registrations.filter(|registration| registration.centre == *centre);
+        local.cloned().collect()
+    }
+
+    /// Whether all upstreams of a service that are not leaving are in closed data centres.
+    pub fn is_shut(&self, service: &ServiceId) -> bool {
+        let known = self.known.iter().filter(|(id, k)| !self.is_leaving(id, k));
+        let registrations = known.map(|(_, known)| &known.upstream.registration);
+        let mut own = registrations.filter(|registration| registration.service == *service);
+        let mut any = false;
+        let shut = own.all(|registration| {
+            any = true;
+            self.closed.contains(&registration.centre)
+        });
+        any && shut
+    }
+
+    /// The registrations of all upstreams that are neither known to be leaving nor in a closed data
+    /// centre, without the updates.
     pub fn registered(&self) -> Vec<Arc<Registration>> {
-        let staying = self.known.iter().filter(|(id, k)| !self.is_leaving(id, k));
+        let staying = self.known.iter().filter(|(id, known)| {
+            let centre = &known.upstream.registration.centre;
+            !self.is_leaving(id, known) && !self.closed.contains(centre)
+        });
         staying
             .map(|(_, known)| Arc::clone(&known.upstream.registration))
             .collect()
@@ -275,7 +314,9 @@
     }
 
     fn is_usable(&self, id: &UpstreamId, known: &Known) -> bool {
-        known.usable_at.is_none() && !self.is_leaving(id, known)
+        let centre = &known.upstream.registration.centre;
+        let settled = known.usable_at.is_none();
+        settled && !self.is_leaving(id, known) && !self.closed.contains(centre)
     }
 
     fn is_leaving(&self, id: &UpstreamId, known: &Known) -> bool {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -42,6 +42,7 @@
     upstreams_limited: IntGauge,
     upstreams_warming: IntGauge,
     running: IntGauge,
+    centres_closed: IntGauge,
     waits: HistogramVec,
 }
 
@@ -85,6 +86,10 @@
                 "Upstreams that are warming up.",
             )?,
             running: metrics.gauge("basilgw_running", "Requests that run.")?,
+            centres_closed: metrics.gauge(
+                "basilgw_centres_closed",
+                "Data centres that the operator has closed.",
+            )?,
         })
     }
 
@@ -96,6 +101,12 @@
             .observe(spent.as_secs_f64());
     }
 
+    /// Sets the number of closed data centres.
+    pub fn set_closed(&self, centres: usize) {
+        self.centres_closed
+            .set(i64::try_from(centres).unwrap_or(i64::MAX));
+    }
+
     /// Sets the gauges from the gateway's state, for a scrape.
     pub fn refresh(&self, gateway: &Gateway) {
         let boot = gateway.clock.boot();
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -10,7 +10,8 @@
 //! together ([`upstream_limit`]), and neither does one that is warming up (`warm_up`). [`exchange`] sends the request, and [`stream`] and [`events`]
 //! forward the response in complete events.
 //!
-//! In the background, [`store_watch`] keeps the configuration and the registrations up to date,
+//! In the background, [`store_watch`] keeps the configuration, the registrations and the closed data
+//! centres ([`centre_closure`]) up to date,
 //! [`mesh`] reports this VM's usage to the other VMs, and [`controller`] orders engines to load and
 //! unload models and adapters while this VM holds the [`lease`], as planned by [`placement`] and
 //! [`adapter_placement`].
@@ -19,6 +20,7 @@
 pub mod allowance;
 pub mod attempt;
 pub mod balancer;
+pub mod centre_closure;
 pub mod client;
 pub mod configuration;
 pub mod controller;
--- a/src/gateway/model_wait.rs
+++ b/src/gateway/model_wait.rs
@@ -45,6 +45,11 @@
                 .refusal(Reason::Capacity)
                 .retry_after(CAPACITY_RETRY));
         };
+        if gateway.read_fleet(|fleet| fleet.is_shut(&self.service)) {
+            info!(gateway.log, "service_closed"; "request" => %self.request.head.id);
+            let refusal = attempts.refusal(Reason::Capacity);
+            return Err(refuse_after(refusal, CAPACITY_RETRY));
+        }
         let wait_start = gateway.clock.now();
         let load = self.load_time(target);
         let refuse = |reason| match attempts.refusal(reason) {
@@ -141,6 +146,13 @@
     }
 }
 
+fn refuse_after(refusal: Refusal, delay: Duration) -> Refusal {
+    match refusal.ran {
+        Ran::No => refusal.retry_after(delay),
+        _ => refusal,
+    }
+}
+
 /// The refusal of a request that is held back for `delay`.
 fn refuse_held(attempts: &Attempts, delay: Duration) -> Refusal {
     match attempts.refusal(Reason::Quarantined) {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -15,6 +15,7 @@
 use crate::ids::{DataCentre, ObjectKey, Version, VmId};
 use crate::store::{ObjectStore, StoreError};
 
+use super::centre_closure::CentreClosure;
 use super::configuration::Configuration;
 use super::controller::{self, ControllerDeps};
 use super::fanout::roles::Capacity;
@@ -64,6 +65,8 @@
     pub configurations: Arc<dyn ObjectSource<Configuration>>,
     /// Source of the upstreams' registrations.
     pub registrations: Arc<dyn ObjectSource<Registration>>,
+    /// Source of the closed data centres.
+    pub closures: Arc<dyn ObjectSource<CentreClosure>>,
     /// Source of the VMs' registrations.
     pub vms: Arc<dyn ObjectSource<VmRegistration>>,
     /// Store for the gateway's own objects: the lease and this VM's registration.
@@ -139,6 +142,9 @@
     mesh.spawn();
     store_watch::spawn_configuration(&gateway, Arc::clone(&platform.configurations));
     store_watch::spawn_registrations(&gateway, Arc::clone(&platform.registrations));
+    if let Some(bound) = gateway.bounds().closure {
+        store_watch::spawn_closures(&gateway, Arc::clone(&platform.closures), bound);
+    }
     tokio::spawn(discover_peers(
         Arc::clone(&gateway),
         Arc::clone(&mesh),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -20,6 +20,7 @@
 use crate::units::Tokens;
 
 use super::allowance::Allowance;
+use super::centre_closure::ClosedCentres;
 use super::configuration::{Account, Configuration};
 use super::demand::LocalDemand;
 use super::fanout::coverage::Coverage;
@@ -46,6 +47,8 @@
     /// Whether the whole system starts for the first time, so that accounts start with a full
     /// burst.
     pub first_start: bool,
+    /// Time within which the closure of a data centre is in force; `None` where none is closed.
+    pub closure: Option<Duration>,
 }
 
 /// The state of the gateway on one VM.
@@ -113,6 +116,7 @@
     leads: AtomicBool,
     /// When requests that still wait for a model are refused, once shutdown has begun.
     drain_deadline: Mutex<Option<Instant>>,
+    closures: Mutex<ClosedCentres>,
 }
 
 /// What [`Gateway::open`] needs.
@@ -190,6 +194,7 @@
             upstream_limits: Mutex::default(),
             leads: AtomicBool::new(false),
             drain_deadline: Mutex::new(None),
+            closures: Mutex::default(),
         }))
     }
 
@@ -250,6 +255,11 @@
         lock(&self.leaving_hints).current(self.clock.now())
     }
 
+    /// The data centres that the operator has closed.
+    pub fn closures(&self) -> MutexGuard<'_, ClosedCentres> {
+        lock(&self.closures)
+    }
+
     /// Parts of prompts, and requests, that crash engines.
     pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         lock(&self.quarantine)
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -1,4 +1,5 @@
-//! Watches the configuration and the upstreams' registrations in the platform's store.
+//! Watches the configuration, the upstreams' registrations and the closed data centres in the
+//! platform's store.
 //!
 //! The objects of each kind are listed once; after that, a series of long polls reads their
 //! changes from the revision of the list. The polls are short enough to notice a connection that
@@ -14,10 +15,11 @@
 use tokio::task::JoinHandle;
 
 use crate::clock::BootTime;
-use crate::ids::{StoreGeneration, Version};
+use crate::ids::{DataCentre, StoreGeneration, Version};
 use crate::schema::mesh::RegistrationChange;
 use crate::store::StoreError;
 
+use super::centre_closure::CentreClosure;
 use super::configuration::Configuration;
 use super::fleet::Fleet;
 use super::platform_api::{NamedObject, ObjectChange, ObjectChanges, ObjectList, ObjectSource};
@@ -36,6 +38,10 @@
 const READER_REGISTRATIONS_SHARE: f64 = 0.22;
 /// Pause after changes in that case, as a share of the same bound.
 const READER_DELAY_RATIO: f64 = 0.2;
+/// Longest wait for a change to the closed data centres, as shares of the time in which a closure
+/// must be in force, where other VMs rely on what this one reads and elsewhere.
+const READER_CLOSURES_SHARE: f64 = 0.35;
+const CLOSURES_SHARE: f64 = 0.4;
 /// Interval between checks whether another VM still reads the store for this one.
 const COVERAGE_INTERVAL: Duration = Duration::from_millis(250);
 /// A call fails if its response takes this much longer than the wait that was requested.
@@ -103,6 +109,20 @@
     tokio::spawn(watcher.run())
 }
 
+/// Starts to watch which data centres are closed; `bound` is the time in which that must be in
+/// force.
+pub fn spawn_closures(
+    gateway: &Arc<Gateway>,
+    source: Arc<dyn ObjectSource<CentreClosure>>,
+    bound: Duration,
+) -> JoinHandle<()> {
+    let handler = ClosureHandler {
+        gateway: Arc::clone(gateway),
+        bound,
+    };
+    tokio::spawn(Watcher::new(gateway, source, handler).run())
+}
+
 struct Watcher<T, K> {
     gateway: Arc<Gateway>,
     source: Arc<dyn ObjectSource<T>>,
@@ -451,3 +471,82 @@
         self.0.store_returned.notify_one();
     }
 }
+
+struct ClosureHandler {
+    gateway: Arc<Gateway>,
+    bound: Duration,
+}
+
+impl ClosureHandler {
+    /// The data centre that an object closes, whatever the object holds.
+    fn centre(&self, name: &str) -> Option<DataCentre> {
+        let centre = name.parse();
+        if centre.is_err() {
+            warn!(self.gateway.log, "closure_unreadable"; "name" => name);
+        }
+        centre.ok()
+    }
+}
+
+impl ChangeHandler<CentreClosure> for ClosureHandler {
+    const KIND: &'static str = "closures";
+
+    fn covered(&self) -> bool {
+        let now = self.gateway.clock.boot();
+        self.gateway.coverage().covers_closures(now, self.bound)
+    }
+
+    // Readers hand on no changes of the closures.
+    fn position(&self, last: Option<Version>, covered: bool) -> Option<Version> {
+        last.filter(|_| !covered)
+    }
+
+    fn wait(&self) -> Duration {
+        let reads = self.gateway.coverage().reads_for_others();
+        self.bound.mul_f64(if reads {
+            READER_CLOSURES_SHARE
+        } else {
+            CLOSURES_SHARE
+        })
+    }
+
+    fn batch_delay(&self) -> Duration {
+        Duration::ZERO
+    }
+
+    fn max_backoff(&self) -> Duration {
+        MAX_CONFIGURATION_BACKOFF
+    }
+
+    fn on_list(&self, items: Vec<NamedObject<CentreClosure>>, version: Version) {
+        let names = items.into_iter().filter_map(|(name, _)| self.centre(&name));
+        let listed = names.collect();
+        self.gateway
+            .update_closures(|closures, now| closures.on_list(listed, version, now));
+    }
+
+    fn on_changes(&self, changes: Vec<ObjectChange<CentreClosure>>, version: Version) {
+        let changes = changes.into_iter().filter_map(|change| match change {
+            ObjectChange::Set((name, _)) => Some((self.centre(&name)?, true)),
+            ObjectChange::Removed(name) => Some((self.centre(&name)?, false)),
+        });
+        self.gateway.update_closures(|closures, _| {
+            for (centre, closed) in changes {
+                closures.on_change(centre, closed, version);
+            }
+            closures.on_version(version);
+        });
+    }
+
+    fn on_response(&self, sent: BootTime) {
+        self.gateway.coverage().on_closures_read(sent);
+    }
+
+    fn on_recovery(&self) {}
+
+    fn on_store_return(&self) {
+        self.gateway
+            .closures()
+            .on_store_return(self.gateway.clock.now());
+    }
+}
--- a/src/gateway/warm_up.rs
+++ b/src/gateway/warm_up.rs
@@ -68,10 +68,8 @@
 
     /// Records that a data centre is open again, whose upstreams had no requests for a while.
     pub fn on_centre_reopened(&self, centre: &DataCentre) {
-        for registration in self.read_fleet(Fleet::registered) {
-            if registration.centre == *centre
-                && let Some(length) = self.slow_start_length(&registration)
-            {
+        for registration in self.read_fleet(|fleet| fleet.registered_in(centre)) {
+            if let Some(length) = self.slow_start_length(&registration) {
                 self.note_warm_up(&registration, length, Audience::Own);
             }
         }
--- a/src/schema/mesh.rs
+++ b/src/schema/mesh.rs
@@ -150,6 +150,9 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct FollowResponse {
+    #[doc = "Absent where the sender reads no closures."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub closures: ::std::option::Option<KnownClosures>,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub configuration: ::std::option::Option<KnownConfiguration>,
     #[doc = "Number of the request that this responds to."]
@@ -189,6 +192,17 @@
     #[doc = "True if it is loaded, false if it is about to be unloaded."]
     pub present: bool,
 }
+#[doc = "The closed data centres at the sender."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct KnownClosures {
+    #[doc = "Age of the sender's newest read, in milliseconds."]
+    pub age_ms: u64,
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub centres: ::std::vec::Vec<::basilgw::ids::DataCentre>,
+    #[doc = "Version of the store that they were read at."]
+    pub version: ::basilgw::ids::Version,
+}
 #[doc = "The configuration in force at the sender."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
