Take changed settings into use while requests run

Cause: the settings file may change with or without a signal; it was read at the start alone, and a hangup did nothing.

Ruled out: the time of the file's last change as the sign, which copies may keep; the text is short. A restart of parts of the gateway, which would cut requests.

Change: the file is read on SIGHUP and every three seconds, checked as a whole, and its bounds replace those in force. A faulty file is told once and changes nothing, also values out of range, which a VM does not start with either (a negative time ended the process before). Names and addresses need a restart, and are named in the log.

--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -38,6 +38,11 @@
         }
     }
 
+    /// Changes the longest time that a withdrawn key may keep working.
+    pub fn set_bound(&mut self, bound: Duration) {
+        self.bound = bound;
+    }
+
     /// How long a poll should wait for a change of the configuration.
     pub fn poll_wait(&self) -> Duration {
         MAX_WAIT.min(self.bound.mul_f64(WAIT_SHARE))
--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -242,8 +242,9 @@
 
     /// Asks the VM that reads the store for this one, while there is one.
     async fn follow(self: Arc<Self>) {
-        let interval = FOLLOW_INTERVAL.min(self.gateway.bounds().leaving.mul_f64(FOLLOW_SHARE));
         loop {
+            let leaving = self.gateway.bounds().leaving;
+            let interval = FOLLOW_INTERVAL.min(leaving.mul_f64(FOLLOW_SHARE));
             let due = self.gateway.follow_due.notified();
             let jitter = rand::rng().random_range(INTERVAL_JITTER);
             let _woken = tokio::time::timeout(interval.mul_f64(jitter), due).await;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -19,6 +19,8 @@
     permits_granted: "Requests granted at upstreams that name a limit.",
     permits_denied: "Requests that found no room at an upstream that names a limit.",
     limits_invalid: "Responses whose limit could not be read.",
+    settings_taken: "Changes of the settings that were taken into use.",
+    settings_rejected: "Changes of the settings that are faulty.",
     warm_ups: "Upstreams that began to warm up, as far as this VM was told.",
     orders: "Orders given to engines.",
     store_loads: "Loads from the weight store among them.",
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -46,6 +46,7 @@
 pub mod quarantine;
 pub mod reachability;
 pub mod relay;
+pub mod reload;
 pub mod request;
 pub mod request_digest;
 pub mod response;
--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -46,6 +46,11 @@
         }
     }
 
+    /// Changes the platform's bound.
+    pub fn set_bound(&mut self, bound: RetryBound) {
+        self.bound = bound;
+    }
+
     /// Counts a request that is sent for the first time.
     pub fn on_request(&mut self, now: Instant) {
         self.drop_expired(now);
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -21,6 +21,7 @@
 use super::fanout::roles::Capacity;
 use super::mesh::Mesh;
 use super::platform_api::{EngineClient, ObjectSource};
+use super::reload::{self, SettingsSource};
 use super::serve::Listening;
 use super::state::Gateway;
 use super::upstream::Registration;
@@ -91,15 +92,6 @@
     pub capacity: Capacity,
 }
 
-/// Durations from the settings that bound a VM's lease and shutdown.
-#[derive(Clone, Copy, Debug)]
-pub struct TimeBounds {
-    /// How long a lease lasts after a renewal.
-    pub lease: Duration,
-    /// Time from a signal to stop until the process must have exited.
-    pub grace: Duration,
-}
-
 /// Why a VM cannot serve.
 #[derive(Debug, Error)]
 pub enum RunError {
@@ -116,7 +108,8 @@
     Signal(io::Error),
 }
 
-/// Runs the gateway until the process receives `SIGTERM` and requests in progress are done.
+/// Runs the gateway until the process receives `SIGTERM` and requests in progress are done. A lease
+/// lasts for `lease_length` after a renewal, and `settings` are read again while it runs.
 ///
 /// # Errors
 ///
@@ -125,7 +118,8 @@
     gateway: Arc<Gateway>,
     addresses: ListenAddresses,
     platform: PlatformClients,
-    time_bounds: TimeBounds,
+    lease_length: Duration,
+    settings: Box<dyn SettingsSource>,
 ) -> Result<(), RunError> {
     let mut term = signal(SignalKind::terminate()).map_err(RunError::Signal)?;
     let mut hup = signal(SignalKind::hangup()).map_err(RunError::Signal)?;
@@ -142,9 +136,10 @@
     mesh.spawn();
     store_watch::spawn_configuration(&gateway, Arc::clone(&platform.configurations));
     store_watch::spawn_registrations(&gateway, Arc::clone(&platform.registrations));
-    if let Some(bound) = gateway.bounds().closure {
-        store_watch::spawn_closures(&gateway, Arc::clone(&platform.closures), bound);
+    if gateway.bounds().closure.is_some() {
+        store_watch::spawn_closures(&gateway, Arc::clone(&platform.closures));
     }
+    reload::spawn(&gateway, settings);
     tokio::spawn(discover_peers(
         Arc::clone(&gateway),
         Arc::clone(&mesh),
@@ -158,18 +153,20 @@
         engine_client: platform.engine_client,
         store: platform.store,
         lease_key: platform.lease_key,
-        lease_length: time_bounds.lease,
+        lease_length,
     });
     info!(gateway.log, "vm_started"; "callers" => %callers.at,
         "ready" => %ready.at, "metrics" => %metrics.at, "mesh" => %mesh_address);
     loop {
         tokio::select! {
             _ = term.recv() => break,
-            // The settings are read only at the start; a hangup must not end the process.
-            _ = hup.recv() => info!(gateway.log, "settings_signal"),
+            _ = hup.recv() => {
+                info!(gateway.log, "settings_signal");
+                gateway.settings_due.notify_one();
+            }
         }
     }
-    drain(&gateway, &callers, time_bounds.grace).await;
+    drain(&gateway, &callers, gateway.bounds().grace).await;
     Ok(())
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -35,8 +35,8 @@
 use super::signals::LeavingHints;
 use super::upstream_limit::UpstreamLimits;
 
-/// Settings that bound what a VM does, fixed at its start.
-#[derive(Clone, Debug)]
+/// Settings that bound what a VM does; they may change while it runs.
+#[derive(Clone, Debug, PartialEq)]
 pub struct GatewayBounds {
     /// Longest time that a key may still be accepted after its withdrawal.
     pub withdrawal: Duration,
@@ -49,6 +49,8 @@
     pub first_start: bool,
     /// Time within which the closure of a data centre is in force; `None` where none is closed.
     pub closure: Option<Duration>,
+    /// Time from a signal to stop until the process must have exited.
+    pub grace: Duration,
 }
 
 /// The state of the gateway on one VM.
@@ -101,7 +103,9 @@
     pub orders_due: Notify,
     /// Requests that asks for permits are sent to the leader.
     pub asks_due: Notify,
-    bounds: GatewayBounds,
+    /// Asks for the settings to be read at once.
+    pub settings_due: Notify,
+    bounds: ArcSwap<GatewayBounds>,
     fleet: Mutex<Fleet>,
     freshness: Mutex<Freshness>,
     coverage: Mutex<Coverage>,
@@ -181,7 +185,8 @@
             shutdown_started: Notify::new(),
             orders_due: Notify::new(),
             asks_due: Notify::new(),
-            bounds: deps.bounds,
+            settings_due: Notify::new(),
+            bounds: ArcSwap::from_pointee(deps.bounds),
             fleet: Mutex::default(),
             freshness: Mutex::new(freshness),
             coverage: Mutex::default(),
@@ -281,8 +286,18 @@
     }
 
     /// Settings that bound what this VM does.
-    pub fn bounds(&self) -> &GatewayBounds {
-        &self.bounds
+    pub fn bounds(&self) -> Arc<GatewayBounds> {
+        self.bounds.load_full()
+    }
+
+    /// Puts other bounds into force.
+    pub fn set_bounds(&self, bounds: GatewayBounds) {
+        self.freshness().set_bound(bounds.withdrawal);
+        for budget in lock(&self.retry_budgets).values_mut() {
+            budget.set_bound(bounds.retries);
+        }
+        self.bounds.store(Arc::new(bounds));
+        self.coverage_changed.notify_waiters();
     }
 
     /// Demand for models and adapters at this VM.
@@ -377,7 +392,7 @@
 
     fn update_allowances(&self, configuration: &Configuration) {
         let now = self.clock.now();
-        let full = self.bounds.first_start && self.configuration.load().is_none();
+        let full = self.bounds().first_start && self.configuration.load().is_none();
         let mut allowances = lock(&self.allowances);
         for (name, account) in configuration.accounts() {
             let Some(rate) = account.rate else {
@@ -469,7 +484,7 @@
         let mut retry_budgets = lock(&self.retry_budgets);
         let entry = retry_budgets.entry(service.clone());
         entry
-            .or_insert_with(|| RetryBudget::new(self.bounds.retries))
+            .or_insert_with(|| RetryBudget::new(self.bounds().retries))
             .on_request(now);
     }
 
@@ -480,7 +495,7 @@
         let mut retry_budgets = lock(&self.retry_budgets);
         let entry = retry_budgets.entry(service.clone());
         let taken = entry
-            .or_insert_with(|| RetryBudget::new(self.bounds.retries))
+            .or_insert_with(|| RetryBudget::new(self.bounds().retries))
             .try_spend(vms, now);
         if taken {
             self.counters.repeats.inc();
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -42,6 +42,8 @@
 /// must be in force, where other VMs rely on what this one reads and elsewhere.
 const READER_CLOSURES_SHARE: f64 = 0.35;
 const CLOSURES_SHARE: f64 = 0.4;
+/// The time in which a closure must be in force where the settings no longer say.
+const DEFAULT_CLOSURE_BOUND: Duration = Duration::from_secs(5);
 /// Interval between checks whether another VM still reads the store for this one.
 const COVERAGE_INTERVAL: Duration = Duration::from_millis(250);
 /// A call fails if its response takes this much longer than the wait that was requested.
@@ -109,18 +111,13 @@
     tokio::spawn(watcher.run())
 }
 
-/// Starts to watch which data centres are closed; `bound` is the time in which that must be in
-/// force.
+/// Starts to watch which data centres are closed.
 pub fn spawn_closures(
     gateway: &Arc<Gateway>,
     source: Arc<dyn ObjectSource<CentreClosure>>,
-    bound: Duration,
 ) -> JoinHandle<()> {
-    let handler = ClosureHandler {
-        gateway: Arc::clone(gateway),
-        bound,
-    };
-    tokio::spawn(Watcher::new(gateway, source, handler).run())
+    let watcher = Watcher::new(gateway, source, ClosureHandler(Arc::clone(gateway)));
+    tokio::spawn(watcher.run())
 }
 
 struct Watcher<T, K> {
@@ -472,17 +469,19 @@
     }
 }
 
-struct ClosureHandler {
-    gateway: Arc<Gateway>,
-    bound: Duration,
-}
+struct ClosureHandler(Arc<Gateway>);
 
 impl ClosureHandler {
+    /// Time in which a closure must be in force.
+    fn bound(&self) -> Duration {
+        self.0.bounds().closure.unwrap_or(DEFAULT_CLOSURE_BOUND)
+    }
+
     /// The data centre that an object closes, whatever the object holds.
     fn centre(&self, name: &str) -> Option<DataCentre> {
         let centre = name.parse();
         if centre.is_err() {
-            warn!(self.gateway.log, "closure_unreadable"; "name" => name);
+            warn!(self.0.log, "closure_unreadable"; "name" => name);
         }
         centre.ok()
     }
@@ -492,8 +491,8 @@
     const KIND: &'static str = "closures";
 
     fn covered(&self) -> bool {
-        let now = self.gateway.clock.boot();
-        self.gateway.coverage().covers_closures(now, self.bound)
+        let now = self.0.clock.boot();
+        self.0.coverage().covers_closures(now, self.bound())
     }
 
     // Readers hand on no changes of the closures.
@@ -502,8 +501,8 @@
     }
 
     fn wait(&self) -> Duration {
-        let reads = self.gateway.coverage().reads_for_others();
-        self.bound.mul_f64(if reads {
+        let reads = self.0.coverage().reads_for_others();
+        self.bound().mul_f64(if reads {
             READER_CLOSURES_SHARE
         } else {
             CLOSURES_SHARE
@@ -521,7 +520,7 @@
     fn on_list(&self, items: Vec<NamedObject<CentreClosure>>, version: Version) {
         let names = items.into_iter().filter_map(|(name, _)| self.centre(&name));
         let listed = names.collect();
-        self.gateway
+        self.0
             .update_closures(|closures, now| closures.on_list(listed, version, now));
     }
 
@@ -530,7 +529,7 @@
             ObjectChange::Set((name, _)) => Some((self.centre(&name)?, true)),
             ObjectChange::Removed(name) => Some((self.centre(&name)?, false)),
         });
-        self.gateway.update_closures(|closures, _| {
+        self.0.update_closures(|closures, _| {
             for (centre, closed) in changes {
                 closures.on_change(centre, closed, version);
             }
@@ -539,14 +538,12 @@
     }
 
     fn on_response(&self, sent: BootTime) {
-        self.gateway.coverage().on_closures_read(sent);
+        self.0.coverage().on_closures_read(sent);
     }
 
     fn on_recovery(&self) {}
 
     fn on_store_return(&self) {
-        self.gateway
-            .closures()
-            .on_store_return(self.gateway.clock.now());
+        self.0.closures().on_store_return(self.0.clock.now());
     }
 }
