--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -125,6 +125,10 @@
         I: IntoIterator<Item = (VmId, VmRegistration)>,
     {
         let now = self.gateway.clock.now();
+        let vms: Vec<_> = vms.into_iter().collect();
+        let ids = vms.iter().map(|(vm, _)| vm.clone());
+        let own = &self.gateway.vm;
+        self.gateway.upstream_limits().roster.add(own, ids);
         let others = vms.into_iter().filter(|(vm, _)| *vm != self.gateway.vm);
         self.lock().peers.on_list(others, complete, now);
         self.gateway.usage_due.notify_one();
@@ -259,8 +263,9 @@
 
     /// Asks the VM that reads the store for this one, while there is one.
     async fn follow(self: Arc<Self>) {
-        let interval = FOLLOW_INTERVAL.min(self.gateway.bounds().leaving.mul_f64(FOLLOW_SHARE));
         loop {
+            let leaving = self.gateway.bounds().leaving;
+            let interval = FOLLOW_INTERVAL.min(leaving.mul_f64(FOLLOW_SHARE));
             let due = self.gateway.follow_due.notified();
             let jitter = rand::rng().random_range(INTERVAL_JITTER);
             let _woken = tokio::time::timeout(interval.mul_f64(jitter), due).await;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -21,6 +21,9 @@
     permits_granted: "Requests granted at upstreams that name a limit.",
     permits_denied: "Requests that found no room at an upstream that names a limit.",
     limits_invalid: "Responses whose limit could not be read.",
+    settings_taken: "Changes of the settings that were taken into use.",
+    settings_rejected: "Changes of the settings that are faulty.",
+    warm_ups: "Upstreams that began to warm up, as far as this VM was told.",
     orders: "Orders given to engines.",
     store_loads: "Loads from the weight store among them.",
     entries_unreadable: "Entries of the configuration, and objects of the store, that cannot be read.",
@@ -44,8 +47,10 @@
     parts_held: IntGauge,
     requests_held: IntGauge,
     upstreams_limited: IntGauge,
+    upstreams_warming: IntGauge,
     running: IntGauge,
     configuration_awaited: IntGauge,
+    centres_closed: IntGauge,
     waits: HistogramVec,
 }
 
@@ -84,11 +89,19 @@
                 "basilgw_upstreams_limited",
                 "Upstreams that name a limit of requests.",
             )?,
+            upstreams_warming: metrics.gauge(
+                "basilgw_upstreams_warming",
+                "Upstreams that are warming up.",
+            )?,
             running: metrics.gauge("basilgw_running", "Requests that run.")?,
             configuration_awaited: metrics.gauge(
                 "basilgw_configuration_awaited",
                 "1 while reads of the configuration don't count, as the store may have lost a newer one.",
             )?,
+            centres_closed: metrics.gauge(
+                "basilgw_centres_closed",
+                "Data centres that the operator has closed.",
+            )?,
         })
     }
 
@@ -100,6 +113,12 @@
             .observe(spent.as_secs_f64());
     }
 
+    /// Sets the number of closed data centres.
+    pub fn set_closed(&self, centres: usize) {
+        self.centres_closed
+            .set(i64::try_from(centres).unwrap_or(i64::MAX));
+    }
+
     /// Sets the gauges from the gateway's state, for a scrape.
     pub fn refresh(&self, gateway: &Gateway) {
         let boot = gateway.clock.boot();
@@ -121,6 +140,8 @@
         drop(quarantine);
         self.upstreams_limited
             .set(count(gateway.upstream_limits().count()));
+        let warming = gateway.upstream_limits().warming_up(boot);
+        self.upstreams_warming.set(count(warming.len()));
         self.running.set(count(gateway.running.count()));
         gateway.caller_limits.refresh_gauges();
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -8,10 +8,12 @@
 //! the upstreams in use ([`fleet`]); if no engine holds the model, the request waits for it to be
 //! loaded (`model_wait`, [`demand`]). A request that crashes engines, as such or by a part of its prompt, is
 //! not sent ([`quarantine`]). An upstream that names a limit gets no more requests from all VMs
-//! together ([`upstream_limit`]). [`exchange`] sends the request, and [`stream`] and [`events`]
-//! forward the response in complete events whose numbers are sound ([`event_numbers`]).
+//! together ([`upstream_limit`]), and neither does one that is warming up (`warm_up`).
+//! [`exchange`] sends the request, and [`stream`] and [`events`] forward the response in complete
+//! events whose numbers are sound ([`event_numbers`]).
 //!
-//! In the background, [`store_watch`] keeps the configuration and the registrations up to date,
+//! In the background, [`store_watch`] keeps the configuration, the registrations and the closed data
+//! centres ([`centre_closure`]) up to date,
 //! [`mesh`] reports this VM's usage to the other VMs, and [`controller`] orders engines to load and
 //! unload models and adapters while this VM holds the [`lease`], as planned by [`placement`] and
 //! [`adapter_placement`].
@@ -22,6 +24,7 @@
 pub mod balancer;
 pub mod broadcast;
 pub mod caller_limit;
+pub mod centre_closure;
 pub mod client;
 pub mod configuration;
 pub mod connection;
@@ -52,6 +55,7 @@
 pub mod quarantine;
 pub mod reachability;
 pub mod relay;
+pub mod reload;
 pub mod request;
 pub mod request_digest;
 pub mod response;
@@ -67,3 +71,4 @@
 mod unreadable_objects;
 pub mod upstream;
 pub mod upstream_limit;
+mod warm_up;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -23,6 +23,7 @@
 use super::caller_limit::CallerLimits;
 use super::caller_limit::bounds::ProcessLimits;
 use super::caller_limit::metrics::CallerLimitMetrics;
+use super::centre_closure::ClosedCentres;
 use super::configuration::{Account, Configuration};
 use super::demand::LocalDemand;
 use super::fanout::coverage::Coverage;
@@ -42,8 +43,8 @@
 /// Most unreadable entries of one configuration that are named in the log.
 const MAX_FAULT_LINES: usize = 20;
 
-/// Settings that bound what a VM does, fixed at its start.
-#[derive(Clone, Debug)]
+/// Settings that bound what a VM does; they may change while it runs.
+#[derive(Clone, Debug, PartialEq)]
 pub struct GatewayBounds {
     /// Longest time that a key may still be accepted after its withdrawal.
     pub withdrawal: Duration,
@@ -56,6 +57,10 @@
     pub first_start: bool,
     /// What the process may use.
     pub process: ProcessLimits,
+    /// Time within which the closure of a data centre is in force; `None` where none is closed.
+    pub closure: Option<Duration>,
+    /// Time from a signal to stop until the process must have exited.
+    pub grace: Duration,
 }
 
 /// The state of the gateway on one VM.
@@ -108,7 +113,9 @@
     pub orders_due: Notify,
     /// Requests that asks for permits are sent to the leader.
     pub asks_due: Notify,
-    bounds: GatewayBounds,
+    /// Asks for the settings to be read at once.
+    pub settings_due: Notify,
+    bounds: ArcSwap<GatewayBounds>,
     fleet: Mutex<Fleet>,
     freshness: Mutex<Freshness>,
     coverage: Mutex<Coverage>,
@@ -127,6 +134,7 @@
     /// What callers hold of this VM's memory and descriptors.
     pub caller_limits: Arc<CallerLimits>,
     log_limit: Mutex<LogLimit>,
+    closures: Mutex<ClosedCentres>,
 }
 
 /// What [`Gateway::open`] needs.
@@ -196,7 +204,8 @@
             shutdown_started: Notify::new(),
             orders_due: Notify::new(),
             asks_due: Notify::new(),
-            bounds: deps.bounds,
+            settings_due: Notify::new(),
+            bounds: ArcSwap::from_pointee(deps.bounds),
             fleet: Mutex::default(),
             freshness: Mutex::new(freshness),
             coverage: Mutex::default(),
@@ -212,6 +221,7 @@
             unreadable: Mutex::default(),
             caller_limits,
             log_limit: Mutex::default(),
+            closures: Mutex::default(),
         }))
     }
 
@@ -272,6 +282,11 @@
         lock(&self.leaving_hints).current(self.clock.now())
     }
 
+    /// The data centres that the operator has closed.
+    pub fn closures(&self) -> MutexGuard<'_, ClosedCentres> {
+        lock(&self.closures)
+    }
+
     /// Parts of prompts, and requests, that crash engines.
     pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         lock(&self.quarantine)
@@ -309,8 +324,18 @@
     }
 
     /// Settings that bound what this VM does.
-    pub fn bounds(&self) -> &GatewayBounds {
-        &self.bounds
+    pub fn bounds(&self) -> Arc<GatewayBounds> {
+        self.bounds.load_full()
+    }
+
+    /// Puts other bounds into force.
+    pub fn set_bounds(&self, bounds: GatewayBounds) {
+        self.freshness().set_bound(bounds.withdrawal);
+        for budget in lock(&self.retry_budgets).values_mut() {
+            budget.set_bound(bounds.retries);
+        }
+        self.bounds.store(Arc::new(bounds));
+        self.coverage_changed.notify_waiters();
     }
 
     /// Demand for models and adapters at this VM.
@@ -425,7 +450,12 @@
             "services" => configuration.services.len());
         self.report_unreadable(&configuration);
         self.update_allowances(&configuration);
+        let slow_starts = in_force.as_ref().map(|old| old.slow_starts());
+        let slow_start_changed = slow_starts != Some(configuration.slow_starts());
         self.configuration.store(Some(Arc::new(configuration)));
+        if slow_start_changed {
+            self.on_slow_start_changed();
+        }
         true
     }
 
@@ -450,7 +480,7 @@
 
     fn update_allowances(&self, configuration: &Configuration) {
         let now = self.clock.now();
-        let full = self.bounds.first_start && self.configuration.load().is_none();
+        let full = self.bounds().first_start && self.configuration.load().is_none();
         let mut allowances = lock(&self.allowances);
         for (name, account) in configuration.accounts() {
             let Some(rate) = account.rate else {
@@ -542,7 +572,7 @@
         let mut retry_budgets = lock(&self.retry_budgets);
         let entry = retry_budgets.entry(service.clone());
         entry
-            .or_insert_with(|| RetryBudget::new(self.bounds.retries))
+            .or_insert_with(|| RetryBudget::new(self.bounds().retries))
             .on_request(now);
     }
 
@@ -553,7 +583,7 @@
         let mut retry_budgets = lock(&self.retry_budgets);
         let entry = retry_budgets.entry(service.clone());
         entry
-            .or_insert_with(|| RetryBudget::new(self.bounds.retries))
+            .or_insert_with(|| RetryBudget::new(self.bounds().retries))
             .is_left(vms, now)
     }
 
@@ -564,7 +594,7 @@
         let mut retry_budgets = lock(&self.retry_budgets);
         let entry = retry_budgets.entry(service.clone());
         let taken = entry
-            .or_insert_with(|| RetryBudget::new(self.bounds.retries))
+            .or_insert_with(|| RetryBudget::new(self.bounds().retries))
             .try_spend(vms, now);
         if taken {
             self.counters.repeats.inc();
