--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -21,6 +21,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use compact_str::format_compact;
 use rand::RngExt;
 use slog::{debug, warn};
 use tokio::net::UdpSocket;
@@ -30,10 +31,13 @@
 use super::demand_entries::read_demand;
 use super::fanout;
 use super::peers::{MIN_SILENCE_TIMEOUT, Peers};
+use super::platform_api::DecodeError;
 use super::run::VmRegistration;
 use super::state::Gateway;
 use crate::ids::{Epoch, Generation, ModelId, UpstreamId, Version, VmId};
-use crate::schema::mesh::{Broadcast, Datagram, InventoryNotice, InventoryUpdate, PermitRequest};
+use crate::schema::mesh::{
+    Broadcast, ConfigurationReport, Datagram, InventoryNotice, InventoryUpdate, PermitRequest,
+};
 use forwarding::URGENT_COPIES;
 
 /// Random factor on the interval between usage reports.
@@ -121,6 +125,10 @@
         I: IntoIterator<Item = (VmId, VmRegistration)>,
     {
         let now = self.gateway.clock.now();
+        let vms: Vec<_> = vms.into_iter().collect();
+        let ids = vms.iter().map(|(vm, _)| vm.clone());
+        let own = &self.gateway.vm;
+        self.gateway.upstream_limits().roster.add(own, ids);
         let others = vms.into_iter().filter(|(vm, _)| *vm != self.gateway.vm);
         self.lock().peers.on_list(others, complete, now);
         self.gateway.usage_due.notify_one();
@@ -192,7 +200,11 @@
                     self.handle(datagram, from);
                 }
                 Err(e) => {
-                    warn!(self.gateway.log, "datagram_unreadable"; "from" => %from, "error" => %e);
+                    let (name, error) = (format_compact!("{from}"), DecodeError::new(&e));
+                    if self.gateway.on_unreadable("datagrams", &name, &error) {
+                        warn!(self.gateway.log, "datagram_unreadable"; "from" => %from,
+                            "error" => %e);
+                    }
                 }
             }
         }
@@ -216,6 +228,7 @@
                 self.gateway.orders_due.notify_one();
             }
             Datagram::Quarantine(report) => self.gateway.on_quarantine_report(report),
+            Datagram::Configuration(report) => self.handle_configuration(&report, from),
             Datagram::Limits(summary) => self.gateway.on_limit_reports(&summary.limits),
             Datagram::PermitRequest(request) => {
                 if let Some(response) = self.gateway.grant_permits(request) {
@@ -233,6 +246,12 @@
         }
     }
 
+    fn handle_configuration(&self, report: &ConfigurationReport, from: SocketAddr) {
+        if let Some(answer) = self.gateway.on_configuration_report(report) {
+            self.try_send(&Datagram::Configuration(answer), from);
+        }
+    }
+
     fn handle_notice(&self, notice: &InventoryNotice) {
         let state = self.lock();
         let known = state.leader.as_ref().map(|(_, epoch, ..)| *epoch);
@@ -244,8 +263,9 @@
 
     /// Asks the VM that reads the store for this one, while there is one.
     async fn follow(self: Arc<Self>) {
-        let interval = FOLLOW_INTERVAL.min(self.gateway.bounds().leaving.mul_f64(FOLLOW_SHARE));
         loop {
+            let leaving = self.gateway.bounds().leaving;
+            let interval = FOLLOW_INTERVAL.min(leaving.mul_f64(FOLLOW_SHARE));
             let due = self.gateway.follow_due.notified();
             let jitter = rand::rng().random_range(INTERVAL_JITTER);
             let _woken = tokio::time::timeout(interval.mul_f64(jitter), due).await;
--- a/src/gateway/mesh/forwarding.rs
+++ b/src/gateway/mesh/forwarding.rs
@@ -49,6 +49,7 @@
         match forwarded.message {
             Broadcast::Usage(usage) => self.handle_usage(usage, origin),
             Broadcast::Notice(notice) => self.handle_notice(&notice),
+            Broadcast::Configuration(report) => self.handle_configuration(&report, origin),
         }
     }
 
@@ -74,6 +75,7 @@
         match message {
             Broadcast::Usage(usage) => Self::Usage(usage),
             Broadcast::Notice(notice) => Self::Notice(notice),
+            Broadcast::Configuration(report) => Self::Configuration(report),
         }
     }
 }
--- a/src/gateway/mesh/usage.rs
+++ b/src/gateway/mesh/usage.rs
@@ -52,6 +52,8 @@
         drop(state);
         if change.new {
             info!(self.gateway.log, "vm_heard"; "peer" => %vm);
+            let own = &self.gateway.vm;
+            self.gateway.upstream_limits().roster.add(own, [vm]);
         }
         if let Some(report) = quarantine {
             self.gateway.on_quarantine_report(report);
@@ -87,6 +89,7 @@
         loop {
             self.broadcast(Broadcast::Usage(self.usage_report()), copies)
                 .await;
+            self.report_configuration().await;
             self.refresh_peers();
             tokio::time::sleep(MIN_USAGE_DELAY).await;
             let due = self.gateway.usage_due.notified();
@@ -100,6 +103,17 @@
         }
     }
 
+    /// Tells the others of a change of the configuration, and asks them while this VM does not trust
+    /// what it reads.
+    async fn report_configuration(&self) {
+        let now = self.gateway.clock.boot();
+        let due = self.gateway.freshness().due_report(now);
+        if let Some(report) = due {
+            self.broadcast(Broadcast::Configuration(report), COPIES)
+                .await;
+        }
+    }
+
     /// Interval between usage reports of this VM. The leader always uses the shortest one, because
     /// the others count it as lost after a short silence.
     fn usage_interval(&self) -> Duration {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -16,12 +16,19 @@
     repeats: "Requests sent to a further upstream.",
     repeats_spared: "Requests not sent to a further upstream for lack of budget.",
     early_breaks: "Streams that broke before their engine had written for long.",
+    event_faults: "Events of streams that were not forwarded as their numbers were faulty.",
+    silences_kept: "Streams that stayed at a silent engine, as it was busy or no other could resume them.",
     permits_granted: "Requests granted at upstreams that name a limit.",
     permits_denied: "Requests that found no room at an upstream that names a limit.",
     limits_invalid: "Responses whose limit could not be read.",
+    settings_taken: "Changes of the settings that were taken into use.",
+    settings_rejected: "Changes of the settings that are faulty.",
+    warm_ups: "Upstreams that began to warm up, as far as this VM was told.",
     orders: "Orders given to engines.",
     store_loads: "Loads from the weight store among them.",
+    entries_unreadable: "Entries of the configuration, and objects of the store, that cannot be read.",
     leases: "Times that this VM began to give orders.",
+    log_lines_left_out: "Log lines on refused requests that were left out.",
     store_failures: "Questions to the platform's store that failed.",
     datagrams_in: "Datagrams taken from other VMs.",
     datagrams_out: "Datagrams sent to other VMs.",
@@ -40,7 +47,10 @@
     parts_held: IntGauge,
     requests_held: IntGauge,
     upstreams_limited: IntGauge,
+    upstreams_warming: IntGauge,
     running: IntGauge,
+    configuration_awaited: IntGauge,
+    centres_closed: IntGauge,
     waits: HistogramVec,
 }
 
@@ -79,7 +89,19 @@
                 "basilgw_upstreams_limited",
                 "Upstreams that name a limit of requests.",
             )?,
+            upstreams_warming: metrics.gauge(
+                "basilgw_upstreams_warming",
+                "Upstreams that are warming up.",
+            )?,
             running: metrics.gauge("basilgw_running", "Requests that run.")?,
+            configuration_awaited: metrics.gauge(
+                "basilgw_configuration_awaited",
+                "1 while reads of the configuration don't count, as the store may have lost a newer one.",
+            )?,
+            centres_closed: metrics.gauge(
+                "basilgw_centres_closed",
+                "Data centres that the operator has closed.",
+            )?,
         })
     }
 
@@ -91,10 +113,20 @@
             .observe(spent.as_secs_f64());
     }
 
+    /// Sets the number of closed data centres.
+    pub fn set_closed(&self, centres: usize) {
+        self.centres_closed
+            .set(i64::try_from(centres).unwrap_or(i64::MAX));
+    }
+
     /// Sets the gauges from the gateway's state, for a scrape.
     pub fn refresh(&self, gateway: &Gateway) {
         let boot = gateway.clock.boot();
-        let age = gateway.freshness().age(boot);
+        let freshness = gateway.freshness();
+        let age = freshness.age(boot);
+        let awaited = freshness.awaits_trust() || freshness.is_outdated();
+        drop(freshness);
+        self.configuration_awaited.set(i64::from(awaited));
         let age = age.and_then(|age| i64::try_from(age.as_millis()).ok());
         self.trust_age.set(age.unwrap_or(-1));
         let reachability = gateway.reachability();
@@ -108,6 +140,9 @@
         drop(quarantine);
         self.upstreams_limited
             .set(count(gateway.upstream_limits().count()));
+        let warming = gateway.upstream_limits().warming_up(boot);
+        self.upstreams_warming.set(count(warming.len()));
         self.running.set(count(gateway.running.count()));
+        gateway.caller_limits.refresh_gauges();
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,14 +3,17 @@
 //! A request passes through these modules: [`serve`] accepts it; [`relay`] decodes its head with
 //! the platform's [`platform_api::Dialect`], looks up the route and the client account in the
 //! [`configuration`], checks that the configuration is fresh enough to trust keys ([`freshness`])
-//! and charges the request to the account's quota ([`allowance`]). Then [`balancer`] chooses one of
+//! and charges the request to the account's quota ([`allowance`]). What callers hold of the VM's memory
+//! and descriptors meanwhile is bounded ([`caller_limit`], [`connection`]). Then [`balancer`] chooses one of
 //! the upstreams in use ([`fleet`]); if no engine holds the model, the request waits for it to be
 //! loaded (`model_wait`, [`demand`]). A request that crashes engines, as such or by a part of its prompt, is
 //! not sent ([`quarantine`]). An upstream that names a limit gets no more requests from all VMs
-//! together ([`upstream_limit`]). [`exchange`] sends the request, and [`stream`] and [`events`]
-//! forward the response in complete events.
+//! together ([`upstream_limit`]), and neither does one that is warming up (`warm_up`).
+//! [`exchange`] sends the request, and [`stream`] and [`events`] forward the response in complete
+//! events whose numbers are sound ([`event_numbers`]).
 //!
-//! In the background, [`store_watch`] keeps the configuration and the registrations up to date,
+//! In the background, [`store_watch`] keeps the configuration, the registrations and the closed data
+//! centres ([`centre_closure`]) up to date,
 //! [`mesh`] reports this VM's usage to the other VMs, and [`controller`] orders engines to load and
 //! unload models and adapters while this VM holds the [`lease`], as planned by [`placement`],
 //! [`crowding`] and [`adapter_placement`].
@@ -20,23 +23,30 @@
 pub mod attempt;
 pub mod balancer;
 pub mod broadcast;
+pub mod caller_limit;
+pub mod centre_closure;
 pub mod client;
 pub mod configuration;
+pub mod connection;
 pub mod controller;
 pub mod crowding;
 pub mod demand;
 mod demand_entries;
+pub mod engine_pace;
 pub mod engine_run;
 mod engine_state;
+pub mod event_numbers;
 pub mod events;
 pub mod exchange;
 pub mod fanout;
 pub mod fleet;
 pub mod framing;
 pub mod freshness;
+mod generation_record;
 mod leadership;
 pub mod lease;
 pub mod load_limiter;
+pub mod log_limit;
 pub mod mesh;
 pub mod metrics;
 pub mod model_wait;
@@ -46,6 +56,7 @@
 pub mod quarantine;
 pub mod reachability;
 pub mod relay;
+pub mod reload;
 pub mod request;
 pub mod request_digest;
 pub mod response;
@@ -58,5 +69,7 @@
 pub mod store_watch;
 pub mod stream;
 pub mod stream_progress;
+mod unreadable_objects;
 pub mod upstream;
 pub mod upstream_limit;
+mod warm_up;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -9,31 +9,31 @@
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use http::{Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rand::RngExt;
 use slog::{info, warn};
 use thiserror::Error;
 
-use crate::edge::RequestGuard;
 use crate::ids::{RequestDigest, ServiceId, UpstreamId};
 use crate::outcome::{Ran, Reason, Refusal};
 use crate::units::Tokens;
 
 use super::attempt::Attempts;
 use super::balancer::{self, NoEngine};
-use super::configuration::{Account, Configuration, Route};
+use super::caller_limit::NoRoom;
+use super::caller_limit::buffer::{self, BodyError};
+use super::caller_limit::metrics::Lack;
+use super::configuration::{Account, Configuration, Missing, Route, RouteKind};
+use super::connection::CallerConnection;
 use super::fleet::service_upstreams;
 use super::framing::RawHead;
-use super::request::{BufferedRequest, RequestHead, Size};
+use super::request::{BufferedRequest, KeptBody, RequestHead, Size};
 use super::request_digest::request_digest;
 use super::response::{self, CallerBody};
 use super::state::Gateway;
 use super::upstream::Upstream;
 use super::upstream_limit::gate::NoPermit;
 
-/// Requests that one VM handles at once.
-const MAX_RUNNING: usize = 3000;
 /// `Retry-After` of a VM that is not ready; by then the balancer sends the caller to another VM.
 const NOT_READY_RETRY: Duration = Duration::from_millis(200);
 /// `Retry-After` where no upstream has capacity.
@@ -66,13 +66,24 @@
     pub started: Instant,
     /// When its response must be complete.
     pub deadline: Instant,
-    /// Counts the request as in progress until it is dropped.
-    _guard: RequestGuard,
+    /// Connection of its caller.
+    pub connection: Arc<CallerConnection>,
 }
 
 /// Handles a request; `raw_head` holds the raw bytes of its head.
 pub async fn handle_request(
     gateway: &Arc<Gateway>,
+    connection: &Arc<CallerConnection>,
+    request: Request<Incoming>,
+    raw_head: &RawHead,
+) -> Response<CallerBody> {
+    let response = respond(gateway, connection, request, raw_head).await;
+    response.map(|body| connection.watch_body(body))
+}
+
+async fn respond(
+    gateway: &Arc<Gateway>,
+    connection: &Arc<CallerConnection>,
     request: Request<Incoming>,
     raw_head: &RawHead,
 ) -> Response<CallerBody> {
@@ -83,13 +94,15 @@
         Ok(head) if !conflicting => head,
         Ok(_) => return response::refusal_response(&Refusal::not_run(Reason::Malformed)),
         Err(fault) => {
-            warn!(gateway.log, "request_malformed"; "fault" => %fault);
+            if gateway.may_log() {
+                warn!(gateway.log, "request_malformed"; "fault" => %fault);
+            }
             return response::refusal_response(&Refusal::not_run(Reason::Malformed));
         }
     };
     let id = head.id.clone();
     let started = gateway.clock.now();
-    let outcome = admit(gateway, head, body, started).await;
+    let outcome = admit(gateway, connection, head, body, started).await;
     let spent = gateway.clock.now().saturating_duration_since(started);
     let mut response = match outcome {
         Ok(response) => {
@@ -98,9 +111,11 @@
         }
         Err(refusal) => {
             gateway.edge_metrics.refused(refusal.reason, spent);
-            info!(gateway.log, "request_refused"; "request" => %id, "reason" => %refusal.reason,
-                "ran" => ?refusal.ran, "spent_ms" => spent.as_millis() as u64,
-                "retry_ms" => refusal.retry.map(|wait| wait.as_millis() as u64));
+            if !caused_by_caller(refusal.reason) || gateway.may_log() {
+                info!(gateway.log, "request_refused"; "request" => %id, "reason" => %refusal.reason,
+                    "ran" => ?refusal.ran, "spent_ms" => spent.as_millis() as u64,
+                    "retry_ms" => refusal.retry.map(|wait| wait.as_millis() as u64));
+            }
             let mut response = response::refusal_response(&refusal);
             response
                 .headers_mut()
@@ -116,17 +131,30 @@
     response
 }
 
+/// Whether callers can cause refusals with this reason as often as they like.
+fn caused_by_caller(reason: Reason) -> bool {
+    matches!(
+        reason,
+        Reason::Malformed
+            | Reason::TooLarge
+            | Reason::Unauthorized
+            | Reason::UnknownRoute
+            | Reason::Timeout
+            | Reason::Capacity
+    )
+}
+
 /// Authenticates a request, takes its tokens from the account's quota and runs it; the tokens are
 /// returned if it did not run.
 async fn admit(
     gateway: &Arc<Gateway>,
+    connection: &Arc<CallerConnection>,
     head: RequestHead,
     body: Incoming,
     started: Instant,
 ) -> Result<Response<CallerBody>, Refusal> {
-    let guard = gateway.running.try_start(MAX_RUNNING)?;
+    connection.keep_guard(gateway.running.try_start(usize::MAX)?);
     let configuration = gateway.configuration.load_full();
-    let not_ready = || Refusal::not_run(Reason::NotReady).retry_after(NOT_READY_RETRY);
     let configuration = configuration.ok_or_else(not_ready)?;
     // With a configuration that may be outdated, a withdrawn key could be accepted and a new one
     // rejected.
@@ -134,14 +162,18 @@
         return Err(not_ready());
     }
     let found = configuration.route(&head.host, head.uri.path());
-    let route = found.ok_or(Refusal::not_run(Reason::UnknownRoute))?;
+    let route = found.map_err(|missing| refuse_missing(missing, Reason::UnknownRoute))?;
     let account = authenticate(&configuration, route, &head)?;
+    connection.set_outlives_end(route.kind == RouteKind::Mutating);
     let max_wait = head.max_wait.unwrap_or(route.timeout).min(route.timeout);
     let draw = balancer::stable_hash(head.id.as_str().as_bytes(), 0);
     let service = route.service(draw).ok_or_else(not_ready)?.clone();
     let deadline = started + max_wait;
-    let body = read_body(body, configuration.bounds.body_bytes, max_wait).await?;
     let name = account.as_ref().map(|account| &account.name);
+    let placed = connection.slot.start(name).await;
+    placed.map_err(|NoRoom| no_room(gateway, Lack::Request))?;
+    let max_bytes = configuration.bounds.body_bytes;
+    let body = read_body(gateway, connection, body, max_bytes, max_wait).await?;
     let digest = request_digest(name, &head, &body);
     if let Some(delay) = gateway.quarantine_delay(head.shared_parts(), digest) {
         return Err(Refusal::not_run(Reason::Quarantined).retry_after(delay));
@@ -160,9 +192,12 @@
         account: account.clone(),
         started,
         deadline,
-        request: BufferedRequest { head, body },
+        request: BufferedRequest {
+            head,
+            body: KeptBody::new(body),
+        },
         digest,
-        _guard: guard,
+        connection: Arc::clone(connection),
     };
     let outcome = Arc::new(admitted).run().await;
     if let (Err(refusal), Some(account)) = (&outcome, &account)
@@ -173,6 +208,19 @@
     outcome
 }
 
+fn not_ready() -> Refusal {
+    Refusal::not_run(Reason::NotReady).retry_after(NOT_READY_RETRY)
+}
+
+/// The refusal of a request for which the configuration names no route or account; `reason` is for
+/// one that no entry may allow.
+fn refuse_missing(missing: Missing, reason: Reason) -> Refusal {
+    match missing {
+        Missing::Unknown => Refusal::not_run(reason),
+        Missing::Unreadable => not_ready(),
+    }
+}
+
 fn authenticate(
     configuration: &Configuration,
     route: &Route,
@@ -181,22 +229,48 @@
     if configuration.keys.is_none() {
         return Ok(None);
     }
-    let account = head.key.as_ref().and_then(|key| configuration.account(key));
-    match account {
-        Some(account) => Ok(Some(Arc::clone(account))),
-        None if route.public => Ok(None),
-        None => Err(Refusal::not_run(Reason::Unauthorized)),
+    let key = head.key.as_ref().ok_or(Missing::Unknown);
+    match key.and_then(|key| configuration.account(key)) {
+        Ok(account) => Ok(Some(Arc::clone(account))),
+        Err(Missing::Unknown) if route.public => Ok(None),
+        Err(missing) => Err(refuse_missing(missing, Reason::Unauthorized)),
     }
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, max_wait: Duration) -> Result<Bytes, Refusal> {
-    let read = tokio::time::timeout(max_wait, Limited::new(body, max_bytes).collect()).await;
-    let read = read.map_err(|_late| Refusal::not_run(Reason::Timeout))?;
-    match read {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Refusal::not_run(Reason::TooLarge)),
-        Err(_broken) => Err(Refusal::not_run(Reason::Malformed)),
-    }
+/// Reads the body of a request, which must not be sent if this fails.
+async fn read_body(
+    gateway: &Gateway,
+    connection: &CallerConnection,
+    body: Incoming,
+    max_bytes: usize,
+    max_wait: Duration,
+) -> Result<Bytes, Refusal> {
+    let read = async {
+        let body = buffer::read_body(&connection.slot, body, max_bytes).await?;
+        connection.slot.finish_body()?;
+        Ok(body)
+    };
+    let read = tokio::select! {
+        biased;
+        () = connection.slot.evicted() => Err(BodyError::from(NoRoom)),
+        read = tokio::time::timeout(max_wait, read) => {
+            read.map_err(|_late| Refusal::not_run(Reason::Timeout))?
+        }
+    };
+    let body = read.map_err(|error| match error {
+        BodyError::TooLong => Refusal::not_run(Reason::TooLarge),
+        BodyError::Broken => Refusal::not_run(Reason::Malformed),
+        BodyError::NoRoom(_) => no_room(gateway, Lack::Body),
+    })?;
+    connection.set_unread(false);
+    Ok(body)
+}
+
+/// The refusal of a request that there is no room for at this VM.
+fn no_room(gateway: &Gateway, lack: Lack) -> Refusal {
+    gateway.caller_limits.metrics.refused(lack);
+    let spread = rand::rng().random_range(RETURN_SPREAD);
+    Refusal::not_run(Reason::Capacity).retry_after(CAPACITY_RETRY.mul_f64(spread))
 }
 
 impl AdmittedRequest {
@@ -206,6 +280,13 @@
         self.deadline.saturating_duration_since(now)
     }
 
+    /// Releases the body if the request, sent `sent` times and answered, is not sent again.
+    pub fn release_body(&self, sent: u32) {
+        if !self.route.kind.retryable() || sent >= self.route.attempts {
+            self.request.body.release();
+        }
+    }
+
     /// Priority of the request, where 0 is the highest.
     pub fn priority(&self) -> u8 {
         let account = self.account.as_ref();
@@ -246,6 +327,9 @@
             if self.account.is_some() && !gateway.keys_trusted() {
                 return attempts.give_up(Reason::NotReady, NOT_READY_RETRY);
             }
+            if self.connection.ended_before() {
+                return attempts.give_up(Reason::Capacity, CAPACITY_RETRY);
+            }
             let clearance = match self.clear_to_send() {
                 Ok(clearance) => clearance,
                 Err(delay) => return attempts.give_up(Reason::Quarantined, delay),
@@ -260,6 +344,11 @@
         }
     }
 
+    /// Whether the retry budget of its service has a retry left.
+    pub fn has_retry(&self) -> bool {
+        self.gateway.has_retry(&self.service)
+    }
+
     /// Selects the upstream for the next attempt.
     ///
     /// # Errors
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -12,14 +12,17 @@
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::ids::{DataCentre, ObjectKey, Version, VmId};
+use crate::ids::{DataCentre, IdError, ObjectKey, Version, VmId};
 use crate::store::{ObjectStore, StoreError};
 
+use super::centre_closure::CentreClosure;
 use super::configuration::Configuration;
 use super::controller::{self, ControllerDeps};
 use super::fanout::roles::Capacity;
+use super::generation_record::RecordKeeper;
 use super::mesh::Mesh;
-use super::platform_api::{EngineClient, ObjectSource};
+use super::platform_api::{DecodeError, EngineClient, NamedObject, ObjectSource};
+use super::reload::{self, SettingsSource};
 use super::serve::Listening;
 use super::state::Gateway;
 use super::upstream::Registration;
@@ -64,6 +67,8 @@
     pub configurations: Arc<dyn ObjectSource<Configuration>>,
     /// Source of the upstreams' registrations.
     pub registrations: Arc<dyn ObjectSource<Registration>>,
+    /// Source of the closed data centres.
+    pub closures: Arc<dyn ObjectSource<CentreClosure>>,
     /// Source of the VMs' registrations.
     pub vms: Arc<dyn ObjectSource<VmRegistration>>,
     /// Store for the gateway's own objects: the lease and this VM's registration.
@@ -74,6 +79,8 @@
     pub lease_key: ObjectKey,
     /// Key of this VM's registration in the store.
     pub vm_key: ObjectKey,
+    /// Key of the generation record in the store.
+    pub generation_key: ObjectKey,
 }
 
 /// Registration of a VM in the store.
@@ -88,15 +95,6 @@
     pub capacity: Capacity,
 }
 
-/// Durations from the settings that bound a VM's lease and shutdown.
-#[derive(Clone, Copy, Debug)]
-pub struct TimeBounds {
-    /// How long a lease lasts after a renewal.
-    pub lease: Duration,
-    /// Time from a signal to stop until the process must have exited.
-    pub grace: Duration,
-}
-
 /// Why a VM cannot serve.
 #[derive(Debug, Error)]
 pub enum RunError {
@@ -113,7 +111,8 @@
     Signal(io::Error),
 }
 
-/// Runs the gateway until the process receives `SIGTERM` and requests in progress are done.
+/// Runs the gateway until the process receives `SIGTERM` and requests in progress are done. A lease
+/// lasts for `lease_length` after a renewal, and `settings` are read again while it runs.
 ///
 /// # Errors
 ///
@@ -122,7 +121,8 @@
     gateway: Arc<Gateway>,
     addresses: ListenAddresses,
     platform: PlatformClients,
-    time_bounds: TimeBounds,
+    lease_length: Duration,
+    settings: Box<dyn SettingsSource>,
 ) -> Result<(), RunError> {
     let mut term = signal(SignalKind::terminate()).map_err(RunError::Signal)?;
     let mut hup = signal(SignalKind::hangup()).map_err(RunError::Signal)?;
@@ -139,6 +139,10 @@
     mesh.spawn();
     store_watch::spawn_configuration(&gateway, Arc::clone(&platform.configurations));
     store_watch::spawn_registrations(&gateway, Arc::clone(&platform.registrations));
+    if gateway.bounds().closure.is_some() {
+        store_watch::spawn_closures(&gateway, Arc::clone(&platform.closures));
+    }
+    reload::spawn(&gateway, settings);
     tokio::spawn(discover_peers(
         Arc::clone(&gateway),
         Arc::clone(&mesh),
@@ -146,24 +150,28 @@
         mesh_address,
     ));
     tokio::spawn(publish_expiry(Arc::clone(&gateway)));
+    let record = RecordKeeper::open(&gateway, &platform.store, platform.generation_key);
+    tokio::spawn(record.run());
     controller::spawn(ControllerDeps {
         gateway: Arc::clone(&gateway),
         mesh,
         engine_client: platform.engine_client,
         store: platform.store,
         lease_key: platform.lease_key,
-        lease_length: time_bounds.lease,
+        lease_length,
     });
     info!(gateway.log, "vm_started"; "callers" => %callers.at,
         "ready" => %ready.at, "metrics" => %metrics.at, "mesh" => %mesh_address);
     loop {
         tokio::select! {
             _ = term.recv() => break,
-            // The settings are read only at the start; a hangup must not end the process.
-            _ = hup.recv() => info!(gateway.log, "settings_signal"),
+            _ = hup.recv() => {
+                info!(gateway.log, "settings_signal");
+                gateway.settings_due.notify_one();
+            }
         }
     }
-    drain(&gateway, &callers, time_bounds.grace).await;
+    drain(&gateway, &callers, gateway.bounds().grace).await;
     Ok(())
 }
 
@@ -221,9 +229,7 @@
             Ok(list) => {
                 let objects = list.items.into_iter();
                 let vms: BTreeMap<VmId, VmRegistration> = objects
-                    .filter_map(|(name, registration)| {
-                        Some((name.parse().ok()?, registration.ok()?))
-                    })
+                    .filter_map(|object| read_vm(&gateway, object))
                     .collect();
                 // The store loses registrations when it comes back from an older copy.
                 registered = vms.get(&gateway.vm) == Some(&own);
@@ -247,6 +253,23 @@
     }
 }
 
+/// Returns a VM's registration, or logs why it cannot be read.
+fn read_vm(
+    gateway: &Gateway,
+    (name, registration): NamedObject<VmRegistration>,
+) -> Option<(VmId, VmRegistration)> {
+    let read = registration.and_then(|registration| {
+        let vm = name.parse().map_err(|e: IdError| DecodeError::new(&e))?;
+        Ok((vm, registration))
+    });
+    read.inspect_err(|e| {
+        if gateway.on_unreadable("vms", &name, e) {
+            warn!(gateway.log, "vm_unreadable"; "name" => %name, "error" => %e);
+        }
+    })
+    .ok()
+}
+
 /// Writes this VM's registration; returns whether that succeeded.
 async fn register_vm(
     gateway: &Gateway,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,33 +9,42 @@
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 
 use crate::clock::{BootTime, Clock};
 use crate::edge::RequestTracker;
 use crate::ids::{ClientAccount, DataCentre, ServiceId, UpstreamId, VmId};
 use crate::metrics::{EdgeMetrics, Metrics};
-use crate::schema::mesh::{FollowRequest, LeavingUpstream};
+use crate::schema::mesh::{ConfigurationReport, FollowRequest, LeavingUpstream};
 use crate::units::Tokens;
 
 use super::allowance::Allowance;
+use super::caller_limit::CallerLimits;
+use super::caller_limit::bounds::ProcessLimits;
+use super::caller_limit::metrics::CallerLimitMetrics;
+use super::centre_closure::ClosedCentres;
 use super::configuration::{Account, Configuration};
 use super::demand::LocalDemand;
 use super::fanout::coverage::Coverage;
 use super::fanout::roles::{Capacity, Role};
 use super::fleet::{Fleet, UpstreamMap};
 use super::freshness::Freshness;
+use super::log_limit::{LineVerdict, LogLimit};
 use super::metrics::{Counters, Gauges};
-use super::platform_api::Dialect;
+use super::platform_api::{DecodeError, Dialect};
 use super::quarantine::Quarantine;
 use super::reachability::Reachability;
 use super::retry_budget::{RetryBound, RetryBudget};
 use super::signals::LeavingHints;
+use super::unreadable_objects::UnreadableObjects;
 use super::upstream_limit::UpstreamLimits;
 
-/// Settings that bound what a VM does, fixed at its start.
-#[derive(Clone, Debug)]
+/// Most unreadable entries of one configuration that are named in the log.
+const MAX_FAULT_LINES: usize = 20;
+
+/// Settings that bound what a VM does; they may change while it runs.
+#[derive(Clone, Debug, PartialEq)]
 pub struct GatewayBounds {
     /// Longest time that a key may still be accepted after its withdrawal.
     pub withdrawal: Duration,
@@ -46,6 +55,12 @@
     /// Whether the whole system starts for the first time, so that accounts start with a full
     /// burst.
     pub first_start: bool,
+    /// What the process may use.
+    pub process: ProcessLimits,
+    /// Time within which the closure of a data centre is in force; `None` where none is closed.
+    pub closure: Option<Duration>,
+    /// Time from a signal to stop until the process must have exited.
+    pub grace: Duration,
 }
 
 /// The state of the gateway on one VM.
@@ -98,7 +113,9 @@
     pub orders_due: Notify,
     /// Requests that asks for permits are sent to the leader.
     pub asks_due: Notify,
-    bounds: GatewayBounds,
+    /// Asks for the settings to be read at once.
+    pub settings_due: Notify,
+    bounds: ArcSwap<GatewayBounds>,
     fleet: Mutex<Fleet>,
     freshness: Mutex<Freshness>,
     coverage: Mutex<Coverage>,
@@ -113,6 +130,11 @@
     leads: AtomicBool,
     /// When requests that still wait for a model are refused, once shutdown has begun.
     drain_deadline: Mutex<Option<Instant>>,
+    unreadable: Mutex<UnreadableObjects>,
+    /// What callers hold of this VM's memory and descriptors.
+    pub caller_limits: Arc<CallerLimits>,
+    log_limit: Mutex<LogLimit>,
+    closures: Mutex<ClosedCentres>,
 }
 
 /// What [`Gateway::open`] needs.
@@ -147,12 +169,17 @@
     ///
     /// If the name of a metric is already registered.
     pub fn open(deps: GatewayDeps) -> Result<Arc<Self>, prometheus::Error> {
-        let freshness = Freshness::new(deps.bounds.withdrawal);
+        let freshness = Freshness::new(deps.bounds.withdrawal, deps.bounds.first_start);
         let reachability = Reachability::open(deps.clock.now());
         let edge_metrics = EdgeMetrics::open(&deps.metrics)?;
         let counters = Counters::open()?;
         counters.register(deps.metrics.registry())?;
         let gauges = Gauges::open(&deps.metrics)?;
+        let caller_limits = CallerLimits::open(
+            deps.bounds.process.into(),
+            Arc::clone(&deps.clock),
+            CallerLimitMetrics::open(&deps.metrics)?,
+        );
         Ok(Arc::new(Self {
             counters,
             gauges,
@@ -177,7 +204,8 @@
             shutdown_started: Notify::new(),
             orders_due: Notify::new(),
             asks_due: Notify::new(),
-            bounds: deps.bounds,
+            settings_due: Notify::new(),
+            bounds: ArcSwap::from_pointee(deps.bounds),
             fleet: Mutex::default(),
             freshness: Mutex::new(freshness),
             coverage: Mutex::default(),
@@ -190,6 +218,10 @@
             upstream_limits: Mutex::default(),
             leads: AtomicBool::new(false),
             drain_deadline: Mutex::new(None),
+            unreadable: Mutex::default(),
+            caller_limits,
+            log_limit: Mutex::default(),
+            closures: Mutex::default(),
         }))
     }
 
@@ -250,6 +282,11 @@
         lock(&self.leaving_hints).current(self.clock.now())
     }
 
+    /// The data centres that the operator has closed.
+    pub fn closures(&self) -> MutexGuard<'_, ClosedCentres> {
+        lock(&self.closures)
+    }
+
     /// Parts of prompts, and requests, that crash engines.
     pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         lock(&self.quarantine)
@@ -260,6 +297,22 @@
         lock(&self.upstream_limits)
     }
 
+    /// Whether a line that callers can cause at will is written to the log.
+    pub fn may_log(&self) -> bool {
+        let verdict = lock(&self.log_limit).on_line(self.clock.now());
+        match verdict {
+            LineVerdict::LeaveOut => {
+                self.counters.log_lines_left_out.inc();
+                false
+            }
+            LineVerdict::Write { left_out: 0 } => true,
+            LineVerdict::Write { left_out } => {
+                info!(self.log, "log_lines_left_out"; "lines" => left_out);
+                true
+            }
+        }
+    }
+
     /// Whether this VM is the leader, the only one that may probe what is held back.
     pub fn leads(&self) -> bool {
         self.leads.load(Ordering::Relaxed)
@@ -271,8 +324,18 @@
     }
 
     /// Settings that bound what this VM does.
-    pub fn bounds(&self) -> &GatewayBounds {
-        &self.bounds
+    pub fn bounds(&self) -> Arc<GatewayBounds> {
+        self.bounds.load_full()
+    }
+
+    /// Puts other bounds into force.
+    pub fn set_bounds(&self, bounds: GatewayBounds) {
+        self.freshness().set_bound(bounds.withdrawal);
+        for budget in lock(&self.retry_budgets).values_mut() {
+            budget.set_bound(bounds.retries);
+        }
+        self.bounds.store(Arc::new(bounds));
+        self.coverage_changed.notify_waiters();
     }
 
     /// Demand for models and adapters at this VM.
@@ -285,6 +348,35 @@
         lock(&self.freshness)
     }
 
+    /// Changes the freshness of the configuration, and logs whether reads of it count.
+    pub fn update_freshness<F>(&self, change: F)
+    where
+        F: FnOnce(&mut Freshness, BootTime),
+    {
+        let now = self.clock.boot();
+        let mut freshness = self.freshness();
+        let before = (freshness.doubted(), freshness.age(now).is_some());
+        change(&mut freshness, now);
+        let after = (freshness.doubted(), freshness.age(now).is_some());
+        drop(freshness);
+        if before.0 != after.0 {
+            info!(self.log, "store_generation_trusted"; "generation" => ?after.0.or(before.0),
+                "trusted" => after.0.is_none());
+        }
+        if before.1 && !after.1 {
+            warn!(self.log, "configuration_lost_by_store");
+        }
+    }
+
+    /// Applies what another VM says of its configuration; returns what must be answered, if it asks.
+    pub fn on_configuration_report(
+        &self,
+        report: &ConfigurationReport,
+    ) -> Option<ConfigurationReport> {
+        self.update_freshness(|freshness, now| freshness.on_report(report, now));
+        self.freshness().answer(report)
+    }
+
     /// What this VM and its readers have read of the store.
     pub fn coverage(&self) -> MutexGuard<'_, Coverage> {
         lock(&self.coverage)
@@ -344,25 +436,51 @@
         *lock(&self.drain_deadline)
     }
 
-    /// Puts a configuration into force if it is newer than the current one.
-    pub fn apply_configuration(&self, configuration: Configuration) {
+    /// Puts a configuration into force if it is newer than the current one; returns whether it is.
+    pub fn apply_configuration(&self, configuration: Configuration) -> bool {
         let in_force = self.configuration.load();
         if in_force
             .as_ref()
             .is_some_and(|old| old.version >= configuration.version)
         {
-            return;
+            return false;
         }
         info!(self.log, "configuration_taken"; "version" => configuration.version,
             "routes" => configuration.routes.values().map(Vec::len).sum::<usize>(),
             "services" => configuration.services.len());
+        self.report_unreadable(&configuration);
         self.update_allowances(&configuration);
+        let slow_starts = in_force.as_ref().map(|old| old.slow_starts());
+        let slow_start_changed = slow_starts != Some(configuration.slow_starts());
         self.configuration.store(Some(Arc::new(configuration)));
+        if slow_start_changed {
+            self.on_slow_start_changed();
+        }
+        true
+    }
+
+    /// Counts the entries that could not be read, and names the first of them in the log.
+    fn report_unreadable(&self, configuration: &Configuration) {
+        let faults = &configuration.unreadable.faults;
+        self.counters.entries_unreadable.inc_by(faults.len() as u64);
+        for fault in faults.iter().take(MAX_FAULT_LINES) {
+            warn!(self.log, "configuration_entry_unreadable"; "version" => configuration.version,
+                "entry" => %fault.entry, "error" => %fault.error);
+        }
+    }
+
+    /// Counts an object of the store that cannot be read; true if the log has not named it yet.
+    pub fn on_unreadable(&self, kind: &'static str, name: &str, error: &DecodeError) -> bool {
+        let first = lock(&self.unreadable).add(kind, name, error);
+        if first {
+            self.counters.entries_unreadable.inc();
+        }
+        first
     }
 
     fn update_allowances(&self, configuration: &Configuration) {
         let now = self.clock.now();
-        let full = self.bounds.first_start && self.configuration.load().is_none();
+        let full = self.bounds().first_start && self.configuration.load().is_none();
         let mut allowances = lock(&self.allowances);
         for (name, account) in configuration.accounts() {
             let Some(rate) = account.rate else {
@@ -454,10 +572,21 @@
         let mut retry_budgets = lock(&self.retry_budgets);
         let entry = retry_budgets.entry(service.clone());
         entry
-            .or_insert_with(|| RetryBudget::new(self.bounds.retries))
+            .or_insert_with(|| RetryBudget::new(self.bounds().retries))
             .on_request(now);
     }
 
+    /// Whether a service's budget has a retry left.
+    pub fn has_retry(&self, service: &ServiceId) -> bool {
+        let now = self.clock.now();
+        let vms = self.reachability().peak;
+        let mut retry_budgets = lock(&self.retry_budgets);
+        let entry = retry_budgets.entry(service.clone());
+        entry
+            .or_insert_with(|| RetryBudget::new(self.bounds().retries))
+            .is_left(vms, now)
+    }
+
     /// Spends one retry of a service's budget; false if none is left.
     pub fn try_retry(&self, service: &ServiceId) -> bool {
         let now = self.clock.now();
@@ -465,7 +594,7 @@
         let mut retry_budgets = lock(&self.retry_budgets);
         let entry = retry_budgets.entry(service.clone());
         let taken = entry
-            .or_insert_with(|| RetryBudget::new(self.bounds.retries))
+            .or_insert_with(|| RetryBudget::new(self.bounds().retries))
             .try_spend(vms, now);
         if taken {
             self.counters.repeats.inc();
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -1,4 +1,5 @@
-//! Watches the configuration and the upstreams' registrations in the platform's store.
+//! Watches the configuration, the upstreams' registrations and the closed data centres in the
+//! platform's store.
 //!
 //! The objects of each kind are listed once; after that, a series of long polls reads their
 //! changes from the revision of the list. The polls are short enough to notice a connection that
@@ -6,18 +7,20 @@
 //! revision, the objects are listed again. While another VM reads the store for this one
 //! ([`super::fanout`]), nothing is read here.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use compact_str::CompactString;
 use rand::RngExt;
 use slog::{info, warn};
 use tokio::task::JoinHandle;
 
 use crate::clock::BootTime;
-use crate::ids::{StoreGeneration, Version};
+use crate::ids::{DataCentre, StoreGeneration, Version};
 use crate::schema::mesh::RegistrationChange;
 use crate::store::StoreError;
 
+use super::centre_closure::CentreClosure;
 use super::configuration::Configuration;
 use super::fleet::Fleet;
 use super::platform_api::{NamedObject, ObjectChange, ObjectChanges, ObjectList, ObjectSource};
@@ -36,6 +39,12 @@
 const READER_REGISTRATIONS_SHARE: f64 = 0.22;
 /// Pause after changes in that case, as a share of the same bound.
 const READER_DELAY_RATIO: f64 = 0.2;
+/// Longest wait for a change to the closed data centres, as shares of the time in which a closure
+/// must be in force, where other VMs rely on what this one reads and elsewhere.
+const READER_CLOSURES_SHARE: f64 = 0.35;
+const CLOSURES_SHARE: f64 = 0.4;
+/// The time in which a closure must be in force where the settings no longer say.
+const DEFAULT_CLOSURE_BOUND: Duration = Duration::from_secs(5);
 /// Interval between checks whether another VM still reads the store for this one.
 const COVERAGE_INTERVAL: Duration = Duration::from_millis(250);
 /// A call fails if its response takes this much longer than the wait that was requested.
@@ -90,7 +99,11 @@
     gateway: &Arc<Gateway>,
     source: Arc<dyn ObjectSource<Configuration>>,
 ) -> JoinHandle<()> {
-    let watcher = Watcher::new(gateway, source, ConfigurationHandler(Arc::clone(gateway)));
+    let handler = ConfigurationHandler {
+        gateway: Arc::clone(gateway),
+        source: Mutex::default(),
+    };
+    let watcher = Watcher::new(gateway, source, handler);
     tokio::spawn(watcher.run())
 }
 
@@ -103,6 +116,15 @@
     tokio::spawn(watcher.run())
 }
 
+/// Starts to watch which data centres are closed.
+pub fn spawn_closures(
+    gateway: &Arc<Gateway>,
+    source: Arc<dyn ObjectSource<CentreClosure>>,
+) -> JoinHandle<()> {
+    let watcher = Watcher::new(gateway, source, ClosureHandler(Arc::clone(gateway)));
+    tokio::spawn(watcher.run())
+}
+
 struct Watcher<T, K> {
     gateway: Arc<Gateway>,
     source: Arc<dyn ObjectSource<T>>,
@@ -240,14 +262,35 @@
     }
 }
 
-struct ConfigurationHandler(Arc<Gateway>);
+struct ConfigurationHandler {
+    gateway: Arc<Gateway>,
+    /// Name of the object that holds the configuration in force; absent before the first one.
+    source: Mutex<Option<CompactString>>,
+}
 
 impl ConfigurationHandler {
     fn apply(&self, item: NamedObject<Configuration>) {
+        let mut source = self.source.lock().unwrap_or_else(PoisonError::into_inner);
         match item {
-            (_, Ok(configuration)) => self.0.apply_configuration(configuration),
+            (name, Ok(configuration)) => {
+                let version = configuration.version;
+                let newer = self.gateway.apply_configuration(configuration);
+                self.gateway.update_freshness(|freshness, now| {
+                    freshness.on_configuration(version, newer, now);
+                });
+                if newer || source.as_ref() == Some(&name) {
+                    *source = Some(name);
+                    self.gateway.freshness().set_unreadable(false);
+                }
+            }
             (name, Err(e)) => {
-                warn!(self.0.log, "configuration_unreadable"; "name" => %name, "error" => %e);
+                // Any other object beside the one in force is passed over.
+                if source.as_ref().is_none_or(|source| *source == name) {
+                    self.gateway.freshness().set_unreadable(true);
+                }
+                if self.gateway.on_unreadable(Self::KIND, &name, &e) {
+                    warn!(self.gateway.log, "configuration_unreadable"; "name" => %name, "error" => %e);
+                }
             }
         }
     }
@@ -265,9 +308,9 @@
     }
 
     fn covered(&self) -> bool {
-        let age = self.0.freshness().age(self.0.clock.boot());
-        let bound = self.0.bounds().withdrawal;
-        self.0.coverage().covers_configuration(age, bound)
+        let age = self.gateway.freshness().age(self.gateway.clock.boot());
+        let bound = self.gateway.bounds().withdrawal;
+        self.gateway.coverage().covers_configuration(age, bound)
     }
 
     // Readers hand on no changes of the configuration.
@@ -276,16 +319,19 @@
     }
 
     fn wait(&self) -> Duration {
-        let wait = self.0.freshness().poll_wait();
-        if self.0.coverage().reads_for_others() {
-            let bound = self.0.bounds().withdrawal;
+        let wait = self.gateway.freshness().poll_wait();
+        if self.gateway.coverage().reads_for_others() {
+            let bound = self.gateway.bounds().withdrawal;
             return wait.min(bound.mul_f64(READER_CONFIGURATION_SHARE));
         }
         wait
     }
 
-    fn on_list(&self, items: Vec<NamedObject<Configuration>>, _version: Version) {
-        self.0.coverage().on_configuration_listed();
+    fn on_list(&self, items: Vec<NamedObject<Configuration>>, version: Version) {
+        self.gateway.update_freshness(|freshness, now| {
+            freshness.on_generation(version.generation(), now);
+        });
+        self.gateway.coverage().on_configuration_listed();
         for item in items {
             self.apply(item);
         }
@@ -296,14 +342,15 @@
             match change {
                 ObjectChange::Set(item) => self.apply(item),
                 ObjectChange::Removed(name) => {
-                    warn!(self.0.log, "configuration_removed"; "name" => %name);
+                    warn!(self.gateway.log, "configuration_removed"; "name" => %name);
                 }
             }
         }
     }
 
     fn on_response(&self, sent: BootTime) {
-        self.0.freshness().on_response(sent);
+        self.gateway
+            .update_freshness(|freshness, _| freshness.on_response(sent));
     }
 
     fn on_recovery(&self) {}
@@ -320,7 +367,9 @@
         match item {
             (_, Ok(registration)) => Some(registration),
             (name, Err(e)) => {
-                warn!(self.0.log, "registration_unreadable"; "name" => %name, "error" => %e);
+                if self.0.on_unreadable(Self::KIND, &name, &e) {
+                    warn!(self.0.log, "registration_unreadable"; "name" => %name, "error" => %e);
+                }
                 None
             }
         }
@@ -352,9 +401,11 @@
     {
         info!(gateway.log, "upstream_told"; "upstream" => %registration.id,
                 "born" => registration.started_ms, "leaving" => registration.leaving,
-                "models" => registration.inventory.loaded.len());
+                "models" => registration.inventory.loaded.len(),
+                "warm_up_ms" => registration.warm_up_ms);
     }
     drop(upstreams);
+    gateway.on_registration_written(&registration);
     gateway.update_fleet(|fleet, _| fleet.on_registration(registration));
 }
 
@@ -402,6 +453,7 @@
             .filter_map(|item| self.filter_decoded(item));
         let registrations: Vec<_> = decoded.collect();
         info!(self.0.log, "registrations_listed"; "count" => registrations.len());
+        self.0.on_registrations_listed(&registrations);
         self.0
             .update_fleet(|fleet, now| fleet.on_list(registrations, now));
         self.0.coverage().on_registrations_listed(version);
@@ -448,3 +500,82 @@
         self.0.store_returned.notify_one();
     }
 }
+
+struct ClosureHandler(Arc<Gateway>);
+
+impl ClosureHandler {
+    /// Time in which a closure must be in force.
+    fn bound(&self) -> Duration {
+        self.0.bounds().closure.unwrap_or(DEFAULT_CLOSURE_BOUND)
+    }
+
+    /// The data centre that an object closes, whatever the object holds.
+    fn centre(&self, name: &str) -> Option<DataCentre> {
+        let centre = name.parse();
+        if centre.is_err() {
+            warn!(self.0.log, "closure_unreadable"; "name" => name);
+        }
+        centre.ok()
+    }
+}
+
+impl ChangeHandler<CentreClosure> for ClosureHandler {
+    const KIND: &'static str = "closures";
+
+    fn covered(&self) -> bool {
+        let now = self.0.clock.boot();
+        self.0.coverage().covers_closures(now, self.bound())
+    }
+
+    // Readers hand on no changes of the closures.
+    fn position(&self, last: Option<Version>, covered: bool) -> Option<Version> {
+        last.filter(|_| !covered)
+    }
+
+    fn wait(&self) -> Duration {
+        let reads = self.0.coverage().reads_for_others();
+        self.bound().mul_f64(if reads {
+            READER_CLOSURES_SHARE
+        } else {
+            CLOSURES_SHARE
+        })
+    }
+
+    fn batch_delay(&self) -> Duration {
+        Duration::ZERO
+    }
+
+    fn max_backoff(&self) -> Duration {
+        MAX_CONFIGURATION_BACKOFF
+    }
+
+    fn on_list(&self, items: Vec<NamedObject<CentreClosure>>, version: Version) {
+        let names = items.into_iter().filter_map(|(name, _)| self.centre(&name));
+        let listed = names.collect();
+        self.0
+            .update_closures(|closures, now| closures.on_list(listed, version, now));
+    }
+
+    fn on_changes(&self, changes: Vec<ObjectChange<CentreClosure>>, version: Version) {
+        let changes = changes.into_iter().filter_map(|change| match change {
+            ObjectChange::Set((name, _)) => Some((self.centre(&name)?, true)),
+            ObjectChange::Removed(name) => Some((self.centre(&name)?, false)),
+        });
+        self.0.update_closures(|closures, _| {
+            for (centre, closed) in changes {
+                closures.on_change(centre, closed, version);
+            }
+            closures.on_version(version);
+        });
+    }
+
+    fn on_response(&self, sent: BootTime) {
+        self.0.coverage().on_closures_read(sent);
+    }
+
+    fn on_recovery(&self) {}
+
+    fn on_store_return(&self) {
+        self.0.closures().on_store_return(self.0.clock.now());
+    }
+}
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -10,6 +10,7 @@
 
 use crate::ids::{AdapterId, DataCentre, ModelId, ServiceId, UpstreamId};
 
+use super::engine_pace::EnginePace;
 use super::request::Target;
 
 /// An upstream's registration in the platform's store, which the upstream itself writes.
@@ -32,6 +33,10 @@
     pub leaving: bool,
     /// Models on the engine; empty for a plain service.
     pub inventory: ModelInventory,
+    /// Time for which it still warms up, in milliseconds, as of the registration's last write; absent
+    /// where it does not say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warm_up_ms: Option<u64>,
 }
 
 /// One run of an upstream, from its start to its end.
@@ -94,6 +99,8 @@
     ejection: Mutex<Ejection>,
     /// Time before which the upstream wants no requests of this VM.
     deferred: Mutex<Option<Instant>>,
+    /// What the streams of this VM show of it.
+    pace: Mutex<EnginePace>,
 }
 
 #[derive(Debug, Default)]
@@ -181,6 +188,11 @@
         self.lock_deferred().filter(|until| now < *until)
     }
 
+    /// What the streams of this VM show of the upstream.
+    pub fn pace(&self) -> std::sync::MutexGuard<'_, EnginePace> {
+        self.pace.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_deferred(&self) -> std::sync::MutexGuard<'_, Option<Instant>> {
         self.deferred.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/schema/mesh.rs
+++ b/src/schema/mesh.rs
@@ -10,6 +10,8 @@
     Usage(Usage),
     #[serde(rename = "notice")]
     Notice(InventoryNotice),
+    #[serde(rename = "configuration")]
+    Configuration(ConfigurationReport),
 }
 impl ::std::convert::From<Usage> for Broadcast {
     fn from(value: Usage) -> Self {
@@ -21,6 +23,11 @@
         Self::Notice(value)
     }
 }
+impl ::std::convert::From<ConfigurationReport> for Broadcast {
+    fn from(value: ConfigurationReport) -> Self {
+        Self::Configuration(value)
+    }
+}
 #[doc = "A request whose response an engine broke off."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -29,6 +36,20 @@
     pub age_ms: u64,
     pub request: ::basilgw::ids::RequestDigest,
 }
+#[doc = "The configuration in force at the sender."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ConfigurationReport {
+    #[doc = "Whether the sender does not trust what it reads and asks for what others know."]
+    pub asked: bool,
+    #[doc = "Generation of the store in which the sender first read it."]
+    pub generation: ::basilgw::ids::StoreGeneration,
+    #[doc = "Newest generation whose configuration the sender trusts; absent where it trusts none yet."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub trusted: ::std::option::Option<::basilgw::ids::StoreGeneration>,
+    #[doc = "Version that the operators gave it; 0 where none is in force."]
+    pub version: u64,
+}
 #[doc = "A datagram between VMs, CBOR-encoded."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 pub enum Datagram {
@@ -52,6 +73,8 @@
     PermitResponse(PermitResponse),
     #[serde(rename = "forwarded")]
     Forwarded(Forwarded),
+    #[serde(rename = "configuration")]
+    Configuration(ConfigurationReport),
 }
 impl ::std::convert::From<Usage> for Datagram {
     fn from(value: Usage) -> Self {
@@ -103,6 +126,11 @@
         Self::Forwarded(value)
     }
 }
+impl ::std::convert::From<ConfigurationReport> for Datagram {
+    fn from(value: ConfigurationReport) -> Self {
+        Self::Configuration(value)
+    }
+}
 #[doc = "`DatagramsBetweenVMs`"]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(transparent)]
@@ -175,6 +203,9 @@
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct FollowResponse {
+    #[doc = "Absent where the sender reads no closures."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub closures: ::std::option::Option<KnownClosures>,
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub configuration: ::std::option::Option<KnownConfiguration>,
     #[doc = "Number of the request that this responds to."]
@@ -223,6 +254,17 @@
     #[doc = "True if it is loaded, false if it is about to be unloaded."]
     pub present: bool,
 }
+#[doc = "The closed data centres at the sender."]
+#[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct KnownClosures {
+    #[doc = "Age of the sender's newest read, in milliseconds."]
+    pub age_ms: u64,
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub centres: ::std::vec::Vec<::basilgw::ids::DataCentre>,
+    #[doc = "Version of the store that they were read at."]
+    pub version: ::basilgw::ids::Version,
+}
 #[doc = "The configuration in force at the sender."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -403,6 +445,9 @@
     #[doc = "Time since the request was sent, in milliseconds."]
     pub sent_age_ms: u64,
     pub upstream: ::basilgw::ids::UpstreamId,
+    #[doc = "Time for which the upstream still warms up at this rate, in milliseconds; absent where it named the limit in a response."]
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub warm_up_ms: ::std::option::Option<u64>,
 }
 #[doc = "Usage report, which each VM sends to all others several times a second or, among many VMs, about once a second."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug, PartialEq)]
