Send less to engines that say that they are slow

Cause: engines state in a fourth figure of their load how long work takes at that moment, and it was not read; the balancer compared running requests with slots. Ruled out: speeds learnt from response times, which depend on model, size and batch. Change: a fading estimate an engine, weighed into its load, and told to the other VMs where an engine is slow. Nothing changes where no engine states a figure. Not measured yet.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -248,6 +248,12 @@
         {
             upstream.health.pace().on_load(load, gateway.clock.now());
         }
+        if let SendOutcome::Responded(response) = &outcome
+            && let Some(slowness) = response.meta.slowness
+        {
+            let now = gateway.clock.now();
+            upstream.health.slowdown().on_statement(slowness, now);
+        }
         if answered {
             gateway.on_engine_answer(&upstream.registration, sent);
         }
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -1,7 +1,8 @@
 //! Load balancing: chooses the upstream that a request is sent to.
 //!
 //! Of the upstreams that can serve the request, the one with the lowest load in proportion to its
-//! slots is chosen. Loads that differ by a few requests only count as equal. At equal load, an
+//! slots is chosen; an upstream that is slower than usual counts as more loaded
+//! ([`super::slowdown`]). Loads that differ by a few requests only count as equal. At equal load, an
 //! upstream in this VM's own data centre is preferred, since traffic between data centres costs
 //! money; then a hash of the first part of the prompt decides, so that requests which share this
 //! part reach the same engine, which keeps it cached.
@@ -82,10 +83,11 @@
     } else {
         healthy
     };
-    let least = pool.iter().map(|u| load_share(u)).fold(f64::MAX, f64::min);
-    let least_loaded = pool
-        .into_iter()
-        .filter(|u| load_share(u) <= least + EQUAL_LOAD_SHARE);
+    let loads: Vec<_> = pool.iter().map(|u| weighted_load(u, now)).collect();
+    let least = loads.iter().copied().fold(f64::MAX, f64::min);
+    let pool = pool.into_iter().zip(loads);
+    let least_loaded = pool.filter(|(_, load)| *load <= least + EQUAL_LOAD_SHARE);
+    let least_loaded = least_loaded.map(|(upstream, _)| upstream);
     let chosen = least_loaded.max_by_key(|u| (u.registration.centre == *home, rank(u, head)));
     chosen.ok_or(deferred_until.map_or(missing, NoEngine::Deferred))
 }
@@ -103,6 +105,15 @@
     f64::from(upstream.health.load()) / f64::from(upstream.registration.slots.max(1))
 }
 
+/// Load of an upstream as a share of its slots. Where work takes longer than usual, what it has to
+/// do, with one more request, counts as many times more.
+fn weighted_load(upstream: &Upstream, now: Instant) -> f64 {
+    let next = 1.0 / f64::from(upstream.registration.slots.max(1));
+    let excess = upstream.health.slowdown().factor(now) - 1.0;
+    let load = load_share(upstream);
+    load + excess * (load + next)
+}
+
 /// Rank of an upstream by rendezvous hashing (highest random weight) of the first part of the
 /// prompt, or of the request's id where the prompt has no parts.
 fn rank(upstream: &Upstream, head: &RequestHead) -> u64 {
--- a/src/gateway/mesh/usage.rs
+++ b/src/gateway/mesh/usage.rs
@@ -77,6 +77,11 @@
             self.gateway.add_peer_usage(&account, tokens);
         }
         let upstreams = self.gateway.upstreams.load();
+        for (id, slowness) in change.slow {
+            if let Some(upstream) = upstreams.get(&id) {
+                upstream.health.slowdown().on_report(slowness, now);
+            }
+        }
         for (id, requests) in change.loads {
             if let Some(upstream) = upstreams.get(&id) {
                 upstream.health.set_peer_load(requests);
@@ -128,6 +133,11 @@
         let upstreams = self.gateway.upstreams.load();
         let loads = upstreams.iter().map(|(id, u)| (id, u.health.running()));
         let loads = loads.filter(|(_, requests)| *requests > 0);
+        let now = self.gateway.clock.now();
+        let slow = upstreams.iter().filter_map(|(id, upstream)| {
+            let slowness = upstream.health.slowdown().report(now)?;
+            Some((id.clone(), slowness))
+        });
         let lease = self.lock().lease;
         Usage {
             vm: self.gateway.vm.clone(),
@@ -135,6 +145,7 @@
             age_ms: Some(self.age().as_millis() as u64),
             lease: lease.map(|(epoch, version)| LeaderHeartbeat { epoch, version }),
             accounts: self.gateway.report_admitted(),
+            slow: slow.collect(),
             upstreams: loads.map(|(id, n)| (id.clone(), n)).collect(),
             leaving: self.gateway.leaving_hints(),
             quarantine: self.gateway.quarantine_report(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -65,6 +65,7 @@
 pub mod run;
 pub mod serve;
 pub mod signals;
+pub mod slowdown;
 pub mod state;
 pub mod store_watch;
 pub mod stream;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -20,6 +20,7 @@
 use super::fanout::roles::Capacity;
 use super::reachability::Reachability;
 use super::run::VmRegistration;
+use super::slowdown::Slowness;
 
 /// Shortest interval between usage reports of a VM, used among at most `FEW_VMS` VMs.
 pub const MIN_USAGE_INTERVAL: Duration = Duration::from_millis(200);
@@ -99,6 +100,8 @@
     pub earlier: Vec<(ClientAccount, Tokens)>,
     /// Running requests of all other VMs, for the upstreams where their number changed.
     pub loads: Vec<(UpstreamId, u32)>,
+    /// Upstreams that the VM has found slow.
+    pub slow: BTreeMap<UpstreamId, Slowness>,
 }
 
 /// The other VMs known to this one.
@@ -209,6 +212,7 @@
             admitted,
             earlier,
             loads,
+            slow: usage.slow,
         }
     }
 
--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -22,6 +22,7 @@
 
 use super::request::{BufferedRequest, HeadError, RequestHead, Target};
 use super::retry_after::RetryAfter;
+use super::slowdown::Slowness;
 use super::upstream::ModelInventory;
 
 /// Error for an object whose content is not of the expected form.
@@ -164,6 +165,8 @@
     pub encoded: bool,
     /// Load of the upstream; absent where not reported.
     pub load: Option<EngineLoad>,
+    /// How long work takes at the upstream now; absent where not reported.
+    pub slowness: Option<Slowness>,
     /// What the upstream states about itself.
     pub signals: UpstreamSignals,
 }
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -12,6 +12,7 @@
 
 use super::engine_pace::EnginePace;
 use super::request::Target;
+use super::slowdown::Slowdown;
 
 /// An upstream's registration in the platform's store, which the upstream itself writes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -101,6 +102,7 @@
     deferred: Mutex<Option<Instant>>,
     /// What the streams of this VM show of it.
     pace: Mutex<EnginePace>,
+    slowdown: Mutex<Slowdown>,
 }
 
 #[derive(Debug, Default)]
@@ -188,6 +190,11 @@
         self.lock_deferred().filter(|until| now < *until)
     }
 
+    /// How much longer work takes here than usual.
+    pub fn slowdown(&self) -> std::sync::MutexGuard<'_, Slowdown> {
+        self.slowdown.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// What the streams of this VM show of the upstream.
     pub fn pace(&self) -> std::sync::MutexGuard<'_, EnginePace> {
         self.pace.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/schema/mesh.rs
+++ b/src/schema/mesh.rs
@@ -478,6 +478,15 @@
     #[doc = "Present in the first reports after the sender's start; VMs that start later read it from the store."]
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub site: ::std::option::Option<VmSite>,
+    #[doc = "Upstreams that the sender has found slow, with the time that work takes there in percent of the usual."]
+    #[serde(
+        default,
+        skip_serializing_if = ":: std :: collections :: BTreeMap::is_empty"
+    )]
+    pub slow: ::std::collections::BTreeMap<
+        ::basilgw::ids::UpstreamId,
+        ::basilgw::gateway::slowdown::Slowness,
+    >,
     #[doc = "Number of the sender's running requests, by upstream."]
     #[serde(
         default,
--- a/tests/gateway_allowance.rs
+++ b/tests/gateway_allowance.rs
@@ -62,6 +62,7 @@
         quarantine: None,
         limits: Vec::new(),
         site: None,
+        slow: BTreeMap::new(),
     }
 }
 
--- a/tests/gateway_broadcast.rs
+++ b/tests/gateway_broadcast.rs
@@ -98,6 +98,7 @@
         quarantine: None,
         limits: Vec::new(),
         site: None,
+        slow: BTreeMap::new(),
     }
 }
 
--- a/tests/gateway_quota_start.rs
+++ b/tests/gateway_quota_start.rs
@@ -283,6 +283,7 @@
         quarantine: None,
         limits: Vec::new(),
         site: None,
+        slow: BTreeMap::new(),
     }
 }
 
@@ -368,6 +369,7 @@
         quarantine: None,
         limits: Vec::new(),
         site: None,
+        slow: BTreeMap::new(),
     }
 }
 
