Wait for a late head until another upstream is there and paid for

A request that may be repeated left an upstream whose head was late before it was known whether another one takes it; where the retry budget was used up, or all had been tried, its caller got a 502 although the first upstream was at work.

Ruled out: to look at the budget before leaving without spending it, as many requests look at once.

Change. head_wait decides how long a head is waited for, and exchange asks it (Patience). After the usual time, which stays as it is, an upstream is left only once another one takes the request for certain and a retry has been spent; the next attempt does not spend it again.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 use super::exchange::{
     self, DeclineReason, ResponseError, SendOutcome, UpstreamRequest, UpstreamResponse,
 };
+use super::head_wait::HeadWait;
 use super::platform_api::ForwardOptions;
 use super::quarantine::crashes::Written;
 use super::quarantine::gate::Clearance;
@@ -28,12 +30,6 @@
 
 /// Failed connections after which a request is refused.
 const MAX_FAILED_CONNECTS: usize = 4;
-/// A request that may be sent to another upstream waits for the start of a response for this many
-/// times the latency objective of its route.
-const SILENCE_OBJECTIVES: u32 = 3;
-/// Lower bound on that wait.
-const MIN_SILENCE: Duration = Duration::from_millis(900);
-
 /// The attempts made for a request so far.
 #[derive(Debug, Default)]
 pub struct Attempts {
@@ -45,6 +41,8 @@
     failed_connects: usize,
     /// Whether the request may have run.
     pub ran: bool,
+    /// Whether the retry budget has paid for the next attempt.
+    pub paid: bool,
     /// Whether a response has shown that the request crashes no engine.
     pub proven: bool,
     /// Error response of an upstream, which the caller gets unless a later attempt succeeds.
@@ -117,10 +115,18 @@
         let upstream = &permit.upstream().clone();
         let may_retry = attempts.sent + 1 < self.route.attempts;
         let sent = gateway.clock.now();
-        let outcome = self.send(permit, clearance, None, may_retry).await;
-        let now = gateway.clock.now();
         let registration = &upstream.registration;
         attempts.tried.insert(registration.id.clone());
+        let wait = HeadWait {
+            request: self,
+            tried: attempts.tried.clone(),
+            sent,
+            may_retry: may_retry && self.route.kind.retryable(),
+            paid: AtomicBool::new(false),
+        };
+        let outcome = self.send(permit, clearance, None, &wait).await;
+        attempts.paid = wait.paid.into_inner();
+        let now = gateway.clock.now();
         let mut begun = false;
         let error = match outcome {
             SendOutcome::NotSent(e) => {
@@ -186,14 +192,13 @@
     }
 
     /// Sends the request to one upstream. `after` is the last event that was forwarded to the
-    /// caller. With `may_retry` the wait for a response is shorter, because another upstream may be
-    /// tried after it.
+    /// caller; `wait` decides how long to wait for a response.
     pub async fn send(
         &self,
         permit: Permit,
         _clearance: Clearance,
         after: Option<u64>,
-        may_retry: bool,
+        wait: &HeadWait<'_>,
     ) -> SendOutcome {
         let gateway = &self.gateway;
         let upstream = &permit.upstream().clone();
@@ -216,17 +221,11 @@
                 return SendOutcome::NotRun(DeclineReason::Other);
             }
         };
-        let silence = (self.route.goal * SILENCE_OBJECTIVES).max(MIN_SILENCE);
-        let max_wait = if may_retry && self.route.kind.retryable() {
-            silence.min(time_left)
-        } else {
-            time_left
-        };
         let request = UpstreamRequest {
             permit,
             request_id: &head.id,
             request,
-            max_wait,
+            patience: wait,
             observer: &UpstreamObserver {
                 gateway,
                 upstream,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -88,12 +88,18 @@
     pub request_id: &'a RequestId,
     /// Encoded request.
     pub request: Request<Full<Bytes>>,
-    /// Longest wait for the head of the response.
-    pub max_wait: Duration,
+    /// Decides how long to wait for the head of the response.
+    pub patience: &'a dyn Patience,
     /// Told what the upstream states about itself in its response, whatever its status.
     pub observer: &'a dyn SignalObserver,
 }
 
+/// Decides how long a request waits for the head of its response.
+pub trait Patience: Send + Sync + Debug {
+    /// Time to wait until the next decision; `None` if the upstream is given up now.
+    fn next_wait(&self) -> Option<Duration>;
+}
+
 /// Receives what upstreams state about themselves in the heads of their responses.
 pub trait SignalObserver: Send + Sync + Debug {
     /// Handles the statements in a response of the upstream that the request was sent to.
@@ -109,17 +115,20 @@
     request: UpstreamRequest<'_>,
     guard: RequestGuard,
 ) -> SendOutcome {
-    let within = CONNECT_TIMEOUT.min(request.max_wait);
+    let Some(wait) = request.patience.next_wait() else {
+        return SendOutcome::NotSent(ConnectError::Timeout);
+    };
+    let within = CONNECT_TIMEOUT.min(wait);
     let upstream = Arc::clone(&request.permit.upstream().registration);
     let mut connection = match Connection::open(upstream.address, within).await {
         Ok(connection) => connection,
         Err(e) => return SendOutcome::NotSent(e),
     };
     let responded = connection.send(request.request);
-    let response = match tokio::time::timeout(request.max_wait, responded).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(_ended)) => return SendOutcome::Unknown(ResponseError::Disconnected),
-        Err(_late) => return SendOutcome::Unknown(ResponseError::Silent),
+    let response = match wait_patiently(responded, request.patience).await {
+        Some(Ok(response)) => response,
+        Some(Err(_ended)) => return SendOutcome::Unknown(ResponseError::Disconnected),
+        None => return SendOutcome::Unknown(ResponseError::Silent),
     };
     let (head, body) = response.into_parts();
     let meta = dialect.read_response(&head);
@@ -161,6 +170,20 @@
     }))
 }
 
+/// Waits for a result; `None` if patience ends before.
+async fn wait_patiently<F>(result: F, patience: &dyn Patience) -> Option<F::Output>
+where
+    F: Future,
+{
+    tokio::pin!(result);
+    loop {
+        let wait = patience.next_wait()?;
+        if let Ok(result) = tokio::time::timeout(wait, result.as_mut()).await {
+            return Some(result);
+        }
+    }
+}
+
 /// Result of reading the next part of a body.
 #[derive(Debug)]
 pub enum BodyRead {
--- /dev/null
+++ b/src/gateway/head_wait.rs
@@ -0,0 +1,75 @@
+//! How long a request waits for the head of its response before another upstream is tried.
+//!
+//! A silent upstream may be busy. It is left only once another one takes the request and the retry
+//! budget has paid for that; otherwise the request waits on, as long as its caller does.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use crate::ids::UpstreamId;
+
+use super::exchange::Patience;
+use super::relay::AdmittedRequest;
+
+/// A request that may be sent to another upstream waits for the start of a response for this many
+/// times the latency objective of its route.
+const SILENCE_OBJECTIVES: u32 = 3;
+/// Lower bound on that wait.
+const MIN_SILENCE: Duration = Duration::from_millis(900);
+/// Time to the next look at whether an upstream that is silent for longer can be left.
+const LOOK_AGAIN: Duration = Duration::from_millis(300);
+
+/// The time to wait for a head after `waited`, on a route with this objective, where the deadline is
+/// `left` away; `None` if the upstream is given up. `leave` says whether it can be left for another
+/// one, and is asked only after the usual wait.
+pub fn next_wait<F>(goal: Duration, waited: Duration, left: Duration, leave: F) -> Option<Duration>
+where
+    F: FnOnce() -> bool,
+{
+    if left.is_zero() {
+        return None;
+    }
+    let usual = (goal * SILENCE_OBJECTIVES).max(MIN_SILENCE);
+    let usual_left = usual.saturating_sub(waited);
+    if !usual_left.is_zero() {
+        return Some(usual_left.min(left));
+    }
+    if leave() {
+        return None;
+    }
+    Some(LOOK_AGAIN.min(left))
+}
+
+/// The wait of one request at one upstream.
+#[derive(Debug)]
+pub struct HeadWait<'a> {
+    /// The request.
+    pub request: &'a AdmittedRequest,
+    /// Upstreams that it is not sent to again, this one included.
+    pub tried: BTreeSet<UpstreamId>,
+    /// When it was sent.
+    pub sent: Instant,
+    /// Whether another upstream may be tried.
+    pub may_retry: bool,
+    /// Whether the retry budget has paid for that.
+    pub paid: AtomicBool,
+}
+
+impl Patience for HeadWait<'_> {
+    fn next_wait(&self) -> Option<Duration> {
+        let left = self.request.time_left();
+        if !self.may_retry {
+            return Some(left).filter(|left| !left.is_zero());
+        }
+        let gateway = &self.request.gateway;
+        let waited = gateway.clock.now().saturating_duration_since(self.sent);
+        next_wait(self.request.route.goal, waited, left, || {
+            let leaves = self.request.has_alternative(&self.tried)
+                && self.request.has_retry()
+                && gateway.try_retry(&self.request.service);
+            self.paid.store(leaves, Ordering::Relaxed);
+            leaves
+        })
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -34,6 +34,7 @@
 pub mod fleet;
 pub mod framing;
 pub mod freshness;
+pub mod head_wait;
 mod leadership;
 pub mod lease;
 pub mod load_limiter;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -2,6 +2,7 @@
 //! it is resumed at another engine where its route allows that.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 use super::engine_run::EngineRun;
 use super::events::{EventError, EventSplitter};
 use super::exchange::{BodyRead, ResponseError, SendOutcome, UpstreamResponse};
+use super::head_wait::HeadWait;
 use super::model_wait::give_up_time;
 use super::quarantine::crashes::Written;
 use super::quarantine::gate::Clearance;
@@ -501,7 +503,14 @@
         self.response.close();
         let after = self.events.last_id();
         let sent = gateway.clock.now();
-        let outcome = admitted.send(permit, clearance, after, false).await;
+        let wait = HeadWait {
+            request: &admitted,
+            tried: self.attempts.tried.clone(),
+            sent,
+            may_retry: false,
+            paid: AtomicBool::new(false),
+        };
+        let outcome = admitted.send(permit, clearance, after, &wait).await;
         if !matches!(outcome, SendOutcome::NotSent(_)) {
             self.attempts.sent += 1;
         }
--- a/tests/gateway_stream_silence.rs
+++ b/tests/gateway_stream_silence.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use basilgw::gateway::engine_pace::{EnginePace, Silent, Standing};
+use basilgw::gateway::head_wait::next_wait;
 use basilgw::gateway::platform_api::EngineLoad;
 use basilgw::gateway::stream_progress::StreamProgress;
 
@@ -146,3 +147,17 @@
     let later = load.start + ms(60_000);
     assert_eq!(load.pace.longest_silence(later), Duration::ZERO);
 }
+
+#[test]
+fn a_late_head_is_waited_for_until_another_upstream_is_paid_for() {
+    let goal = ms(500);
+    let left = ms(5000);
+    let unasked = || -> bool { unreachable!("too early") };
+    assert_eq!(next_wait(goal, ms(0), left, unasked), Some(ms(1500)));
+    assert_eq!(next_wait(ms(10), ms(100), left, unasked), Some(ms(800)));
+    assert_eq!(next_wait(goal, ms(0), ms(70), unasked), Some(ms(70)));
+    assert_eq!(next_wait(goal, ms(1500), left, || true), None);
+    assert_eq!(next_wait(goal, ms(1500), left, || false), Some(ms(300)));
+    assert_eq!(next_wait(goal, ms(1500), ms(100), || false), Some(ms(100)));
+    assert_eq!(next_wait(goal, ms(1500), ms(0), || false), None);
+}
