--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 pub mod framing;
 pub mod freshness;
 mod generation_record;
+pub mod head_wait;
 mod leadership;
 pub mod lease;
 pub mod load_limiter;
