Call the store less for closed data centres while it turns a VM away

Cause: each call is priced, also refused ones; a VM that is turned away asked for closures every half second, as for the configuration.

Change: pauses up to 2 s, which an answer to another watch ends; readers wait 0.3 of the bound, so that followers have half a second in hand.

--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -40,7 +40,7 @@
 const READER_DELAY_RATIO: f64 = 0.2;
 /// Longest wait for a change to the closed data centres, as shares of the time in which a closure
 /// must be in force, where other VMs rely on what this one reads and elsewhere.
-const READER_CLOSURES_SHARE: f64 = 0.35;
+const READER_CLOSURES_SHARE: f64 = 0.3;
 const CLOSURES_SHARE: f64 = 0.4;
 /// The time in which a closure must be in force where the settings no longer say.
 const DEFAULT_CLOSURE_BOUND: Duration = Duration::from_secs(5);
@@ -56,6 +56,8 @@
 /// Upper bound on the pause after failures for registrations; a success for the configuration
 /// ends the pause early.
 const MAX_REGISTRATIONS_BACKOFF: Duration = Duration::from_secs(2);
+/// The same for closed data centres.
+const MAX_CLOSURES_BACKOFF: Duration = Duration::from_secs(2);
 /// Upper bound on the pause of a follower, which its readers end early.
 const FOLLOWER_BACKOFF: Duration = Duration::from_secs(3);
 /// Doublings after which the pause no longer grows.
@@ -514,7 +516,7 @@
     }
 
     fn max_backoff(&self) -> Duration {
-        MAX_CONFIGURATION_BACKOFF
+        MAX_CLOSURES_BACKOFF
     }
 
     fn on_list(&self, items: Vec<NamedObject<CentreClosure>>, version: Version) {
