Subtract late usage from what a VM left to others first

Cause: a VM that is cut off leaves the others their part of an account's rate and burst, and as it hears them again it subtracted all that they had admitted meanwhile, so that usage counted twice. An account at half of its rate was refused after each cut, at the VMs of the smaller group. Change: `Forgone` keeps for a minute the tokens that a level did not gain (left to unreachable VMs, given up with a smaller part, found it full), by time. The usage that a VM reports after a silence comes from those of that silence first; nothing is admitted from them. Reports read within 0.2 s after the first one count as late too, as a VM that stood still finds several. Levels are refilled at each report, so that each part counts for its own time.

--- a/src/gateway/allowance.rs
+++ b/src/gateway/allowance.rs
@@ -6,7 +6,8 @@
 //! level has refilled, so an account that sends many times its rate exceeds its quota once and not
 //! in every window. A VM that admits many tokens reports them at once, so that the unreported
 //! tokens of all VMs stay a small share of the rate. A VM that cannot reach all others uses only a
-//! part of the rate and the burst ([`super::reachability`]). The level starts at zero unless the
+//! part of the rate and the burst ([`super::reachability`]); what it left to the others covers what
+//! they admitted unheard ([`super::forgone`]). The level starts at zero unless the
 //! whole system starts for the first time, so that a restart of all VMs grants no second burst; what
 //! VMs that started earlier have admitted is taken from it.
 //!
@@ -19,6 +20,8 @@
 
 use crate::units::{TokenRate, Tokens};
 
+use super::forgone::Forgone;
+
 /// Shortest retry delay sent to a refused caller.
 const MIN_RETRY: Duration = Duration::from_millis(50);
 /// Bound on the tokens that all VMs together have admitted but not reported, as the time in which
@@ -42,6 +45,8 @@
     /// When a request larger than this VM's part of the burst may be drawn for again.
     next_draw: Instant,
     refilled: Instant,
+    /// Tokens that the level did not gain, from which late usage of others is taken first.
+    forgone: Forgone,
     /// Tokens that this VM has admitted since it started.
     pub admitted: Tokens,
     /// Value of `admitted` in the last report to the other VMs.
@@ -70,6 +75,7 @@
             earlier_usage: full.then_some(0.0),
             next_draw: now,
             refilled: now,
+            forgone: Forgone::default(),
             admitted: Tokens::ZERO,
             reported: Tokens::ZERO,
         }
@@ -88,7 +94,10 @@
     pub fn refill(&mut self, now: Instant, part: f64) {
         let span = now.saturating_duration_since(self.refilled);
         self.refilled = now;
-        self.level = (self.level + self.rate.over(span) * part).min(self.burst * part);
+        let earned = self.rate.over(span);
+        let before = self.level;
+        self.level = (before + earned * part).min(self.burst * part);
+        self.forgone.add(before + earned - self.level, now);
     }
 
     /// Whether this VM, one of `vms`, should report its admitted tokens at once.
@@ -146,11 +155,24 @@
         draw * need < most
     }
 
-    /// Subtracts tokens that another VM admitted; negative where that VM refunded some. What was
-    /// admitted long ago has been refilled since.
-    pub fn on_peer_usage(&mut self, tokens: i64) {
+    /// Subtracts tokens that another VM admitted since its report before; negative where that VM
+    /// refunded some. `silence` is the time since that report if the VM was unreachable: what the
+    /// level did not gain in it was left to such VMs, and is used up first. What was admitted long
+    /// ago has been refilled since.
+    pub fn on_peer_usage(
+        &mut self,
+        tokens: i64,
+        silence: Option<Duration>,
+        now: Instant,
+        part: f64,
+    ) {
+        let mut tokens = tokens as f64;
+        if let Some(silence) = silence.filter(|_| tokens > 0.0) {
+            self.refill(now, part);
+            tokens -= self.forgone.take(tokens, silence, now);
+        }
         let debt = self.burst + self.rate.over(MAX_DEBT_TIME);
-        self.level = (self.level - tokens as f64).min(self.burst).max(-debt);
+        self.level = (self.level - tokens).min(self.burst).max(-debt);
     }
 
     /// Subtracts what a VM that started earlier had admitted when it was first heard, if the level
--- a/src/gateway/mesh/usage.rs
+++ b/src/gateway/mesh/usage.rs
@@ -66,13 +66,12 @@
         {
             self.try_send(&Datagram::Limits(summary), from);
         }
-        self.gateway.on_peer_message(now);
         for (account, tokens) in change.earlier {
             self.gateway.add_earlier_usage(&account, tokens);
         }
-        for (account, tokens) in change.admitted {
-            self.gateway.add_peer_usage(&account, tokens);
-        }
+        self.gateway
+            .add_peer_usage(change.admitted, change.silence, now);
+        self.gateway.on_peer_message(now);
         let upstreams = self.gateway.upstreams.load();
         for (id, requests) in change.loads {
             if let Some(upstream) = upstreams.get(&id) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -36,6 +36,8 @@
 const MAX_MISSED_INTERVALS: f64 = 1.5;
 /// Shortest silence after which a VM counts as unreachable.
 pub const MIN_SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time in which a VM reads the datagrams that arrived while it stood still.
+const CATCH_UP_TIME: Duration = MIN_USAGE_INTERVAL;
 /// A VM is forgotten after a silence of this length, if it is no longer registered or most VMs are
 /// heard. A VM that hears few others may be cut off from them, and they still run.
 const FORGET_TIMEOUT: Duration = Duration::from_secs(12);
@@ -66,11 +68,21 @@
     }
 }
 
+/// A span in which no report of a VM arrived.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    from: Instant,
+    /// When the first report after it arrived.
+    until: Instant,
+}
+
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
     /// When the VM's last usage report arrived.
     last_received: Option<Instant>,
+    /// The last silence after which it was heard again.
+    silence: Option<Silence>,
     /// When its registration was last read, or it was first added.
     last_listed: Instant,
     /// What the process that sent the last report has admitted; absent before the first report.
@@ -89,6 +101,9 @@
     pub new: bool,
     /// Whether this is the first report that arrives since the VM started.
     pub started: bool,
+    /// Time since the VM was last heard before a silence that has just ended; absent if there was
+    /// none.
+    pub silence: Option<Duration>,
     /// Tokens admitted since the previous report; negative if more tokens were returned to the
     /// quota.
     pub admitted: Vec<(ClientAccount, i64)>,
@@ -106,8 +121,8 @@
     loads: BTreeMap<UpstreamId, u32>,
     /// Most VMs known at any time, this one included.
     peak: u32,
-    /// What VMs had admitted that were forgotten since.
-    forgotten: BTreeMap<VmId, AdmittedTotals>,
+    /// What VMs had admitted that were forgotten since, and when each was last heard.
+    forgotten: BTreeMap<VmId, (AdmittedTotals, Instant)>,
     /// When this VM started; absent where its age is not compared.
     started: Option<Instant>,
     /// When the registered VMs, this one among them, were last read.
@@ -157,9 +172,14 @@
     /// Applies a usage report that was sent from `from`.
     pub fn apply_usage(&mut self, usage: Usage, from: SocketAddr, now: Instant) -> UsageChange {
         let new = !self.known.contains_key(&usage.vm);
+        let timeout = self.silence_timeout();
         let peer = self.known.entry(usage.vm.clone());
         let peer = peer.or_insert_with(|| Peer::new(from, now));
         peer.address = from;
+        if !peer.is_reachable(now, timeout) {
+            let from = peer.last_seen();
+            peer.silence = Some(Silence { from, until: now });
+        }
         peer.last_received = Some(now);
         peer.site = usage.site.or(peer.site.take());
         let known = peer.totals.as_ref();
@@ -167,7 +187,10 @@
         let mut earlier = Vec::new();
         if started {
             let totals = self.forgotten.remove(&usage.vm);
-            let totals = totals.filter(|totals| totals.generation == usage.generation);
+            let totals = totals.filter(|(totals, _)| totals.generation == usage.generation);
+            if let (Some((_, heard)), Some(silence)) = (&totals, &mut peer.silence) {
+                silence.from = *heard;
+            }
             let is_older = known.is_none() && !is_younger(self.started, usage.age_ms, now);
             if is_older && totals.is_none() {
                 let accounts = usage.accounts.iter();
@@ -178,10 +201,12 @@
                 generation: usage.generation,
                 accounts: baseline,
             };
-            peer.totals = Some(totals.unwrap_or(new));
+            peer.totals = Some(totals.map_or(new, |(totals, _)| totals));
         }
         let totals = peer.totals.as_mut();
         let admitted = totals.map_or_else(Vec::new, |totals| totals.update(usage.accounts));
+        let silence = peer.silence.filter(|silence| silence.is_recent(now));
+        let silence = silence.map(|silence| now.saturating_duration_since(silence.from));
         let before = std::mem::replace(&mut peer.loads, usage.upstreams);
         let mut changed = before.clone();
         changed.retain(|id, count| peer.loads.get(id) != Some(count));
@@ -199,6 +224,7 @@
         UsageChange {
             new,
             started,
+            silence,
             admitted,
             earlier,
             loads,
@@ -238,11 +264,14 @@
         });
         let silent: Vec<_> = silent.map(|(vm, _)| vm.clone()).collect();
         for vm in silent {
-            let totals = self.known.remove(&vm).and_then(|peer| peer.totals);
-            if let Some(totals) = totals
+            let Some(peer) = self.known.remove(&vm) else {
+                continue;
+            };
+            let last_seen = peer.last_seen();
+            if let Some(totals) = peer.totals
                 && self.forgotten.len() < MAX_FORGOTTEN
             {
-                self.forgotten.insert(vm, totals);
+                self.forgotten.insert(vm, (totals, last_seen));
             }
         }
     }
@@ -320,11 +349,19 @@
     }
 }
 
+impl Silence {
+    /// Whether reports that arrive now may be of the time of the silence.
+    fn is_recent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.until) <= CATCH_UP_TIME
+    }
+}
+
 impl Peer {
     fn new(address: SocketAddr, now: Instant) -> Self {
         Self {
             address,
             last_received: None,
+            silence: None,
             last_listed: now,
             totals: None,
             loads: BTreeMap::new(),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -411,18 +411,33 @@
 
     /// Tokens admitted since the start, by account, for the next usage report.
     pub fn report_admitted(&self) -> BTreeMap<ClientAccount, Tokens> {
+        let now = self.clock.now();
+        let part = self.reachability().rate_share(now);
         let mut allowances = lock(&self.allowances);
+        for allowance in allowances.values_mut() {
+            allowance.refill(now, part);
+        }
         let used = allowances
             .iter_mut()
             .map(|(name, a)| (name.clone(), a.take_report()));
         used.filter(|(_, tokens)| *tokens > Tokens::ZERO).collect()
     }
 
-    /// Subtracts tokens that a peer VM has admitted since its previous report from the account's
-    /// quota; `tokens` is negative if the peer returned more.
-    pub fn add_peer_usage(&self, account: &ClientAccount, tokens: i64) {
-        if let Some(allowance) = lock(&self.allowances).get_mut(account) {
-            allowance.on_peer_usage(tokens);
+    /// Subtracts tokens that a peer VM has admitted since its previous report from the accounts'
+    /// quotas; they are negative if the peer returned more. `silence` is the time since that report
+    /// if the peer was unreachable.
+    pub fn add_peer_usage(
+        &self,
+        usage: Vec<(ClientAccount, i64)>,
+        silence: Option<Duration>,
+        now: Instant,
+    ) {
+        let part = self.reachability().rate_share(now);
+        let mut allowances = lock(&self.allowances);
+        for (account, tokens) in usage {
+            if let Some(allowance) = allowances.get_mut(&account) {
+                allowance.on_peer_usage(tokens, silence, now, part);
+            }
         }
     }
 
--- a/tests/gateway_allowance.rs
+++ b/tests/gateway_allowance.rs
@@ -135,7 +135,8 @@
                 let taken = vm.peers.apply_usage(report.clone(), address(), now);
                 vm.reachability.last_received = now;
                 for (_, tokens) in taken.admitted {
-                    vm.allowance.on_peer_usage(tokens);
+                    let part = vm.reachability.rate_share(now);
+                    vm.allowance.on_peer_usage(tokens, taken.silence, now, part);
                 }
             }
         }
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -110,7 +110,7 @@
 fn what_others_admitted_unheard_is_paid_back() {
     let start = Instant::now();
     let mut allowance = Allowance::open(rate(1000.0), Tokens(1000), true, start);
-    allowance.on_peer_usage(3000);
+    allowance.on_peer_usage(3000, None, start, 1.0);
     let wait = allowance
         .admit(Tokens(100), start, 1.0, 0.9)
         .expect_err("in debt");
--- a/tests/gateway_support/mod.rs
+++ b/tests/gateway_support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod limited;
 pub mod outbreak;
+pub mod quota;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Debug;
