--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -51,14 +51,22 @@
     progress: Mutex<Progress>,
 }
 
+/// How far the last request of a connection has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// There was none, or its response is written.
+    Done,
+    /// The HTTP library has not taken the whole response.
+    Running,
+    /// It has, and may still have to write some of it.
+    Taken,
+}
+
 #[derive(Debug)]
 struct Progress {
     /// Requests that have arrived so far.
     arrived: usize,
-    /// Whether a request is in progress.
-    busy: bool,
-    /// Whether the HTTP library has taken the whole response.
-    taken: bool,
+    stage: Stage,
     /// Whether the body of the last request was not read to its end.
     unread: bool,
     /// When the last request ended, or the connection was opened.
@@ -90,8 +98,7 @@
     pub fn open(slot: CallerSlot, clock: Arc<dyn Clock>, raw_head: RawHead) -> Arc<Self> {
         let progress = Progress {
             arrived: 0,
-            busy: false,
-            taken: false,
+            stage: Stage::Done,
             unread: false,
             idle_since: clock.now(),
             blocked_since: None,
@@ -115,8 +122,7 @@
     pub fn begin_request(&self, declared: Option<u64>, unread: bool) {
         let mut progress = self.lock();
         progress.arrived += 1;
-        progress.busy = true;
-        progress.taken = false;
+        progress.stage = Stage::Running;
         progress.unread = unread;
         progress.declared = declared;
         progress.outlives_end = true;
@@ -167,7 +173,7 @@
     /// Since when there is no request in progress; `None` if there is one.
     pub fn idle_since(&self) -> Option<Instant> {
         let progress = self.lock();
-        (!progress.busy).then_some(progress.idle_since)
+        (progress.stage == Stage::Done).then_some(progress.idle_since)
     }
 
     /// Since when the caller takes nothing of a response; `None` if it does, or there is none.
@@ -178,10 +184,10 @@
     /// Ends the request if its response was taken whole; all bytes taken so far are written.
     fn on_flushed(&self) {
         let mut progress = self.lock();
-        if !progress.busy || !progress.taken {
+        if progress.stage != Stage::Taken {
             return;
         }
-        progress.busy = false;
+        progress.stage = Stage::Done;
         progress.idle_since = self.clock.now();
         let guard = progress.guard.take();
         progress.wake_reader();
@@ -195,7 +201,7 @@
     fn keeps_end(&self, cx: &Context<'_>) -> bool {
         let mut progress = self.lock();
         let whole = !progress.unread || progress.declared == Some(self.raw_head.body_bytes());
-        let keeps = progress.busy && progress.outlives_end && whole;
+        let keeps = progress.stage != Stage::Done && progress.outlives_end && whole;
         if keeps {
             progress.ended.get_or_insert(self.clock.now());
             progress.reader = Some(cx.waker().clone());
@@ -246,7 +252,7 @@
 
 impl Drop for WatchedBody {
     fn drop(&mut self) {
-        self.connection.lock().taken = true;
+        self.connection.lock().stage = Stage::Taken;
     }
 }
 
