--- a/tests/gateway_crowding.rs
+++ b/tests/gateway_crowding.rs
@@ -2,7 +2,7 @@
 
 mod gateway_support;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use basilgw::gateway::configuration::{EngineSpec, Model};
@@ -39,7 +39,7 @@
 fn engine(models: &[(&str, u32)]) -> EngineView {
     let loaded = models
         .iter()
-        .map(|(name, _)| (id(name), Default::default()));
+        .map(|(name, _)| (id(name), BTreeSet::default()));
     let running = models.iter().filter(|(_, requests)| *requests > 0);
     EngineView {
         slots: 16,
