Test what is held against a crash from reports and after an answer

Two deliberate breaks of the last rules were found by no test: requests that were sent after a crash counted where another VM reported them, and requests at an upstream that answers again counted for nothing. The code is unchanged.

--- a/tests/gateway_quarantine_requests.rs
+++ b/tests/gateway_quarantine_requests.rs
@@ -314,6 +314,37 @@
     assert!(!held(two, BAD, now + SETTLED * 2));
 }
 
+// Guards against: the same where VMs that have not heard of the crashes report the requests.
+#[test]
+fn reports_of_requests_to_upstreams_that_are_down_say_nothing() {
+    let now = start();
+    let mut knows = Quarantine::default();
+    let mut others = [Quarantine::default(), Quarantine::default()];
+    for n in 0..4 {
+        crash(&mut knows, n, RequestDigest(100 + u128::from(n)), now);
+        crash(&mut others[n as usize / 2], n, BAD, now + ms(200 + 200 * n));
+    }
+    for other in &mut others {
+        tell(other, &mut knows, now + ms(1000));
+    }
+    assert!(!held(&mut knows, BAD, now + SETTLED));
+}
+
+// Guards against: requests that crash the next run of an upstream, taken for those that met none.
+#[test]
+fn requests_to_an_upstream_that_answers_again_count() {
+    let now = start();
+    let mut vm = Quarantine::default();
+    for n in 0..3 {
+        let at = now + ms(1000 * n);
+        crash(&mut vm, n, RequestDigest(100 + u128::from(n)), at);
+        vm.on_answer(&engine(n), at + ms(200), at + ms(250));
+        crash(&mut vm, n, BAD, at + ms(400));
+    }
+    vm.on_replaced(|_| true, now + SETTLED);
+    assert!(held(&mut vm, BAD, now + SETTLED * 2));
+}
+
 // Guards against: a planned restart that makes a crash of a broken connection.
 #[test]
 fn an_upstream_that_restarts_much_later_had_not_crashed() {
