Raise a VM's part of the quota as soon as it hears another VM

Cause: a VM published its part only with its own reports, up to 1.5 s apart, but subtracted the usage of VMs that it heard for the first time, or again, at once. A VM that started anew refilled by a part of 0.1 and subtracted the usage of all. Change: a report of a VM that was unreachable refills all levels by the part used until then, and publishes the new one. The bounds hold as before. An account that turns to four times its rate as 2 of 7 VMs are cut off keeps to it, and gets 0.9 of its rate after.

--- a/src/gateway/mesh/usage.rs
+++ b/src/gateway/mesh/usage.rs
@@ -49,6 +49,7 @@
         let quarantine = usage.quarantine.take();
         let vm = usage.vm.clone();
         let change = state.peers.apply_usage(usage, from, now);
+        let reachability = change.reappeared.then(|| state.peers.reachability(now));
         drop(state);
         if change.new {
             info!(self.gateway.log, "vm_heard"; "peer" => %vm);
@@ -72,6 +73,10 @@
         }
         self.gateway
             .add_peer_usage(change.admitted, change.silence, now);
+        // Its usage counts from now on, so its part must as well.
+        if let Some(reachability) = reachability {
+            self.gateway.set_reachability(reachability);
+        }
         self.gateway.on_peer_message(now);
         let upstreams = self.gateway.upstreams.load();
         for (id, requests) in change.loads {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -101,6 +101,8 @@
     pub new: bool,
     /// Whether this is the first report that arrives since the VM started.
     pub started: bool,
+    /// Whether the VM was not reachable until this report.
+    pub reappeared: bool,
     /// Time since the VM was last heard before a silence that has just ended; absent if there was
     /// none.
     pub silence: Option<Duration>,
@@ -176,7 +178,8 @@
         let peer = self.known.entry(usage.vm.clone());
         let peer = peer.or_insert_with(|| Peer::new(from, now));
         peer.address = from;
-        if !peer.is_reachable(now, timeout) {
+        let reappeared = !peer.is_reachable(now, timeout);
+        if reappeared {
             let from = peer.last_seen();
             peer.silence = Some(Silence { from, until: now });
         }
@@ -224,6 +227,7 @@
         UsageChange {
             new,
             started,
+            reappeared,
             silence,
             admitted,
             earlier,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -422,14 +422,18 @@
         }
     }
 
-    /// Tokens admitted since the start, by account, for the next usage report.
-    pub fn report_admitted(&self) -> BTreeMap<ClientAccount, Tokens> {
+    fn refill_allowances(&self) {
         let now = self.clock.now();
         let part = self.reachability().rate_share(now);
-        let mut allowances = lock(&self.allowances);
-        for allowance in allowances.values_mut() {
+        for allowance in lock(&self.allowances).values_mut() {
             allowance.refill(now, part);
         }
+    }
+
+    /// Tokens admitted since the start, by account, for the next usage report.
+    pub fn report_admitted(&self) -> BTreeMap<ClientAccount, Tokens> {
+        self.refill_allowances();
+        let mut allowances = lock(&self.allowances);
         let used = allowances
             .iter_mut()
             .map(|(name, a)| (name.clone(), a.take_report()));
@@ -461,8 +465,9 @@
         }
     }
 
-    /// Sets how many VMs are known and reachable.
+    /// Sets how many VMs are known and reachable. The quotas are refilled by the part used until now.
     pub fn set_reachability(&self, reachability: Reachability) {
+        self.refill_allowances();
         *lock(&self.reachability) = reachability;
     }
 
--- a/tests/gateway_support/quota.rs
+++ b/tests/gateway_support/quota.rs
@@ -337,7 +337,6 @@
             }
             let change = vm.peers.apply_usage(usage, address(from), self.now);
             let part = vm.reachability.rate_share(self.now);
-            vm.reachability.last_received = self.now;
             for (_, tokens) in change.earlier {
                 vm.allowance.on_earlier_usage(tokens);
             }
@@ -345,6 +344,11 @@
                 vm.allowance
                     .on_peer_usage(tokens, change.silence, self.now, part);
             }
+            vm.reachability.last_received = self.now;
+            if change.reappeared {
+                vm.allowance.refill(self.now, part);
+                vm.reachability = vm.peers.reachability(self.now);
+            }
         }
         self.datagrams.extend(kept);
     }
