Test an account that turns to many times its rate as many VMs are cut off

The test fails and is to be listed in KNOWN-RED.txt: groups notice a cut after 1 to 1.8 s, and each has the whole burst until then. Seen at 60 VMs, 20 of them cut off at the moment of the turn, 100,000 tokens a second: 1,137,500 tokens in 8 s where 1,107,400 may be; 1,134,000 with late usage subtracted in full, as it was before. Ruled out as too little: a part by the share of the reports expected in the last 0.75 of an interval would notice after about half of an interval, which by estimate still leaves it over the bound.

--- a/tests/gateway_quota_parted.rs
+++ b/tests/gateway_quota_parted.rs
@@ -180,6 +180,19 @@
     assert_eq!(level(&allowance, now, 1.0), 1000, "heard in time");
 }
 
+// VMs notice a cut late: each group has the whole burst until then. Fails, see KNOWN-RED.txt.
+#[test]
+fn an_account_that_turns_to_many_times_its_rate_as_many_vms_are_cut_off_keeps_to_it() {
+    let until = FROM + Duration::from_secs(5);
+    for vms in [60, 85] {
+        for hot in [FROM, FROM + ms(500)] {
+            let mut plan = half(vms);
+            plan.cut(0..vms / 3, &(FROM..until));
+            check_bound(plan, hot, until);
+        }
+    }
+}
+
 #[test]
 fn an_account_that_turns_to_many_times_its_rate_as_few_vms_are_cut_off_keeps_to_it() {
     let until = FROM + Duration::from_secs(5);
