--- a/src/gateway/allowance.rs
+++ b/src/gateway/allowance.rs
@@ -99,8 +99,9 @@
     }
 
     /// Changes the rate and the burst. A smaller burst lowers the level; a larger one leaves it.
-    pub fn set_quota(&mut self, rate: TokenRate, burst: Tokens, now: Instant) {
-        self.refill(now, 1.0);
+    /// `part` is this VM's part of the quota.
+    pub fn set_quota(&mut self, rate: TokenRate, burst: Tokens, now: Instant, part: f64) {
+        self.refill(now, part);
         self.rate = rate;
         self.burst = burst.0 as f64;
         self.level = self.level.min(self.burst);
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -133,6 +133,10 @@
             SendOutcome::NotSent(e) => {
                 info!(gateway.log, "upstream_unreachable"; "request" => %self.request.head.id,
                     "upstream" => %registration.id, "error" => %e);
+                // The caller's time ended before the connection's; that says nothing of the upstream.
+                if self.time_left().is_zero() {
+                    return Ok(None);
+                }
                 upstream.health.on_failure(now);
                 gateway.on_unreachable(registration);
                 attempts.failed_connects += 1;
--- a/src/gateway/caller_limit/ledger.rs
+++ b/src/gateway/caller_limit/ledger.rs
@@ -237,6 +237,8 @@
     /// Takes a place for a request, whose body is read next. `owner` is its client account, where
     /// it has one.
     pub fn start(&mut self, id: ConnectionId, owner: Option<Owner>, now: Instant) -> Verdict {
+        // The response before may still be in the buffer of the connection.
+        self.end(id, now);
         let Some(entry) = self.entries.get_mut(&id).filter(|entry| !entry.evicted) else {
             return Verdict::Refused;
         };
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -155,6 +155,11 @@
         self.lock().unread = unread;
     }
 
+    /// Whether the body of the last request was not read to its end.
+    pub fn is_unread(&self) -> bool {
+        self.lock().unread
+    }
+
     /// Makes the request last until this body is written.
     pub fn watch_body(self: &Arc<Self>, body: CallerBody) -> CallerBody {
         self.slot.begin_response();
--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -10,6 +10,7 @@
 //! registrations in the platform's store, and a VM also learns the address of any VM that sends it
 //! a usage report.
 
+pub mod backlog;
 mod demand;
 mod forwarding;
 mod usage;
@@ -38,6 +39,7 @@
 use crate::schema::mesh::{
     Broadcast, ConfigurationReport, Datagram, InventoryNotice, InventoryUpdate, PermitRequest,
 };
+use backlog::Backlog;
 use forwarding::URGENT_COPIES;
 
 /// Random factor on the interval between usage reports.
@@ -66,6 +68,8 @@
     leader: Option<(VmId, Epoch, Version, Instant)>,
     /// Fencing number and version of the lease, while this VM holds it.
     lease: Option<(Epoch, Version)>,
+    /// Whether datagrams that are read may have waited while this VM stood still.
+    backlog: Backlog,
 }
 
 /// Exchanges datagrams with the other VMs.
@@ -197,6 +201,8 @@
             match ciborium::from_reader(&buffer[..length]) {
                 Ok(datagram) => {
                     self.gateway.counters.datagrams_in.inc();
+                    let now = self.gateway.clock.boot();
+                    self.lock().backlog.on_read(now);
                     self.handle(datagram, from);
                 }
                 Err(e) => {
--- a/src/gateway/mesh/forwarding.rs
+++ b/src/gateway/mesh/forwarding.rs
@@ -43,7 +43,9 @@
     /// Handles a forwarded broadcast, and passes it on if this VM is its forwarder.
     pub(super) fn handle_forwarded(&self, forwarded: Forwarded, from: SocketAddr) {
         let origin = forwarded.origin.unwrap_or(from);
-        if forwarded.origin.is_none() {
+        let now = self.gateway.clock.boot();
+        let old = self.lock().backlog.may_be_old(now);
+        if forwarded.origin.is_none() && !old {
             self.pass_on(&forwarded.message, origin);
         }
         match forwarded.message {
--- a/src/gateway/mesh/usage.rs
+++ b/src/gateway/mesh/usage.rs
@@ -24,6 +24,9 @@
     pub(super) fn handle_usage(&self, mut usage: Usage, from: SocketAddr) {
         let now = self.gateway.clock.now();
         let mut state = self.lock();
+        if state.peers.is_outdated(&usage) {
+            return;
+        }
         if let Some(heartbeat) = &usage.lease {
             let newer = state
                 .leader
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -85,6 +85,8 @@
     last_received: Option<Instant>,
     /// Process that sent its last report, and the age in milliseconds that the report states.
     report: Option<(Generation, u64)>,
+    /// The process before the one that sent its last report.
+    ended: Option<Generation>,
     /// The last silence after which it was heard again.
     silence: Option<Silence>,
     /// When its registration was last read, or it was first added.
@@ -199,6 +201,7 @@
         let started = known.is_none_or(|totals| totals.generation != usage.generation);
         let mut earlier = Vec::new();
         if started {
+            peer.ended = known.map(|totals| totals.generation).or(peer.ended);
             let totals = self.forgotten.remove(&usage.vm);
             let totals = totals.filter(|(totals, _)| totals.generation == usage.generation);
             if let (Some((_, heard)), Some(silence)) = (&totals, &mut peer.silence) {
@@ -246,9 +249,13 @@
         }
     }
 
-    /// Whether a report of the same process that is as new, or newer, was applied already. Forwarders
-    /// may deliver a report twice, or after the next one.
-    fn is_outdated(&self, usage: &Usage) -> bool {
+    /// Whether a report of the same process that is as new, or newer, was applied already, or one of
+    /// the process after it. Forwarders may deliver a report twice, or after later ones.
+    pub fn is_outdated(&self, usage: &Usage) -> bool {
+        let known = self.known.get(&usage.vm);
+        if known.is_some_and(|peer| peer.ended == Some(usage.generation)) {
+            return true;
+        }
         let Some(age_ms) = usage.age_ms else {
             return false;
         };
@@ -414,6 +421,7 @@
             address,
             last_received: None,
             report: None,
+            ended: None,
             silence: None,
             last_listed: now,
             totals: None,
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -6,9 +6,10 @@
 //! it, and little otherwise. Streams that come late although an engine holds their model show that
 //! its replicas have too much to do; a further one is then worth a part of them. So do requests at
 //! engines without a free slot ([`super::crowding`]). The planner starts with the most valuable
-//! missing replica. It loads each on the engine where this costs the least, by where the weights are read from (memory, disk
-//! or the weight store) and by the models that must be unloaded to make space. Loads from the
-//! weight store are limited; by their value, models that no engine holds get them first.
+//! missing replica. It loads each on the engine where this costs the least, by where the weights
+//! are read from (memory, disk or the weight store) and by the models that must be unloaded to make
+//! space. Loads from the weight store are limited; by their value, models that no engine holds get
+//! them first.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
--- a/src/gateway/reload.rs
+++ b/src/gateway/reload.rs
@@ -16,6 +16,8 @@
 
 /// Interval between reads of the settings.
 const READ_INTERVAL: Duration = Duration::from_secs(3);
+/// Time between two reads, of which the second confirms what the first has found.
+const WRITE_TIME: Duration = Duration::from_millis(200);
 
 /// Settings that differ from the last that were read.
 #[derive(Clone, Debug, PartialEq)]
@@ -33,7 +35,7 @@
 
 /// Where settings come from.
 pub trait SettingsSource: Send + Debug {
-    /// Reads the settings; `None` if they are as at the last read.
+    /// Reads the settings; `None` if they are the same as before, or differ for the first time.
     fn read(&mut self) -> Option<SettingsChange>;
 }
 
@@ -44,7 +46,9 @@
         loop {
             let due = gateway.settings_due.notified();
             let _woken = tokio::time::timeout(READ_INTERVAL, due).await;
-            if let Some(change) = source.read() {
+            let first = source.read();
+            tokio::time::sleep(WRITE_TIME).await;
+            for change in first.into_iter().chain(source.read()) {
                 apply(&gateway, change);
             }
         }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -200,7 +200,10 @@
     tokio::pin!(head_late);
     let (mut closing, mut leaving) = (false, false);
     let closed = loop {
-        let wait = time_left(&gateway, &caller);
+        let mut wait = time_left(&gateway, &caller);
+        if raw_head.is_partial() {
+            wait = wait.max(IDLE_GRACE);
+        }
         tokio::select! {
             // The connection goes first, as it reads what the others look at.
             biased;
@@ -217,7 +220,11 @@
             }
             () = evicted.as_mut(), if !leaving => {
                 leaving = true;
-                if !caller.slot.is_reading() {
+                // A request that gave way may just have been refused; the rest of its body is read,
+                // so that the refusal is not lost in a reset.
+                let refused = caller.slot.is_reading()
+                    || caller.is_unread() && caller.blocked_since().is_none();
+                if !refused {
                     break CloseReason::GaveWay;
                 }
                 // The request is refused, and that ends the connection.
@@ -228,7 +235,10 @@
                 if unread_time_left(&gateway, &caller).is_some_and(|left| left.is_zero()) {
                     break CloseReason::Unread;
                 }
-                if idle_time_left(&gateway, &caller).is_some_and(|left| left.is_zero()) {
+                // A head that has begun has a time of its own.
+                if !raw_head.is_partial()
+                    && idle_time_left(&gateway, &caller).is_some_and(|left| left.is_zero())
+                {
                     connection.as_mut().graceful_shutdown();
                 }
             }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -488,6 +488,7 @@
 
     fn update_allowances(&self, configuration: &Configuration) {
         let now = self.clock.now();
+        let part = self.reachability().rate_share(now);
         let full = self.bounds().first_start && self.configuration.load().is_none();
         let mut allowances = lock(&self.allowances);
         for (name, account) in configuration.accounts() {
@@ -496,7 +497,7 @@
                 continue;
             };
             if let Some(allowance) = allowances.get_mut(name) {
-                allowance.set_quota(rate, account.burst, now);
+                allowance.set_quota(rate, account.burst, now, part);
                 continue;
             }
             let allowance = Allowance::open(rate, account.burst, full, now);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -541,6 +541,7 @@
                 upstream.health.on_failure(gateway.clock.now());
                 return Attempted::Crashed;
             }
+            SendOutcome::NotSent(_) if admitted.time_left().is_zero() => {}
             SendOutcome::NotSent(_) | SendOutcome::Responded(_) | SendOutcome::Unknown(_) => {
                 upstream.health.on_failure(gateway.clock.now());
             }
--- a/src/gateway/warm_up.rs
+++ b/src/gateway/warm_up.rs
@@ -62,7 +62,11 @@
     /// Records that an upstream could not be reached.
     pub fn on_unreachable(&self, registration: &Registration) {
         if let Some(length) = self.slow_start_length(registration) {
-            self.note_warm_up(registration, length + RESTART_KNOWN, Audience::Own);
+            self.note_warm_up(
+                registration,
+                length.saturating_add(RESTART_KNOWN),
+                Audience::Own,
+            );
         }
     }
 
--- a/tests/gateway_broadcast.rs
+++ b/tests/gateway_broadcast.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use basilgw::clock::BootTime;
 use basilgw::gateway::broadcast::{Destination, Recipients, recipients};
+use basilgw::gateway::mesh::backlog::Backlog;
 use basilgw::gateway::peers::Peers;
 use basilgw::ids::{ClientAccount, DataCentre, Generation, VmId};
 use basilgw::schema::mesh::Usage;
@@ -116,3 +118,38 @@
     }
     assert_eq!(counted, 21);
 }
+
+/// A forwarder that stood still passes on what it had received before.
+#[test]
+fn a_report_of_the_process_before_counts_no_more() {
+    let now = Instant::now() + Duration::from_hours(1);
+    let from = SocketAddr::from(([127, 0, 0, 1], 1));
+    let mut peers = Peers::open(now);
+    let mut counted = 0;
+    for (generation, age_ms, admitted) in [(1, 100, 5), (2, 100, 7), (1, 200, 9), (2, 300, 8)] {
+        let usage = Usage {
+            generation: Generation(generation),
+            ..report(age_ms, admitted)
+        };
+        let change = peers.apply_usage(usage, from, now + Duration::from_secs(1));
+        counted += change.admitted.iter().map(|(_, n)| *n).sum::<i64>();
+    }
+    assert_eq!(counted, 5 + 8);
+}
+
+#[test]
+fn what_waited_while_a_vm_stood_still_may_be_old() {
+    let start = BootTime::default();
+    let at = |millis| start.plus(Duration::from_millis(millis));
+    let mut backlog = Backlog::default();
+    for millis in [0, 50, 120, 300] {
+        backlog.on_read(at(millis));
+        assert!(!backlog.may_be_old(at(millis)));
+    }
+    backlog.on_read(at(2300));
+    assert!(backlog.may_be_old(at(2300)));
+    backlog.on_read(at(2310));
+    assert!(backlog.may_be_old(at(2310)));
+    backlog.on_read(at(2600));
+    assert!(!backlog.may_be_old(at(2600)));
+}
--- a/tests/gateway_caller_limit.rs
+++ b/tests/gateway_caller_limit.rs
@@ -361,3 +361,17 @@
         prop_assert_eq!(desk.ledger.total(), 0);
     }
 }
+
+/// A caller that reads nothing of a refusal and sends its next request.
+#[test]
+fn a_request_behind_an_unwritten_response_is_released_once() {
+    let mut desk = Desk::open();
+    let id = desk.reading("a");
+    desk.ledger.finish_body(id, desk.now);
+    desk.ledger.begin_response(id, desk.now);
+    let again = desk.ledger.start(id, Some(account("a")), desk.now);
+    assert_eq!(again, Verdict::Granted);
+    desk.ledger.end(id, desk.now);
+    desk.ledger.disconnect(id);
+    assert_eq!(desk.ledger.total(), 0);
+}
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -162,12 +162,12 @@
 fn a_lowered_rate_cuts_the_level() {
     let start = Instant::now();
     let mut allowance = Allowance::open(rate(1000.0), Tokens(5000), true, start);
-    allowance.set_quota(rate(10.0), Tokens(100), start);
+    allowance.set_quota(rate(10.0), Tokens(100), start, 1.0);
     allowance
         .admit(0, Tokens(100), start, 1.0, 0.9)
         .expect("within the rate");
     assert!(allowance.admit(0, Tokens(100), start, 1.0, 0.9).is_err());
-    allowance.set_quota(rate(10.0), Tokens(5000), start);
+    allowance.set_quota(rate(10.0), Tokens(5000), start, 1.0);
     assert!(
         allowance.admit(0, Tokens(100), start, 1.0, 0.9).is_err(),
         "a higher burst does not raise the level"
