--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -40,7 +40,7 @@
 pub mod exchange;
 pub mod fanout;
 pub mod fleet;
-mod forgone;
+pub mod forgone;
 pub mod framing;
 pub mod freshness;
 mod generation_record;
