--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -3,14 +3,14 @@
 //! The request path reads the configuration and the upstreams through atomic snapshots. The locks
 //! here are held only briefly and never across an await.
 
+mod quotas;
+
 use std::collections::BTreeMap;
-use std::ops::Range;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use rand::RngExt;
 use slog::{Logger, info, warn};
 use tokio::sync::Notify;
 
@@ -19,14 +19,13 @@
 use crate::ids::{ClientAccount, DataCentre, ServiceId, UpstreamId, VmId};
 use crate::metrics::{EdgeMetrics, Metrics};
 use crate::schema::mesh::{ConfigurationReport, FollowRequest, LeavingUpstream};
-use crate::units::Tokens;
 
 use super::allowance::Allowance;
 use super::caller_limit::CallerLimits;
 use super::caller_limit::bounds::ProcessLimits;
 use super::caller_limit::metrics::CallerLimitMetrics;
 use super::centre_closure::ClosedCentres;
-use super::configuration::{Account, Configuration};
+use super::configuration::Configuration;
 use super::demand::LocalDemand;
 use super::fanout::coverage::Coverage;
 use super::fanout::roles::{Capacity, Role};
@@ -36,7 +35,6 @@
 use super::metrics::{Counters, Gauges};
 use super::platform_api::{DecodeError, Dialect};
 use super::quarantine::Quarantine;
-use super::quota_order::Rank;
 use super::reachability::Reachability;
 use super::retry_budget::{RetryBound, RetryBudget};
 use super::signals::LeavingHints;
@@ -45,11 +43,6 @@
 
 /// Most unreadable entries of one configuration that are named in the log.
 const MAX_FAULT_LINES: usize = 20;
-/// Time for which a VM reports that it refused requests of an account: at least one report.
-const REFUSAL_REPORT_TIME: Duration = Duration::from_millis(1500);
-/// Random factor on the time after which an account's tokens are there, so that the callers that were
-/// refused don't come back together.
-const RETURN_SPREAD: Range<f64> = 1.0..1.5;
 
 /// Settings that bound what a VM does; they may change while it runs.
 #[derive(Clone, Debug, PartialEq)]
@@ -486,129 +479,12 @@
         first
     }
 
-    fn update_allowances(&self, configuration: &Configuration) {
-        let now = self.clock.now();
-        let part = self.reachability().rate_share(now);
-        let full = self.bounds().first_start && self.configuration.load().is_none();
-        let mut allowances = lock(&self.allowances);
-        for (name, account) in configuration.accounts() {
-            let Some(rate) = account.rate else {
-                allowances.remove(name);
-                continue;
-            };
-            if let Some(allowance) = allowances.get_mut(name) {
-                allowance.set_quota(rate, account.burst, now, part);
-                continue;
-            }
-            let allowance = Allowance::open(rate, account.burst, full, now);
-            allowances.insert(name.clone(), allowance);
-        }
-    }
-
-    /// Takes the tokens of a request from its account's quota; `rank` is the priority of its route.
-    ///
-    /// # Errors
-    ///
-    /// The time after which to retry, if the quota is used up.
-    pub fn admit(&self, account: &Account, rank: Rank, tokens: Tokens) -> Result<(), Duration> {
-        let now = self.clock.now();
-        let reachability = self.reachability();
-        let part = reachability.rate_share(now);
-        let mut allowances = lock(&self.allowances);
-        let Some(allowance) = allowances.get_mut(&account.name) else {
-            return Ok(());
-        };
-        let admitted = allowance.admit(rank, tokens, now, part, rand::random());
-        if allowance.report_due(reachability.vms) {
-            self.usage_due.notify_one();
-        }
-        admitted.map_err(|wait| {
-            self.gauges.count_quota_refusal(rank);
-            if let Some(refusals) = allowance.refusals.take_due(now) {
-                info!(self.log, "over_rate"; "account" => %account.name, "tokens" => tokens.0,
-                    "rank" => rank, "allowance" => %allowance, "part" => part,
-                    "refused" => ?refusals);
-            }
-            wait.mul_f64(rand::rng().random_range(RETURN_SPREAD))
-        })
-    }
-
-    /// Returns the tokens of a request that did not run to its account's quota.
-    pub fn refund_tokens(&self, account: &Account, tokens: Tokens) {
-        if let Some(allowance) = lock(&self.allowances).get_mut(&account.name) {
-            allowance.refund(tokens);
-        }
-    }
-
-    fn refill_allowances(&self) {
-        let now = self.clock.now();
-        let part = self.reachability().rate_share(now);
-        for allowance in lock(&self.allowances).values_mut() {
-            allowance.refill(now, part);
-        }
-    }
-
-    /// Tokens admitted since the start, by account, for the next usage report.
-    pub fn report_admitted(&self) -> BTreeMap<ClientAccount, Tokens> {
-        self.refill_allowances();
-        let mut allowances = lock(&self.allowances);
-        let used = allowances
-            .iter_mut()
-            .map(|(name, a)| (name.clone(), a.take_report()));
-        used.filter(|(_, tokens)| *tokens > Tokens::ZERO).collect()
-    }
-
-    /// Subtracts tokens that a peer VM has admitted since its previous report from the accounts'
-    /// quotas; they are negative if the peer returned more. `silence` is the time since that report
-    /// if the peer was unreachable.
-    pub fn add_peer_usage(
-        &self,
-        usage: Vec<(ClientAccount, i64)>,
-        silence: Option<Duration>,
-        now: Instant,
-    ) {
-        let part = self.reachability().rate_share(now);
-        let mut allowances = lock(&self.allowances);
-        for (account, tokens) in usage {
-            if let Some(allowance) = allowances.get_mut(&account) {
-                allowance.on_peer_usage(tokens, silence, now, part);
-            }
-        }
-    }
-
-    /// Subtracts tokens that a VM which started before this one had admitted before its first report.
-    pub fn add_earlier_usage(&self, account: &ClientAccount, tokens: Tokens) {
-        if let Some(allowance) = lock(&self.allowances).get_mut(account) {
-            allowance.on_earlier_usage(tokens);
-        }
-    }
-
     /// Sets how many VMs are known and reachable. The quotas are refilled by the part used until now.
     pub fn set_reachability(&self, reachability: Reachability) {
         self.refill_allowances();
         *lock(&self.reachability) = reachability;
     }
 
-    /// Accounts of which this VM lately refused requests for their quota.
-    pub fn refused_accounts(&self) -> Vec<ClientAccount> {
-        let now = self.clock.now();
-        let allowances = lock(&self.allowances);
-        let refused = allowances
-            .iter()
-            .filter(|(_, allowance)| allowance.was_exhausted(REFUSAL_REPORT_TIME, now));
-        refused.map(|(name, _)| name.clone()).collect()
-    }
-
-    /// Notes accounts of which another VM lately refused requests for their quota.
-    pub fn on_peer_refusals(&self, accounts: &[ClientAccount], now: Instant) {
-        let mut allowances = lock(&self.allowances);
-        for account in accounts {
-            if let Some(allowance) = allowances.get_mut(account) {
-                allowance.on_peer_refusal(now);
-            }
-        }
-    }
-
     /// How many VMs are known and reachable.
     pub fn reachability(&self) -> Reachability {
         *lock(&self.reachability)
