--- a/src/gateway/allowance.rs
+++ b/src/gateway/allowance.rs
@@ -7,12 +7,12 @@
 //! in every window. A VM that admits many tokens reports them at once, so that the unreported
 //! tokens of all VMs stay a small share of the rate. A VM that cannot reach all others uses only a
 //! part of the rate and the burst ([`super::reachability`]); what it left to the others covers what
-//! they admitted unheard ([`super::forgone`]). The level starts at zero unless the
-//! whole system starts for the first time, so that a restart of all VMs grants no second burst; what
-//! VMs that started earlier have admitted is taken from it.
+//! they admitted unheard ([`super::forgone`]). The level starts at zero unless the whole system
+//! starts for the first time, so that a restart of all VMs grants no second burst; what VMs that
+//! started earlier have admitted is taken from it.
 //!
-//! A request may be larger than this VM's part of the burst. If each VM saved tokens up for one, all
-//! together could admit as many at once as there are VMs. Such a request is admitted with a
+//! A request may be larger than this VM's part of the burst. If each VM saved tokens up for one,
+//! all together could admit as many at once as there are VMs. Such a request is admitted with a
 //! probability instead, so that the VMs together keep to their parts.
 
 use std::fmt;
@@ -31,7 +31,7 @@
 const UNREPORTED_TIME: Duration = Duration::from_secs(2);
 /// Bound on the debt beyond the burst, as the time in which the account's rate yields it.
 const MAX_DEBT_TIME: Duration = Duration::from_secs(10);
-/// Part of the quota from which on a refusal says that the account has used it up.
+/// Smallest part of the quota with which a VM's refusal shows that the account has used it up.
 const MIN_EXHAUSTED_PART: f64 = 0.5;
 /// Longest retry delay sent to a refused caller.
 const MAX_RETRY: Duration = Duration::from_hours(1);
@@ -137,8 +137,8 @@
 
     /// Admits a request of `tokens`, subtracting them from the level. A request larger than the
     /// burst needs a full level only. While requests are refused, [`QuotaOrder`] says what must be
-    /// left over. `draw`, a random number from 0 to 1, decides on a request that is larger than this
-    /// VM's part of the burst, and varies what must be left.
+    /// left over. `draw`, a random number from 0 to 1, decides on a request that is larger than
+    /// this VM's part of the burst, and varies what must be left.
     ///
     /// # Errors
     ///
@@ -176,8 +176,8 @@
         Err(wait.max(drawn).clamp(MIN_RETRY, MAX_RETRY))
     }
 
-    /// Whether the account has used its quota up where this VM refuses a request; a VM that has just
-    /// started, or hears few others, also refuses what the quota allows.
+    /// Whether the account has used its quota up where this VM refuses a request; a VM that has
+    /// just started, or hears few others, also refuses what the quota allows.
     fn is_exhausted(&self, part: f64, now: Instant) -> bool {
         let filled = self.rate.over(now.saturating_duration_since(self.opened)) >= self.burst;
         filled && part >= MIN_EXHAUSTED_PART
@@ -203,7 +203,7 @@
         draw * need < most
     }
 
-    /// Subtracts tokens that another VM admitted since its report before; negative where that VM
+    /// Subtracts tokens that another VM admitted since its previous report; negative where that VM
     /// refunded some. `silence` is the time since that report if the VM was unreachable: what the
     /// level did not gain in it was left to such VMs, and is used up first. What was admitted long
     /// ago has been refilled since.
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -31,6 +31,7 @@
 
 /// Failed connections after which a request is refused.
 const MAX_FAILED_CONNECTS: usize = 4;
+
 /// The attempts made for a request so far.
 #[derive(Debug, Default)]
 pub struct Attempts {
@@ -246,16 +247,14 @@
             SendOutcome::NotRun(reason) => *reason != DeclineReason::Elsewhere,
             SendOutcome::NotSent(_) | SendOutcome::Unknown(_) => false,
         };
-        if let SendOutcome::Responded(response) = &outcome
-            && let Some(load) = response.meta.load
-        {
-            upstream.health.pace().on_load(load, gateway.clock.now());
-        }
-        if let SendOutcome::Responded(response) = &outcome
-            && let Some(slowness) = response.meta.slowness
-        {
+        if let SendOutcome::Responded(response) = &outcome {
             let now = gateway.clock.now();
-            upstream.health.slowdown().on_statement(slowness, now);
+            if let Some(load) = response.meta.load {
+                upstream.health.pace().on_load(load, now);
+            }
+            if let Some(slowness) = response.meta.slowness {
+                upstream.health.slowdown().on_statement(slowness, now);
+            }
         }
         if answered {
             gateway.on_engine_answer(&upstream.registration, sent);
--- a/src/gateway/balancer.rs
+++ b/src/gateway/balancer.rs
@@ -2,8 +2,8 @@
 //!
 //! Of the upstreams that can serve the request, the one with the lowest load in proportion to its
 //! slots is chosen; an upstream that is slower than usual counts as more loaded
-//! ([`super::slowdown`]). Loads that differ by a few requests only count as equal. At equal load, an
-//! upstream in this VM's own data centre is preferred, since traffic between data centres costs
+//! ([`super::slowdown`]). Loads that differ by a few requests only count as equal. At equal load,
+//! an upstream in this VM's own data centre is preferred, since traffic between data centres costs
 //! money; then a hash of the first part of the prompt decides, so that requests which share this
 //! part reach the same engine, which keeps it cached.
 
@@ -105,8 +105,9 @@
     f64::from(upstream.health.load()) / f64::from(upstream.registration.slots.max(1))
 }
 
-/// Load of an upstream as a share of its slots. Where work takes longer than usual, what it has to
-/// do, with one more request, counts as many times more.
+/// Load of an upstream as a share of its slots. Where work takes longer than usual, the excess
+/// factor times this load and one more request is added; one more, so that a slow idle upstream
+/// counts as loaded.
 fn weighted_load(upstream: &Upstream, now: Instant) -> f64 {
     let next = 1.0 / f64::from(upstream.registration.slots.max(1));
     let excess = upstream.health.slowdown().factor(now) - 1.0;
--- a/src/gateway/broadcast.rs
+++ b/src/gateway/broadcast.rs
@@ -1,7 +1,7 @@
 //! Whom a broadcast to all VMs is sent to.
 //!
-//! Usage reports and the leader's notices are meant for every VM. Among many VMs, a copy for each VM
-//! of each other data centre is most of what the VMs send between data centres. One VM of every
+//! Usage reports and the leader's notices are meant for every VM. Among many VMs, a copy for each
+//! VM of each other data centre is most of what the VMs send between data centres. One VM of every
 //! other data centre, the forwarder, gets a copy instead and passes it on to the others there. Each
 //! broadcast takes forwarders of its own, drawn at random: one that has failed unnoticed costs its
 //! data centre a single message, and the work is spread over all VMs.
--- a/src/gateway/caller_limit/ledger.rs
+++ b/src/gateway/caller_limit/ledger.rs
@@ -20,7 +20,8 @@
 pub const REQUEST_BYTES: u64 = 64 * 1024;
 /// A body up to this size, in bytes, is small: room is kept for it beside larger ones.
 pub const SMALL_BYTES: u64 = 64 * 1024;
-/// A connection may be slow only after this time in its phase.
+/// Time for which a body may arrive slowly, or a caller may take nothing of a response, before the
+/// connection counts as slow.
 pub const SLOW_AFTER: Duration = Duration::from_secs(1);
 /// A body that arrives with fewer bytes a second is slow.
 pub const SLOW_RATE: u64 = 16 * 1024;
@@ -126,7 +127,7 @@
         }
     }
 
-    /// What is free once it has given way.
+    /// Bytes, connections or requests, as `resource` says, that are free once it has given way.
     fn frees(&self, resource: Resource) -> u64 {
         match resource {
             Resource::Bytes => self.bytes + overhead(self.phase),
@@ -214,7 +215,8 @@
         self.entries.get(&id).is_some_and(|entry| entry.evicted)
     }
 
-    /// Takes a place for a new connection; never refused for good.
+    /// Takes a place for a new connection. [`Verdict::Refused`] means that none can give way now;
+    /// ask again later.
     pub fn connect(&mut self, id: ConnectionId, owner: Owner, now: Instant) -> Verdict {
         let missing = (self.entries.len() + 1).saturating_sub(self.bounds.connections);
         let verdict = self.make_room(Resource::Connections, missing as u64, None, now);
--- a/src/gateway/caller_limit/mod.rs
+++ b/src/gateway/caller_limit/mod.rs
@@ -137,7 +137,7 @@
         change(&mut self.lock().ledger, now)
     }
 
-    /// The same for a change that may leave room for others.
+    /// Applies a change that may leave room for others, and wakes those that wait for it.
     fn free<F>(&self, change: F)
     where
         F: FnOnce(&mut Ledger, Instant),
--- a/src/gateway/centre_closure.rs
+++ b/src/gateway/centre_closure.rs
@@ -12,7 +12,7 @@
 use super::state::Gateway;
 use crate::ids::{DataCentre, Version};
 
-/// Time after the return of the store from an older copy within which the operator has written again.
+/// Time for which closures are kept that the store lacks after its return from an older copy.
 const REWRITE_TIME: Duration = Duration::from_secs(2);
 
 /// An object in the store that closes the data centre of its name.
@@ -22,7 +22,7 @@
 /// The closed data centres, as far as this VM knows.
 #[derive(Debug, Default)]
 pub struct ClosedCentres {
-    /// When each is open again, if an older copy of the store lacks its closure.
+    /// The closed data centres; for those that an older copy of the store lacks, until when.
     closed: BTreeMap<DataCentre, Option<Instant>>,
     /// Version of the store that they were read at.
     version: Option<Version>,
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -251,12 +251,22 @@
     pub unreadable: UnreadableEntries,
 }
 
+impl CallerBounds {
+    /// Bounds before a configuration is known, and in place of those that cannot be read.
+    pub const DEFAULT: Self = Self {
+        head_bytes: 16 << 10,
+        body_bytes: 4 << 20,
+        head_time: Duration::from_secs(3),
+        idle_time: Duration::from_secs(15),
+    };
+}
+
 impl Configuration {
     /// Finds the route with the longest prefix that matches the host and the path.
     ///
     /// # Errors
     ///
-    /// [`Missing`], also where an unreadable route has a prefix as long.
+    /// [`Missing`], also where an unreadable route has a prefix at least as long.
     pub fn route(&self, host: &str, path: &str) -> Result<&Arc<Route>, Missing> {
         let routes = self.routes.get(host).into_iter().flatten();
         let found = routes
@@ -301,7 +311,7 @@
         self.services.get(service)?.engines.as_ref()
     }
 
-    /// How the upstreams of each service warm up that need it.
+    /// How upstreams warm up, for each service whose upstreams need it.
     pub fn slow_starts(&self) -> BTreeMap<&ServiceId, SlowStart> {
         let services = self.services.iter();
         services
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -5,8 +5,8 @@
 //! wait in its buffer. It flushes the stream when the buffer is empty: a request counts as in
 //! progress until then ([`CallerStream`]).
 //!
-//! A caller that shuts down its sending side looks like one that has left. A request that runs at most
-//! once goes on, as its caller may wait for the response; it is sent only if the end came just
+//! A caller that shuts down its sending side looks like one that has left. A request that runs at
+//! most once goes on, as its caller may wait for the response; it is sent only if the end came just
 //! before. Any other request is cancelled, as an upstream must not work for a caller that has left.
 
 use std::io;
@@ -140,7 +140,7 @@
 
     /// Whether the caller has ended its sending side so long ago that its request must not be sent
     /// to an upstream any more.
-    pub fn ended_before(&self) -> bool {
+    pub fn ended_too_early(&self) -> bool {
         let ended = self.lock().ended;
         ended.is_some_and(|at| self.clock.now().saturating_duration_since(at) > END_GRACE)
     }
@@ -273,7 +273,7 @@
 #[derive(Debug)]
 enum Closing {
     Open,
-    /// What still arrives is thrown away until then.
+    /// All is written; what still arrives is thrown away until this timer ends.
     Discarding(Pin<Box<Sleep>>),
 }
 
--- a/src/gateway/engine_pace.rs
+++ b/src/gateway/engine_pace.rs
@@ -11,7 +11,7 @@
 const LOAD_LIFETIME: Duration = Duration::from_secs(2);
 /// An engine that wrote no event for so long doesn't work for the moment.
 const WORK_TIME: Duration = Duration::from_secs(1);
-/// Length of the periods of which the present and the last one count for the longest silence.
+/// Length of a period; the longest silence is that of the present and the last one.
 const PERIOD: Duration = Duration::from_secs(5);
 
 /// What is known of a request from which nothing comes.
@@ -23,8 +23,8 @@
     Queued,
     /// Its engine writes for other requests, and has begun with none that was sent later.
     InTurn,
-    /// Its engine has free places and writes for other requests: some that were sent later, or it had
-    /// begun with this one.
+    /// Its engine has free places and writes for other requests: some that were sent later, or it
+    /// had begun with this one.
     Overtaken,
 }
 
--- a/src/gateway/event_numbers.rs
+++ b/src/gateway/event_numbers.rs
@@ -1,10 +1,10 @@
-//! Judges the numbers of a stream's events: which events may be forwarded, and whether the stream may
-//! be resumed after the last one.
+//! Judges the numbers of a stream's events: which events may be forwarded, and whether the stream
+//! may be resumed after the last one.
 //!
 //! Engines number events in an increasing order, mostly in equal steps, and not always by one. A
-//! number that the step asks for is taken at once. Another rising number is held until the next event,
-//! or the end of the stream, shows whether it was wrong, whether events are missing before it, or
-//! whether the engine counts in another way. The design is in docs/design/stream-numbers.md.
+//! number that the step asks for is taken at once. Another rising number is held until the next
+//! event, or the end of the stream, shows whether it was wrong, whether events are missing before
+//! it, or whether the engine counts in another way. The design is in docs/design/stream-numbers.md.
 
 /// The number that an event carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,7 +43,8 @@
     held: Option<EventNumber>,
     /// Whether events without a number were forwarded.
     unnumbered: bool,
-    /// A number that was held and taken for a fault, and the last one before it.
+    /// The last number, and the one held after it that was judged a fault. If that comes again
+    /// after the same number, it is accepted.
     disputed: Option<(Option<u64>, u64)>,
 }
 
@@ -83,7 +84,7 @@
     ///
     /// # Errors
     ///
-    /// The number that is a fault there.
+    /// The number of the held event, if it is judged a fault.
     pub fn on_end(&mut self) -> Result<(), u64> {
         match self.held {
             Some(EventNumber::Number(number)) if !self.may_end_with(number) => {
@@ -104,7 +105,7 @@
         self.forwarded == 0 && !self.unnumbered
     }
 
-    /// The number that is taken at once; `None` if each rising one is.
+    /// The number that is taken at once; `None` while the step is unknown.
     fn expected(&self) -> Option<u64> {
         if self.is_fresh() {
             return self.last.unwrap_or(0).checked_add(1);
@@ -187,7 +188,7 @@
         self.expected().is_some_and(|expected| number < expected)
     }
 
-    /// The first number may have been wrong if the second one repeats it.
+    /// Forgets the step if the second number repeats the first, which may have been wrong then.
     fn doubt_first(&mut self, number: u64) {
         if self.forwarded == 1 && self.last == Some(number) {
             self.step = None;
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -1,8 +1,8 @@
 //! Splits a stream of server-sent events into complete events.
 //!
 //! An engine may fail in the middle of an event, or hand out a wrong number. Only complete events
-//! with sound numbers ([`super::event_numbers`]) are forwarded, so that another engine can resume the
-//! stream after the last one. Their bytes are forwarded unchanged.
+//! with sound numbers ([`super::event_numbers`]) are forwarded, so that another engine can resume
+//! the stream after the last one. Their bytes are forwarded unchanged.
 
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
@@ -15,7 +15,7 @@
 /// Why the rest of a stream must not be forwarded.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub enum EventError {
-    /// An event exceeds the largest size accepted.
+    /// An event, or the events held with it, exceed the largest size accepted.
     #[error("an event is too large")]
     TooLarge,
     /// The event of this number does not follow the last one: its number is wrong, or events are
@@ -23,7 +23,7 @@
     #[error("event {0} is out of order")]
     OutOfOrder(u64),
     /// An event has no number, or one that cannot be read.
-    #[error("an event has no number")]
+    #[error("an event has no readable number")]
     Unnumbered,
 }
 
@@ -127,7 +127,7 @@
     }
 }
 
-/// What the numbers are judged by.
+/// What the splitter reads of one event.
 #[derive(Clone, Copy, Debug)]
 enum Event {
     /// It has neither data nor a number, and is no event for the caller.
--- a/src/gateway/fanout/coverage.rs
+++ b/src/gateway/fanout/coverage.rs
@@ -47,7 +47,8 @@
         self.registrations_read.map(|sent| now.since(sent))
     }
 
-    /// Records a read of the closed data centres that was sent at `sent`, by this VM or by its reader.
+    /// Records a read of the closed data centres that was sent at `sent`, by this VM or by its
+    /// reader.
     pub fn on_closures_read(&mut self, sent: BootTime) {
         self.closures_read = self.closures_read.max(Some(sent));
     }
--- a/src/gateway/fleet.rs
+++ b/src/gateway/fleet.rs
@@ -251,7 +251,7 @@
     }
 
     /// Whether all upstreams of a service that are not leaving are in closed data centres.
-    pub fn is_shut(&self, service: &ServiceId) -> bool {
+    pub fn is_closed(&self, service: &ServiceId) -> bool {
         let known = self.known.iter().filter(|(id, k)| !self.is_leaving(id, k));
         let registrations = known.map(|(_, known)| &known.upstream.registration);
         let mut own = registrations.filter(|registration| registration.service == *service);
--- a/src/gateway/forgone.rs
+++ b/src/gateway/forgone.rs
@@ -1,8 +1,9 @@
-//! The tokens that one VM's level of an account's quota did not gain, by the time of it.
+//! The tokens that one VM's level of an account's quota did not gain, by time.
 //!
-//! A level gains less than the account's rate while other VMs are unreachable, as the rest is left to
-//! them, and while it is full. What these VMs admitted meanwhile is heard late. It was admitted from
-//! what the level did not gain, so it is subtracted from that first. Nothing is ever admitted from it.
+//! A level gains less than the account's rate while other VMs are unreachable, as the rest is left
+//! to them, and while it is full. What these VMs admitted meanwhile is heard late. It was admitted
+//! from what the level did not gain, so it is subtracted from that first. Nothing is ever admitted
+//! from it.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
--- a/src/gateway/freshness.rs
+++ b/src/gateway/freshness.rs
@@ -190,12 +190,13 @@
     pub fn caught_up(&self, now: BootTime) -> Option<StoreGeneration> {
         let current = self.current?;
         let heard = now.since(current.since) >= CATCH_UP_TIME;
-        let complete = current.version >= Some(self.newest) && current.version.is_some();
+        let complete = current.version >= Some(self.newest);
         let known = heard && complete && self.is_fresh(now) && !self.awaits_trust();
         known.then_some(current.generation)
     }
 
-    /// Whether this VM has not read the configuration in a generation that it trusts.
+    /// Whether the current generation is not trusted; before the first read, whether one will have
+    /// to be.
     pub fn awaits_trust(&self) -> bool {
         match self.current {
             Some(current) => self.trusted < Some(current.generation),
@@ -278,7 +279,7 @@
         {
             self.trust(current.generation, now);
         }
-        if self.current.is_some() && self.awaits_trust() || self.is_outdated() {
+        if self.doubted().is_some() || self.is_outdated() {
             return;
         }
         self.read_sent = self.read_sent.max(self.pending.take());
--- a/src/gateway/generation_record.rs
+++ b/src/gateway/generation_record.rs
@@ -33,7 +33,8 @@
     gateway: Arc<Gateway>,
     store: Arc<dyn ObjectStore>,
     key: ObjectKey,
-    /// Version of the object, and the generation that it names; absent before the first read.
+    /// Version of the object, and the generation that it names; absent while the object must be
+    /// read.
     known: Option<(Version, StoreGeneration)>,
 }
 
@@ -51,7 +52,8 @@
         }
     }
 
-    /// Reads the record while this VM does not trust its generation, and writes it while it leads.
+    /// Reads the record while this VM does not trust the store's generation, and writes it while it
+    /// leads.
     pub(super) async fn run(mut self) {
         loop {
             if self.gateway.freshness().awaits_trust() {
--- a/src/gateway/head_wait.rs
+++ b/src/gateway/head_wait.rs
@@ -17,10 +17,11 @@
 const SILENCE_OBJECTIVES: u32 = 3;
 /// Lower bound on that wait.
 const MIN_SILENCE: Duration = Duration::from_millis(900);
-/// Time to the next look at whether an upstream that is silent for longer can be left.
+/// Interval of the checks whether an upstream that is silent for longer can be left.
 const LOOK_AGAIN: Duration = Duration::from_millis(300);
 
-/// The time to wait for a head after `waited`, on a route with this objective, where the deadline is
+/// The time to wait for a head after `waited`, on a route with this objective, where the deadline
+/// is
 /// `left` away; `None` if the upstream is given up. `leave` says whether it can be left for another
 /// one, and is asked only after the usual wait.
 pub fn next_wait<F>(goal: Duration, waited: Duration, left: Duration, leave: F) -> Option<Duration>
--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -8,8 +8,8 @@
 //!
 //! When the store comes back from an older copy ([`crate::store::generation`]), renewals and
 //! take-overs may be lost with it, so the object no longer proves who holds the lease. No VM takes
-//! the lease over until a lease that was renewed just before the return has expired. A holder
-//! whose lease is still valid renews it in the new generation and keeps its fencing number. One whose
+//! the lease over until a lease that was renewed just before the return has expired. A holder whose
+//! lease is still valid renews it in the new generation and keeps its fencing number. One whose
 //! lease has expired holds nothing: another VM may have taken the lease over meanwhile, also if the
 //! object does not show it, since a VM that missed the return may have replaced the object under a
 //! revision that was given out twice.
@@ -218,8 +218,8 @@
         self.holder = Some(record.holder);
     }
 
-    /// Records that the object was read at `version` and its content cannot be decoded. Whoever wrote
-    /// it may hold the lease, so it is taken over like that of any other VM.
+    /// Records that the object was read at `version` and its content cannot be decoded. Whoever
+    /// wrote it may hold the lease, so it is taken over like that of any other VM.
     pub fn on_unreadable(&mut self, version: Version, now: BootTime) {
         self.answered = true;
         self.failures = 0;
--- a/src/gateway/log_limit.rs
+++ b/src/gateway/log_limit.rs
@@ -1,7 +1,7 @@
 //! Bounds the log lines that callers can cause.
 //!
-//! A caller that keeps to no limit is refused again and again. Only the first lines of each second are
-//! written; how many were left out is told once the second is over.
+//! A caller that keeps to no limit is refused again and again. Only the first lines of each second
+//! are written; how many were left out is told once the second is over.
 
 use std::time::{Duration, Instant};
 
--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -138,8 +138,8 @@
         self.gateway.usage_due.notify_one();
     }
 
-    /// Whether a heartbeat of the leader was received within [`MIN_SILENCE_TIMEOUT`]. Followers wait
-    /// longer, so that a VM which reads the store anyway takes the lease over.
+    /// Whether a heartbeat of the leader was received within [`MIN_SILENCE_TIMEOUT`]. Followers
+    /// wait longer, so that a VM which reads the store anyway takes the lease over.
     pub fn leader_alive(&self, now: Instant) -> bool {
         let timeout = if self.gateway.coverage().follows() {
             FOLLOWER_PATIENCE
--- a/src/gateway/mesh/forwarding.rs
+++ b/src/gateway/mesh/forwarding.rs
@@ -8,7 +8,7 @@
 
 /// Forwarders of a broadcast in each other data centre.
 pub(super) const COPIES: usize = 1;
-/// Forwarders of a broadcast whose loss would be felt before the next one.
+/// Forwarders of a broadcast in each other data centre if it must not wait for the next one.
 pub(super) const URGENT_COPIES: usize = 2;
 
 impl Mesh {
--- a/src/gateway/mesh/usage.rs
+++ b/src/gateway/mesh/usage.rs
@@ -116,8 +116,8 @@
         }
     }
 
-    /// Tells the others of a change of the configuration, and asks them while this VM does not trust
-    /// what it reads.
+    /// Tells the others of a change of the configuration, and asks them while this VM does not
+    /// trust what it reads.
     async fn report_configuration(&self) {
         let now = self.gateway.clock.boot();
         let due = self.gateway.freshness().due_report(now);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -3,20 +3,19 @@
 //! A request passes through these modules: [`serve`] accepts it; [`relay`] decodes its head with
 //! the platform's [`platform_api::Dialect`], looks up the route and the client account in the
 //! [`configuration`], checks that the configuration is fresh enough to trust keys ([`freshness`])
-//! and charges the request to the account's quota ([`allowance`]). What callers hold of the VM's memory
-//! and descriptors meanwhile is bounded ([`caller_limit`], [`connection`]). Then [`balancer`] chooses one of
-//! the upstreams in use ([`fleet`]); if no engine holds the model, the request waits for it to be
-//! loaded (`model_wait`, [`demand`]). A request that crashes engines, as such or by a part of its prompt, is
-//! not sent ([`quarantine`]). An upstream that names a limit gets no more requests from all VMs
-//! together ([`upstream_limit`]), and neither does one that is warming up (`warm_up`).
-//! [`exchange`] sends the request, and [`stream`] and [`events`] forward the response in complete
-//! events whose numbers are sound ([`event_numbers`]).
+//! and charges the request to the account's quota ([`allowance`]). What callers hold of the VM's
+//! memory and descriptors meanwhile is bounded ([`caller_limit`], [`connection`]). Then
+//! [`balancer`] chooses one of the upstreams in use ([`fleet`]); if no engine holds the model, the
+//! request waits for it to be loaded (`model_wait`, [`demand`]). A request that crashes engines, as
+//! such or by a part of its prompt, is not sent ([`quarantine`]). An upstream that names a limit
+//! gets no more requests from all VMs together ([`upstream_limit`]), and neither does one that is
+//! warming up (`warm_up`). [`exchange`] sends the request, and [`stream`] and [`events`] forward
+//! the response in complete events whose numbers are sound ([`event_numbers`]).
 //!
-//! In the background, [`store_watch`] keeps the configuration, the registrations and the closed data
-//! centres ([`centre_closure`]) up to date,
-//! [`mesh`] reports this VM's usage to the other VMs, and [`controller`] orders engines to load and
-//! unload models and adapters while this VM holds the [`lease`], as planned by [`placement`],
-//! [`crowding`] and [`adapter_placement`].
+//! In the background, [`store_watch`] keeps the configuration, the registrations and the closed
+//! data centres ([`centre_closure`]) up to date, [`mesh`] reports this VM's usage to the other VMs,
+//! and [`controller`] orders engines to load and unload models and adapters while this VM holds the
+//! [`lease`], as planned by [`placement`], [`crowding`] and [`adapter_placement`].
 
 pub mod adapter_placement;
 pub mod allowance;
--- a/src/gateway/model_wait.rs
+++ b/src/gateway/model_wait.rs
@@ -45,7 +45,7 @@
                 .refusal(Reason::Capacity)
                 .retry_after(CAPACITY_RETRY));
         };
-        if gateway.read_fleet(|fleet| fleet.is_shut(&self.service)) {
+        if gateway.read_fleet(|fleet| fleet.is_closed(&self.service)) {
             info!(gateway.log, "service_closed"; "request" => %self.request.head.id);
             let refusal = attempts.refusal(Reason::Capacity);
             return Err(refuse_after(refusal, CAPACITY_RETRY));
@@ -89,8 +89,8 @@
         }
     }
 
-    /// Waits until `until`, when an upstream accepts requests of this VM again, or until the upstreams
-    /// in use change.
+    /// Waits until `until`, when an upstream accepts requests of this VM again, or until the
+    /// upstreams in use change.
     ///
     /// # Errors
     ///
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -5,8 +5,8 @@
 //! VMs.
 //!
 //! What a VM has admitted counts from its start, also what it admitted before this VM heard of it.
-//! Of a VM that started before this one, only what it admits since its first report counts; the rest
-//! is told apart. Totals are kept of a VM that was forgotten.
+//! Of a VM that started before this one, only what it admits since its first report counts; the
+//! rest is told apart. Totals are kept of a VM that was forgotten.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -249,8 +249,8 @@
         }
     }
 
-    /// Whether a report of the same process that is as new, or newer, was applied already, or one of
-    /// the process after it. Forwarders may deliver a report twice, or after later ones.
+    /// Whether a report of the same process that is as new, or newer, was applied already, or one
+    /// of the process after it. Forwarders may deliver a report twice, or after later ones.
     pub fn is_outdated(&self, usage: &Usage) -> bool {
         let known = self.known.get(&usage.vm);
         if known.is_some_and(|peer| peer.ended == Some(usage.generation)) {
--- a/src/gateway/platform_api.rs
+++ b/src/gateway/platform_api.rs
@@ -172,8 +172,8 @@
 }
 
 impl ResponseMeta {
-    /// What the upstream states about itself. A response that may not be its own, or not whole, does
-    /// not show that a limit has ended.
+    /// What the upstream states about itself. A response that may not be its own, or not whole,
+    /// does not show that a limit has ended.
     pub fn proven_signals(&self) -> UpstreamSignals {
         let own = self.request_id.is_some() && (self.sealed || self.not_run);
         let mut signals = self.signals;
--- a/src/gateway/quarantine/crashes.rs
+++ b/src/gateway/quarantine/crashes.rs
@@ -1,9 +1,9 @@
 //! The crashes of engines, and the parts and whole requests that are suspected of them.
 //!
-//! Of the parts, the cause is mostly in a response without an event. Others are suspected only while
-//! no such response is left that could be it: first those whose response had not begun, as their
-//! requests may have been waiting. Of the requests, each that ran is suspected. An engine that broke
-//! off responses may also be alive; then it had not crashed.
+//! Of the parts, the cause is mostly in a response without an event. Others are suspected only
+//! while no such response is left that could be it: first those whose response had not begun, as
+//! their requests may have been waiting. Of the requests, each that ran is suspected. An engine
+//! that broke off responses may also be alive; then it had not crashed.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -19,12 +19,13 @@
 const REPORT_TIME: Duration = Duration::from_millis(500);
 /// The same, if one is lost.
 const LOST_REPORT_TIME: Duration = Duration::from_secs(2);
-/// Largest number of parts, and of requests, that are suspected of one crash. Callers could otherwise
-/// raise it at will.
+/// Largest number of parts, and of requests, that are suspected of one crash. Callers could
+/// otherwise raise it at will.
 const MAX_SUSPECTS: usize = 128;
-/// How long a crash is remembered that is explained or was none.
+/// How long a crash is remembered that does not count.
 const EXPLAINED_LIFETIME: Duration = Duration::from_mins(10);
-/// How long another one is; a request that comes again rarely crashes as many engines in the end.
+/// How long a crash is remembered that counts; a request that comes again rarely crashes as many
+/// engines in the end.
 const LIFETIME: Duration = Duration::from_hours(24);
 /// An engine that answers a request sent within this time after it broke off responses has not
 /// crashed; later, another run of it may answer.
@@ -32,9 +33,8 @@
 /// An engine of which another run is registered within this time after it broke off responses has
 /// crashed, whatever answered in between.
 const RESTART_TIME: Duration = Duration::from_secs(10);
-
-/// A request sent to an engine within this time after it crashed met no run of it, but for those sent
-/// so shortly after that the crash may have been seen late.
+/// A request sent to an engine within this time after it crashed did not reach a run of it, unless
+/// it was sent within [`SEEN_SLACK`] of the crash.
 const DOWN_TIME: Duration = Duration::from_millis(1500);
 /// Times in reports differ by the time that the reports took.
 const SEEN_SLACK: Duration = Duration::from_millis(50);
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -1,8 +1,8 @@
 //! Holds back requests that crash engines.
 //!
 //! An engine may crash as soon as it begins to write a response on a certain part of a prompt,
-//! whatever else the request holds, or whenever it runs a certain request. Sent on, retried, resumed
-//! and repeated by their callers, such requests would end one engine after the other. No id
+//! whatever else the request holds, or whenever it runs a certain request. Sent on, retried,
+//! resumed and repeated by their callers, such requests would end one engine after the other. No id
 //! identifies them, and the responses that an engine was writing at the same time break as well.
 //! Parts of prompts and whole requests are the two kinds of suspects ([`suspect`]), judged together
 //! by evidence from all VMs:
@@ -17,8 +17,8 @@
 //!
 //! Each attempt to send a request needs a clearance ([`gate`]), whether it is the first, a retry or
 //! the resumption of a stream. VMs exchange what they have seen, and what they hold back, in their
-//! usage reports ([`report`]). A VM that has just started, or was cut off, learns from them what the
-//! others hold back.
+//! usage reports ([`report`]). A VM that has just started, or was cut off, learns from them what
+//! the others hold back.
 
 mod attribution;
 pub mod crashes;
@@ -54,8 +54,8 @@
 
 impl Quarantine {
     /// Records that an engine broke off the response to a request of this VM. Returns what is
-    /// quarantined since. A request that was sent to an engine which had just crashed did not run there,
-    /// and says nothing.
+    /// quarantined since. A request that was sent to an engine which had just crashed did not run
+    /// there, and says nothing.
     pub fn on_crash(
         &mut self,
         engine: UpstreamInstance,
@@ -282,8 +282,8 @@
         true
     }
 
-    /// Where one suspect is left of those that were blamed for the same crashes, and was never sound,
-    /// it is the cause.
+    /// Where one suspect is left of those that were blamed for the same crashes, and was never
+    /// sound, it is the cause.
     fn convict_last(&mut self, blamed: Instant) {
         let left: Vec<_> = self
             .holds
--- a/src/gateway/quarantine/report.rs
+++ b/src/gateway/quarantine/report.rs
@@ -109,8 +109,8 @@
         }
     }
 
-    /// Adds an engine that seems not to have crashed. What it broke off stays reported, as it counts
-    /// if another run of it turns out to have answered.
+    /// Adds an engine that seems not to have crashed. What it broke off stays reported, as it
+    /// counts if another run of it turns out to have answered.
     pub(super) fn add_survivor(&mut self, engine: &UpstreamInstance, now: Instant) {
         self.expire(now);
         if self.survivors.len() < MAX_CRASHES {
@@ -136,8 +136,8 @@
 }
 
 impl Quarantine {
-    /// What the next usage report carries; `None` if there is nothing to report. It names what is held
-    /// back where `held` says so, or it has just changed.
+    /// What the next usage report carries; `None` if there is nothing to report. It names what is
+    /// held back where `held` says so, or it has just changed.
     pub fn report(&mut self, held: bool, now: Instant) -> Option<QuarantineReport> {
         self.announcements.expire(now);
         self.holds.expire(now);
--- a/src/gateway/quota_order.rs
+++ b/src/gateway/quota_order.rs
@@ -1,11 +1,11 @@
 //! Which requests of one account go first while it asks for more than its quota.
 //!
-//! Requests are ranked by the priority of their route. As long as nothing of the account is refused,
-//! rank and size don't matter. Once something was refused at any VM, for a while a request also
-//! needs tokens left over, the more so the less urgent and the larger it is; what is left serves the
-//! urgent and cheap ones. No rank waits for ever: some of its requests, drawn at random, need nothing
-//! left over, so many that a small share of the tokens goes to it. If it got less lately, the other
-//! ranks leave it room for one request.
+//! Requests are ranked by the priority of their route. As long as nothing of the account is
+//! refused, rank and size don't matter. Once something was refused at any VM, for a while a request
+//! also needs tokens left over, the more so the less urgent and the larger it is; what is left
+//! serves the urgent and cheap ones. No rank waits for ever: some of its requests, drawn at random,
+//! need nothing left over, so many that a small share of the tokens goes to it. If it got less
+//! lately, the other ranks leave it room for one request.
 
 use std::collections::BTreeMap;
 use std::ops::Range;
@@ -25,7 +25,8 @@
 /// Random factor on what is left of the largest level. Levels at VMs differ by what they haven't
 /// reported yet.
 const RESERVE_SPREAD: Range<f64> = 0.5..1.5;
-/// What a request leaves, as a share of its own size, and its bound as a share of the largest level.
+/// What a request leaves, as a share of its own size, and its bound as a share of the largest
+/// level.
 const SIZE_RESERVE: f64 = 0.4;
 const MAX_SIZE_RESERVE: f64 = 0.1;
 /// Share of the tokens admitted that is promised to each rank that asks.
@@ -106,7 +107,7 @@
     }
 
     /// Tokens that must be left over after a request. `most` is the largest level, and `draw` a
-    /// random number from 0 to 1; with low ones nothing need be left.
+    /// random number from 0 to 1; below the rank's floor chance nothing need be left.
     pub fn reserve(&self, rank: Rank, tokens: Tokens, most: f64, draw: f64, now: Instant) -> f64 {
         if !self.is_ranked(now) || draw < self.floor_chance(rank) {
             return 0.0;
@@ -119,8 +120,8 @@
         reserve.min(MAX_RESERVE * most)
     }
 
-    /// Share of the tokens admitted that went to less urgent ranks or to this one; what refills a
-    /// level for it.
+    /// Share of the tokens admitted that went to less urgent ranks or to this one, at least
+    /// `FLOOR`; 1 while requests are not ranked.
     pub fn share_left(&self, rank: Rank, now: Instant) -> f64 {
         if !self.is_ranked(now) {
             return 1.0;
@@ -131,8 +132,8 @@
         (1.0 - urgent / all.max(f64::MIN_POSITIVE)).max(FLOOR)
     }
 
-    /// Probability with which a request needs nothing left over, so that its rank gets its floor also
-    /// at a VM that admits less than one such request in [`USE_TIME`].
+    /// Probability with which a request needs nothing left over, so that its rank gets its floor
+    /// also at a VM that admits less than one such request in [`USE_TIME`].
     fn floor_chance(&self, rank: Rank) -> f64 {
         let Some(used) = self.ranks.get(&rank) else {
             return 0.0;
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -23,8 +23,8 @@
 /// Which of the other VMs are reachable from this one.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Reachability {
-    /// Whether the registered VMs were read since this VM is one of them. Before, it knows nothing of
-    /// how many there are.
+    /// Whether the registered VMs were read since this VM is one of them. Before, it knows nothing
+    /// of how many there are.
     pub listed: bool,
     /// Number of known VMs, this one included.
     pub vms: u32,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -327,7 +327,7 @@
             if self.account.is_some() && !gateway.keys_trusted() {
                 return attempts.give_up(Reason::NotReady, NOT_READY_RETRY);
             }
-            if self.connection.ended_before() {
+            if self.connection.ended_too_early() {
                 return attempts.give_up(Reason::Capacity, CAPACITY_RETRY);
             }
             let clearance = match self.clear_to_send() {
@@ -359,7 +359,8 @@
         self.choose_excluding(&attempts.tried)
     }
 
-    /// Whether an upstream that is not in `tried` and not ejected takes the request now for certain.
+    /// Whether an upstream that is not in `tried` and not ejected takes the request now for
+    /// certain.
     pub fn has_alternative(&self, tried: &BTreeSet<UpstreamId>) -> bool {
         let now = self.gateway.clock.now();
         let mut excluded = tried.clone();
--- a/src/gateway/reload.rs
+++ b/src/gateway/reload.rs
@@ -1,8 +1,8 @@
 //! Takes changed settings into use while the gateway runs.
 //!
-//! The settings are read on a signal, and regularly, since they may change without one. A change that
-//! is faulty as a whole changes nothing. Requests that run are not touched: what reads a bound next
-//! reads the new one.
+//! The settings are read on a signal, and regularly, since they may change without one. A change
+//! that is faulty as a whole changes nothing. Requests that run are not touched: what reads a bound
+//! next reads the new one.
 
 use std::fmt::Debug;
 use std::sync::Arc;
@@ -17,7 +17,7 @@
 /// Interval between reads of the settings.
 const READ_INTERVAL: Duration = Duration::from_secs(3);
 /// Time between two reads, of which the second confirms what the first has found.
-const WRITE_TIME: Duration = Duration::from_millis(200);
+const CONFIRM_DELAY: Duration = Duration::from_millis(200);
 
 /// Settings that differ from the last that were read.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,7 +35,8 @@
 
 /// Where settings come from.
 pub trait SettingsSource: Send + Debug {
-    /// Reads the settings; `None` if they are the same as before, or differ for the first time.
+    /// Reads the settings. A change is returned once two reads in a row have found it; `None`
+    /// otherwise.
     fn read(&mut self) -> Option<SettingsChange>;
 }
 
@@ -47,7 +48,7 @@
             let due = gateway.settings_due.notified();
             let _woken = tokio::time::timeout(READ_INTERVAL, due).await;
             let first = source.read();
-            tokio::time::sleep(WRITE_TIME).await;
+            tokio::time::sleep(CONFIRM_DELAY).await;
             for change in first.into_iter().chain(source.read()) {
                 apply(&gateway, change);
             }
--- a/src/gateway/request_digest.rs
+++ b/src/gateway/request_digest.rs
@@ -2,11 +2,11 @@
 //!
 //! A caller that tries again sends a new request id, and may change headers, its key or the framing
 //! of the body. A request is therefore known by what an upstream works on: the client account, the
-//! method, the host, the path with its query, the model, the shared parts of the prompt and the body.
-//! The last part of the prompt is left out, as a copy may come in another session. The account is part
-//! of it, so that no account can have the requests of another one held back. 128 bits of the digest suffice:
-//! two requests of one account that collide harm this account alone, and the digest of another
-//! account's request cannot be met on purpose.
+//! method, the host, the path with its query, the model, the shared parts of the prompt and the
+//! body. The last part of the prompt is left out, as a copy may come in another session. The
+//! account is part of it, so that no account can have the requests of another one held back. 128
+//! bits of the digest suffice: two requests of one account that collide harm this account alone,
+//! and the digest of another account's request cannot be met on purpose.
 
 use blake3::Hasher;
 
--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -57,7 +57,8 @@
         self.requests.push_back(now);
     }
 
-    /// Counts a retry and returns true if the budget of this VM allows one; returns false otherwise.
+    /// Counts a retry and returns true if the budget of this VM allows one; returns false
+    /// otherwise.
     /// `vms` is the most VMs that this one has known.
     pub fn try_spend(&mut self, vms: u32, now: Instant) -> bool {
         let allowed = self.is_left(vms, now);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -32,13 +32,6 @@
 use super::response::{self, CallerBody};
 use super::state::Gateway;
 
-/// Limits on callers before the first configuration is known.
-const DEFAULT_BOUNDS: CallerBounds = CallerBounds {
-    head_bytes: 16 * 1024,
-    body_bytes: 4 << 20,
-    head_time: Duration::from_secs(3),
-    idle_time: Duration::from_secs(15),
-};
 /// Smallest buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Added to the idle time, so that a request sent just before it ends still arrives in time.
@@ -250,7 +243,9 @@
 /// Limits on callers, those of the configuration if there is one.
 fn caller_bounds(gateway: &Gateway) -> CallerBounds {
     let configuration = gateway.configuration.load();
-    configuration.as_ref().map_or(DEFAULT_BOUNDS, |c| c.bounds)
+    configuration
+        .as_ref()
+        .map_or(CallerBounds::DEFAULT, |c| c.bounds)
 }
 
 /// Waits until the head of a request has taken too long to arrive, counted from its first byte.
--- a/src/gateway/slowdown.rs
+++ b/src/gateway/slowdown.rs
@@ -1,9 +1,10 @@
 //! How much longer work takes at an upstream than usual.
 //!
-//! Upstreams share their hosts with others, and some state in their responses how long work takes at
-//! that moment. The figure changes within fractions of a second, and a VM gets few responses of any
-//! one upstream, so each statement moves the estimate half way and fades. Only slowness counts: a
-//! moment of speed is over before requests sent for it begin, and many VMs would send them at once.
+//! Upstreams share their hosts with others, and some state in their responses how long work takes
+//! at that moment. The figure changes within fractions of a second, and a VM gets few responses of
+//! any one upstream, so each statement moves the estimate half way and fades. Only slowness counts:
+//! a speed-up ends before requests sent because of it begin, and many VMs would send them at
+//! once.
 //!
 //! A VM tells the others which upstreams it has itself found slow. What it has heard from them
 //! counts like its own, and is not passed on.
@@ -20,7 +21,7 @@
 const STATEMENT_WEIGHT: f64 = 0.5;
 /// Greatest slowness that counts, in percent; beyond it an upstream is avoided all the same.
 const MAX_PERCENT: u32 = 1000;
-/// Slowness from which the other VMs are told, in percent.
+/// Least slowness that is reported to the other VMs, in percent.
 const TOLD_PERCENT: u32 = 130;
 
 /// Time that work takes, in percent of the usual.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -58,7 +58,8 @@
     pub first_start: bool,
     /// What the process may use.
     pub process: ProcessLimits,
-    /// Time within which the closure of a data centre is in force; `None` where none is closed.
+    /// Time within which the closure of a data centre is in force; `None` where operators close
+    /// none.
     pub closure: Option<Duration>,
     /// Time from a signal to stop until the process must have exited.
     pub grace: Duration,
@@ -369,7 +370,8 @@
         }
     }
 
-    /// Applies what another VM says of its configuration; returns what must be answered, if it asks.
+    /// Applies what another VM says of its configuration; returns what must be answered, if it
+    /// asks.
     pub fn on_configuration_report(
         &self,
         report: &ConfigurationReport,
@@ -479,7 +481,8 @@
         first
     }
 
-    /// Sets how many VMs are known and reachable. The quotas are refilled by the part used until now.
+    /// Sets how many VMs are known and reachable. The quotas are refilled by the part used until
+    /// now.
     pub fn set_reachability(&self, reachability: Reachability) {
         self.refill_allowances();
         *lock(&self.reachability) = reachability;
@@ -495,13 +498,20 @@
         lock(&self.reachability).last_received = now;
     }
 
+    fn retry_budget<'a>(
+        &self,
+        budgets: &'a mut BTreeMap<ServiceId, RetryBudget>,
+        service: &ServiceId,
+    ) -> &'a mut RetryBudget {
+        let entry = budgets.entry(service.clone());
+        entry.or_insert_with(|| RetryBudget::new(self.bounds().retries))
+    }
+
     /// Counts a request for a service, which raises its retry budget.
     pub fn count_request(&self, service: &ServiceId) {
         let now = self.clock.now();
         let mut retry_budgets = lock(&self.retry_budgets);
-        let entry = retry_budgets.entry(service.clone());
-        entry
-            .or_insert_with(|| RetryBudget::new(self.bounds().retries))
+        self.retry_budget(&mut retry_budgets, service)
             .on_request(now);
     }
 
@@ -510,9 +520,7 @@
         let now = self.clock.now();
         let vms = self.reachability().peak;
         let mut retry_budgets = lock(&self.retry_budgets);
-        let entry = retry_budgets.entry(service.clone());
-        entry
-            .or_insert_with(|| RetryBudget::new(self.bounds().retries))
+        self.retry_budget(&mut retry_budgets, service)
             .is_left(vms, now)
     }
 
@@ -521,9 +529,8 @@
         let now = self.clock.now();
         let vms = self.reachability().peak;
         let mut retry_budgets = lock(&self.retry_budgets);
-        let entry = retry_budgets.entry(service.clone());
-        let taken = entry
-            .or_insert_with(|| RetryBudget::new(self.bounds().retries))
+        let taken = self
+            .retry_budget(&mut retry_budgets, service)
             .try_spend(vms, now);
         if taken {
             self.counters.repeats.inc();
--- a/src/gateway/state/quotas.rs
+++ b/src/gateway/state/quotas.rs
@@ -114,7 +114,8 @@
         }
     }
 
-    /// Subtracts tokens that a VM which started before this one had admitted before its first report.
+    /// Subtracts tokens that a VM which started before this one had admitted before its first
+    /// report.
     pub fn add_earlier_usage(&self, account: &ClientAccount, tokens: Tokens) {
         if let Some(allowance) = lock(&self.allowances).get_mut(account) {
             allowance.on_earlier_usage(tokens);
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -407,6 +407,7 @@
                 "warm_up_ms" => registration.warm_up_ms);
     }
     drop(upstreams);
+    // Before the fleet is updated, as this compares with the run known until now.
     gateway.on_registration_written(&registration);
     gateway.update_fleet(|fleet, _| fleet.on_registration(registration));
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -159,7 +159,7 @@
     run: EngineRun,
     /// What follows the events that were returned last.
     next: Next,
-    /// Whether it was recorded that this silence is tolerated.
+    /// Whether it was recorded that the stream stays at its engine in this silence.
     kept: bool,
 }
 
@@ -416,18 +416,17 @@
         self.admitted.has_alternative(&tried)
     }
 
-    /// Resumes the stream at another engine after the last complete event, first at `place` if there
-    /// is one.
+    /// Resumes the stream at another engine after the last complete event, first at `place` if
+    /// there is one.
     async fn resume(
         &mut self,
         error: ResponseError,
-        place: Option<Place>,
+        mut place: Option<Place>,
     ) -> Result<(), ResponseAborted> {
         let suspect = error == ResponseError::Disconnected && self.is_suspect();
         self.on_lost(error);
         self.events.on_resumed();
         let certain = self.events.is_certain();
-        let mut place = place;
         while certain && !suspect && self.resumable() && !self.admitted.time_left().is_zero() {
             if place.is_none() {
                 if error == ResponseError::Silent {
--- a/src/gateway/stream_progress.rs
+++ b/src/gateway/stream_progress.rs
@@ -1,22 +1,23 @@
 //! Whether a stream of events still makes progress.
 //!
 //! Only complete events count. An engine that is silent may still be working, so a stream is not
-//! ended for silence alone: where another engine can resume it, it is moved there, but only once the
-//! engine's pace ([`super::engine_pace`]) no longer explains the silence. An engine that keeps sending bytes without ever completing an event has failed, and its stream ends once the
-//! caller would have given up waiting for the event.
+//! ended for silence alone: where another engine can resume it, it is moved there, but only once
+//! the engine's pace ([`super::engine_pace`]) no longer explains the silence. An engine that keeps
+//! sending bytes without ever completing an event has failed, and its stream ends once the caller
+//! would have given up waiting for the event.
 
 use std::time::{Duration, Instant};
 
 use super::engine_pace::Standing;
 
-/// A resumable stream is moved to another engine after this time without an event, unless its engine
-/// is busy; callers disconnect after two seconds without one.
+/// A resumable stream is moved to another engine after this time without an event, unless its
+/// engine is busy; callers disconnect after two seconds without one.
 const MAX_SILENCE: Duration = Duration::from_millis(1200);
 /// Factor on the longest silence of the engine's other streams, up to which one more is usual.
 const USUAL_SILENCE: u32 = 2;
 /// Share of the caller's patience after which a stream of a full engine is moved, in quarters.
 const FULL_QUARTERS: u32 = 3;
-/// Time to the next look at an engine that is in its turn.
+/// Shortest time to the next look at a silent engine.
 const LOOK_AGAIN: Duration = Duration::from_millis(300);
 
 /// Progress of one stream.
--- a/src/gateway/unreadable_objects.rs
+++ b/src/gateway/unreadable_objects.rs
@@ -8,10 +8,10 @@
 
 use super::platform_api::DecodeError;
 
-/// Most objects that are remembered; any beyond them are not told.
+/// Most objects that are remembered; further ones are neither counted nor logged.
 const MAX_OBJECTS: usize = 1000;
 
-/// Kind, name and fault of the objects that were told.
+/// Kind, name and fault of the objects that were logged.
 #[derive(Debug, Default)]
 pub struct UnreadableObjects(BTreeSet<(&'static str, CompactString, CompactString)>);
 
--- a/src/gateway/upstream.rs
+++ b/src/gateway/upstream.rs
@@ -34,8 +34,8 @@
     pub leaving: bool,
     /// Models on the engine; empty for a plain service.
     pub inventory: ModelInventory,
-    /// Time for which it still warms up, in milliseconds, as of the registration's last write; absent
-    /// where it does not say.
+    /// Time for which it still warms up, in milliseconds, as of the registration's last write;
+    /// absent where it does not say.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub warm_up_ms: Option<u64>,
 }
--- a/src/gateway/upstream_limit/gate.rs
+++ b/src/gateway/upstream_limit/gate.rs
@@ -65,7 +65,7 @@
         for pool in self.pools(&warming_up, tried) {
             let mut excluded = tried.clone();
             excluded.extend(full.iter().map(|(_, u)| u.registration.id.clone()));
-            self.exclude_beyond(pool, &warming_up, &mut excluded);
+            self.exclude_outside(pool, &warming_up, &mut excluded);
             let most = match pool {
                 Pool::WarmingUp => WARMING_UP_TRIES,
                 Pool::All | Pool::Warm => usize::MAX,
@@ -118,7 +118,7 @@
     }
 
     /// Excludes the upstreams that are not in a pool.
-    fn exclude_beyond(
+    fn exclude_outside(
         &self,
         pool: Pool,
         warming_up: &BTreeSet<UpstreamId>,
@@ -135,7 +135,8 @@
         }
     }
 
-    /// Whether an upstream names a limit or is warming up, so that a request may find no room there.
+    /// Whether an upstream names a limit or is warming up, so that a request may find no room
+    /// there.
     pub fn is_limited(&self, upstream: &Upstream) -> bool {
         let instance = UpstreamInstance::from(&*upstream.registration);
         let now = self.gateway.clock.boot();
--- a/src/gateway/upstream_limit/mod.rs
+++ b/src/gateway/upstream_limit/mod.rs
@@ -12,11 +12,11 @@
 //! - A VM that hears no leader sends only in slots of its own, its equal part of half the rate
 //!   ([`share`]). The leader keeps such a part back for each VM that it does not hear.
 //!
-//! Each attempt needs a permit ([`gate`]), which names its upstream. A request that another upstream
-//! can serve goes there if there is no room at once; any other waits for its time if that is in
-//! time, and is refused otherwise. An upstream with room gets requests like any other, so that the
-//! end of a limit is noticed. While some upstreams warm up, patient requests go to them first and
-//! others to warm ones ([`preference`]).
+//! Each attempt needs a permit ([`gate`]), which names its upstream. A request that another
+//! upstream can serve goes there if there is no room at once; any other waits for its time if that
+//! is in time, and is refused otherwise. An upstream with room gets requests like any other, so
+//! that the end of a limit is noticed. While some upstreams warm up, patient requests go to them
+//! first and others to warm ones ([`preference`]).
 
 mod asks;
 pub mod gate;
--- a/src/gateway/upstream_limit/share.rs
+++ b/src/gateway/upstream_limit/share.rs
@@ -6,9 +6,9 @@
 //! So the requests of all VMs in any span are bounded by the slots that begin in it or shortly
 //! before, also if every VM has requests at every moment or all begin after a pause.
 //!
-//! Slots are counted on the wall clock, which differs between VMs. VMs whose clocks differ by the
-//! same time keep their slots apart, and so do VMs that know the same others. Each such group sends
-//! at its own share of the rate, so that they hold the bound in sum.
+//! Slots are counted on the wall clock. Slots of two VMs do not overlap if their clocks agree and
+//! they know the same VMs. VMs that differ in either form groups; each group sends at most its own
+//! share of the rate, so the sum of all groups keeps the bound.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -56,8 +56,8 @@
         self.rank = listed.then(|| u32::try_from(rank).unwrap_or(u32::MAX));
     }
 
-    /// The part of VM `own` among at least `least` parts. A VM that is not among those known has one
-    /// at random.
+    /// The part of VM `own` among at least `least` parts. A VM that is not among those known has
+    /// one at random.
     pub fn part(&self, own: &VmId, least: u32) -> Part {
         let known = u32::try_from(self.vms.len()).unwrap_or(u32::MAX);
         let parts = known.max(least).max(MIN_PARTS);
@@ -87,7 +87,8 @@
     ///
     /// # Errors
     ///
-    /// Time until the next slot, if that is longer.
+    /// Time until the next slot, if that is longer or the slot is taken; at most `MAX_INTERVAL`
+    /// if the rate gives no usable slots.
     pub fn try_send(
         &mut self,
         id: &UpstreamId,
@@ -120,8 +121,8 @@
         Ok(wait)
     }
 
-    /// Whether the slot of a cycle or the next one is used, or the last request was so late that only a
-    /// change of the wall clock can have begun another cycle.
+    /// Whether the slot of a cycle or the next one is used, or the last request was so late that
+    /// only a change of the wall clock can have begun another cycle.
     fn is_used(&self, id: &UpstreamId, slots: &Slots, cycle: u128, at: BootTime) -> bool {
         let closed = slots.cycle.saturating_sub(slots.usable);
         let used = self.used.get(id);
--- a/src/gateway/upstream_limit/warm_up.rs
+++ b/src/gateway/upstream_limit/warm_up.rs
@@ -1,10 +1,10 @@
 //! The upstreams that are warming up, as far as this VM knows them.
 //!
-//! An upstream that has started, or that its data centre was closed for, takes few requests a second
-//! for a while (slow start). It states in its registration how long that lasts, and the configuration
-//! states the rate. What is known is only ever extended: a statement may be old, and its time left
-//! counts from when it is read. The rate of a later run also holds for requests that are meant for
-//! an earlier one, since the upstream may have kept its id and its address.
+//! An upstream that has started, or that its data centre was closed for, takes few requests a
+//! second for a while (slow start). It states in its registration how long that lasts, and the
+//! configuration states the rate. What is known is only ever extended: a statement may be old, and
+//! its time left counts from when it is read. The rate of a later run also holds for requests that
+//! are meant for an earlier one, since the upstream may have kept its id and its address.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
--- a/src/gateway/warm_up.rs
+++ b/src/gateway/warm_up.rs
@@ -1,10 +1,12 @@
-//! Learns which upstreams are warming up, and has their requests limited ([`super::upstream_limit`]).
+//! Learns which upstreams are warming up, and has their requests limited
+//! ([`super::upstream_limit`]).
 //!
-//! An upstream states in its registration how long it still warms up. A registration that is read as
-//! a change was written a moment ago. One that is read in a list may be older, and counts only where
-//! it is new. A running upstream may begin to warm up again, and one may be restarted under its old
-//! id and address: the other VMs are told of both at once. An upstream that could not be reached may
-//! have been restarted, and counts as warming up until its registration must have shown that.
+//! An upstream states in its registration how long it still warms up. A registration that is read
+//! as a change was written a moment ago. One that is read in a list may be older, and counts only
+//! where it is new. A running upstream may begin to warm up again, and one may be restarted under
+//! its old id and address: the other VMs are told of both at once. An upstream that could not be
+//! reached may have been restarted, and counts as warming up until its registration must have shown
+//! that.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -42,12 +44,12 @@
     pub fn on_registrations_listed(&self, registrations: &[Registration]) {
         let known = self.read_fleet(Fleet::registered);
         let known: BTreeMap<_, _> = known.iter().map(|known| (&known.id, known)).collect();
+        let assumed = self.read_fleet(|fleet| fleet.initialized);
         for registration in registrations {
             let same = known.get(&registration.id).is_some_and(|known| {
                 known.started_ms == registration.started_ms
                     && known.warm_up_ms == registration.warm_up_ms
             });
-            let assumed = self.read_fleet(|fleet| fleet.initialized);
             if !same && let Some(left) = self.warm_up_left(registration, assumed) {
                 self.note_warm_up(registration, left, Audience::Own);
             }
@@ -88,7 +90,8 @@
         }
     }
 
-    /// Time for which an upstream warms up by its registration. Where that says nothing, all of it if
+    /// Time for which an upstream warms up by its registration. Where that says nothing, all of it
+    /// if
     /// `assumed`; `None` if there is none.
     fn warm_up_left(&self, registration: &Registration, assumed: bool) -> Option<Duration> {
         let stated = registration.warm_up_ms.map(Duration::from_millis);
--- a/tests/gateway_broadcast.rs
+++ b/tests/gateway_broadcast.rs
@@ -1,4 +1,5 @@
-//! Whom broadcasts are sent to among many VMs of several data centres, and reports that arrive twice.
+//! Whom broadcasts are sent to among many VMs of several data centres, and reports that arrive
+//! twice.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
--- a/tests/gateway_centre_closure.rs
+++ b/tests/gateway_centre_closure.rs
@@ -52,11 +52,11 @@
     let used: Vec<_> = fleet.snapshot(now).into_keys().collect();
     assert_eq!(used, [id("e1")]);
     assert_eq!(fleet.registered().len(), 1);
-    assert!(!fleet.is_shut(&id("svc")));
+    assert!(!fleet.is_closed(&id("svc")));
     fleet.set_closed(centres(&["dc1", "dc2"]));
     assert!(fleet.snapshot(now).is_empty());
-    assert!(fleet.is_shut(&id("svc")));
-    assert!(!fleet.is_shut(&id("other")), "it has none at all");
+    assert!(fleet.is_closed(&id("svc")));
+    assert!(!fleet.is_closed(&id("other")), "it has none at all");
     fleet.set_closed(centres(&[]));
     assert_eq!(fleet.snapshot(now).len(), 2);
 }
--- a/tests/gateway_quota_parted.rs
+++ b/tests/gateway_quota_parted.rs
@@ -1,7 +1,8 @@
-//! The quota of an account that does not use it up, when VMs are cut off, stand still and start anew.
+//! The quota of an account that does not use it up, when VMs are cut off, stand still and start
+//! anew.
 //!
-//! Guards against VMs that subtract in a lump what the others admitted while none of them heard each
-//! other, although they left it to them meanwhile.
+//! Guards against VMs that subtract in a lump what the others admitted while none of them heard
+//! each other, although they left it to them meanwhile.
 
 use std::time::{Duration, Instant};
 
--- a/tests/gateway_stream_events.rs
+++ b/tests/gateway_stream_events.rs
@@ -1,5 +1,5 @@
-//! Which events of a stream are forwarded, and after which one it is resumed, where an engine hands out
-//! wrong numbers or breaks off.
+//! Which events of a stream are forwarded, and after which one it is resumed, where an engine hands
+//! out wrong numbers or breaks off.
 
 use basilgw::gateway::events::{Completed, EventError, EventSplitter};
 
@@ -25,8 +25,8 @@
     blocks.map(|block| id(block).unwrap_or_default()).collect()
 }
 
-/// A stream of one engine, each event in a write of its own, to its end: what was forwarded, whether it
-/// ended as complete, and whether it may be resumed.
+/// A stream of one engine, each event in a write of its own, to its end: what was forwarded,
+/// whether it ended as complete, and whether it may be resumed.
 fn run(last: Option<u64>, ids: &[&str]) -> (Vec<String>, bool, EventSplitter) {
     let mut events = EventSplitter::resume_after(last);
     let (forwarded, complete) = go_on(&mut events, ids);
--- a/tests/gateway_stream_silence.rs
+++ b/tests/gateway_stream_silence.rs
@@ -1,5 +1,5 @@
-//! When a silent stream is moved away from its engine: under a burst a busy engine is late, and a stream
-//! that is moved then only adds to the load.
+//! When a silent stream is moved away from its engine: under a burst a busy engine is late, and a
+//! stream that is moved then only adds to the load.
 
 use std::time::{Duration, Instant};
 
--- a/tests/gateway_upstream_limit.rs
+++ b/tests/gateway_upstream_limit.rs
@@ -1,5 +1,5 @@
-//! Limits that upstreams name: what counts when responses arrive out of order, and the grants of the
-//! leader.
+//! Limits that upstreams name: what counts when responses arrive out of order, and the grants of
+//! the leader.
 
 use std::time::{Duration, SystemTime};
 
