--- a/src/gateway/mesh/usage.rs
+++ b/src/gateway/mesh/usage.rs
@@ -46,9 +46,11 @@
         }
         self.gateway.on_leaving_hints(&usage.leaving);
         self.gateway.on_limit_reports(&usage.limits);
+        self.gateway.on_peer_refusals(&usage.over, now);
         let quarantine = usage.quarantine.take();
         let vm = usage.vm.clone();
         let change = state.peers.apply_usage(usage, from, now);
+        let reachability = change.reappeared.then(|| state.peers.reachability(now));
         drop(state);
         if change.new {
             info!(self.gateway.log, "vm_heard"; "peer" => %vm);
@@ -69,13 +71,16 @@
         {
             self.try_send(&Datagram::Limits(summary), from);
         }
-        self.gateway.on_peer_message(now);
         for (account, tokens) in change.earlier {
             self.gateway.add_earlier_usage(&account, tokens);
         }
-        for (account, tokens) in change.admitted {
-            self.gateway.add_peer_usage(&account, tokens);
+        self.gateway
+            .add_peer_usage(change.admitted, change.silence, now);
+        // Its usage counts from now on, so its part must as well.
+        if let Some(reachability) = reachability {
+            self.gateway.set_reachability(reachability);
         }
+        self.gateway.on_peer_message(now);
         let upstreams = self.gateway.upstreams.load();
         for (id, slowness) in change.slow {
             if let Some(upstream) = upstreams.get(&id) {
@@ -150,6 +155,7 @@
             leaving: self.gateway.leaving_hints(),
             quarantine: self.gateway.quarantine_report(),
             limits: self.gateway.limit_report(),
+            over: self.gateway.refused_accounts(),
             site: self.own_site(),
         }
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -38,6 +38,8 @@
 const MAX_MISSED_INTERVALS: f64 = 1.5;
 /// Shortest silence after which a VM counts as unreachable.
 pub const MIN_SILENCE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time in which a VM reads the datagrams that arrived while it stood still.
+const CATCH_UP_TIME: Duration = MIN_USAGE_INTERVAL;
 /// A VM is forgotten after a silence of this length, if it is no longer registered or most VMs are
 /// heard. A VM that hears few others may be cut off from them, and they still run.
 const FORGET_TIMEOUT: Duration = Duration::from_secs(12);
@@ -68,6 +70,14 @@
     }
 }
 
+/// A span in which no report of a VM arrived.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    from: Instant,
+    /// When the first report after it arrived.
+    until: Instant,
+}
+
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
@@ -75,6 +85,8 @@
     last_received: Option<Instant>,
     /// Process that sent its last report, and the age in milliseconds that the report states.
     report: Option<(Generation, u64)>,
+    /// The last silence after which it was heard again.
+    silence: Option<Silence>,
     /// When its registration was last read, or it was first added.
     last_listed: Instant,
     /// What the process that sent the last report has admitted; absent before the first report.
@@ -93,6 +105,11 @@
     pub new: bool,
     /// Whether this is the first report that arrives since the VM started.
     pub started: bool,
+    /// Whether the VM was not reachable until this report.
+    pub reappeared: bool,
+    /// Time since the VM was last heard before a silence that has just ended; absent if there was
+    /// none.
+    pub silence: Option<Duration>,
     /// Tokens admitted since the previous report; negative if more tokens were returned to the
     /// quota.
     pub admitted: Vec<(ClientAccount, i64)>,
@@ -112,8 +129,8 @@
     loads: BTreeMap<UpstreamId, u32>,
     /// Most VMs known at any time, this one included.
     peak: u32,
-    /// What VMs had admitted that were forgotten since.
-    forgotten: BTreeMap<VmId, AdmittedTotals>,
+    /// What VMs had admitted that were forgotten since, and when each was last heard.
+    forgotten: BTreeMap<VmId, (AdmittedTotals, Instant)>,
     /// When this VM started; absent where its age is not compared.
     started: Option<Instant>,
     /// When the registered VMs, this one among them, were last read.
@@ -166,9 +183,15 @@
             return UsageChange::default();
         }
         let new = !self.known.contains_key(&usage.vm);
+        let timeout = self.silence_timeout();
         let peer = self.known.entry(usage.vm.clone());
         let peer = peer.or_insert_with(|| Peer::new(from, now));
         peer.address = from;
+        let reappeared = !peer.is_reachable(now, timeout);
+        if reappeared {
+            let from = peer.last_seen();
+            peer.silence = Some(Silence { from, until: now });
+        }
         peer.last_received = Some(now);
         peer.report = usage.age_ms.map(|age_ms| (usage.generation, age_ms));
         peer.site = usage.site.or(peer.site.take());
@@ -177,7 +200,10 @@
         let mut earlier = Vec::new();
         if started {
             let totals = self.forgotten.remove(&usage.vm);
-            let totals = totals.filter(|totals| totals.generation == usage.generation);
+            let totals = totals.filter(|(totals, _)| totals.generation == usage.generation);
+            if let (Some((_, heard)), Some(silence)) = (&totals, &mut peer.silence) {
+                silence.from = *heard;
+            }
             let is_older = known.is_none() && !is_younger(self.started, usage.age_ms, now);
             if is_older && totals.is_none() {
                 let accounts = usage.accounts.iter();
@@ -188,10 +214,12 @@
                 generation: usage.generation,
                 accounts: baseline,
             };
-            peer.totals = Some(totals.unwrap_or(new));
+            peer.totals = Some(totals.map_or(new, |(totals, _)| totals));
         }
         let totals = peer.totals.as_mut();
         let admitted = totals.map_or_else(Vec::new, |totals| totals.update(usage.accounts));
+        let silence = peer.silence.filter(|silence| silence.is_recent(now));
+        let silence = silence.map(|silence| now.saturating_duration_since(silence.from));
         let before = std::mem::replace(&mut peer.loads, usage.upstreams);
         let mut changed = before.clone();
         changed.retain(|id, count| peer.loads.get(id) != Some(count));
@@ -209,6 +237,8 @@
         UsageChange {
             new,
             started,
+            reappeared,
+            silence,
             admitted,
             earlier,
             loads,
@@ -259,11 +289,14 @@
         });
         let silent: Vec<_> = silent.map(|(vm, _)| vm.clone()).collect();
         for vm in silent {
-            let totals = self.known.remove(&vm).and_then(|peer| peer.totals);
-            if let Some(totals) = totals
+            let Some(peer) = self.known.remove(&vm) else {
+                continue;
+            };
+            let last_seen = peer.last_seen();
+            if let Some(totals) = peer.totals
                 && self.forgotten.len() < MAX_FORGOTTEN
             {
-                self.forgotten.insert(vm, totals);
+                self.forgotten.insert(vm, (totals, last_seen));
             }
         }
     }
@@ -368,12 +401,20 @@
     }
 }
 
+impl Silence {
+    /// Whether reports that arrive now may be of the time of the silence.
+    fn is_recent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.until) <= CATCH_UP_TIME
+    }
+}
+
 impl Peer {
     fn new(address: SocketAddr, now: Instant) -> Self {
         Self {
             address,
             last_received: None,
             report: None,
+            silence: None,
             last_listed: now,
             totals: None,
             loads: BTreeMap::new(),
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -182,7 +182,7 @@
     let tokens = account.as_ref().map_or(Tokens::ZERO, |a| a.cost(size));
     if let Some(account) = &account {
         gateway
-            .admit(account, tokens)
+            .admit(account, route.priority, tokens)
             .map_err(|wait| Refusal::not_run(Reason::OverRate).retry_after(wait))?;
     }
     let admitted = AdmittedRequest {
@@ -334,7 +334,8 @@
                 Ok(clearance) => clearance,
                 Err(delay) => return attempts.give_up(Reason::Quarantined, delay),
             };
-            if attempts.sent > 0 && !gateway.try_retry(&self.service) {
+            let paid = std::mem::take(&mut attempts.paid);
+            if attempts.sent > 0 && !paid && !gateway.try_retry(&self.service) {
                 return attempts.give_up(Reason::UpstreamFailed, CAPACITY_RETRY);
             }
             let attempt = self.attempt(permit, clearance, &mut attempts);
--- a/src/schema/mod.rs
+++ b/src/schema/mod.rs
@@ -11,6 +11,7 @@
     clippy::complexity,
     clippy::perf,
     clippy::restriction,
+    clippy::large_enum_variant,
     reason = "generated code"
 )]
 
--- a/tests/gateway_allowance.rs
+++ b/tests/gateway_allowance.rs
@@ -61,6 +61,7 @@
         leaving: Vec::new(),
         quarantine: None,
         limits: Vec::new(),
+        over: Vec::new(),
         site: None,
         slow: BTreeMap::new(),
     }
@@ -109,7 +110,7 @@
                 vm.unsent -= REQUEST as f64;
                 let result = vm
                     .allowance
-                    .admit(Tokens(REQUEST), now, part, random.random());
+                    .admit(0, Tokens(REQUEST), now, part, random.random());
                 sum += if result.is_ok() { REQUEST } else { 0 };
             }
             let due = vm.allowance.report_due(vm.reachability.vms)
@@ -136,7 +137,8 @@
                 let taken = vm.peers.apply_usage(report.clone(), address(), now);
                 vm.reachability.last_received = now;
                 for (_, tokens) in taken.admitted {
-                    vm.allowance.on_peer_usage(tokens);
+                    let part = vm.reachability.rate_share(now);
+                    vm.allowance.on_peer_usage(tokens, taken.silence, now, part);
                 }
             }
         }
--- a/tests/gateway_broadcast.rs
+++ b/tests/gateway_broadcast.rs
@@ -99,6 +99,7 @@
         limits: Vec::new(),
         site: None,
         slow: BTreeMap::new(),
+        over: Vec::new(),
     }
 }
 
--- a/tests/gateway_quarantine_requests.rs
+++ b/tests/gateway_quarantine_requests.rs
@@ -287,6 +287,64 @@
     }
 }
 
+// Guards against: a sound request that is repeated while all upstreams are down, held back for it.
+#[test]
+fn requests_to_upstreams_that_are_down_say_nothing() {
+    let now = start();
+    let mut vms = [Quarantine::default(), Quarantine::default()];
+    for n in 0..4 {
+        let running = RequestDigest(100 + u128::from(n));
+        crash(&mut vms[0], n, running, now);
+        crash(&mut vms[1], n, running, now + ms(10));
+    }
+    let [one, two] = &mut vms;
+    tell(one, two, now + ms(80));
+    for n in 0..4 {
+        // The first VM has seen the crash, the second may know it from the first alone.
+        crash(one, n, BAD, now + ms(200 + 200 * n));
+        two.on_crash(
+            engine(n),
+            &broken(BAD, now + ms(300 + 200 * n)),
+            now + ms(350 + 200 * n),
+        );
+    }
+    tell(one, two, now + SETTLED);
+    tell(two, one, now + SETTLED);
+    assert!(!held(one, BAD, now + SETTLED * 2));
+    assert!(!held(two, BAD, now + SETTLED * 2));
+}
+
+// Guards against: the same where VMs that have not heard of the crashes report the requests.
+#[test]
+fn reports_of_requests_to_upstreams_that_are_down_say_nothing() {
+    let now = start();
+    let mut knows = Quarantine::default();
+    let mut others = [Quarantine::default(), Quarantine::default()];
+    for n in 0..4 {
+        crash(&mut knows, n, RequestDigest(100 + u128::from(n)), now);
+        crash(&mut others[n as usize / 2], n, BAD, now + ms(200 + 200 * n));
+    }
+    for other in &mut others {
+        tell(other, &mut knows, now + ms(1000));
+    }
+    assert!(!held(&mut knows, BAD, now + SETTLED));
+}
+
+// Guards against: requests that crash the next run of an upstream, taken for those that met none.
+#[test]
+fn requests_to_an_upstream_that_answers_again_count() {
+    let now = start();
+    let mut vm = Quarantine::default();
+    for n in 0..3 {
+        let at = now + ms(1000 * n);
+        crash(&mut vm, n, RequestDigest(100 + u128::from(n)), at);
+        vm.on_answer(&engine(n), at + ms(200), at + ms(250));
+        crash(&mut vm, n, BAD, at + ms(400));
+    }
+    vm.on_replaced(|_| true, now + SETTLED);
+    assert!(held(&mut vm, BAD, now + SETTLED * 2));
+}
+
 // Guards against: a planned restart that makes a crash of a broken connection.
 #[test]
 fn an_upstream_that_restarts_much_later_had_not_crashed() {
