--- a/review/machines.py
+++ b/review/machines.py
@@ -154,6 +154,8 @@
         deploy = open(os.path.join(ROOT, "deploy/system.toml")).read()
         run = re.search(r'^run = "(.*)"', deploy, re.M)[1].split()
         template = open(os.path.join(ROOT, re.search(r'^template = "(.*)"', deploy, re.M)[1])).read()
+        # A section is left out where its value is missing; the settings here have none that a section asks for.
+        template = re.sub(r"\{\{#([\w.]+)\}\}.*?\{\{/\1\}\}", "", template, flags=re.S)
         path = os.path.join(self.folder, "settings.ini")
         with open(path, "w") as file:
             file.write(re.sub(r"\{\{([\w.]+)\}\}", lambda found: self.value(found[1]), template))
