--- a/tests/gateway_quota_parted.rs
+++ b/tests/gateway_quota_parted.rs
@@ -1,5 +1,5 @@
 //! The quota of an account that does not use it up, when VMs are cut off, stand still and start
-//! anew.
+//! anew (`allowance`, `forgone`).
 //!
 //! Guards against VMs that subtract in a lump what the others admitted while none of them heard
 //! each other, although they left it to them meanwhile.
--- a/tests/gateway_stream_events.rs
+++ b/tests/gateway_stream_events.rs
@@ -1,5 +1,5 @@
 //! Which events of a stream are forwarded, and after which one it is resumed, where an engine hands
-//! out wrong numbers or breaks off.
+//! out wrong numbers or breaks off (`events`, `event_numbers`).
 
 use basilgw::gateway::events::{Completed, EventError, EventSplitter};
 
