--- a/src/gateway/caller_limit/mod.rs
+++ b/src/gateway/caller_limit/mod.rs
@@ -112,6 +112,17 @@
         }
     }
 
+    /// Connections by what they are doing.
+    pub fn phases(&self) -> PhaseCounts {
+        let state = self.lock();
+        PhaseCounts {
+            reading: state.ledger.count(Phase::Reading),
+            running: state.ledger.count(Phase::Running),
+            writing: state.ledger.count(Phase::Writing),
+            idle: state.ledger.count(Phase::Idle),
+        }
+    }
+
     /// Sets the gauges, for a scrape.
     pub fn refresh_gauges(&self) {
         let state = self.lock();
@@ -151,6 +162,32 @@
     }
 }
 
+/// Numbers of callers' connections, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PhaseCounts {
+    /// A request's body is read.
+    pub reading: usize,
+    /// A request runs, or waits to.
+    pub running: usize,
+    /// A response is written.
+    pub writing: usize,
+    /// There is no request, or its head is not complete.
+    pub idle: usize,
+}
+
+impl slog::KV for PhaseCounts {
+    fn serialize(
+        &self,
+        _: &slog::Record<'_>,
+        serializer: &mut dyn slog::Serializer,
+    ) -> slog::Result {
+        serializer.emit_usize("reading", self.reading)?;
+        serializer.emit_usize("running", self.running)?;
+        serializer.emit_usize("writing", self.writing)?;
+        serializer.emit_usize("idle", self.idle)
+    }
+}
+
 /// The place of a caller's connection, free again when dropped.
 #[derive(Debug)]
 pub struct CallerSlot {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -178,15 +178,16 @@
 /// Waits for requests in progress, at most until the grace period ends. New requests are accepted
 /// until the balancer no longer sends any.
 async fn drain(gateway: &Gateway, callers: &Listening, grace: Duration) {
-    info!(gateway.log, "shutdown_begins"; "running" => gateway.running.count());
+    info!(gateway.log, "shutdown_begins"; gateway.caller_limits.phases());
     let deadline = gateway.clock.now() + grace.saturating_sub(REFUSE_MARGIN);
     gateway.begin_shutdown(deadline);
     let max_wait = grace.saturating_sub(DRAIN_DELAY + EXIT_MARGIN);
     tokio::time::sleep(DRAIN_DELAY).await;
     gateway.running.close();
+    info!(gateway.log, "shutdown_refuses"; gateway.caller_limits.phases());
     let drained = tokio::time::timeout(max_wait, gateway.running.wait_drained()).await;
     if drained.is_err() {
-        warn!(gateway.log, "shutdown_bound_passed"; "running" => gateway.running.count());
+        warn!(gateway.log, "shutdown_bound_passed"; gateway.caller_limits.phases());
     }
     callers.task.abort();
     // A request counts as done before the last bytes of its response have been written, and one
