End every wait of a request in time for an answer before the process exits

What callers saw: around a planned stop, requests that had been passed on ended without an answer, also those that may not be repeated; some were sent on although the rest of the grace period was too short for them.

Cause: only the drain knew when the process ends. Every wait on the path of a request ended by the caller's time, 4 to 25 s on the deployment, or not at all (a class: a deadline that is not passed on). And a request was sent as long as its head had come in time, whenever its body was whole, and whatever requests of its route take.

A mutating request of 6.5 s at a grace of 4 s: status 0, a close as the process ended. A request of 1.9 s sent 2.3 s after SIGTERM, a body that is whole 3.45 s after it: the same. The upstream was told 7,999 ms.

Change: `StopPlan`, made as the signal arrives, says until when requests are accepted, sent, answered and written; a wait that began before learns of it. At its end (0.4 s before that of the grace period) a request is answered: 503 if nothing was sent or the upstream declined, otherwise 502, or the error response that an upstream gave before. A stream goes on until then and is cut, so that it doesn't look complete; its caller may resume it. Upstreams are told no later deadline. While new requests are accepted, one is turned away only if none of the last 4 to 16 of its route was answered in the time left; one that can be sent only later is sent only if all of them were, since another VM can serve it, and without any, if the route's goal is left.

New counters `basilgw_stop_refusals_total`, `_failures_total`, `_cuts_total`; log events `shutdown_ends` and `stream_stopped`.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -89,12 +89,12 @@
     /// The response after the last attempt: the error response of an upstream if there is one,
     /// otherwise a refusal.
     pub(super) fn give_up(
-        self,
+        &mut self,
         reason: Reason,
         retry: Duration,
     ) -> Result<Response<CallerBody>, Refusal> {
         let refusal = self.refusal(reason);
-        if let Some(failure) = self.failure {
+        if let Some(failure) = self.failure.take() {
             return Ok(failure.into());
         }
         Err(match refusal.ran {
@@ -126,7 +126,10 @@
             may_retry: may_retry && self.route.kind.retryable(),
             paid: AtomicBool::new(false),
         };
+        // Until the outcome is known, it may run here.
+        let ran = std::mem::replace(&mut attempts.ran, true);
         let outcome = self.send(permit, clearance, None, &wait).await;
+        attempts.ran = ran;
         attempts.paid = wait.paid.into_inner();
         let now = gateway.clock.now();
         let mut begun = false;
@@ -211,7 +214,7 @@
         let gateway = &self.gateway;
         let upstream = &permit.upstream().clone();
         let head = &self.request.head;
-        let time_left = self.time_left();
+        let time_left = self.answer_left();
         let account = self.account.as_deref();
         let options = ForwardOptions {
             upstream: upstream.registration.id.clone(),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,9 @@
 //! warming up (`warm_up`). [`exchange`] sends the request, and [`stream`] and [`events`] forward
 //! the response in complete events whose numbers are sound ([`event_numbers`]).
 //!
+//! When the VM is told to stop, [`stop`] plans until when what is answered, by what requests lately
+//! took ([`answer_times`]).
+//!
 //! In the background, [`store_watch`] keeps the configuration, the registrations and the closed
 //! data centres ([`centre_closure`]) up to date, [`mesh`] reports this VM's usage to the other VMs,
 //! and [`controller`] orders engines to load and unload models and adapters while this VM holds the
@@ -19,6 +22,7 @@
 
 pub mod adapter_placement;
 pub mod allowance;
+pub mod answer_times;
 pub mod attempt;
 pub mod balancer;
 pub mod broadcast;
@@ -70,6 +74,7 @@
 pub mod signals;
 pub mod slowdown;
 pub mod state;
+pub mod stop;
 pub mod store_watch;
 pub mod stream;
 pub mod stream_progress;
--- a/src/gateway/model_wait.rs
+++ b/src/gateway/model_wait.rs
@@ -120,8 +120,8 @@
     /// Time that the request can still wait so that its caller receives the answer or a refusal.
     pub(super) fn wait_left(&self, now: Instant) -> Duration {
         let give_up_at = self.deadline.min(self.started + give_up_time(&self.route));
-        let stop_at = self.gateway.drain_deadline();
-        let until = stop_at.map_or(give_up_at, |at| give_up_at.min(at));
+        let plan = self.gateway.stop_plan();
+        let until = plan.map_or(give_up_at, |plan| give_up_at.min(plan.waits));
         until.saturating_duration_since(now + REFUSAL_MARGIN)
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -64,6 +64,8 @@
     pub account: Option<Arc<Account>>,
     /// When its head arrived.
     pub started: Instant,
+    /// When it was read to its end.
+    pub complete: Instant,
     /// When its response must be complete.
     pub deadline: Instant,
     /// Connection of its caller.
@@ -170,10 +172,14 @@
     let service = route.service(draw).ok_or_else(not_ready)?.clone();
     let deadline = started + max_wait;
     let name = account.as_ref().map(|account| &account.name);
-    let placed = connection.slot.start(name).await;
-    placed.map_err(|NoRoom| no_room(gateway, Lack::Request))?;
+    let needed = gateway.time_needed(route);
+    let placed = gateway.before_stop(needed, connection.slot.start(name));
+    placed
+        .await?
+        .map_err(|NoRoom| no_room(gateway, Lack::Request))?;
     let max_bytes = configuration.bounds.body_bytes;
-    let body = read_body(gateway, connection, body, max_bytes, max_wait).await?;
+    let read = read_body(gateway, connection, body, max_bytes, max_wait);
+    let body = gateway.before_stop(needed, read).await??;
     let digest = request_digest(name, &head, &body);
     if let Some(delay) = gateway.quarantine_delay(head.shared_parts(), digest) {
         return Err(Refusal::not_run(Reason::Quarantined).retry_after(delay));
@@ -191,6 +197,7 @@
         service,
         account: account.clone(),
         started,
+        complete: gateway.clock.now(),
         deadline,
         request: BufferedRequest {
             head,
@@ -294,14 +301,27 @@
         priority.unwrap_or(self.route.priority)
     }
 
+    /// Runs the request until it is answered, or nothing can be answered any more.
     async fn run(self: Arc<Self>) -> Result<Response<CallerBody>, Refusal> {
+        let mut attempts = Attempts::default();
+        tokio::select! {
+            biased;
+            answered = self.try_upstreams(&mut attempts) => return answered,
+            () = self.stop_ended() => {}
+        }
+        self.end_for_stop(attempts)
+    }
+
+    async fn try_upstreams(
+        self: &Arc<Self>,
+        attempts: &mut Attempts,
+    ) -> Result<Response<CallerBody>, Refusal> {
         let gateway = &self.gateway;
         gateway.count_request(&self.service);
         if let Some(target) = &self.request.head.target {
             let now = gateway.clock.now();
             gateway.demand().on_request(target, now);
         }
-        let mut attempts = Attempts::default();
         loop {
             if self.time_left().is_zero() {
                 return attempts.give_up(Reason::Deadline, CAPACITY_RETRY);
@@ -316,11 +336,11 @@
                     return attempts.give_up(Reason::Capacity, CAPACITY_RETRY);
                 }
                 Err(NoPermit::NoEngine(NoEngine::Deferred(until))) => {
-                    self.wait_for_deferred(until, &attempts).await?;
+                    self.wait_for_deferred(until, attempts).await?;
                     continue;
                 }
                 Err(NoPermit::NoEngine(NoEngine::NoModel | NoEngine::NoAdapter)) => {
-                    self.wait_for_model(&attempts).await?;
+                    self.wait_for_model(attempts).await?;
                     continue;
                 }
             };
@@ -330,6 +350,9 @@
             if self.connection.ended_too_early() {
                 return attempts.give_up(Reason::Capacity, CAPACITY_RETRY);
             }
+            if self.is_too_late(attempts.ran) {
+                return self.end_for_stop(std::mem::take(attempts));
+            }
             let clearance = match self.clear_to_send() {
                 Ok(clearance) => clearance,
                 Err(delay) => return attempts.give_up(Reason::Quarantined, delay),
@@ -338,7 +361,7 @@
             if attempts.sent > 0 && !paid && !gateway.try_retry(&self.service) {
                 return attempts.give_up(Reason::UpstreamFailed, CAPACITY_RETRY);
             }
-            let attempt = self.attempt(permit, clearance, &mut attempts);
+            let attempt = self.attempt(permit, clearance, attempts);
             if let Some(response) = attempt.await? {
                 return Ok(response);
             }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -25,18 +25,12 @@
 use super::reload::{self, SettingsSource};
 use super::serve::Listening;
 use super::state::Gateway;
+use super::stop::StopPlan;
 use super::upstream::Registration;
 use super::{serve, store_watch};
 
-/// How long new requests are still accepted after a signal to stop; the balancer needs about two
-/// seconds to notice that the VM is not ready.
-const DRAIN_DELAY: Duration = Duration::from_millis(2800);
-/// Part of the grace period that is reserved for the exit of the process.
-const EXIT_MARGIN: Duration = Duration::from_millis(300);
-/// Time between the end of the last request and the exit of the process; within [`EXIT_MARGIN`].
+/// Time between the end of the last request and the exit of the process.
 const LAST_WRITES: Duration = Duration::from_millis(200);
-/// Part of the grace period that is reserved for refusing requests that still wait for a model.
-const REFUSE_MARGIN: Duration = Duration::from_millis(1500);
 /// Interval between checks for state that expires without an event.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between reads of the VMs' registrations.
@@ -171,23 +165,29 @@
             }
         }
     }
-    drain(&gateway, &callers, gateway.bounds().grace).await;
+    let plan = StopPlan::new(gateway.clock.now(), gateway.bounds().grace);
+    drain(&gateway, &callers, plan).await;
     Ok(())
 }
 
-/// Waits for requests in progress, at most until the grace period ends. New requests are accepted
+/// Waits for requests in progress, at most until the plan has them closed. New requests are accepted
 /// until the balancer no longer sends any.
-async fn drain(gateway: &Gateway, callers: &Listening, grace: Duration) {
-    info!(gateway.log, "shutdown_begins"; gateway.caller_limits.phases());
-    let deadline = gateway.clock.now() + grace.saturating_sub(REFUSE_MARGIN);
-    gateway.begin_shutdown(deadline);
-    let max_wait = grace.saturating_sub(DRAIN_DELAY + EXIT_MARGIN);
-    tokio::time::sleep(DRAIN_DELAY).await;
+async fn drain(gateway: &Gateway, callers: &Listening, plan: StopPlan) {
+    let phases = || gateway.caller_limits.phases();
+    info!(gateway.log, "shutdown_begins"; phases());
+    gateway.begin_stop(plan);
+    gateway.stop.reached(|plan| plan.refuses).await;
     gateway.running.close();
-    info!(gateway.log, "shutdown_refuses"; gateway.caller_limits.phases());
-    let drained = tokio::time::timeout(max_wait, gateway.running.wait_drained()).await;
-    if drained.is_err() {
-        warn!(gateway.log, "shutdown_bound_passed"; gateway.caller_limits.phases());
+    info!(gateway.log, "shutdown_refuses"; phases());
+    let ended = async {
+        gateway.stop.reached(|plan| plan.ends).await;
+        info!(gateway.log, "shutdown_ends"; phases());
+        gateway.stop.reached(|plan| plan.closes).await;
+    };
+    tokio::select! {
+        biased;
+        () = gateway.running.wait_drained() => {}
+        () = ended => warn!(gateway.log, "shutdown_bound_passed"; phases()),
     }
     callers.task.abort();
     // A request counts as done before the last bytes of its response have been written, and one
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -185,7 +185,7 @@
     let stream = RecordedStream::new(stream, raw_head.clone());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    let shutdown = gateway.shutdown_started.notified();
+    let shutdown = gateway.stop.reached(|plan| plan.begun);
     tokio::pin!(shutdown);
     let evicted = caller.slot.evicted();
     tokio::pin!(evicted);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -5,7 +5,7 @@
 
 mod quotas;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -21,6 +21,7 @@
 use crate::schema::mesh::{ConfigurationReport, FollowRequest, LeavingUpstream};
 
 use super::allowance::Allowance;
+use super::answer_times::AnswerTimes;
 use super::caller_limit::CallerLimits;
 use super::caller_limit::bounds::ProcessLimits;
 use super::caller_limit::metrics::CallerLimitMetrics;
@@ -38,6 +39,7 @@
 use super::reachability::Reachability;
 use super::retry_budget::{RetryBound, RetryBudget};
 use super::signals::LeavingHints;
+use super::stop::{StopPlan, StopSignal};
 use super::unreadable_objects::UnreadableObjects;
 use super::upstream_limit::UpstreamLimits;
 
@@ -109,8 +111,8 @@
     /// Wakes the task that registers this VM when the store has come back from an older copy,
     /// which may lack the registration.
     pub store_returned: Notify,
-    /// Notifies waiters when this VM begins to shut down.
-    pub shutdown_started: Notify,
+    /// Tells waiters when this VM stops.
+    pub stop: StopSignal,
     /// Requests a round of the leader's decisions at once.
     pub orders_due: Notify,
     /// Requests that asks for permits are sent to the leader.
@@ -130,8 +132,7 @@
     upstream_limits: Mutex<UpstreamLimits>,
     /// Whether this VM holds the lease.
     leads: AtomicBool,
-    /// When requests that still wait for a model are refused, once shutdown has begun.
-    drain_deadline: Mutex<Option<Instant>>,
+    answer_times: Mutex<AnswerTimes>,
     unreadable: Mutex<UnreadableObjects>,
     /// What callers hold of this VM's memory and descriptors.
     pub caller_limits: Arc<CallerLimits>,
@@ -191,6 +192,7 @@
             centre: deps.centre,
             capacity: deps.capacity,
             dialect: deps.dialect,
+            stop: StopSignal::open(Arc::clone(&deps.clock)),
             clock: deps.clock,
             log: deps.log,
             running: RequestTracker::open(),
@@ -203,7 +205,6 @@
             coverage_changed: Notify::new(),
             follow_due: Notify::new(),
             store_returned: Notify::new(),
-            shutdown_started: Notify::new(),
             orders_due: Notify::new(),
             asks_due: Notify::new(),
             settings_due: Notify::new(),
@@ -219,7 +220,7 @@
             quarantine: Mutex::default(),
             upstream_limits: Mutex::default(),
             leads: AtomicBool::new(false),
-            drain_deadline: Mutex::new(None),
+            answer_times: Mutex::default(),
             unreadable: Mutex::default(),
             caller_limits,
             log_limit: Mutex::default(),
@@ -425,18 +426,16 @@
         fresh && known && !self.running.is_leaving()
     }
 
-    /// Begins the shutdown of this VM; requests that still wait for a model at `drain_deadline` are
-    /// refused.
-    pub fn begin_shutdown(&self, drain_deadline: Instant) {
-        *lock(&self.drain_deadline) = Some(drain_deadline);
+    /// Begins the stop of this VM, which ends as `plan` says.
+    pub fn begin_stop(&self, plan: StopPlan) {
         self.running.set_leaving();
+        self.stop.begin(plan);
         self.upstreams_changed.notify_waiters();
-        self.shutdown_started.notify_waiters();
     }
 
-    /// When requests that wait for a model are refused; absent until shutdown begins.
-    pub fn drain_deadline(&self) -> Option<Instant> {
-        *lock(&self.drain_deadline)
+    /// How long the requests of each route lately took.
+    pub fn answer_times(&self) -> MutexGuard<'_, AnswerTimes> {
+        lock(&self.answer_times)
     }
 
     /// Puts a configuration into force if it is newer than the current one; returns whether it is.
@@ -453,6 +452,9 @@
             "services" => configuration.services.len());
         self.report_unreadable(&configuration);
         self.update_allowances(&configuration);
+        let routes = configuration.routes.values().flatten();
+        let names: BTreeSet<_> = routes.map(|route| &route.name).collect();
+        self.answer_times().retain(|name| names.contains(name));
         let slow_starts = in_force.as_ref().map(|old| old.slow_starts());
         let slow_start_changed = slow_starts != Some(configuration.slow_starts());
         self.configuration.store(Some(Arc::new(configuration)));
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -115,7 +115,15 @@
         return Some((Ok(bytes), Some(body)));
     }
     let time_left = body.admitted.time_left();
-    match body.response.read_next(time_left).await {
+    let read = tokio::select! {
+        biased;
+        read = body.response.read_next(time_left) => read,
+        () = body.admitted.stop_ended() => {
+            body.admitted.on_cut_by_stop(None);
+            return Some((Err(ResponseAborted), None));
+        }
+    };
+    match read {
         BodyRead::Bytes(bytes) => Some((Ok(bytes), Some(body))),
         BodyRead::End => {
             if body.response.is_framed() && body.response.meta.sealed {
@@ -139,7 +147,16 @@
 async fn next_event(
     mut stream: Stream,
 ) -> Option<(Result<Bytes, ResponseAborted>, Option<Stream>)> {
-    match stream.next().await {
+    let admitted = Arc::clone(&stream.admitted);
+    let next = tokio::select! {
+        biased;
+        next = stream.next() => next,
+        () = admitted.stop_ended() => {
+            admitted.on_cut_by_stop(stream.events.last_id());
+            Err(ResponseAborted)
+        }
+    };
+    match next {
         Ok(Some(bytes)) => Some((Ok(bytes), Some(stream))),
         Ok(None) => None,
         Err(aborted) => Some((Err(aborted), None)),
--- /dev/null
+++ b/tests/gateway_stop.rs
@@ -0,0 +1,121 @@
+//! Decisions on a planned stop: until when what is answered, and what is still sent.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use basilgw::clock::{Clock, SystemClock};
+use basilgw::gateway::answer_times::{AnswerRange, AnswerTimes};
+use basilgw::gateway::stop::{Sending, StopPlan, StopSignal, is_too_late, time_needed};
+
+mod gateway_support;
+use gateway_support::{id, ms};
+
+const GRACE: Duration = Duration::from_secs(8);
+const GOAL: Duration = Duration::from_millis(300);
+
+/// What requests of a route took that were answered in 0.2 to 5 s.
+const KNOWN: Option<AnswerRange> = Some(AnswerRange {
+    shortest: Duration::from_millis(200),
+    longest: Duration::from_secs(5),
+});
+
+// Guards against: answers that are cut by SIGKILL, and engines that are left before the last sixth.
+#[test]
+fn answers_end_within_the_last_sixth_of_the_grace_period() {
+    let begun = Instant::now();
+    let plan = StopPlan::new(begun, GRACE);
+    assert!(plan.ends >= begun + GRACE * 5 / 6);
+    assert!(plan.closes < begun + GRACE && plan.ends < plan.closes);
+    assert!(plan.begun < plan.refuses && plan.refuses < plan.waits && plan.waits < plan.ends);
+}
+
+// Guards against: a plan that goes beyond a grace period which is shorter than its parts.
+#[test]
+fn a_short_grace_period_bounds_the_whole_plan() {
+    let begun = Instant::now();
+    for grace in [0, 100, 400, 900, 2000] {
+        let plan = StopPlan::new(begun, ms(grace));
+        let moments = [plan.refuses, plan.waits, plan.ends, plan.closes];
+        assert!(moments.iter().all(|at| *at <= begun + ms(grace)), "{grace}");
+    }
+}
+
+// Guards against: a second signal that moves the end.
+#[test]
+fn the_first_plan_stays_in_force() {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let signal = StopSignal::open(Arc::clone(&clock));
+    assert_eq!(signal.plan(), None);
+    let first = StopPlan::new(clock.now(), GRACE);
+    signal.begin(first);
+    signal.begin(StopPlan::new(clock.now(), GRACE * 4));
+    assert_eq!(signal.plan(), Some(first));
+}
+
+// Guards against: waits that began before the stop and do not learn of its end.
+#[tokio::test]
+async fn a_wait_that_began_before_the_stop_ends_with_it() {
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+    let signal = StopSignal::open(Arc::clone(&clock));
+    let stop = async {
+        tokio::time::sleep(ms(20)).await;
+        signal.begin(StopPlan::new(clock.now(), ms(700)));
+    };
+    let begun = Instant::now();
+    tokio::join!(signal.reached(|plan| plan.ends), stop);
+    assert!(begun.elapsed() >= ms(320), "20 ms, and 300 of the plan");
+}
+
+// Guards against: refusing what may be served in time (the twin of the next one).
+#[test]
+fn an_accepted_request_is_refused_only_if_none_was_answered_that_soon() {
+    let needed = |known| time_needed(Sending::Accepted, known, GOAL);
+    assert!(!is_too_late(needed(KNOWN), ms(300), ms(9000)));
+    assert!(is_too_late(needed(KNOWN), ms(150), ms(9000)));
+    assert!(!is_too_late(needed(None), ms(1), ms(9000)), "nothing known");
+}
+
+// Guards against: sending what arrived whole after the door closed, and cutting it at the end (LOST).
+#[test]
+fn a_late_request_is_sent_only_if_all_were_answered_that_soon() {
+    let needed = |known| time_needed(Sending::Late, known, GOAL);
+    assert!(is_too_late(needed(KNOWN), ms(4500), ms(9000)));
+    assert!(!is_too_late(needed(KNOWN), ms(5500), ms(9000)));
+    assert!(is_too_late(needed(None), ms(200), ms(9000)));
+    assert!(!is_too_late(needed(None), ms(400), ms(9000)));
+}
+
+// Guards against: refusing a request whose caller gives up before this VM stops.
+#[test]
+fn a_request_whose_caller_gives_up_sooner_is_never_too_late() {
+    assert!(!is_too_late(ms(5000), ms(400), ms(350)));
+}
+
+// Guards against: a body that is read until nothing can be done with it.
+#[test]
+fn a_body_is_awaited_as_long_as_it_can_be_sent_and_at_least_until_the_door_closes() {
+    let plan = StopPlan::new(Instant::now(), GRACE);
+    assert_eq!(plan.latest_send(ms(300)) + ms(300), plan.ends);
+    assert_eq!(plan.latest_send(ms(60_000)), plan.refuses);
+}
+
+// Guards against: judging a route by one odd answer, or by answers of long ago.
+#[test]
+fn answer_times_are_those_of_the_last_answers() {
+    let mut times = AnswerTimes::default();
+    let route = id("read");
+    for n in 1..=3 {
+        times.record(&route, ms(n));
+    }
+    assert_eq!(times.range(&route), None, "too few");
+    for n in 100..116 {
+        times.record(&route, ms(n));
+    }
+    let known = AnswerRange {
+        shortest: ms(100),
+        longest: ms(115),
+    };
+    assert_eq!(times.range(&route), Some(known));
+    times.retain(|_| false);
+    assert_eq!(times.range(&route), None, "no such route any more");
+}
