Read heads that have begun to their end when the VM stops

What callers saw: half of a head on a connection that had served, and the connection closed without a byte as the stop began; half of a head on a new connection, and the process ended before the rest came.

Cause: the HTTP library counts a connection as idle until the head is complete, and closes it when told that the VM stops. A head that is read in part didn't count as running, so the drain didn't wait for it. And a refusal stopped counting before it was written, so that a process short of processor time could exit before.

Change: a connection on which a head has begun is not closed; its response says `Connection: close`. The drain waits for such heads until the plan's end, and for refusals until they are written. An idle connection closes as before: what arrives after that has not been read, and its caller may send it again.

--- a/src/edge/request_tracker.rs
+++ b/src/edge/request_tracker.rs
@@ -50,6 +50,12 @@
         Ok(guard)
     }
 
+    /// Counts what may become a request as running until the returned guard is dropped.
+    pub fn hold(self: &Arc<Self>) -> RequestGuard {
+        self.count.fetch_add(1, Ordering::SeqCst);
+        RequestGuard(Arc::clone(self))
+    }
+
     /// Marks this VM as leaving. New requests are still accepted until [`RequestTracker::close`].
     pub fn set_leaving(&self) {
         self.leaving.store(true, Ordering::SeqCst);
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -155,6 +155,8 @@
     body: Incoming,
     started: Instant,
 ) -> Result<Response<CallerBody>, Refusal> {
+    // Also a refusal counts until it is written.
+    connection.keep_guard(gateway.running.hold());
     connection.keep_guard(gateway.running.try_start(usize::MAX)?);
     let configuration = gateway.configuration.load_full();
     let configuration = configuration.ok_or_else(not_ready)?;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -190,9 +190,13 @@
         () = ended => warn!(gateway.log, "shutdown_bound_passed"; phases()),
     }
     callers.task.abort();
-    // A request counts as done before the last bytes of its response have been written, and one
-    // that was read meanwhile still gets its refusal.
+    // What was read meanwhile still gets its refusal.
     tokio::time::sleep(LAST_WRITES).await;
+    tokio::select! {
+        biased;
+        () = gateway.running.wait_drained() => {}
+        () = gateway.stop.reached(|plan| plan.closes) => {}
+    }
     info!(gateway.log, "vm_stopped");
 }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -21,6 +21,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Sleep;
 
+use crate::edge::RequestGuard;
 use crate::listen;
 
 use super::caller_limit::CallerSlot;
@@ -203,11 +204,11 @@
             // An error, such as an invalid request, ends only this connection.
             _ended = connection.as_mut() => return,
             // Announces the end of kept-alive connections; a caller that still used one after the
-            // exit would lose its request. The first request of a connection may be on its way; its
-            // response ends the connection.
+            // exit would lose its request. The first request of a connection may be on its way, and
+            // the head of another one may have begun; its response ends the connection.
             () = shutdown.as_mut(), if !closing => {
                 closing = true;
-                if caller.has_served() {
+                if caller.has_served() && !raw_head.is_partial() {
                     connection.as_mut().graceful_shutdown();
                 }
             }
@@ -248,15 +249,21 @@
         .map_or(CallerBounds::DEFAULT, |c| c.bounds)
 }
 
-/// Waits until the head of a request has taken too long to arrive, counted from its first byte.
+/// Waits until the head of a request has taken too long to arrive, counted from its first byte. A
+/// stop waits for such a head.
 async fn head_late(gateway: &Gateway, caller: &CallerConnection, raw_head: &RawHead) {
     let mut begun: Option<Pin<Box<Sleep>>> = None;
+    let mut held: Option<RequestGuard> = None;
     // Polled whenever the connection has been.
     poll_fn(|cx| {
         if caller.idle_since().is_none() || !raw_head.is_partial() {
             begun = None;
+            held = None;
             return Poll::Pending;
         }
+        if gateway.running.is_leaving() && held.is_none() {
+            held = Some(gateway.running.hold());
+        }
         let late = begun.get_or_insert_with(|| {
             let head_time = caller_bounds(gateway).head_time + HEAD_GRACE;
             Box::pin(tokio::time::sleep(head_time))
