Count attempts by their end, and tell how late the process runs

The log gave "the upstream was silent for too long" for the end of the caller's time too, no metric told why attempts ended, and none how late the process itself runs, so the hypotheses on lost answers could not be told apart.

- basilgw_attempts_ended_total{why}; a caller that leaves is counted where its attempt is dropped.
- answer_lost and stream_lost: "the caller's time was up" beside silence.
- basilgw_pauses_total, basilgw_paused_milliseconds_total, basilgw_last_pause_milliseconds, process_stood_still: a task ticks, and a tick that is late is time in which the process stood still.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 use crate::ids::UpstreamId;
 use crate::outcome::{Ran, Reason, Refusal};
 
+use super::attempt_end::AttemptEnd;
 use super::configuration::RouteKind;
 use super::exchange::{
     self, BufferedBody, DeclineReason, ResponseError, SendOutcome, UpstreamRequest,
@@ -193,7 +194,7 @@
             return Ok(Some(failure.into()));
         }
         Err(attempts.refusal(match (error, self.time_left().is_zero()) {
-            (_, true) => Reason::Deadline,
+            (ResponseError::Deadline, _) | (_, true) => Reason::Deadline,
             (ResponseError::Silent, _) => Reason::UpstreamSilent,
             _ => Reason::UpstreamFailed,
         }))
@@ -241,7 +242,15 @@
             },
         };
         let sent = gateway.clock.now();
-        let outcome = exchange::send(&gateway.dialect, request, guard).await;
+        let mut watch = gateway.attempt_ends.watch();
+        let mut outcome = exchange::send(&gateway.dialect, request, guard).await;
+        match (&mut outcome, self.time_left().is_zero()) {
+            (SendOutcome::Responded(response), _) => response.set_watch(watch),
+            (SendOutcome::NotSent(_), true) => watch.end(AttemptEnd::Deadline),
+            (SendOutcome::NotSent(_), false) => watch.end(AttemptEnd::Unreachable),
+            (SendOutcome::NotRun(_), _) => watch.end(AttemptEnd::Refused),
+            (SendOutcome::Unknown(error), _) => watch.end((*error).into()),
+        }
         let answered = match &outcome {
             SendOutcome::Responded(_) => true,
             SendOutcome::NotRun(reason) => *reason != DeclineReason::Elsewhere,
@@ -323,6 +332,7 @@
             return Ok(Some(stream::forward(admitted, origin, response, attempts)));
         }
         if claims_not_run(status) {
+            response.end_attempt(AttemptEnd::Invalid);
             upstream.health.on_failure(self.gateway.clock.now());
             return Err(ResponseError::Invalid);
         }
@@ -330,8 +340,14 @@
         let slot = &self.connection.slot;
         let read = response.read_buffered(slot, self.time_left()).await;
         self.observe_buffered(&origin, &response, &read);
+        if let Err(error) = &read {
+            response.end_attempt((*error).into());
+        }
         let body = match read? {
-            BufferedBody::Whole(body) => body,
+            BufferedBody::Whole(body) => {
+                response.end_attempt(AttemptEnd::Answered);
+                body
+            }
             BufferedBody::Begun(first, next) => {
                 let begun = [first, next];
                 let body = stream::forward_plain(Arc::clone(self), origin, response, begun);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -14,6 +14,7 @@
 
 use crate::ids::RequestId;
 
+use super::attempt_end::{AttemptEnd, AttemptWatch};
 use super::caller_limit::CallerSlot;
 use super::caller_limit::buffer::ChargedBuffer;
 use super::client::{ConnectError, Connection};
@@ -58,14 +59,28 @@
     /// The connection ended early.
     #[error("the upstream broke the connection")]
     Disconnected,
-    /// Nothing was received in time.
+    /// Nothing was received for long, and another upstream is tried.
     #[error("the upstream was silent for too long")]
     Silent,
+    /// Nothing was received before the caller's time was up.
+    #[error("the caller's time was up")]
+    Deadline,
     /// The bytes received are not a valid response to this request.
     #[error("the upstream's answer is not one to this request")]
     Invalid,
 }
 
+impl ResponseError {
+    /// The same where the wait was for all of the caller's time.
+    #[must_use]
+    pub fn at_deadline(self) -> Self {
+        match self {
+            Self::Silent => Self::Deadline,
+            Self::Disconnected | Self::Deadline | Self::Invalid => self,
+        }
+    }
+}
+
 /// A response whose body has not been read yet.
 ///
 /// Dropping it closes the connection, which cancels the request at the upstream.
@@ -79,6 +94,8 @@
     connection: Connection,
     /// Absent once the response is closed.
     guard: Option<RequestGuard>,
+    /// Counts the end of the attempt.
+    watch: Option<AttemptWatch>,
 }
 
 /// A request that is ready to be sent to one upstream.
@@ -98,8 +115,12 @@
 
 /// Decides how long a request waits for the head of its response.
 pub trait Patience: Send + Sync + Debug {
-    /// Time to wait until the next decision; `None` if the upstream is given up now.
-    fn next_wait(&self) -> Option<Duration>;
+    /// Time to wait until the next decision.
+    ///
+    /// # Errors
+    ///
+    /// Why the upstream is given up now.
+    fn next_wait(&self) -> Result<Duration, ResponseError>;
 }
 
 /// Receives what upstreams state about themselves in the heads of their responses.
@@ -117,7 +138,7 @@
     request: UpstreamRequest<'_>,
     guard: RequestGuard,
 ) -> SendOutcome {
-    let Some(wait) = request.patience.next_wait() else {
+    let Ok(wait) = request.patience.next_wait() else {
         return SendOutcome::NotSent(ConnectError::Timeout);
     };
     let within = CONNECT_TIMEOUT.min(wait);
@@ -128,9 +149,9 @@
     };
     let responded = connection.send(request.request);
     let response = match wait_patiently(responded, request.patience).await {
-        Some(Ok(response)) => response,
-        Some(Err(_ended)) => return SendOutcome::Unknown(ResponseError::Disconnected),
-        None => return SendOutcome::Unknown(ResponseError::Silent),
+        Ok(Ok(response)) => response,
+        Ok(Err(_ended)) => return SendOutcome::Unknown(ResponseError::Disconnected),
+        Err(given_up) => return SendOutcome::Unknown(given_up),
     };
     let (head, body) = response.into_parts();
     let meta = dialect.read_response(&head);
@@ -169,11 +190,12 @@
         body,
         connection,
         guard: Some(guard),
+        watch: None,
     }))
 }
 
-/// Waits for a result; `None` if patience ends before.
-async fn wait_patiently<F>(result: F, patience: &dyn Patience) -> Option<F::Output>
+/// Waits for a result; the error says why patience ended before.
+async fn wait_patiently<F>(result: F, patience: &dyn Patience) -> Result<F::Output, ResponseError>
 where
     F: Future,
 {
@@ -181,7 +203,7 @@
     loop {
         let wait = patience.next_wait()?;
         if let Ok(result) = tokio::time::timeout(wait, result.as_mut()).await {
-            return Some(result);
+            return Ok(result);
         }
     }
 }
@@ -215,6 +237,18 @@
         headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
     }
 
+    /// Has the end of the attempt counted by `watch`.
+    pub fn set_watch(&mut self, watch: AttemptWatch) {
+        self.watch = Some(watch);
+    }
+
+    /// Counts the end of the attempt.
+    pub fn end_attempt(&mut self, end: AttemptEnd) {
+        if let Some(watch) = &mut self.watch {
+            watch.end(end);
+        }
+    }
+
     /// Closes the connection, which ends the upstream's work on the request. What has not been read
     /// by then is lost.
     pub fn close(&mut self) {
@@ -238,7 +272,7 @@
         }
     }
 
-    /// Reads the complete body within `max_wait`, as far as there is room for it among what the
+    /// Reads the complete body within `max_wait`, the caller's time, as far as there is room for it among what the
     /// caller holds. A body whose declared length exceeds the largest size that is buffered is not
     /// read.
     ///
@@ -263,7 +297,7 @@
                 let bytes = match self.read_next(max_wait).await {
                     BodyRead::Bytes(bytes) => bytes,
                     BodyRead::End => return Ok(BufferedBody::Whole(buffer.freeze())),
-                    BodyRead::Failed(error) => return Err(error),
+                    BodyRead::Failed(error) => return Err(error.at_deadline()),
                 };
                 if bytes.len() > MAX_BUFFERED_BYTES - buffer.len() {
                     return Err(ResponseError::Invalid);
@@ -275,7 +309,7 @@
             }
         };
         let read = tokio::time::timeout(max_wait, read).await;
-        read.unwrap_or(Err(ResponseError::Silent))
+        read.unwrap_or(Err(ResponseError::Deadline))
     }
 }
 
--- a/src/gateway/head_wait.rs
+++ b/src/gateway/head_wait.rs
@@ -9,7 +9,7 @@
 
 use crate::ids::UpstreamId;
 
-use super::exchange::Patience;
+use super::exchange::{Patience, ResponseError};
 use super::relay::AdmittedRequest;
 
 /// A request that may be sent to another upstream waits for the start of a response for this many
@@ -21,8 +21,7 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(300);
 
 /// The time to wait for a head after `waited`, on a route with this objective, where the deadline
-/// is
-/// `left` away; `None` if the upstream is given up. `leave` says whether it can be left for another
+/// is `left` away; `None` if the upstream is given up. `leave` says whether it can be left for another
 /// one, and is asked only after the usual wait.
 pub fn next_wait<F>(goal: Duration, waited: Duration, left: Duration, leave: F) -> Option<Duration>
 where
@@ -58,19 +57,23 @@
 }
 
 impl Patience for HeadWait<'_> {
-    fn next_wait(&self) -> Option<Duration> {
+    fn next_wait(&self) -> Result<Duration, ResponseError> {
         let left = self.request.time_left();
+        if left.is_zero() {
+            return Err(ResponseError::Deadline);
+        }
         if !self.may_retry {
-            return Some(left).filter(|left| !left.is_zero());
+            return Ok(left);
         }
         let gateway = &self.request.gateway;
         let waited = gateway.clock.now().saturating_duration_since(self.sent);
-        next_wait(self.request.route.goal, waited, left, || {
+        let wait = next_wait(self.request.route.goal, waited, left, || {
             let leaves = self.request.has_alternative(&self.tried)
                 && self.request.has_retry()
                 && gateway.try_retry(&self.request.service);
             self.paid.store(leaves, Ordering::Relaxed);
             leaves
-        })
+        });
+        wait.ok_or(ResponseError::Silent)
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod adapter_placement;
 pub mod allowance;
 pub mod attempt;
+pub mod attempt_end;
 pub mod balancer;
 pub mod broadcast;
 pub mod caller_limit;
@@ -44,6 +45,7 @@
 pub mod freshness;
 mod generation_record;
 pub mod head_wait;
+pub mod lateness;
 mod leadership;
 pub mod lease;
 pub mod load_limiter;
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -26,7 +26,7 @@
 use super::serve::Listening;
 use super::state::Gateway;
 use super::upstream::Registration;
-use super::{serve, store_watch};
+use super::{lateness, serve, store_watch};
 
 /// How long new requests are still accepted after a signal to stop; the balancer needs about two
 /// seconds to notice that the VM is not ready.
@@ -137,6 +137,7 @@
     let metrics = serve::spawn_metrics(&gateway, addresses.metrics);
     let metrics = metrics.map_err(bind_error(addresses.metrics))?;
     mesh.spawn();
+    lateness::spawn(&gateway);
     store_watch::spawn_configuration(&gateway, Arc::clone(&platform.configurations));
     store_watch::spawn_registrations(&gateway, Arc::clone(&platform.registrations));
     if gateway.bounds().closure.is_some() {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -21,6 +21,7 @@
 use crate::schema::mesh::{ConfigurationReport, FollowRequest, LeavingUpstream};
 
 use super::allowance::Allowance;
+use super::attempt_end::AttemptEnds;
 use super::caller_limit::CallerLimits;
 use super::caller_limit::bounds::ProcessLimits;
 use super::caller_limit::metrics::CallerLimitMetrics;
@@ -31,6 +32,7 @@
 use super::fanout::roles::{Capacity, Role};
 use super::fleet::{Fleet, UpstreamMap};
 use super::freshness::Freshness;
+use super::lateness::{Lateness, LatenessMetrics};
 use super::log_limit::{LineVerdict, LogLimit};
 use super::metrics::{Counters, Gauges};
 use super::platform_api::{DecodeError, Dialect};
@@ -88,6 +90,10 @@
     pub gauges: Gauges,
     /// Metrics of responses and refusals to callers.
     pub edge_metrics: EdgeMetrics,
+    /// Counters of attempts by their end.
+    pub attempt_ends: AttemptEnds,
+    /// Metrics of how late the process runs.
+    pub lateness_metrics: LatenessMetrics,
     /// Counter of the requests in progress, which shutdown waits for.
     pub running: Arc<RequestTracker>,
     /// The configuration in force; absent until the first one is read.
@@ -137,6 +143,7 @@
     pub caller_limits: Arc<CallerLimits>,
     log_limit: Mutex<LogLimit>,
     closures: Mutex<ClosedCentres>,
+    lateness: Mutex<Lateness>,
 }
 
 /// What [`Gateway::open`] needs.
@@ -174,6 +181,8 @@
         let freshness = Freshness::new(deps.bounds.withdrawal, deps.bounds.first_start);
         let reachability = Reachability::open(deps.clock.now());
         let edge_metrics = EdgeMetrics::open(&deps.metrics)?;
+        let attempt_ends = AttemptEnds::open(&deps.metrics)?;
+        let lateness_metrics = LatenessMetrics::open(&deps.metrics)?;
         let counters = Counters::open()?;
         counters.register(deps.metrics.registry())?;
         let gauges = Gauges::open(&deps.metrics)?;
@@ -187,6 +196,8 @@
             gauges,
             metrics: deps.metrics,
             edge_metrics,
+            attempt_ends,
+            lateness_metrics,
             vm: deps.vm,
             centre: deps.centre,
             capacity: deps.capacity,
@@ -224,6 +235,7 @@
             caller_limits,
             log_limit: Mutex::default(),
             closures: Mutex::default(),
+            lateness: Mutex::default(),
         }))
     }
 
@@ -289,6 +301,11 @@
         lock(&self.closures)
     }
 
+    /// Times in which this process stood still.
+    pub fn lateness(&self) -> MutexGuard<'_, Lateness> {
+        lock(&self.lateness)
+    }
+
     /// Parts of prompts, and requests, that crash engines.
     pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         lock(&self.quarantine)
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -15,6 +15,7 @@
 use slog::{info, warn};
 
 use super::attempt::{Attempts, Origin};
+use super::attempt_end::AttemptEnd;
 use super::configuration::RouteKind;
 use super::engine_pace::{Silent, Standing};
 use super::engine_run::EngineRun;
@@ -118,12 +119,15 @@
     match body.response.read_next(time_left).await {
         BodyRead::Bytes(bytes) => Some((Ok(bytes), Some(body))),
         BodyRead::End => {
+            body.response.end_attempt(AttemptEnd::Answered);
             if body.response.is_framed() && body.response.meta.sealed {
                 body.admitted.on_completed();
             }
             None
         }
         BodyRead::Failed(error) => {
+            let error = error.at_deadline();
+            body.response.end_attempt(error.into());
             if error == ResponseError::Disconnected {
                 let Origin { upstream, sent } = &body.origin;
                 let engine = &upstream.registration;
@@ -234,7 +238,7 @@
                     None => continue,
                 },
                 BodyRead::End => ResponseError::Disconnected,
-                BodyRead::Failed(error) => error,
+                BodyRead::Failed(error) => error.at_deadline(),
             };
             self.resume(error, None).await?;
         }
@@ -350,6 +354,7 @@
 
     /// Records the end of the stream.
     fn on_end(&mut self) {
+        self.response.end_attempt(AttemptEnd::Answered);
         if self.response.is_framed() {
             self.prove();
             self.admitted.on_completed();
@@ -456,6 +461,7 @@
 
     /// Records that the engine is given up.
     fn on_lost(&mut self, error: ResponseError) {
+        self.response.end_attempt(error.into());
         let now = self.now();
         let standing = self.standing(now);
         let admitted = &self.admitted;
@@ -470,7 +476,8 @@
             self.on_disconnected();
         }
         // A full engine that is slow has not failed.
-        if error != ResponseError::Silent || standing != Standing::Queued {
+        let silent = matches!(error, ResponseError::Silent | ResponseError::Deadline);
+        if !silent || standing != Standing::Queued {
             self.origin.upstream.health.on_failure(now);
         }
     }
@@ -540,8 +547,12 @@
                 upstream.health.on_failure(gateway.clock.now());
                 return Attempted::Crashed;
             }
+            SendOutcome::Responded(mut response) => {
+                response.end_attempt(AttemptEnd::Answered);
+                upstream.health.on_failure(gateway.clock.now());
+            }
             SendOutcome::NotSent(_) if admitted.time_left().is_zero() => {}
-            SendOutcome::NotSent(_) | SendOutcome::Responded(_) | SendOutcome::Unknown(_) => {
+            SendOutcome::NotSent(_) | SendOutcome::Unknown(_) => {
                 upstream.health.on_failure(gateway.clock.now());
             }
         }
