Keep a silent engine's stream until the next engine has taken it

Callers saw streams of sound engines cut in the middle: after 1.2 s without an event the stream was moved, its engine was left first and the next one asked then. Where that one refused (full, or without the adapter), no attempt was left. Silence says little: a VM with few requests knows nothing of an engine's other work, and a machine that is short of processor time makes both late.

The connection to an engine that is only silent is now kept until the next one has the request, for 0.15 s at most. An engine that cannot be reached, or says by then that it did not run the request, leaves the stream where it is. A process that stood still for as long within the last second closes first, as before, since two engines must not go on with one stream.

The code that moves a stream has its own module.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,10 +1,11 @@
 //! Forwards response bodies. A stream of events is forwarded event by event, and after a failure
-//! it is resumed at another engine where its route allows that.
+//! it is resumed at another engine where its route allows that ([`resume`]).
+
+mod resume;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
@@ -20,19 +21,15 @@
 use super::engine_pace::{Silent, Standing};
 use super::engine_run::EngineRun;
 use super::events::{EventError, EventSplitter};
-use super::exchange::{BodyRead, ResponseError, SendOutcome, UpstreamResponse};
-use super::head_wait::HeadWait;
+use super::exchange::{BodyRead, ResponseError, UpstreamResponse};
 use super::model_wait::give_up_time;
 use super::quarantine::crashes::Written;
-use super::quarantine::gate::Clearance;
 use super::relay::{AdmittedRequest, ResponseAborted};
 use super::request::SharedParts;
 use super::response::CallerBody;
 use super::stream_progress::StreamProgress;
-use super::upstream_limit::gate::Permit;
 
-/// Time between two looks at a retry budget that is used up.
-const RETRY_LOOK: Duration = Duration::from_millis(50);
+use resume::Place;
 
 /// Forwards a response that streams events.
 pub fn forward(
@@ -167,24 +164,6 @@
     kept: bool,
 }
 
-/// Outcome of resuming a stream at one engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Attempted {
-    /// The stream goes on there.
-    Resumed,
-    /// It does not.
-    Failed,
-    /// The engine broke the connection.
-    Crashed,
-}
-
-/// Leave to send a request to another engine.
-#[derive(Debug)]
-struct Place {
-    permit: Permit,
-    clearance: Clearance,
-}
-
 /// What a stream does next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Next {
@@ -204,7 +183,7 @@
                 Next::Read => {}
                 Next::Leave => {
                     self.next = Next::Read;
-                    self.resume(ResponseError::Invalid, None).await?;
+                    self.resume(ResponseError::Invalid).await?;
                     continue;
                 }
                 Next::End => {
@@ -222,7 +201,7 @@
             let silent = matches!(read, BodyRead::Failed(ResponseError::Silent));
             if silent && max_wait < time_left {
                 if let Some(place) = self.leave_silent().await {
-                    self.resume(ResponseError::Silent, Some(place)).await?;
+                    self.leave(place).await?;
                 }
                 continue;
             }
@@ -240,7 +219,7 @@
                 BodyRead::End => ResponseError::Disconnected,
                 BodyRead::Failed(error) => error.at_deadline(),
             };
-            self.resume(error, None).await?;
+            self.resume(error).await?;
         }
     }
 
@@ -414,148 +393,8 @@
         resumes && self.attempts.sent < self.admitted.route.attempts
     }
 
-    /// Whether another engine could resume the stream now.
-    fn can_resume_now(&self) -> bool {
-        let mut tried = self.attempts.tried.clone();
-        tried.insert(self.origin.upstream.registration.id.clone());
-        self.admitted.has_alternative(&tried)
-    }
-
-    /// Resumes the stream at another engine after the last complete event, first at `place` if
-    /// there is one.
-    async fn resume(
-        &mut self,
-        error: ResponseError,
-        mut place: Option<Place>,
-    ) -> Result<(), ResponseAborted> {
-        let suspect = error == ResponseError::Disconnected && self.is_suspect();
-        self.on_lost(error);
-        self.events.on_resumed();
-        let certain = self.events.is_certain();
-        while certain && !suspect && self.resumable() && !self.admitted.time_left().is_zero() {
-            if place.is_none() {
-                if error == ResponseError::Silent {
-                    self.wait_for_retry().await;
-                }
-                place = self.reserve().await;
-            }
-            let Some(next) = place.take() else {
-                break;
-            };
-            match self.go_on_at(next).await {
-                Attempted::Resumed => {
-                    self.progress.on_resumed(self.now());
-                    return Ok(());
-                }
-                Attempted::Crashed if self.admitted.stops_retries() => break,
-                Attempted::Crashed | Attempted::Failed => {}
-            }
-        }
-        let gateway = &self.admitted.gateway;
-        warn!(gateway.log, "stream_cut"; "request" => %self.admitted.request.head.id,
-            "event" => self.events.last_id(), "resumable" => self.resumable(),
-            "certain" => certain, "suspect" => suspect, "sent" => self.attempts.sent,
-            "left_ms" => self.admitted.time_left().as_millis() as u64);
-        Err(ResponseAborted)
-    }
-
-    /// Records that the engine is given up.
-    fn on_lost(&mut self, error: ResponseError) {
-        self.response.end_attempt(error.into());
-        let now = self.now();
-        let standing = self.standing(now);
-        let admitted = &self.admitted;
-        let parts = admitted.request.head.shared_parts();
-        warn!(admitted.gateway.log, "stream_lost"; "request" => %admitted.request.head.id,
-            "why" => %error, "upstream" => %self.origin.upstream.registration.id,
-            "event" => self.events.last_id(), "standing" => ?standing,
-            "left_ms" => admitted.time_left().as_millis() as u64, "parts" => %parts,
-            "digest" => %admitted.digest, "answered_ms" => self.run.age(now).as_millis() as u64,
-            "written" => ?self.run.written());
-        if error == ResponseError::Disconnected {
-            self.on_disconnected();
-        }
-        // A full engine that is slow has not failed.
-        let silent = matches!(error, ResponseError::Silent | ResponseError::Deadline);
-        if !silent || standing != Standing::Queued {
-            self.origin.upstream.health.on_failure(now);
-        }
-    }
-
-    /// Waits until the retry budget allows a retry, or the caller no longer waits for an event. An
-    /// engine that was silent may have been sound, so the stream is not cut for lack of budget.
-    async fn wait_for_retry(&self) {
-        while !self.admitted.has_retry()
-            && self.progress.is_awaited(self.now())
-            && !self.admitted.time_left().is_zero()
-        {
-            tokio::time::sleep(RETRY_LOOK).await;
-        }
-    }
-
-    /// Takes what it needs to send the request to another engine; `None` if that is not possible.
-    async fn reserve(&self) -> Option<Place> {
-        let admitted = &self.admitted;
-        let gateway = &admitted.gateway;
-        let trusted = admitted.account.is_none() || gateway.keys_trusted();
-        let permit = admitted.reserve_upstream(&self.attempts.tried).await.ok()?;
-        if !trusted {
-            return None;
-        }
-        let clearance = admitted.clear_to_send().ok()?;
-        let place = Place { permit, clearance };
-        gateway.try_retry(&admitted.service).then_some(place)
-    }
-
-    /// Sends the request to another engine.
-    async fn go_on_at(&mut self, place: Place) -> Attempted {
-        let admitted = Arc::clone(&self.admitted);
-        let gateway = &admitted.gateway;
-        let Place { permit, clearance } = place;
-        let upstream = permit.upstream().clone();
-        self.attempts.tried.insert(upstream.registration.id.clone());
-        // The former engine must not go on with the request beside this one.
-        self.response.close();
-        let after = self.events.last_id();
-        let sent = gateway.clock.now();
-        let wait = HeadWait {
-            request: &admitted,
-            tried: self.attempts.tried.clone(),
-            sent,
-            may_retry: false,
-            paid: AtomicBool::new(false),
-        };
-        let outcome = admitted.send(permit, clearance, after, &wait).await;
-        if !matches!(outcome, SendOutcome::NotSent(_)) {
-            self.attempts.sent += 1;
-        }
-        match outcome {
-            SendOutcome::Responded(response) if response.head.status.is_success() => {
-                info!(gateway.log, "stream_resumed"; "request" => %admitted.request.head.id,
-                    "upstream" => %upstream.registration.id, "event" => after);
-                admitted.release_body(self.attempts.sent);
-                self.response = *response;
-                self.run = EngineRun::open(gateway.clock.now());
-                self.origin = Origin { upstream, sent };
-                return Attempted::Resumed;
-            }
-            SendOutcome::NotRun(reason) => admitted.on_declined(&upstream, reason),
-            SendOutcome::Unknown(ResponseError::Disconnected) => {
-                let parts = self.unproven_parts();
-                let engine = &upstream.registration;
-                admitted.on_engine_crash(engine, parts, Written::NoHead, sent);
-                upstream.health.on_failure(gateway.clock.now());
-                return Attempted::Crashed;
-            }
-            SendOutcome::Responded(mut response) => {
-                response.end_attempt(AttemptEnd::Answered);
-                upstream.health.on_failure(gateway.clock.now());
-            }
-            SendOutcome::NotSent(_) if admitted.time_left().is_zero() => {}
-            SendOutcome::NotSent(_) | SendOutcome::Unknown(_) => {
-                upstream.health.on_failure(gateway.clock.now());
-            }
-        }
-        Attempted::Failed
+    /// Whether another attempt can resume the stream, as it is certain after which event.
+    fn movable(&self) -> bool {
+        self.resumable() && self.events.is_certain()
     }
 }
--- /dev/null
+++ b/src/gateway/stream/resume.rs
@@ -0,0 +1,268 @@
+//! Resumes a stream at another engine.
+//!
+//! An engine that is silent may be sound, so it is kept until the next one has taken the request,
+//! or for a short time at most: two engines must not go on with one request. An engine that refuses
+//! does so at once, and the stream then stays where it is.
+
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use slog::{info, warn};
+
+use super::Stream;
+use crate::gateway::attempt::Origin;
+use crate::gateway::attempt_end::AttemptEnd;
+use crate::gateway::engine_pace::Standing;
+use crate::gateway::engine_run::EngineRun;
+use crate::gateway::exchange::{ResponseError, SendOutcome};
+use crate::gateway::head_wait::HeadWait;
+use crate::gateway::quarantine::crashes::Written;
+use crate::gateway::quarantine::gate::Clearance;
+use crate::gateway::relay::ResponseAborted;
+use crate::gateway::upstream_limit::gate::Permit;
+
+/// Time between two looks at a retry budget that is used up.
+const RETRY_LOOK: Duration = Duration::from_millis(50);
+/// Longest time for which a silent engine is kept while the next one may refuse the request.
+const REFUSAL_TIME: Duration = Duration::from_millis(150);
+/// Time back from now in which the lateness of this process counts.
+const LATELY: Duration = Duration::from_secs(1);
+
+/// Outcome of resuming a stream at one engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Attempted {
+    /// The stream goes on there.
+    Resumed,
+    /// It does not, as the engine did not take the request; the former one is kept.
+    Declined,
+    /// It does not.
+    Failed,
+    /// The engine broke the connection.
+    Crashed,
+}
+
+/// Leave to send a request to another engine.
+#[derive(Debug)]
+pub(super) struct Place {
+    permit: Permit,
+    clearance: Clearance,
+}
+
+/// Whether the former engine of a stream may still go on with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Former {
+    /// It is silent, and may be sound.
+    Silent,
+    /// It has ended, or must not go on.
+    Lost,
+}
+
+impl Stream {
+    /// Whether another engine could resume the stream now.
+    pub(super) fn can_resume_now(&self) -> bool {
+        let mut tried = self.attempts.tried.clone();
+        tried.insert(self.origin.upstream.registration.id.clone());
+        self.admitted.has_alternative(&tried)
+    }
+
+    /// Moves the stream from a silent engine to `place`, unless the engine there does not take it.
+    pub(super) async fn leave(&mut self, place: Place) -> Result<(), ResponseAborted> {
+        match self.go_on_at(place, Former::Silent).await {
+            Attempted::Resumed => Ok(()),
+            Attempted::Declined => {
+                self.progress.tolerate_silence(self.now());
+                Ok(())
+            }
+            Attempted::Crashed if self.admitted.stops_retries() => self.cut(true),
+            Attempted::Failed | Attempted::Crashed => self.go_on(ResponseError::Silent).await,
+        }
+    }
+
+    /// Resumes the stream at another engine after the last complete event.
+    pub(super) async fn resume(&mut self, error: ResponseError) -> Result<(), ResponseAborted> {
+        let suspect = error == ResponseError::Disconnected && self.is_suspect();
+        self.give_up(error);
+        if suspect {
+            return self.cut(true);
+        }
+        self.go_on(error).await
+    }
+
+    /// Sends the request to other engines until one goes on with the stream, after `error`.
+    async fn go_on(&mut self, error: ResponseError) -> Result<(), ResponseAborted> {
+        while self.movable() && !self.admitted.time_left().is_zero() {
+            if error == ResponseError::Silent {
+                self.wait_for_retry().await;
+            }
+            let Some(place) = self.reserve().await else {
+                break;
+            };
+            match self.go_on_at(place, Former::Lost).await {
+                Attempted::Resumed => return Ok(()),
+                Attempted::Crashed if self.admitted.stops_retries() => break,
+                Attempted::Crashed | Attempted::Failed | Attempted::Declined => {}
+            }
+        }
+        self.cut(false)
+    }
+
+    /// Ends the stream before its end, so that the caller does not take it for complete.
+    fn cut(&self, suspect: bool) -> Result<(), ResponseAborted> {
+        let gateway = &self.admitted.gateway;
+        warn!(gateway.log, "stream_cut"; "request" => %self.admitted.request.head.id,
+            "event" => self.events.last_id(), "resumable" => self.resumable(),
+            "certain" => self.events.is_certain(), "suspect" => suspect,
+            "sent" => self.attempts.sent,
+            "left_ms" => self.admitted.time_left().as_millis() as u64);
+        Err(ResponseAborted)
+    }
+
+    /// Closes the connection to the engine, which must not go on beside another one.
+    fn give_up(&mut self, error: ResponseError) {
+        self.on_lost(error);
+        self.response.close();
+        self.events.on_resumed();
+    }
+
+    /// Records that the engine is given up.
+    fn on_lost(&mut self, error: ResponseError) {
+        self.response.end_attempt(error.into());
+        let now = self.now();
+        let standing = self.standing(now);
+        let admitted = &self.admitted;
+        let parts = admitted.request.head.shared_parts();
+        warn!(admitted.gateway.log, "stream_lost"; "request" => %admitted.request.head.id,
+            "why" => %error, "upstream" => %self.origin.upstream.registration.id,
+            "event" => self.events.last_id(), "standing" => ?standing,
+            "left_ms" => admitted.time_left().as_millis() as u64, "parts" => %parts,
+            "digest" => %admitted.digest, "answered_ms" => self.run.age(now).as_millis() as u64,
+            "written" => ?self.run.written());
+        if error == ResponseError::Disconnected {
+            self.on_disconnected();
+        }
+        // A full engine that is slow has not failed.
+        let silent = matches!(error, ResponseError::Silent | ResponseError::Deadline);
+        if !silent || standing != Standing::Queued {
+            self.origin.upstream.health.on_failure(now);
+        }
+    }
+
+    /// Waits until the retry budget allows a retry, or the caller no longer waits for an event. An
+    /// engine that was silent may have been sound, so the stream is not cut for lack of budget.
+    async fn wait_for_retry(&self) {
+        while !self.admitted.has_retry()
+            && self.progress.is_awaited(self.now())
+            && !self.admitted.time_left().is_zero()
+        {
+            tokio::time::sleep(RETRY_LOOK).await;
+        }
+    }
+
+    /// Takes what it needs to send the request to another engine; `None` if that is not possible.
+    pub(super) async fn reserve(&self) -> Option<Place> {
+        let admitted = &self.admitted;
+        let gateway = &admitted.gateway;
+        let trusted = admitted.account.is_none() || gateway.keys_trusted();
+        let permit = admitted.reserve_upstream(&self.attempts.tried).await.ok()?;
+        if !trusted {
+            return None;
+        }
+        let clearance = admitted.clear_to_send().ok()?;
+        let place = Place { permit, clearance };
+        gateway.try_retry(&admitted.service).then_some(place)
+    }
+
+    /// Sends the request to another engine.
+    async fn go_on_at(&mut self, place: Place, former: Former) -> Attempted {
+        let admitted = Arc::clone(&self.admitted);
+        let gateway = &admitted.gateway;
+        let Place { permit, clearance } = place;
+        let upstream = permit.upstream().clone();
+        self.attempts.tried.insert(upstream.registration.id.clone());
+        let after = self.events.last_id();
+        let sent = gateway.clock.now();
+        let wait = HeadWait {
+            request: &admitted,
+            tried: self.attempts.tried.clone(),
+            sent,
+            may_retry: false,
+            paid: AtomicBool::new(false),
+        };
+        let sending = admitted.send(permit, clearance, after, &wait);
+        let (outcome, kept) = self.await_outcome(sending, former).await;
+        if !matches!(outcome, SendOutcome::NotSent(_)) {
+            self.attempts.sent += 1;
+        }
+        match outcome {
+            SendOutcome::Responded(response) if response.head.status.is_success() => {
+                info!(gateway.log, "stream_resumed"; "request" => %admitted.request.head.id,
+                    "upstream" => %upstream.registration.id, "event" => after);
+                admitted.release_body(self.attempts.sent);
+                let now = gateway.clock.now();
+                self.response = *response;
+                self.run = EngineRun::open(now);
+                self.origin = Origin { upstream, sent };
+                self.progress.on_resumed(now);
+                return Attempted::Resumed;
+            }
+            SendOutcome::NotRun(reason) => admitted.on_declined(&upstream, reason),
+            SendOutcome::Unknown(ResponseError::Disconnected) => {
+                let parts = self.unproven_parts();
+                let engine = &upstream.registration;
+                admitted.on_engine_crash(engine, parts, Written::NoHead, sent);
+                upstream.health.on_failure(gateway.clock.now());
+                return Attempted::Crashed;
+            }
+            SendOutcome::Responded(mut response) => {
+                response.end_attempt(AttemptEnd::Answered);
+                upstream.health.on_failure(gateway.clock.now());
+            }
+            SendOutcome::NotSent(_) if admitted.time_left().is_zero() => {}
+            SendOutcome::NotSent(_) | SendOutcome::Unknown(_) => {
+                upstream.health.on_failure(gateway.clock.now());
+            }
+        }
+        if kept {
+            Attempted::Declined
+        } else {
+            Attempted::Failed
+        }
+    }
+
+    /// Waits for the outcome of sending the request to another engine; returns also whether the
+    /// former one is kept, since the request was not run.
+    async fn await_outcome<F>(&mut self, sending: F, former: Former) -> (SendOutcome, bool)
+    where
+        F: Future<Output = SendOutcome>,
+    {
+        if former == Former::Lost {
+            return (sending.await, false);
+        }
+        if self.may_close_late() {
+            self.give_up(ResponseError::Silent);
+            return (sending.await, false);
+        }
+        let mut sending = pin!(sending);
+        let early = tokio::time::timeout(REFUSAL_TIME, sending.as_mut()).await;
+        match early {
+            Ok(outcome @ (SendOutcome::NotRun(_) | SendOutcome::NotSent(_))) => (outcome, true),
+            Ok(outcome) => {
+                self.give_up(ResponseError::Silent);
+                (outcome, false)
+            }
+            Err(_late) => {
+                self.give_up(ResponseError::Silent);
+                (sending.await, false)
+            }
+        }
+    }
+
+    /// Whether this process may run too late to close a connection in time.
+    fn may_close_late(&self) -> bool {
+        let now = self.now();
+        let lately = now.checked_sub(LATELY).unwrap_or(now);
+        self.admitted.gateway.lateness().stood_still(lately, now) >= REFUSAL_TIME
+    }
+}
