Don't leave an engine for silence where its stream cannot be resumed

A stream whose events have uneven numbers cannot be resumed, as it is not certain after which event. It was moved for silence all the same: its engine was closed first, then the stream was cut.

Test: a_late_stream_that_cannot_be_resumed_for_certain_is_not_cut; on the code before, 3 of 5 events came and the answer was not whole.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -192,7 +192,7 @@
                 }
             }
             let time_left = self.admitted.time_left();
-            let max_wait = if self.resumable() {
+            let max_wait = if self.movable() {
                 self.progress.next_look(self.now()).min(time_left)
             } else {
                 time_left
