Let the first upstream answer while a second one is tried

Callers waited longer and engines worked in vain: an idempotent request without a head for 0.9 s or more was taken from its upstream, also one that would have answered in time. With two upstreams that take 2 s each, the answer came after 2.9 s from the second. Each such change is a retry, in a planned stop the answer may come too late, and where the second one broke off the caller got 502 although the first was sound.

The second attempt now runs beside the first (hedging), and the first complete answer that is no failure goes to the caller. At most one such attempt, one of the route's attempts, paid from the retry budget as before, its connection charged to the caller's memory.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -61,6 +61,15 @@
     pub sent: Instant,
 }
 
+/// An attempt with its outcome.
+#[derive(Debug)]
+pub(super) struct Sent {
+    /// Where the request was sent.
+    pub origin: Origin,
+    /// What came of it.
+    pub outcome: SendOutcome,
+}
+
 /// An upstream's response with its complete body.
 #[derive(Debug)]
 struct BufferedResponse {
@@ -114,21 +123,61 @@
         clearance: Clearance,
         attempts: &mut Attempts,
     ) -> Result<Option<Response<CallerBody>>, Refusal> {
-        let gateway = &self.gateway;
-        let upstream = &permit.upstream().clone();
-        let may_retry = attempts.sent + 1 < self.route.attempts;
-        let sent = gateway.clock.now();
-        let registration = &upstream.registration;
-        attempts.tried.insert(registration.id.clone());
-        let wait = HeadWait {
+        let upstream = permit.upstream().clone();
+        attempts.tried.insert(upstream.registration.id.clone());
+        let may_retry = attempts.sent + 1 < self.route.attempts && self.route.kind.retryable();
+        if may_retry && self.route.kind == RouteKind::Idempotent {
+            return self.attempt_hedged(permit, clearance, attempts).await;
+        }
+        let wait = self.head_wait(&upstream, attempts, may_retry);
+        let sent = self.send_once(permit, clearance, &wait).await;
+        attempts.paid = wait.paid.into_inner();
+        self.conclude(sent, attempts).await
+    }
+
+    /// The wait of an attempt that starts now.
+    pub(super) fn head_wait(
+        &self,
+        upstream: &Upstream,
+        attempts: &Attempts,
+        may_retry: bool,
+    ) -> HeadWait<'_> {
+        HeadWait {
             request: self,
+            upstream: upstream.clone(),
             tried: attempts.tried.clone(),
-            sent,
-            may_retry: may_retry && self.route.kind.retryable(),
+            sent: self.gateway.clock.now(),
+            may_retry,
             paid: AtomicBool::new(false),
+            watch: self.gateway.attempt_ends.watch(),
+        }
+    }
+
+    /// Sends the request from its beginning to one upstream.
+    pub(super) async fn send_once(
+        &self,
+        permit: Permit,
+        clearance: Clearance,
+        wait: &HeadWait<'_>,
+    ) -> Sent {
+        let outcome = self.send(permit, clearance, None, wait).await;
+        let origin = Origin {
+            upstream: wait.upstream.clone(),
+            sent: wait.sent,
         };
-        let outcome = self.send(permit, clearance, None, &wait).await;
-        attempts.paid = wait.paid.into_inner();
+        Sent { origin, outcome }
+    }
+
+    /// Handles the outcome of an attempt. `None` means that another upstream may be tried.
+    pub(super) async fn conclude(
+        self: &Arc<Self>,
+        attempt: Sent,
+        attempts: &mut Attempts,
+    ) -> Result<Option<Response<CallerBody>>, Refusal> {
+        let gateway = &self.gateway;
+        let Sent { origin, outcome } = attempt;
+        let Origin { upstream, sent } = &origin.clone();
+        let registration = &upstream.registration;
         let now = gateway.clock.now();
         let mut begun = false;
         let error = match outcome {
@@ -162,10 +211,6 @@
                 attempts.ran = true;
                 begun = true;
                 self.release_body(attempts.sent);
-                let origin = Origin {
-                    upstream: upstream.clone(),
-                    sent,
-                };
                 match self.handle_response(origin, *response, attempts).await {
                     Ok(response) => return Ok(response),
                     Err(error) => error,
@@ -176,7 +221,7 @@
                 attempts.ran = true;
                 if error == ResponseError::Disconnected {
                     let parts = self.request.head.shared_parts();
-                    self.on_engine_crash(registration, parts, Written::NoHead, sent);
+                    self.on_engine_crash(registration, parts, Written::NoHead, *sent);
                 }
                 error
             }
@@ -242,10 +287,10 @@
             },
         };
         let sent = gateway.clock.now();
-        let mut watch = gateway.attempt_ends.watch();
+        let watch = &wait.watch;
         let mut outcome = exchange::send(&gateway.dialect, request, guard).await;
         match (&mut outcome, self.time_left().is_zero()) {
-            (SendOutcome::Responded(response), _) => response.set_watch(watch),
+            (SendOutcome::Responded(response), _) => response.set_watch(watch.clone()),
             (SendOutcome::NotSent(_), true) => watch.end(AttemptEnd::Deadline),
             (SendOutcome::NotSent(_), false) => watch.end(AttemptEnd::Unreachable),
             (SendOutcome::NotRun(_), _) => watch.end(AttemptEnd::Refused),
--- a/src/gateway/attempt_end.rs
+++ b/src/gateway/attempt_end.rs
@@ -1,5 +1,8 @@
 //! Why attempts to send requests to upstreams end, and how many ended for each reason.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
 use prometheus::{IntCounterVec, Opts};
 
 use crate::metrics::Metrics;
@@ -78,10 +81,10 @@
 
     /// Starts to watch an attempt.
     pub fn watch(&self) -> AttemptWatch {
-        AttemptWatch {
+        AttemptWatch(Arc::new(Watched {
             ends: self.clone(),
-            ended: false,
-        }
+            ended: AtomicBool::new(false),
+        }))
     }
 
     /// Attempts that ended so.
@@ -90,23 +93,33 @@
     }
 }
 
-/// Counts the end of one attempt; one that is dropped before its end was left by its caller.
+/// Counts the end of one attempt; one that is dropped before its end was left by its caller. Clones
+/// watch the same attempt.
+#[derive(Clone, Debug)]
+pub struct AttemptWatch(Arc<Watched>);
+
 #[derive(Debug)]
-pub struct AttemptWatch {
+struct Watched {
     ends: AttemptEnds,
-    ended: bool,
+    ended: AtomicBool,
 }
 
 impl AttemptWatch {
     /// Counts the end of the attempt; only the first one counts.
-    pub fn end(&mut self, end: AttemptEnd) {
-        if !std::mem::replace(&mut self.ended, true) {
+    pub fn end(&self, end: AttemptEnd) {
+        self.0.end(end);
+    }
+}
+
+impl Watched {
+    fn end(&self, end: AttemptEnd) {
+        if !self.ended.swap(true, Ordering::Relaxed) {
             self.ends.0.with_label_values(&[end.label()]).inc();
         }
     }
 }
 
-impl Drop for AttemptWatch {
+impl Drop for Watched {
     fn drop(&mut self) {
         self.end(AttemptEnd::CallerLeft);
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -243,8 +243,8 @@
     }
 
     /// Counts the end of the attempt.
-    pub fn end_attempt(&mut self, end: AttemptEnd) {
-        if let Some(watch) = &mut self.watch {
+    pub fn end_attempt(&self, end: AttemptEnd) {
+        if let Some(watch) = &self.watch {
             watch.end(end);
         }
     }
--- a/src/gateway/head_wait.rs
+++ b/src/gateway/head_wait.rs
@@ -1,7 +1,8 @@
 //! How long a request waits for the head of its response before another upstream is tried.
 //!
-//! A silent upstream may be busy. It is left only once another one takes the request and the retry
-//! budget has paid for that; otherwise the request waits on, as long as its caller does.
+//! A silent upstream may be busy. It is left, or another one is tried beside it ([`super::hedge`]),
+//! only once another one takes the request and the retry budget has paid for that; otherwise the
+//! request waits on, as long as its caller does.
 
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -9,8 +10,10 @@
 
 use crate::ids::UpstreamId;
 
+use super::attempt_end::AttemptWatch;
 use super::exchange::{Patience, ResponseError};
 use super::relay::AdmittedRequest;
+use super::upstream::Upstream;
 
 /// A request that may be sent to another upstream waits for the start of a response for this many
 /// times the latency objective of its route.
@@ -18,7 +21,7 @@
 /// Lower bound on that wait.
 const MIN_SILENCE: Duration = Duration::from_millis(900);
 /// Interval of the checks whether an upstream that is silent for longer can be left.
-const LOOK_AGAIN: Duration = Duration::from_millis(300);
+pub const LOOK_AGAIN: Duration = Duration::from_millis(300);
 
 /// The time to wait for a head after `waited`, on a route with this objective, where the deadline
 /// is `left` away; `None` if the upstream is given up. `leave` says whether it can be left for another
@@ -46,6 +49,8 @@
 pub struct HeadWait<'a> {
     /// The request.
     pub request: &'a AdmittedRequest,
+    /// The upstream.
+    pub upstream: Upstream,
     /// Upstreams that it is not sent to again, this one included.
     pub tried: BTreeSet<UpstreamId>,
     /// When it was sent.
@@ -54,26 +59,47 @@
     pub may_retry: bool,
     /// Whether the retry budget has paid for that.
     pub paid: AtomicBool,
+    /// Counts the end of the attempt.
+    pub watch: AttemptWatch,
 }
 
-impl Patience for HeadWait<'_> {
-    fn next_wait(&self) -> Result<Duration, ResponseError> {
+impl HeadWait<'_> {
+    /// Time to wait until the next decision. `leave` says whether the upstream can be left for
+    /// another one, and is asked only after the usual wait.
+    ///
+    /// # Errors
+    ///
+    /// Why the upstream is given up now.
+    pub fn decide<F>(&self, leave: F) -> Result<Duration, ResponseError>
+    where
+        F: FnOnce() -> bool,
+    {
         let left = self.request.time_left();
         if left.is_zero() {
             return Err(ResponseError::Deadline);
         }
+        let waited = self.request.gateway.clock.now();
+        let waited = waited.saturating_duration_since(self.sent);
+        let wait = next_wait(self.request.route.goal, waited, left, leave);
+        wait.ok_or(ResponseError::Silent)
+    }
+}
+
+impl Patience for HeadWait<'_> {
+    fn next_wait(&self) -> Result<Duration, ResponseError> {
         if !self.may_retry {
-            return Ok(left);
+            let left = self.request.time_left();
+            return Some(left)
+                .filter(|left| !left.is_zero())
+                .ok_or(ResponseError::Deadline);
         }
         let gateway = &self.request.gateway;
-        let waited = gateway.clock.now().saturating_duration_since(self.sent);
-        let wait = next_wait(self.request.route.goal, waited, left, || {
+        self.decide(|| {
             let leaves = self.request.has_alternative(&self.tried)
                 && self.request.has_retry()
                 && gateway.try_retry(&self.request.service);
             self.paid.store(leaves, Ordering::Relaxed);
             leaves
-        });
-        wait.ok_or(ResponseError::Silent)
+        })
     }
 }
--- /dev/null
+++ b/src/gateway/hedge.rs
@@ -0,0 +1,126 @@
+//! A second attempt beside one that is silent.
+//!
+//! An upstream that is silent may be about to answer. A request that may run more than once is
+//! therefore sent to another one while the first still works on it, and the caller gets the first
+//! answer that is complete. There is one second attempt at most; it is paid from the retry budget,
+//! and its connection is charged to the caller.
+
+use std::pin::pin;
+use std::sync::Arc;
+
+use http::Response;
+use slog::info;
+
+use crate::outcome::Refusal;
+
+use super::attempt::{Attempts, Sent};
+use super::attempt_end::AttemptEnd;
+use super::caller_limit::Charge;
+use super::caller_limit::ledger::REQUEST_BYTES;
+use super::exchange::ResponseError;
+use super::head_wait::{HeadWait, LOOK_AGAIN};
+use super::quarantine::gate::Clearance;
+use super::relay::AdmittedRequest;
+use super::response::CallerBody;
+use super::upstream_limit::gate::Permit;
+
+/// What a second attempt needs.
+#[derive(Debug)]
+struct Second {
+    permit: Permit,
+    clearance: Clearance,
+    /// Memory for its connection.
+    _charge: Charge,
+}
+
+impl AdmittedRequest {
+    /// Makes one attempt, and a second one beside it if its upstream is silent. `None` means that
+    /// another upstream may be tried.
+    pub(super) async fn attempt_hedged(
+        self: &Arc<Self>,
+        permit: Permit,
+        clearance: Clearance,
+        attempts: &mut Attempts,
+    ) -> Result<Option<Response<CallerBody>>, Refusal> {
+        let first_wait = self.head_wait(permit.upstream(), attempts, false);
+        let mut first = pin!(self.send_once(permit, clearance, &first_wait));
+        let second = tokio::select! {
+            biased;
+            sent = first.as_mut() => return self.conclude(sent, attempts).await,
+            second = self.second_place(&first_wait) => second,
+        };
+        let beside = &second.permit.upstream().registration.id;
+        info!(self.gateway.log, "request_hedged"; "request" => %self.request.head.id,
+            "upstream" => %first_wait.upstream.registration.id, "beside" => %beside);
+        attempts.tried.insert(beside.clone());
+        let Second {
+            permit,
+            clearance,
+            _charge,
+        } = second;
+        let second_wait = self.head_wait(permit.upstream(), attempts, false);
+        let mut second = pin!(self.send_once(permit, clearance, &second_wait));
+        let (sent, is_first) = tokio::select! {
+            biased;
+            sent = first.as_mut() => (sent, true),
+            sent = second.as_mut() => (sent, false),
+        };
+        let earlier = self.conclude(sent, attempts).await;
+        if let Ok(Some(response)) = earlier {
+            let other = if is_first { &second_wait } else { &first_wait };
+            self.on_overtaken(other, is_first);
+            return Ok(Some(response));
+        }
+        let sent = if is_first { second.await } else { first.await };
+        match (earlier, self.conclude(sent, attempts).await) {
+            (_, Ok(Some(response))) => Ok(Some(response)),
+            // The later attempt may have run.
+            (Err(refusal), _) => Err(attempts.refusal(refusal.reason)),
+            (Ok(_), later) => later,
+        }
+    }
+
+    /// Records that an attempt ends because the other one was answered first.
+    fn on_overtaken(&self, wait: &HeadWait<'_>, by_first: bool) {
+        let upstream = &wait.upstream;
+        wait.watch.end(AttemptEnd::Overtaken);
+        info!(self.gateway.log, "attempt_overtaken"; "request" => %self.request.head.id,
+            "upstream" => %upstream.registration.id, "by_first" => by_first);
+        if !by_first {
+            upstream.health.on_failure(self.gateway.clock.now());
+        }
+    }
+
+    /// Waits until the upstream has been silent for long, another one takes the request, and the
+    /// retry budget has paid for it.
+    async fn second_place(&self, wait: &HeadWait<'_>) -> Second {
+        loop {
+            let possible = || self.has_alternative(&wait.tried) && self.has_retry();
+            match wait.decide(possible) {
+                Ok(look) => tokio::time::sleep(look).await,
+                // The first attempt ends by itself.
+                Err(ResponseError::Deadline) => std::future::pending().await,
+                Err(_silent) => match self.reserve_second(wait).await {
+                    Some(second) => return second,
+                    None => tokio::time::sleep(LOOK_AGAIN).await,
+                },
+            }
+        }
+    }
+
+    /// Takes what a second attempt needs; `None` if that is not possible.
+    async fn reserve_second(&self, wait: &HeadWait<'_>) -> Option<Second> {
+        let gateway = &self.gateway;
+        let permit = self.reserve_upstream(&wait.tried).await.ok()?;
+        if self.account.is_some() && !gateway.keys_trusted() {
+            return None;
+        }
+        let clearance = self.clear_to_send().ok()?;
+        let charge = self.connection.slot.charge_response(REQUEST_BYTES)?;
+        gateway.try_retry(&self.service).then_some(Second {
+            permit,
+            clearance,
+            _charge: charge,
+        })
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,6 +45,7 @@
 pub mod freshness;
 mod generation_record;
 pub mod head_wait;
+mod hedge;
 pub mod lateness;
 mod leadership;
 pub mod lease;
--- a/src/gateway/stream/resume.rs
+++ b/src/gateway/stream/resume.rs
@@ -6,7 +6,6 @@
 
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use slog::{info, warn};
@@ -17,7 +16,6 @@
 use crate::gateway::engine_pace::Standing;
 use crate::gateway::engine_run::EngineRun;
 use crate::gateway::exchange::{ResponseError, SendOutcome};
-use crate::gateway::head_wait::HeadWait;
 use crate::gateway::quarantine::crashes::Written;
 use crate::gateway::quarantine::gate::Clearance;
 use crate::gateway::relay::ResponseAborted;
@@ -182,14 +180,7 @@
         let upstream = permit.upstream().clone();
         self.attempts.tried.insert(upstream.registration.id.clone());
         let after = self.events.last_id();
-        let sent = gateway.clock.now();
-        let wait = HeadWait {
-            request: &admitted,
-            tried: self.attempts.tried.clone(),
-            sent,
-            may_retry: false,
-            paid: AtomicBool::new(false),
-        };
+        let wait = admitted.head_wait(&upstream, &self.attempts, false);
         let sending = admitted.send(permit, clearance, after, &wait);
         let (outcome, kept) = self.await_outcome(sending, former).await;
         if !matches!(outcome, SendOutcome::NotSent(_)) {
@@ -203,7 +194,10 @@
                 let now = gateway.clock.now();
                 self.response = *response;
                 self.run = EngineRun::open(now);
-                self.origin = Origin { upstream, sent };
+                self.origin = Origin {
+                    upstream,
+                    sent: wait.sent,
+                };
                 self.progress.on_resumed(now);
                 return Attempted::Resumed;
             }
@@ -211,11 +205,11 @@
             SendOutcome::Unknown(ResponseError::Disconnected) => {
                 let parts = self.unproven_parts();
                 let engine = &upstream.registration;
-                admitted.on_engine_crash(engine, parts, Written::NoHead, sent);
+                admitted.on_engine_crash(engine, parts, Written::NoHead, wait.sent);
                 upstream.health.on_failure(gateway.clock.now());
                 return Attempted::Crashed;
             }
-            SendOutcome::Responded(mut response) => {
+            SendOutcome::Responded(response) => {
                 response.end_attempt(AttemptEnd::Answered);
                 upstream.health.on_failure(gateway.clock.now());
             }
--- a/tests/gateway_attempts.rs
+++ b/tests/gateway_attempts.rs
@@ -57,7 +57,7 @@
 #[test]
 fn each_attempt_ends_once_and_for_its_own_reason() {
     let ends = AttemptEnds::open(&Metrics::open()).expect("metrics");
-    let mut watch = ends.watch();
+    let watch = ends.watch();
     watch.end(ResponseError::Silent.at_deadline().into());
     watch.end(AttemptEnd::Answered);
     drop(watch);
