Don't hold this process's own lateness against its upstreams

Silence was measured on a clock that goes on while the process has no processor. A VM with a small part of a core that stood still for a while took that for silence of its engines, moved sound streams and tried second upstreams: retries for nothing, and streams cut where the next engine refused.

The time in which the process stood still after the request was sent, or the last event came, is now subtracted. The time since a tick that is overdue counts too, as the decision may come before the tick.

--- a/src/gateway/head_wait.rs
+++ b/src/gateway/head_wait.rs
@@ -2,7 +2,8 @@
 //!
 //! A silent upstream may be busy. It is left, or another one is tried beside it ([`super::hedge`]),
 //! only once another one takes the request and the retry budget has paid for that; otherwise the
-//! request waits on, as long as its caller does.
+//! request waits on, as long as its caller does. Time in which this process stood still is not held
+//! against the upstream ([`super::lateness`]).
 
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -78,8 +79,10 @@
         if left.is_zero() {
             return Err(ResponseError::Deadline);
         }
-        let waited = self.request.gateway.clock.now();
-        let waited = waited.saturating_duration_since(self.sent);
+        let gateway = &self.request.gateway;
+        let now = gateway.clock.now();
+        let present = gateway.lateness().present(self.sent, now);
+        let waited = present.saturating_duration_since(self.sent);
         let wait = next_wait(self.request.route.goal, waited, left, leave);
         wait.ok_or(ResponseError::Silent)
     }
--- a/src/gateway/lateness.rs
+++ b/src/gateway/lateness.rs
@@ -71,6 +71,12 @@
         pauses.map(|pause| pause.after(since)).sum()
     }
 
+    /// `now` as it would be if the process had not stood still after `since`.
+    pub fn present(&self, since: Instant, now: Instant) -> Instant {
+        let late = self.stood_still(since, now);
+        now.checked_sub(late).unwrap_or(since).max(since)
+    }
+
     /// The pause that the next tick ends, if it came now.
     fn overdue(&self, now: Instant) -> Option<Pause> {
         let due = self.ticked? + TICK;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -226,9 +226,12 @@
     /// Decides whether a silent engine is left; returns where the stream may go on then.
     async fn leave_silent(&mut self) -> Option<Place> {
         let now = self.now();
-        let standing = self.standing(now);
+        let since = self.progress.silent_since();
+        let present = self.admitted.gateway.lateness().present(since, now);
+        let standing = self.standing(present);
         let longest = self.origin.upstream.health.pace().longest_silence(now);
-        let waits = !self.progress.silence_left(standing, longest, now).is_zero();
+        let left = self.progress.silence_left(standing, longest, present);
+        let waits = !left.is_zero();
         if !waits && self.can_resume_now() && self.admitted.has_retry() {
             let place = self.reserve().await;
             if place.is_some() {
--- a/tests/gateway_attempts.rs
+++ b/tests/gateway_attempts.rs
@@ -3,8 +3,10 @@
 use std::time::{Duration, Instant};
 
 use basilgw::gateway::attempt_end::{AttemptEnd, AttemptEnds};
+use basilgw::gateway::engine_pace::Standing;
 use basilgw::gateway::exchange::ResponseError;
 use basilgw::gateway::lateness::Lateness;
+use basilgw::gateway::stream_progress::StreamProgress;
 use basilgw::metrics::Metrics;
 
 fn ms(n: u64) -> Duration {
@@ -67,3 +69,23 @@
     assert_eq!(ends.count(AttemptEnd::Answered), 0);
     assert_eq!(ends.count(AttemptEnd::Silence), 0);
 }
+
+// Guards against: an upstream that is left for silence, as this process had no processor.
+#[test]
+fn time_in_which_the_process_stood_still_is_no_silence() {
+    let start = Instant::now();
+    let lateness = ticked(start, &[0, 100, 1100]);
+    let stalled = |at: u64| {
+        let progress = StreamProgress::open(ms(4000), ms(150), start);
+        let present = lateness.present(start, start + ms(at));
+        progress.silence_left(Standing::Stalled, Duration::ZERO, present)
+    };
+    assert_eq!(stalled(1200), ms(900));
+    assert_eq!(stalled(2099), ms(900), "it is late again");
+    let mut lateness = lateness.clone();
+    for tick in 12..=21 {
+        lateness.on_tick(start + ms(tick * 100));
+    }
+    let present = lateness.present(start, start + ms(2100));
+    assert_eq!(present, start + ms(1200));
+}
