Keep a stream without a head until the next engine has taken it

The same fault as after the head: a resumable stream whose engine had not answered for 0.9 s or more was closed first, then sent on. Where the next engine refused, the caller got 502, although the first one was sound.

The first engine is now kept as after the head: until the next one has the request, for 0.15 s at most. The wait, the payment and the choice are those of the hedge, so the note of a retry that was paid before its attempt is gone.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -3,7 +3,6 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -44,8 +43,6 @@
     failed_connects: usize,
     /// Whether the request may have run.
     pub ran: bool,
-    /// Whether the retry budget has paid for the next attempt.
-    pub paid: bool,
     /// Whether a response has shown that the request crashes no engine.
     pub proven: bool,
     /// Error response of an upstream, which the caller gets unless a later attempt succeeds.
@@ -70,6 +67,16 @@
     pub outcome: SendOutcome,
 }
 
+impl Sent {
+    /// Whether the upstream has not run the request for certain.
+    pub fn is_declined(&self) -> bool {
+        matches!(
+            self.outcome,
+            SendOutcome::NotRun(_) | SendOutcome::NotSent(_)
+        )
+    }
+}
+
 /// An upstream's response with its complete body.
 #[derive(Debug)]
 struct BufferedResponse {
@@ -125,30 +132,21 @@
     ) -> Result<Option<Response<CallerBody>>, Refusal> {
         let upstream = permit.upstream().clone();
         attempts.tried.insert(upstream.registration.id.clone());
-        let may_retry = attempts.sent + 1 < self.route.attempts && self.route.kind.retryable();
-        if may_retry && self.route.kind == RouteKind::Idempotent {
+        if attempts.sent + 1 < self.route.attempts && self.route.kind.retryable() {
             return self.attempt_hedged(permit, clearance, attempts).await;
         }
-        let wait = self.head_wait(&upstream, attempts, may_retry);
+        let wait = self.head_wait(&upstream, attempts);
         let sent = self.send_once(permit, clearance, &wait).await;
-        attempts.paid = wait.paid.into_inner();
         self.conclude(sent, attempts).await
     }
 
     /// The wait of an attempt that starts now.
-    pub(super) fn head_wait(
-        &self,
-        upstream: &Upstream,
-        attempts: &Attempts,
-        may_retry: bool,
-    ) -> HeadWait<'_> {
+    pub(super) fn head_wait(&self, upstream: &Upstream, attempts: &Attempts) -> HeadWait<'_> {
         HeadWait {
             request: self,
             upstream: upstream.clone(),
             tried: attempts.tried.clone(),
             sent: self.gateway.clock.now(),
-            may_retry,
-            paid: AtomicBool::new(false),
             watch: self.gateway.attempt_ends.watch(),
         }
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -115,12 +115,8 @@
 
 /// Decides how long a request waits for the head of its response.
 pub trait Patience: Send + Sync + Debug {
-    /// Time to wait until the next decision.
-    ///
-    /// # Errors
-    ///
-    /// Why the upstream is given up now.
-    fn next_wait(&self) -> Result<Duration, ResponseError>;
+    /// Time to wait until the next decision; `None` if the caller's time is up.
+    fn next_wait(&self) -> Option<Duration>;
 }
 
 /// Receives what upstreams state about themselves in the heads of their responses.
@@ -138,7 +134,7 @@
     request: UpstreamRequest<'_>,
     guard: RequestGuard,
 ) -> SendOutcome {
-    let Ok(wait) = request.patience.next_wait() else {
+    let Some(wait) = request.patience.next_wait() else {
         return SendOutcome::NotSent(ConnectError::Timeout);
     };
     let within = CONNECT_TIMEOUT.min(wait);
@@ -149,9 +145,9 @@
     };
     let responded = connection.send(request.request);
     let response = match wait_patiently(responded, request.patience).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(_ended)) => return SendOutcome::Unknown(ResponseError::Disconnected),
-        Err(given_up) => return SendOutcome::Unknown(given_up),
+        Some(Ok(response)) => response,
+        Some(Err(_ended)) => return SendOutcome::Unknown(ResponseError::Disconnected),
+        None => return SendOutcome::Unknown(ResponseError::Deadline),
     };
     let (head, body) = response.into_parts();
     let meta = dialect.read_response(&head);
@@ -194,8 +190,8 @@
     }))
 }
 
-/// Waits for a result; the error says why patience ended before.
-async fn wait_patiently<F>(result: F, patience: &dyn Patience) -> Result<F::Output, ResponseError>
+/// Waits for a result; `None` if patience ends before.
+async fn wait_patiently<F>(result: F, patience: &dyn Patience) -> Option<F::Output>
 where
     F: Future,
 {
@@ -203,7 +199,7 @@
     loop {
         let wait = patience.next_wait()?;
         if let Ok(result) = tokio::time::timeout(wait, result.as_mut()).await {
-            return Ok(result);
+            return Some(result);
         }
     }
 }
--- a/src/gateway/head_wait.rs
+++ b/src/gateway/head_wait.rs
@@ -6,7 +6,6 @@
 //! against the upstream ([`super::lateness`]).
 
 use std::collections::BTreeSet;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::ids::UpstreamId;
@@ -56,10 +55,6 @@
     pub tried: BTreeSet<UpstreamId>,
     /// When it was sent.
     pub sent: Instant,
-    /// Whether another upstream may be tried.
-    pub may_retry: bool,
-    /// Whether the retry budget has paid for that.
-    pub paid: AtomicBool,
     /// Counts the end of the attempt.
     pub watch: AttemptWatch,
 }
@@ -89,20 +84,8 @@
 }
 
 impl Patience for HeadWait<'_> {
-    fn next_wait(&self) -> Result<Duration, ResponseError> {
-        if !self.may_retry {
-            let left = self.request.time_left();
-            return Some(left)
-                .filter(|left| !left.is_zero())
-                .ok_or(ResponseError::Deadline);
-        }
-        let gateway = &self.request.gateway;
-        self.decide(|| {
-            let leaves = self.request.has_alternative(&self.tried)
-                && self.request.has_retry()
-                && gateway.try_retry(&self.request.service);
-            self.paid.store(leaves, Ordering::Relaxed);
-            leaves
-        })
+    fn next_wait(&self) -> Option<Duration> {
+        let left = self.request.time_left();
+        Some(left).filter(|left| !left.is_zero())
     }
 }
--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -4,26 +4,36 @@
 //! therefore sent to another one while the first still works on it, and the caller gets the first
 //! answer that is complete. There is one second attempt at most; it is paid from the retry budget,
 //! and its connection is charged to the caller.
+//!
+//! Two engines must not go on with one stream. The first is kept only until the second has taken
+//! the request, and for a short time at most; an engine that refuses does so at once.
 
-use std::pin::pin;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::Response;
 use slog::info;
 
 use crate::outcome::Refusal;
 
-use super::attempt::{Attempts, Sent};
+use super::attempt::{Attempts, Origin, Sent};
 use super::attempt_end::AttemptEnd;
 use super::caller_limit::Charge;
 use super::caller_limit::ledger::REQUEST_BYTES;
-use super::exchange::ResponseError;
+use super::configuration::RouteKind;
+use super::exchange::{ResponseError, SendOutcome};
 use super::head_wait::{HeadWait, LOOK_AGAIN};
 use super::quarantine::gate::Clearance;
 use super::relay::AdmittedRequest;
 use super::response::CallerBody;
 use super::upstream_limit::gate::Permit;
 
+/// Longest time for which a silent engine is kept while the next one may refuse a stream.
+pub(super) const REFUSAL_TIME: Duration = Duration::from_millis(150);
+/// Time back from now in which the lateness of this process counts.
+const LATELY: Duration = Duration::from_secs(1);
+
 /// What a second attempt needs.
 #[derive(Debug)]
 struct Second {
@@ -42,8 +52,8 @@
         clearance: Clearance,
         attempts: &mut Attempts,
     ) -> Result<Option<Response<CallerBody>>, Refusal> {
-        let first_wait = self.head_wait(permit.upstream(), attempts, false);
-        let mut first = pin!(self.send_once(permit, clearance, &first_wait));
+        let first_wait = self.head_wait(permit.upstream(), attempts);
+        let mut first = Box::pin(self.send_once(permit, clearance, &first_wait));
         let second = tokio::select! {
             biased;
             sent = first.as_mut() => return self.conclude(sent, attempts).await,
@@ -58,8 +68,11 @@
             clearance,
             _charge,
         } = second;
-        let second_wait = self.head_wait(permit.upstream(), attempts, false);
-        let mut second = pin!(self.send_once(permit, clearance, &second_wait));
+        let second_wait = self.head_wait(permit.upstream(), attempts);
+        let mut second = Box::pin(self.send_once(permit, clearance, &second_wait));
+        if self.route.kind != RouteKind::Idempotent {
+            return self.hand_over(first, &first_wait, second, attempts).await;
+        }
         let (sent, is_first) = tokio::select! {
             biased;
             sent = first.as_mut() => (sent, true),
@@ -80,6 +93,57 @@
         }
     }
 
+    /// Leaves the first upstream, unless the second one says at once that it does not run the
+    /// request.
+    async fn hand_over<F, G>(
+        self: &Arc<Self>,
+        first: Pin<Box<F>>,
+        first_wait: &HeadWait<'_>,
+        mut second: Pin<Box<G>>,
+        attempts: &mut Attempts,
+    ) -> Result<Option<Response<CallerBody>>, Refusal>
+    where
+        F: Future<Output = Sent>,
+        G: Future<Output = Sent>,
+    {
+        let early = if self.may_close_late() {
+            None
+        } else {
+            let early = tokio::time::timeout(REFUSAL_TIME, second.as_mut()).await;
+            early.ok()
+        };
+        let early = match early {
+            Some(sent) if sent.is_declined() => {
+                // The first attempt is not over, so neither is the request.
+                let _declined = self.conclude(sent, attempts).await;
+                return self.conclude(first.await, attempts).await;
+            }
+            early => early,
+        };
+        drop(first);
+        first_wait.watch.end(AttemptEnd::Silence);
+        let left = Sent {
+            origin: Origin {
+                upstream: first_wait.upstream.clone(),
+                sent: first_wait.sent,
+            },
+            outcome: SendOutcome::Unknown(ResponseError::Silent),
+        };
+        let _left = self.conclude(left, attempts).await;
+        let sent = match early {
+            Some(sent) => sent,
+            None => second.await,
+        };
+        self.conclude(sent, attempts).await
+    }
+
+    /// Whether this process may run too late to leave an upstream in time.
+    pub(super) fn may_close_late(&self) -> bool {
+        let now = self.gateway.clock.now();
+        let lately = now.checked_sub(LATELY).unwrap_or(now);
+        self.gateway.lateness().stood_still(lately, now) >= REFUSAL_TIME
+    }
+
     /// Records that an attempt ends because the other one was answered first.
     fn on_overtaken(&self, wait: &HeadWait<'_>, by_first: bool) {
         let upstream = &wait.upstream;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -334,8 +334,7 @@
                 Ok(clearance) => clearance,
                 Err(delay) => return attempts.give_up(Reason::Quarantined, delay),
             };
-            let paid = std::mem::take(&mut attempts.paid);
-            if attempts.sent > 0 && !paid && !gateway.try_retry(&self.service) {
+            if attempts.sent > 0 && !gateway.try_retry(&self.service) {
                 return attempts.give_up(Reason::UpstreamFailed, CAPACITY_RETRY);
             }
             let attempt = self.attempt(permit, clearance, &mut attempts);
--- a/src/gateway/stream/resume.rs
+++ b/src/gateway/stream/resume.rs
@@ -16,6 +16,7 @@
 use crate::gateway::engine_pace::Standing;
 use crate::gateway::engine_run::EngineRun;
 use crate::gateway::exchange::{ResponseError, SendOutcome};
+use crate::gateway::hedge::REFUSAL_TIME;
 use crate::gateway::quarantine::crashes::Written;
 use crate::gateway::quarantine::gate::Clearance;
 use crate::gateway::relay::ResponseAborted;
@@ -23,10 +24,6 @@
 
 /// Time between two looks at a retry budget that is used up.
 const RETRY_LOOK: Duration = Duration::from_millis(50);
-/// Longest time for which a silent engine is kept while the next one may refuse the request.
-const REFUSAL_TIME: Duration = Duration::from_millis(150);
-/// Time back from now in which the lateness of this process counts.
-const LATELY: Duration = Duration::from_secs(1);
 
 /// Outcome of resuming a stream at one engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -180,7 +177,7 @@
         let upstream = permit.upstream().clone();
         self.attempts.tried.insert(upstream.registration.id.clone());
         let after = self.events.last_id();
-        let wait = admitted.head_wait(&upstream, &self.attempts, false);
+        let wait = admitted.head_wait(&upstream, &self.attempts);
         let sending = admitted.send(permit, clearance, after, &wait);
         let (outcome, kept) = self.await_outcome(sending, former).await;
         if !matches!(outcome, SendOutcome::NotSent(_)) {
@@ -234,7 +231,7 @@
         if former == Former::Lost {
             return (sending.await, false);
         }
-        if self.may_close_late() {
+        if self.admitted.may_close_late() {
             self.give_up(ResponseError::Silent);
             return (sending.await, false);
         }
@@ -252,11 +249,4 @@
             }
         }
     }
-
-    /// Whether this process may run too late to close a connection in time.
-    fn may_close_late(&self) -> bool {
-        let now = self.now();
-        let lately = now.checked_sub(LATELY).unwrap_or(now);
-        self.admitted.gateway.lateness().stood_still(lately, now) >= REFUSAL_TIME
-    }
 }
