--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -27,7 +27,7 @@
 use super::state::Gateway;
 use super::stop::StopPlan;
 use super::upstream::Registration;
-use super::{serve, store_watch};
+use super::{lateness, serve, store_watch};
 
 /// Time between the end of the last request and the exit of the process.
 const LAST_WRITES: Duration = Duration::from_millis(200);
@@ -131,6 +131,7 @@
     let metrics = serve::spawn_metrics(&gateway, addresses.metrics);
     let metrics = metrics.map_err(bind_error(addresses.metrics))?;
     mesh.spawn();
+    lateness::spawn(&gateway);
     store_watch::spawn_configuration(&gateway, Arc::clone(&platform.configurations));
     store_watch::spawn_registrations(&gateway, Arc::clone(&platform.registrations));
     if gateway.bounds().closure.is_some() {
@@ -206,10 +207,8 @@
 /// Publishes the upstreams in use again whenever part of their state expires.
 async fn publish_expiry(gateway: Arc<Gateway>) {
     loop {
-        let due = gateway.clock.now() + EXPIRY_INTERVAL;
         tokio::time::sleep(EXPIRY_INTERVAL).await;
         let now = gateway.clock.now();
-        gateway.lateness().on_timer(due, now);
         if gateway.read_fleet(|fleet| fleet.next_expiry().is_some_and(|at| at <= now)) {
             gateway.update_fleet(|_, _| ());
         }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -22,6 +22,7 @@
 
 use super::allowance::Allowance;
 use super::answer_times::AnswerTimes;
+use super::attempt_end::AttemptEnds;
 use super::caller_limit::CallerLimits;
 use super::caller_limit::bounds::ProcessLimits;
 use super::caller_limit::metrics::CallerLimitMetrics;
@@ -32,7 +33,7 @@
 use super::fanout::roles::{Capacity, Role};
 use super::fleet::{Fleet, UpstreamMap};
 use super::freshness::Freshness;
-use super::lateness::Lateness;
+use super::lateness::{Lateness, LatenessMetrics};
 use super::log_limit::{LineVerdict, LogLimit};
 use super::metrics::{Counters, Gauges};
 use super::platform_api::{DecodeError, Dialect};
@@ -91,6 +92,10 @@
     pub gauges: Gauges,
     /// Metrics of responses and refusals to callers.
     pub edge_metrics: EdgeMetrics,
+    /// Counters of attempts by their end.
+    pub attempt_ends: AttemptEnds,
+    /// Metrics of how late the process runs.
+    pub lateness_metrics: LatenessMetrics,
     /// Counter of the requests in progress, which shutdown waits for.
     pub running: Arc<RequestTracker>,
     /// The configuration in force; absent until the first one is read.
@@ -176,8 +181,9 @@
     pub fn open(deps: GatewayDeps) -> Result<Arc<Self>, prometheus::Error> {
         let freshness = Freshness::new(deps.bounds.withdrawal, deps.bounds.first_start);
         let reachability = Reachability::open(deps.clock.now());
-        let lateness = Mutex::new(Lateness::open(deps.clock.now()));
         let edge_metrics = EdgeMetrics::open(&deps.metrics)?;
+        let attempt_ends = AttemptEnds::open(&deps.metrics)?;
+        let lateness_metrics = LatenessMetrics::open(&deps.metrics)?;
         let counters = Counters::open()?;
         counters.register(deps.metrics.registry())?;
         let gauges = Gauges::open(&deps.metrics)?;
@@ -191,6 +197,8 @@
             gauges,
             metrics: deps.metrics,
             edge_metrics,
+            attempt_ends,
+            lateness_metrics,
             vm: deps.vm,
             centre: deps.centre,
             capacity: deps.capacity,
@@ -224,11 +232,11 @@
             upstream_limits: Mutex::default(),
             leads: AtomicBool::new(false),
             answer_times: Mutex::default(),
-            lateness,
             unreadable: Mutex::default(),
             caller_limits,
             log_limit: Mutex::default(),
             closures: Mutex::default(),
+            lateness: Mutex::default(),
         }))
     }
 
@@ -294,6 +302,11 @@
         lock(&self.closures)
     }
 
+    /// Times in which this process stood still.
+    pub fn lateness(&self) -> MutexGuard<'_, Lateness> {
+        lock(&self.lateness)
+    }
+
     /// Parts of prompts, and requests, that crash engines.
     pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         lock(&self.quarantine)
@@ -437,11 +450,6 @@
         self.upstreams_changed.notify_waiters();
     }
 
-    /// How late timers of this process lately fired.
-    pub fn lateness(&self) -> MutexGuard<'_, Lateness> {
-        lock(&self.lateness)
-    }
-
     /// How long the requests of each route lately took.
     pub fn answer_times(&self) -> MutexGuard<'_, AnswerTimes> {
         lock(&self.answer_times)
--- a/tests/gateway_stop.rs
+++ b/tests/gateway_stop.rs
@@ -59,11 +59,14 @@
 #[test]
 fn the_greatest_lateness_is_remembered_for_some_seconds() {
     let start = Instant::now();
-    let mut lateness = Lateness::open(start);
-    lateness.on_timer(start, start + ms(400));
-    lateness.on_timer(start + ms(600), start + ms(601));
+    let mut lateness = Lateness::default();
+    lateness.on_tick(start);
+    for tick in 5..56 {
+        lateness.on_tick(start + ms(tick * 100));
+    }
     assert_eq!(lateness.greatest(start + ms(5500)), ms(400));
-    assert_eq!(lateness.greatest(start + ms(30_000)), ms(0));
+    lateness.on_tick(start + ms(5600));
+    assert_eq!(lateness.greatest(start + ms(5600)), ms(0));
 }
 
 // Guards against: a second signal that moves the end.
