Count retries by cause, and tell the budget's state when it refuses one

Retries beyond the budget could not be traced: the two counters of repeats say neither why the attempt before ended, nor what the budget refused, nor what was paid for and never sent. The functions on retry budgets move to a module of their own, without a change of logic.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -24,6 +24,7 @@
 use super::quarantine::gate::Clearance;
 use super::relay::{AdmittedRequest, CAPACITY_RETRY};
 use super::response::{self, CallerBody};
+use super::retry_metrics::RetryCause;
 use super::signals::UpstreamObserver;
 use super::stream;
 use super::upstream::Upstream;
@@ -45,6 +46,8 @@
     pub ran: bool,
     /// Whether the retry budget has paid for the next attempt.
     pub paid: bool,
+    /// Why the last attempt ended.
+    pub ended: Option<RetryCause>,
     /// Whether a response has shown that the request crashes no engine.
     pub proven: bool,
     /// Error response of an upstream, which the caller gets unless a later attempt succeeds.
@@ -149,6 +152,7 @@
             }
             SendOutcome::NotRun(reason) => {
                 attempts.sent += 1;
+                attempts.ended = Some(RetryCause::Declined);
                 self.on_declined(upstream, reason);
                 if attempts.sent < self.route.attempts {
                     return Ok(None);
@@ -183,6 +187,7 @@
         warn!(gateway.log, "answer_lost"; "request" => %self.request.head.id,
             "upstream" => %registration.id, "why" => %error, "sent" => attempts.sent,
             "parts" => %self.request.head.shared_parts(), "digest" => %self.digest);
+        attempts.ended = Some(error.into());
         upstream.health.on_failure(now);
         let broken_off = error == ResponseError::Disconnected;
         let suspect = broken_off && (begun && self.has_new_part() || self.stops_retries());
@@ -353,6 +358,7 @@
         upstream.health.on_failure(self.gateway.clock.now());
         if attempts.sent < self.route.attempts && self.route.kind == RouteKind::Idempotent {
             attempts.failure = Some(buffered);
+            attempts.ended = Some(RetryCause::FailureStatus);
             return Ok(None);
         }
         Ok(Some(buffered.into()))
--- a/src/gateway/head_wait.rs
+++ b/src/gateway/head_wait.rs
@@ -11,6 +11,7 @@
 
 use super::exchange::Patience;
 use super::relay::AdmittedRequest;
+use super::retry_metrics::RetryCause;
 
 /// A request that may be sent to another upstream waits for the start of a response for this many
 /// times the latency objective of its route.
@@ -68,7 +69,7 @@
         next_wait(self.request.route.goal, waited, left, || {
             let leaves = self.request.has_alternative(&self.tried)
                 && self.request.has_retry()
-                && gateway.try_retry(&self.request.service);
+                && gateway.try_retry(&self.request.service, RetryCause::Silent);
             self.paid.store(leaves, Ordering::Relaxed);
             leaves
         })
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -65,6 +65,7 @@
 pub mod response;
 pub mod retry_after;
 pub mod retry_budget;
+pub mod retry_metrics;
 pub mod run;
 pub mod serve;
 pub mod signals;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -335,13 +335,20 @@
                 Err(delay) => return attempts.give_up(Reason::Quarantined, delay),
             };
             let paid = std::mem::take(&mut attempts.paid);
-            if attempts.sent > 0 && !paid && !gateway.try_retry(&self.service) {
+            if let Some(cause) = attempts.ended
+                && !paid
+                && !gateway.try_retry(&self.service, cause)
+            {
                 return attempts.give_up(Reason::UpstreamFailed, CAPACITY_RETRY);
             }
+            let sent_before = attempts.sent;
             let attempt = self.attempt(permit, clearance, &mut attempts);
             if let Some(response) = attempt.await? {
                 return Ok(response);
             }
+            if sent_before > 0 && attempts.sent == sent_before {
+                gateway.retry_metrics.unsent.inc();
+            }
         }
     }
 
--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -5,6 +5,7 @@
 //! the slack, so the VMs need not coordinate.
 
 use std::collections::VecDeque;
+use std::fmt::{self, Display, Formatter};
 use std::time::{Duration, Instant};
 
 /// The platform's bound on retries, over all VMs.
@@ -87,3 +88,10 @@
         }
     }
 }
+
+impl Display for RetryBudget {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let (requests, retries) = (self.requests.len(), self.retries.len());
+        write!(f, "{requests} requests, {retries} retries")
+    }
+}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -4,6 +4,7 @@
 //! here are held only briefly and never across an await.
 
 mod quotas;
+mod retries;
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -37,6 +38,7 @@
 use super::quarantine::Quarantine;
 use super::reachability::Reachability;
 use super::retry_budget::{RetryBound, RetryBudget};
+use super::retry_metrics::RetryMetrics;
 use super::signals::LeavingHints;
 use super::unreadable_objects::UnreadableObjects;
 use super::upstream_limit::UpstreamLimits;
@@ -88,6 +90,8 @@
     pub gauges: Gauges,
     /// Metrics of responses and refusals to callers.
     pub edge_metrics: EdgeMetrics,
+    /// Metrics of retries.
+    pub retry_metrics: RetryMetrics,
     /// Counter of the requests in progress, which shutdown waits for.
     pub running: Arc<RequestTracker>,
     /// The configuration in force; absent until the first one is read.
@@ -174,6 +178,7 @@
         let freshness = Freshness::new(deps.bounds.withdrawal, deps.bounds.first_start);
         let reachability = Reachability::open(deps.clock.now());
         let edge_metrics = EdgeMetrics::open(&deps.metrics)?;
+        let retry_metrics = RetryMetrics::open(&deps.metrics)?;
         let counters = Counters::open()?;
         counters.register(deps.metrics.registry())?;
         let gauges = Gauges::open(&deps.metrics)?;
@@ -187,6 +192,7 @@
             gauges,
             metrics: deps.metrics,
             edge_metrics,
+            retry_metrics,
             vm: deps.vm,
             centre: deps.centre,
             capacity: deps.capacity,
@@ -497,46 +503,4 @@
     pub fn on_peer_message(&self, now: Instant) {
         lock(&self.reachability).last_received = now;
     }
-
-    fn retry_budget<'a>(
-        &self,
-        budgets: &'a mut BTreeMap<ServiceId, RetryBudget>,
-        service: &ServiceId,
-    ) -> &'a mut RetryBudget {
-        let entry = budgets.entry(service.clone());
-        entry.or_insert_with(|| RetryBudget::new(self.bounds().retries))
-    }
-
-    /// Counts a request for a service, which raises its retry budget.
-    pub fn count_request(&self, service: &ServiceId) {
-        let now = self.clock.now();
-        let mut retry_budgets = lock(&self.retry_budgets);
-        self.retry_budget(&mut retry_budgets, service)
-            .on_request(now);
-    }
-
-    /// Whether a service's budget has a retry left.
-    pub fn has_retry(&self, service: &ServiceId) -> bool {
-        let now = self.clock.now();
-        let vms = self.reachability().peak;
-        let mut retry_budgets = lock(&self.retry_budgets);
-        self.retry_budget(&mut retry_budgets, service)
-            .is_left(vms, now)
-    }
-
-    /// Spends one retry of a service's budget; false if none is left.
-    pub fn try_retry(&self, service: &ServiceId) -> bool {
-        let now = self.clock.now();
-        let vms = self.reachability().peak;
-        let mut retry_budgets = lock(&self.retry_budgets);
-        let taken = self
-            .retry_budget(&mut retry_budgets, service)
-            .try_spend(vms, now);
-        if taken {
-            self.counters.repeats.inc();
-        } else {
-            self.counters.repeats_spared.inc();
-        }
-        taken
-    }
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -27,6 +27,7 @@
 use super::relay::{AdmittedRequest, ResponseAborted};
 use super::request::SharedParts;
 use super::response::CallerBody;
+use super::retry_metrics::RetryCause;
 use super::stream_progress::StreamProgress;
 use super::upstream_limit::gate::Permit;
 
@@ -497,7 +498,8 @@
         }
         let clearance = admitted.clear_to_send().ok()?;
         let place = Place { permit, clearance };
-        gateway.try_retry(&admitted.service).then_some(place)
+        let paid = gateway.try_retry(&admitted.service, RetryCause::Resumption);
+        paid.then_some(place)
     }
 
     /// Sends the request to another engine.
@@ -519,7 +521,9 @@
             paid: AtomicBool::new(false),
         };
         let outcome = admitted.send(permit, clearance, after, &wait).await;
-        if !matches!(outcome, SendOutcome::NotSent(_)) {
+        if matches!(outcome, SendOutcome::NotSent(_)) {
+            gateway.retry_metrics.unsent.inc();
+        } else {
             self.attempts.sent += 1;
         }
         match outcome {
