Keep all VMs together to the retry budget, over starts and moved callers

What was seen: a service got more arrivals beyond the first of each request than the bound over all VMs allows (BUDGET), at 9 and at 87 VMs.

- A VM's window ends where it retries, so that the windows of all VMs span two of the platform's.

Change: a process has no part of the slack until a window and 3 s after its start (but for the first start of the whole system, when no process was before it); a VM without the list takes a 360th, as for quotas and limits; a VM uses half of the ratio of its own requests. The sum then holds whatever the order: the requests in the VMs' windows are at most twice those of the busier of the two windows that the rule counts.

The test of the share of requests in gateway_pure.rs expected 0.8 of the ratio; it expects 0.5 now, as exactly.

--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -52,6 +52,14 @@
         }
     }
 
+    /// Most VMs that there may be. Before the registered VMs were read, as many as are designed for.
+    pub fn most_vms(&self) -> u32 {
+        if self.listed {
+            return self.peak;
+        }
+        self.peak.max(UNLISTED_VMS)
+    }
+
     /// Part of each account's quota that this VM may use, from 0 to 1.
     pub fn rate_share(&self, now: Instant) -> f64 {
         if !self.listed {
--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -1,8 +1,13 @@
 //! The retry budget of a service, which keeps retries few when many requests fail at once.
 //!
 //! The platform bounds the retries of all VMs together: in any window, to a share of the requests
-//! plus a fixed slack. Each VM retries at most that share of its own requests plus a small part of
-//! the slack, so the VMs need not coordinate.
+//! plus a fixed slack. Each VM retries at most half of that share of its own requests, plus an equal
+//! part of the slack, so the VMs need not coordinate:
+//!
+//! - A VM's window ends where it retries. The windows of all VMs that end within one window of the
+//!   platform span two, and hold at most twice the requests of the busier one.
+//! - The process before this one may have used the same part of the slack, and other VMs may count
+//!   without a VM that has just started. A process has no part until that was a window ago.
 
 use std::collections::VecDeque;
 use std::fmt::{self, Display, Formatter};
@@ -23,14 +28,17 @@
 /// that all of them can use up their part in the same window without exceeding the slack; a VM that
 /// knows few others may have been cut off from them since its start.
 const MIN_SLACK_PARTS: u32 = 16;
-/// Share of the ratio that a VM uses. The rest is a margin, since the platform's window may start
-/// at another moment than the one counted here.
-const USED_SHARE: f64 = 0.8;
+/// Share of the ratio that a VM uses.
+const USED_SHARE: f64 = 0.5;
+/// Time in which the other VMs learn of one that starts.
+const LEARNT_WITHIN: Duration = Duration::from_secs(3);
 
 /// Requests and retries of one service that this VM sent within the window.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     bound: RetryBound,
+    /// Start of this process; absent where the whole system started for the first time with it.
+    started: Option<Instant>,
     /// Times of the requests, oldest first.
     requests: VecDeque<Instant>,
     /// Times of the retries, oldest first.
@@ -38,10 +46,12 @@
 }
 
 impl RetryBudget {
-    /// Creates a budget with no requests and no retries.
-    pub fn new(bound: RetryBound) -> Self {
+    /// Creates a budget with no requests and no retries, in a process that started at `started`;
+    /// that is absent where the whole system started for the first time with it.
+    pub fn new(bound: RetryBound, started: Option<Instant>) -> Self {
         Self {
             bound,
+            started,
             requests: VecDeque::new(),
             retries: VecDeque::new(),
         }
@@ -59,8 +69,7 @@
     }
 
     /// Counts a retry and returns true if the budget of this VM allows one; returns false
-    /// otherwise.
-    /// `vms` is the most VMs that this one has known.
+    /// otherwise. `vms` is the most VMs that there may be.
     pub fn try_spend(&mut self, vms: u32, now: Instant) -> bool {
         let allowed = self.is_left(vms, now);
         if allowed {
@@ -73,10 +82,20 @@
     pub fn is_left(&mut self, vms: u32, now: Instant) -> bool {
         self.drop_expired(now);
         let earned = self.requests.len() as f64 * self.bound.ratio * USED_SHARE;
-        let allowed = earned + self.bound.slack / f64::from(vms.max(MIN_SLACK_PARTS));
+        let allowed = earned + self.slack_part(vms, now);
         self.retries.len() as f64 + 1.0 <= allowed
     }
 
+    /// The part of the slack that this VM may use now.
+    fn slack_part(&self, vms: u32, now: Instant) -> f64 {
+        let settles = self.bound.window + LEARNT_WITHIN;
+        let settled = |started| now.saturating_duration_since(started) >= settles;
+        if !self.started.is_none_or(settled) {
+            return 0.0;
+        }
+        self.bound.slack / f64::from(vms.max(MIN_SLACK_PARTS))
+    }
+
     fn drop_expired(&mut self, now: Instant) {
         for times in [&mut self.requests, &mut self.retries] {
             while let Some(first) = times.front() {
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -129,6 +129,8 @@
     demand: Mutex<LocalDemand>,
     allowances: Mutex<BTreeMap<ClientAccount, Allowance>>,
     retry_budgets: Mutex<BTreeMap<ServiceId, RetryBudget>>,
+    /// Start of this process.
+    started: Instant,
     reachability: Mutex<Reachability>,
     quarantine: Mutex<Quarantine>,
     upstream_limits: Mutex<UpstreamLimits>,
@@ -176,7 +178,8 @@
     /// If the name of a metric is already registered.
     pub fn open(deps: GatewayDeps) -> Result<Arc<Self>, prometheus::Error> {
         let freshness = Freshness::new(deps.bounds.withdrawal, deps.bounds.first_start);
-        let reachability = Reachability::open(deps.clock.now());
+        let started = deps.clock.now();
+        let reachability = Reachability::open(started);
         let edge_metrics = EdgeMetrics::open(&deps.metrics)?;
         let retry_metrics = RetryMetrics::open(&deps.metrics)?;
         let counters = Counters::open()?;
@@ -221,6 +224,7 @@
             demand: Mutex::default(),
             allowances: Mutex::default(),
             retry_budgets: Mutex::default(),
+            started,
             reachability: Mutex::new(reachability),
             quarantine: Mutex::default(),
             upstream_limits: Mutex::default(),
--- a/src/gateway/state/retries.rs
+++ b/src/gateway/state/retries.rs
@@ -17,7 +17,11 @@
         service: &ServiceId,
     ) -> &'a mut RetryBudget {
         let entry = budgets.entry(service.clone());
-        entry.or_insert_with(|| RetryBudget::new(self.bounds().retries))
+        entry.or_insert_with(|| {
+            let bounds = self.bounds();
+            let started = (!bounds.first_start).then_some(self.started);
+            RetryBudget::new(bounds.retries, started)
+        })
     }
 
     /// Counts a request for a service, which raises its retry budget.
@@ -31,7 +35,7 @@
     /// Whether a service's budget has a retry left.
     pub fn has_retry(&self, service: &ServiceId) -> bool {
         let now = self.clock.now();
-        let vms = self.reachability().peak;
+        let vms = self.reachability().most_vms();
         let mut retry_budgets = lock(&self.retry_budgets);
         self.retry_budget(&mut retry_budgets, service)
             .is_left(vms, now)
@@ -40,7 +44,7 @@
     /// Spends one retry of a service's budget; false if none is left.
     pub fn try_retry(&self, service: &ServiceId, cause: RetryCause) -> bool {
         let now = self.clock.now();
-        let vms = self.reachability().peak;
+        let vms = self.reachability().most_vms();
         let mut retry_budgets = lock(&self.retry_budgets);
         let budget = self.retry_budget(&mut retry_budgets, service);
         let taken = budget.try_spend(vms, now);
--- a/src/gateway/upstream_limit/gate.rs
+++ b/src/gateway/upstream_limit/gate.rs
@@ -13,7 +13,6 @@
 use crate::gateway::balancer::NoEngine;
 use crate::gateway::fleet::service_upstreams;
 use crate::gateway::platform_api::LimitSignal;
-use crate::gateway::reachability::UNLISTED_VMS;
 use crate::gateway::relay::AdmittedRequest;
 use crate::gateway::state::Gateway;
 use crate::gateway::upstream::{Upstream, UpstreamInstance};
@@ -325,15 +324,10 @@
             .request(instance, max_wait, vms, wall, now)
     }
 
-    /// The VMs as far as they matter for limits. Before the registered VMs were read, there may be
-    /// as many as are designed for.
+    /// The VMs as far as they matter for limits.
     fn vm_counts(&self) -> VmCounts {
         let reachability = self.reachability();
-        let least = if reachability.listed {
-            reachability.peak
-        } else {
-            reachability.peak.max(UNLISTED_VMS)
-        };
+        let least = reachability.most_vms();
         VmCounts {
             known: reachability.vms,
             reachable: reachability.reachable,
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -188,7 +188,7 @@
     for vms in [7_u32, 16, 87, 295] {
         let mut retries = 0;
         for _ in 0..vms {
-            let mut budget = RetryBudget::new(bound);
+            let mut budget = RetryBudget::new(bound, None);
             (0..50).for_each(|_| budget.on_request(now));
             retries += (0..50).filter(|_| budget.try_spend(vms, now)).count();
         }
@@ -224,7 +224,7 @@
             }
             peers.expire(later);
             let reachability = peers.reachability(later);
-            let mut budget = RetryBudget::new(bound);
+            let mut budget = RetryBudget::new(bound, None);
             let spends = (0..50).filter(|_| budget.try_spend(reachability.peak, later));
             retries += spends.count();
         }
@@ -240,12 +240,12 @@
         window: Duration::from_secs(10),
     };
     let start = Instant::now();
-    let mut budget = RetryBudget::new(bound);
+    let mut budget = RetryBudget::new(bound, None);
     for _ in 0..100 {
         budget.on_request(start);
     }
     let taken = (0..100).filter(|_| budget.try_spend(1, start)).count();
-    assert_eq!(taken, 17, "0.8 * 0.2 * 100, plus one from the slack");
+    assert_eq!(taken, 11, "0.5 * 0.2 * 100, plus one from the slack");
     let later = start + Duration::from_secs(11);
     assert!(budget.try_spend(1, later), "one from the slack again");
     assert!(
--- a/tests/gateway_retry_budget.rs
+++ b/tests/gateway_retry_budget.rs
@@ -81,7 +81,7 @@
         reachability.vms = vms;
         reachability.peak = vms;
         Vm {
-            budget: Some(RetryBudget::new(self.bound)),
+            budget: Some(RetryBudget::new(self.bound, Some(self.at()))),
             reachability,
             rate: rate * STEP_MS as f64 / 1000.0,
             rest: 0.0,
@@ -110,7 +110,7 @@
                     budget.on_request(now);
                     self.requests.push(self.now);
                 }
-                while failing && budget.try_spend(vm.reachability.peak, now) {
+                while failing && budget.try_spend(vm.reachability.most_vms(), now) {
                     self.retries.push(self.now);
                 }
             }
@@ -209,6 +209,25 @@
     }));
 }
 
+// Guards against: VMs that have their part of the slack before the others count with them.
+#[test]
+fn vms_that_are_added_keep_to_the_slack() {
+    check(SIZES.map(|(vms, slack)| {
+        let mut fleet = Fleet::open(vms / 2, slack, 0.1);
+        fleet.play(1000, true);
+        for _ in vms / 2..vms {
+            let vm = fleet.process(vms, 0.0);
+            fleet.vms.push(vm);
+        }
+        fleet.play(2500, true);
+        for vm in &mut fleet.vms {
+            vm.reachability.peak = vms;
+        }
+        fleet.play(25_000, true);
+        fleet
+    }));
+}
+
 // Guards against: any order of kills, starts, moved callers and failures in which the sum exceeds
 // the bound.
 #[test]
@@ -272,11 +291,33 @@
     assert_eq!(fleet.retries.len(), 27, "3 of 58 / 16 at each of 9 VMs");
 }
 
+// Guards against: a process that never has its part of the slack after it has started again.
+#[test]
+fn a_vm_that_started_again_has_its_part_of_the_slack_in_the_end() {
+    let mut fleet = Fleet::open(9, 58.0, 0.0);
+    fleet.restart(0);
+    fleet.vms.truncate(1);
+    fleet.play(12_900, true);
+    assert!(
+        fleet.retries.is_empty(),
+        "the process before may have used it"
+    );
+    fleet.play(STEP_MS, true);
+    assert_eq!(fleet.retries.len(), 3);
+}
+
+// Guards against: VMs that wait with their part of the slack although no process was before them.
+#[test]
+fn a_vm_has_its_part_of_the_slack_on_the_first_start_of_the_whole_system() {
+    let mut budget = RetryBudget::new(bound(58.0), None);
+    assert!(budget.try_spend(9, Instant::now()));
+}
+
 // Guards against: a retry that is forgotten before the window has ended, or counted after it.
 #[test]
 fn a_retry_counts_for_a_window() {
     let start = Instant::now();
-    let mut budget = RetryBudget::new(bound(16.0));
+    let mut budget = RetryBudget::new(bound(16.0), Some(start));
     let later = start + Duration::from_mins(1);
     assert!(budget.try_spend(1, later));
     assert!(!budget.try_spend(1, later + ms(WINDOW_MS - 1)));
