Pay for a retry again if it is not sent at once

What callers could see: nothing. A retry that was paid for as its engine fell silent could wait for a permit, a model or the end of a pause before it was sent, so that it arrived in another window than the one that it was counted in; VMs that wait together would send in one window what they paid in two.

A payment now holds for 250 ms, the time of one connection. Where no connection was opened, the payment is left for the next upstream, which was paid for again before. A payment that lapses is counted (`basilgw_retries_unsent_total`).

Tested as a pure decision; that the payment is left for the next upstream is not tested.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -24,6 +24,7 @@
 use super::quarantine::gate::Clearance;
 use super::relay::{AdmittedRequest, CAPACITY_RETRY};
 use super::response::{self, CallerBody};
+use super::retry_budget::Payment;
 use super::retry_metrics::RetryCause;
 use super::signals::UpstreamObserver;
 use super::stream;
@@ -44,8 +45,8 @@
     failed_connects: usize,
     /// Whether the request may have run.
     pub ran: bool,
-    /// Whether the retry budget has paid for the next attempt.
-    pub paid: bool,
+    /// The retry budget's payment for the next attempt, if it was made before.
+    pub payment: Option<Payment>,
     /// Why the last attempt ended.
     pub ended: Option<RetryCause>,
     /// Whether a response has shown that the request crashes no engine.
@@ -130,8 +131,9 @@
             paid: AtomicBool::new(false),
         };
         let outcome = self.send(permit, clearance, None, &wait).await;
-        attempts.paid = wait.paid.into_inner();
         let now = gateway.clock.now();
+        let paid = wait.paid.into_inner();
+        attempts.payment = paid.then(|| Payment::new(now));
         let mut begun = false;
         let error = match outcome {
             SendOutcome::NotSent(e) => {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -30,6 +30,7 @@
 use super::request::{BufferedRequest, KeptBody, RequestHead, Size};
 use super::request_digest::request_digest;
 use super::response::{self, CallerBody};
+use super::retry_budget::Payment;
 use super::state::Gateway;
 use super::upstream::Upstream;
 use super::upstream_limit::gate::NoPermit;
@@ -334,22 +335,37 @@
                 Ok(clearance) => clearance,
                 Err(delay) => return attempts.give_up(Reason::Quarantined, delay),
             };
-            let paid = std::mem::take(&mut attempts.paid);
-            if let Some(cause) = attempts.ended
-                && !paid
-                && !gateway.try_retry(&self.service, cause)
-            {
+            let Some(payment) = self.pay(&mut attempts) else {
                 return attempts.give_up(Reason::UpstreamFailed, CAPACITY_RETRY);
-            }
+            };
             let sent_before = attempts.sent;
             let attempt = self.attempt(permit, clearance, &mut attempts);
             if let Some(response) = attempt.await? {
                 return Ok(response);
             }
-            if sent_before > 0 && attempts.sent == sent_before {
-                gateway.retry_metrics.unsent.inc();
+            // No connection was opened, so the payment is left for the next upstream.
+            if attempts.sent == sent_before {
+                attempts.payment = Some(payment);
+            }
+        }
+    }
+
+    /// Pays for the next attempt, unless it is the first or a payment for it is still valid; `None`
+    /// if the retry budget is used up.
+    fn pay(&self, attempts: &mut Attempts) -> Option<Payment> {
+        let gateway = &self.gateway;
+        let now = gateway.clock.now();
+        let Some(cause) = attempts.ended else {
+            return Some(Payment::new(now));
+        };
+        if let Some(payment) = attempts.payment.take() {
+            if payment.is_valid(now) {
+                return Some(payment);
             }
+            gateway.retry_metrics.unsent.inc();
         }
+        let paid = gateway.try_retry(&self.service, cause);
+        paid.then(|| Payment::new(now))
     }
 
     /// Whether the retry budget of its service has a retry left.
--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -33,6 +33,26 @@
 /// Time in which the other VMs learn of one that starts.
 const LEARNT_WITHIN: Duration = Duration::from_secs(3);
 
+/// Longest time from the payment for a retry to its sending. The platform counts retries as they
+/// arrive; one that is sent later is paid for again.
+pub const PAYMENT_LIFETIME: Duration = Duration::from_millis(250);
+
+/// A retry that the budget has paid for and that is not sent yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Payment(Instant);
+
+impl Payment {
+    /// A payment that is made now.
+    pub fn new(now: Instant) -> Self {
+        Self(now)
+    }
+
+    /// Whether the retry may still be sent for it.
+    pub fn is_valid(self, now: Instant) -> bool {
+        now.saturating_duration_since(self.0) < PAYMENT_LIFETIME
+    }
+}
+
 /// Requests and retries of one service that this VM sent within the window.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
--- a/tests/gateway_retry_budget.rs
+++ b/tests/gateway_retry_budget.rs
@@ -7,7 +7,7 @@
 
 use basilgw::gateway::exchange::ResponseError;
 use basilgw::gateway::reachability::Reachability;
-use basilgw::gateway::retry_budget::{RetryBound, RetryBudget};
+use basilgw::gateway::retry_budget::{PAYMENT_LIFETIME, Payment, RetryBound, RetryBudget};
 use basilgw::gateway::retry_metrics::{RetryCause, RetryMetrics};
 use basilgw::metrics::Metrics;
 use rand::rngs::StdRng;
@@ -335,3 +335,12 @@
     assert!(text.contains("basilgw_retries_total{cause=\"silent\"} 1"));
     assert!(text.contains("basilgw_retries_refused_total{cause=\"declined\"} 1"));
 }
+
+// Guards against: retries that are paid for in one window and sent in another.
+#[test]
+fn a_payment_for_a_retry_holds_only_for_a_moment() {
+    let paid = Instant::now();
+    let payment = Payment::new(paid);
+    assert!(payment.is_valid(paid + PAYMENT_LIFETIME / 2));
+    assert!(!payment.is_valid(paid + PAYMENT_LIFETIME));
+}
