--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -27,6 +27,7 @@
 use super::quarantine::gate::Clearance;
 use super::relay::AdmittedRequest;
 use super::response::CallerBody;
+use super::retry_metrics::RetryCause;
 use super::upstream_limit::gate::Permit;
 
 /// Longest time for which a silent engine is kept while the next one may refuse a stream.
@@ -183,7 +184,8 @@
         }
         let clearance = self.clear_to_send().ok()?;
         let charge = self.connection.slot.charge_response(REQUEST_BYTES)?;
-        gateway.try_retry(&self.service).then_some(Second {
+        let paid = gateway.try_retry(&self.service, RetryCause::Silent);
+        paid.then_some(Second {
             permit,
             clearance,
             _charge: charge,
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -30,6 +30,7 @@
 use super::request::{BufferedRequest, KeptBody, RequestHead, Size};
 use super::request_digest::request_digest;
 use super::response::{self, CallerBody};
+use super::retry_budget::Payment;
 use super::state::Gateway;
 use super::upstream::Upstream;
 use super::upstream_limit::gate::NoPermit;
@@ -359,14 +360,37 @@
                 Ok(clearance) => clearance,
                 Err(delay) => return attempts.give_up(Reason::Quarantined, delay),
             };
-            if attempts.sent > 0 && !gateway.try_retry(&self.service) {
+            let Some(payment) = self.pay(attempts) else {
                 return attempts.give_up(Reason::UpstreamFailed, CAPACITY_RETRY);
-            }
+            };
+            let sent_before = attempts.sent;
             let attempt = self.attempt(permit, clearance, attempts);
             if let Some(response) = attempt.await? {
                 return Ok(response);
             }
+            // No connection was opened, so the payment is left for the next upstream.
+            if attempts.sent == sent_before {
+                attempts.payment = Some(payment);
+            }
+        }
+    }
+
+    /// Pays for the next attempt, unless it is the first or a payment for it is still valid; `None`
+    /// if the retry budget is used up.
+    fn pay(&self, attempts: &mut Attempts) -> Option<Payment> {
+        let gateway = &self.gateway;
+        let now = gateway.clock.now();
+        let Some(cause) = attempts.ended else {
+            return Some(Payment::new(now));
+        };
+        if let Some(payment) = attempts.payment.take() {
+            if payment.is_valid(now) {
+                return Some(payment);
+            }
+            gateway.retry_metrics.unsent.inc();
         }
+        let paid = gateway.try_retry(&self.service, cause);
+        paid.then(|| Payment::new(now))
     }
 
     /// Whether the retry budget of its service has a retry left.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -4,6 +4,7 @@
 //! here are held only briefly and never across an await.
 
 mod quotas;
+mod retries;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -40,6 +41,7 @@
 use super::quarantine::Quarantine;
 use super::reachability::Reachability;
 use super::retry_budget::{RetryBound, RetryBudget};
+use super::retry_metrics::RetryMetrics;
 use super::signals::LeavingHints;
 use super::stop::{StopPlan, StopSignal};
 use super::unreadable_objects::UnreadableObjects;
@@ -96,6 +98,8 @@
     pub attempt_ends: AttemptEnds,
     /// Metrics of how late the process runs.
     pub lateness_metrics: LatenessMetrics,
+    /// Metrics of retries.
+    pub retry_metrics: RetryMetrics,
     /// Counter of the requests in progress, which shutdown waits for.
     pub running: Arc<RequestTracker>,
     /// The configuration in force; absent until the first one is read.
@@ -133,6 +137,8 @@
     demand: Mutex<LocalDemand>,
     allowances: Mutex<BTreeMap<ClientAccount, Allowance>>,
     retry_budgets: Mutex<BTreeMap<ServiceId, RetryBudget>>,
+    /// Start of this process.
+    started: Instant,
     reachability: Mutex<Reachability>,
     quarantine: Mutex<Quarantine>,
     upstream_limits: Mutex<UpstreamLimits>,
@@ -180,10 +186,12 @@
     /// If the name of a metric is already registered.
     pub fn open(deps: GatewayDeps) -> Result<Arc<Self>, prometheus::Error> {
         let freshness = Freshness::new(deps.bounds.withdrawal, deps.bounds.first_start);
-        let reachability = Reachability::open(deps.clock.now());
+        let started = deps.clock.now();
+        let reachability = Reachability::open(started);
         let edge_metrics = EdgeMetrics::open(&deps.metrics)?;
         let attempt_ends = AttemptEnds::open(&deps.metrics)?;
         let lateness_metrics = LatenessMetrics::open(&deps.metrics)?;
+        let retry_metrics = RetryMetrics::open(&deps.metrics)?;
         let counters = Counters::open()?;
         counters.register(deps.metrics.registry())?;
         let gauges = Gauges::open(&deps.metrics)?;
@@ -199,6 +207,7 @@
             edge_metrics,
             attempt_ends,
             lateness_metrics,
+            retry_metrics,
             vm: deps.vm,
             centre: deps.centre,
             capacity: deps.capacity,
@@ -227,6 +236,7 @@
             demand: Mutex::default(),
             allowances: Mutex::default(),
             retry_budgets: Mutex::default(),
+            started,
             reachability: Mutex::new(reachability),
             quarantine: Mutex::default(),
             upstream_limits: Mutex::default(),
@@ -516,46 +526,4 @@
     pub fn on_peer_message(&self, now: Instant) {
         lock(&self.reachability).last_received = now;
     }
-
-    fn retry_budget<'a>(
-        &self,
-        budgets: &'a mut BTreeMap<ServiceId, RetryBudget>,
-        service: &ServiceId,
-    ) -> &'a mut RetryBudget {
-        let entry = budgets.entry(service.clone());
-        entry.or_insert_with(|| RetryBudget::new(self.bounds().retries))
-    }
-
-    /// Counts a request for a service, which raises its retry budget.
-    pub fn count_request(&self, service: &ServiceId) {
-        let now = self.clock.now();
-        let mut retry_budgets = lock(&self.retry_budgets);
-        self.retry_budget(&mut retry_budgets, service)
-            .on_request(now);
-    }
-
-    /// Whether a service's budget has a retry left.
-    pub fn has_retry(&self, service: &ServiceId) -> bool {
-        let now = self.clock.now();
-        let vms = self.reachability().peak;
-        let mut retry_budgets = lock(&self.retry_budgets);
-        self.retry_budget(&mut retry_budgets, service)
-            .is_left(vms, now)
-    }
-
-    /// Spends one retry of a service's budget; false if none is left.
-    pub fn try_retry(&self, service: &ServiceId) -> bool {
-        let now = self.clock.now();
-        let vms = self.reachability().peak;
-        let mut retry_budgets = lock(&self.retry_budgets);
-        let taken = self
-            .retry_budget(&mut retry_budgets, service)
-            .try_spend(vms, now);
-        if taken {
-            self.counters.repeats.inc();
-        } else {
-            self.counters.repeats_spared.inc();
-        }
-        taken
-    }
 }
--- a/src/gateway/stream/resume.rs
+++ b/src/gateway/stream/resume.rs
@@ -20,6 +20,7 @@
 use crate::gateway::quarantine::crashes::Written;
 use crate::gateway::quarantine::gate::Clearance;
 use crate::gateway::relay::ResponseAborted;
+use crate::gateway::retry_metrics::RetryCause;
 use crate::gateway::upstream_limit::gate::Permit;
 
 /// Time between two looks at a retry budget that is used up.
@@ -166,7 +167,8 @@
         }
         let clearance = admitted.clear_to_send().ok()?;
         let place = Place { permit, clearance };
-        gateway.try_retry(&admitted.service).then_some(place)
+        let paid = gateway.try_retry(&admitted.service, RetryCause::Resumption);
+        paid.then_some(place)
     }
 
     /// Sends the request to another engine.
@@ -180,7 +182,9 @@
         let wait = admitted.head_wait(&upstream, &self.attempts);
         let sending = admitted.send(permit, clearance, after, &wait);
         let (outcome, kept) = self.await_outcome(sending, former).await;
-        if !matches!(outcome, SendOutcome::NotSent(_)) {
+        if matches!(outcome, SendOutcome::NotSent(_)) {
+            gateway.retry_metrics.unsent.inc();
+        } else {
             self.attempts.sent += 1;
         }
         match outcome {
