Close connections on which an upstream sends no data

Other operators saw an engine send bytes without end that are no response. Here, interim responses, chunk extensions and trailers are skipped by the HTTP library as many as come, so that a VM read them until its caller gave up, at the engine's speed and the VM's cost; and a peer that sends without a pause had the library enlarge its buffer to 64 KB a connection, with as much again in the piece that was being taken.

A connection now counts what it receives for a response against the data that was taken of it, and fails beyond 512 KB and 16 bytes for each byte of data. At most 4 KB are read at once, which keeps the library's buffer at its smallest size.

--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -5,12 +5,12 @@
 //! detect a peer that has become unreachable.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -18,6 +18,8 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use super::read_meter::{MeteredBody, MeteredStream, ReadMeter};
+
 /// A connection with bytes unacknowledged for this long is closed.
 const UNACKED_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Idle time before the first keep-alive probe, and interval between probes.
@@ -48,6 +50,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
+    meter: Arc<ReadMeter>,
 }
 
 impl Connection {
@@ -71,13 +74,19 @@
         let _ignored = socket.set_tcp_keepalive(&probes);
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
+        let meter = Arc::new(ReadMeter::default());
+        let stream = MeteredStream::new(stream, Arc::clone(&meter));
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_closed| ConnectError::Refused)?;
         let driver = tokio::spawn(async move {
             // An error also fails the request in progress, which reports it.
             let _ended = connection.await;
         });
-        Ok(Self { sender, driver })
+        Ok(Self {
+            sender,
+            driver,
+            meter,
+        })
     }
 
     /// Sends a request and waits for the head of the response.
@@ -88,9 +97,11 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, NoResponse> {
+    ) -> Result<Response<MeteredBody>, NoResponse> {
+        self.meter.restart();
         let response = self.sender.send_request(request).await;
-        response.map_err(|_ended| NoResponse)
+        let response = response.map_err(|_ended| NoResponse)?;
+        Ok(response.map(|body| MeteredBody::new(body, Arc::clone(&self.meter))))
     }
 
     /// Closes the socket; what has not been read is lost.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -9,7 +9,7 @@
 use http::response::Parts;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use thiserror::Error;
 
 use crate::ids::RequestId;
@@ -18,6 +18,7 @@
 use super::caller_limit::buffer::ChargedBuffer;
 use super::client::{ConnectError, Connection};
 use super::platform_api::{Dialect, EngineLoad, ResponseMeta, UpstreamSignals};
+use super::read_meter::MeteredBody;
 use super::upstream::RequestGuard;
 use super::upstream_limit::gate::Permit;
 
@@ -75,7 +76,7 @@
     pub head: Parts,
     /// Fields of the head that the gateway interprets.
     pub meta: ResponseMeta,
-    body: Incoming,
+    body: MeteredBody,
     connection: Connection,
     /// Absent once the response is closed.
     guard: Option<RequestGuard>,
