Charge callers for events that never end

Other operators lost a machine to an engine that sent a body without end: the machine kept it all, ran out of memory, and the requests of other clients ended with it. Here the part of a stream that waits for the end of its event was bounded to 1 MB a stream, but not over all streams: a VM of 160 MB takes 1,200 requests at once.

The test of 450 callers at such an engine failed before: the VM went over its 64 MB. What a stream holds beyond 16 KB is now charged to its caller, as buffered responses are, and the engine is left where there is no room.

A stream that drips also had its whole event searched again for its end with each piece; only the new part is searched now, which events_pass_unchanged_at_any_cut covers.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -11,6 +11,8 @@
 
 /// Largest size of an event, and of the events held until their numbers are judged, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Bytes at the end of a buffer that may be the beginning of an event's end.
+const END_BYTES: usize = 2;
 
 /// Why the rest of a stream must not be forwarded.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
@@ -25,6 +27,9 @@
     /// An event has no number, or one that cannot be read.
     #[error("an event has no readable number")]
     Unnumbered,
+    /// This VM has no room for the rest of an event.
+    #[error("there is no room for the rest of an event")]
+    NoRoom,
 }
 
 /// What bytes of a stream have completed.
@@ -45,6 +50,8 @@
     buffer: BytesMut,
     /// Length of the events that are held.
     held: usize,
+    /// Length of the beginning that has no end of an event in it.
+    scanned: usize,
     /// Numbers of the events so far.
     numbers: EventNumbers,
 }
@@ -75,7 +82,9 @@
         let mut completed = Completed::default();
         let mut ready = 0;
         let mut end = self.held;
-        while let Some(length) = event_end(&self.buffer[end..]) {
+        let mut scanned = self.scanned.saturating_sub(END_BYTES).max(end);
+        while let Some(found) = event_end(&self.buffer[scanned..]) {
+            let length = scanned + found - end;
             let event = Event::read(&self.buffer[end..end + length]);
             let verdict = match event {
                 Event::Comment if end == ready => Verdict::Forward,
@@ -86,6 +95,7 @@
                 }
             };
             end += length;
+            scanned = end;
             match verdict {
                 Verdict::Forward => ready = end,
                 Verdict::Hold => {}
@@ -97,6 +107,7 @@
         }
         completed.events = self.buffer.split_to(ready).freeze();
         self.held = end - ready;
+        self.scanned = self.buffer.len();
         if completed.fault.is_none() && self.buffer.len() > MAX_EVENT_BYTES {
             completed.fault = Some(EventError::TooLarge);
         }
@@ -111,6 +122,7 @@
     pub fn finish(&mut self) -> Result<Bytes, EventError> {
         self.numbers.on_end().map_err(EventError::OutOfOrder)?;
         let held = std::mem::take(&mut self.held);
+        self.scanned = 0;
         Ok(self.buffer.split_to(held).freeze())
     }
 
@@ -119,10 +131,16 @@
         self.buffer.len() == self.held
     }
 
+    /// Bytes of memory that what was not forwarded takes.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Discards what was not forwarded, as another engine sends it again.
     pub fn on_resumed(&mut self) {
-        self.buffer.clear();
+        self.buffer = BytesMut::new();
         self.held = 0;
+        self.scanned = 0;
         self.numbers.discard_held();
     }
 }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -35,6 +35,7 @@
 pub mod engine_run;
 mod engine_state;
 pub mod event_numbers;
+mod event_room;
 pub mod events;
 pub mod exchange;
 pub mod fanout;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -18,6 +18,7 @@
 use super::configuration::RouteKind;
 use super::engine_pace::{Silent, Standing};
 use super::engine_run::EngineRun;
+use super::event_room::EventRoom;
 use super::events::{EventError, EventSplitter};
 use super::exchange::{BodyRead, ResponseError, SendOutcome, UpstreamResponse};
 use super::head_wait::HeadWait;
@@ -57,6 +58,7 @@
         response,
         attempts,
         events,
+        room: EventRoom::default(),
         progress: StreamProgress::open(give_up, gap, started),
         run: EngineRun::open(started),
         next: Next::Read,
@@ -154,6 +156,7 @@
     response: UpstreamResponse,
     attempts: Attempts,
     events: EventSplitter,
+    room: EventRoom,
     progress: StreamProgress,
     /// The response of the engine that is being forwarded now.
     run: EngineRun,
@@ -289,7 +292,11 @@
         if completed.any {
             self.record_event();
         }
-        if let Some(fault) = completed.fault {
+        let fits = self
+            .room
+            .fit(&self.admitted.connection.slot, self.events.held_bytes());
+        let no_room = (!fits).then_some(EventError::NoRoom);
+        if let Some(fault) = completed.fault.or(no_room) {
             self.on_fault(fault);
         }
         (!completed.events.is_empty()).then_some(completed.events)
