Answer until the time reserved for the exit, and refuse no sooner than the balancer

Cause: the plan ended answers 0.4 s before the end of the grace period, 0.1 s sooner than the drain waited before, and a process whose timers had been late refused new requests sooner, though the balancer knows no sooner.

Change: the plan ends where the drain did, 0.3 s before the end; the last answers are written in the 0.2 s that were reserved for them, and a process that has answered all ends sooner. Late timers no longer move the moment at which requests are refused.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -25,12 +25,10 @@
 use super::reload::{self, SettingsSource};
 use super::serve::Listening;
 use super::state::Gateway;
-use super::stop::StopPlan;
+use super::stop::{LAST_WRITES, StopPlan};
 use super::upstream::Registration;
 use super::{serve, store_watch};
 
-/// Time between the end of the last request and the exit of the process.
-const LAST_WRITES: Duration = Duration::from_millis(200);
 /// Interval between checks for state that expires without an event.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between reads of the VMs' registrations.
@@ -194,10 +192,12 @@
     }
     callers.task.abort();
     // What was read meanwhile still gets its refusal.
-    tokio::time::sleep(LAST_WRITES).await;
+    let written = async {
+        tokio::time::sleep(LAST_WRITES).await;
+        gateway.running.wait_drained().await;
+    };
     tokio::select! {
-        biased;
-        () = gateway.running.wait_drained() => {}
+        () = written => {}
         () = gateway.stop.reached(|plan| plan.closes) => {}
     }
     info!(gateway.log, "vm_stopped");
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -22,14 +22,13 @@
 use super::response::CallerBody;
 use super::state::Gateway;
 
-/// How long new requests are still accepted after the signal.
+/// How long new requests are still accepted; the balancer needs about two seconds to notice that
+/// the VM is not ready.
 const ACCEPT_TIME: Duration = Duration::from_millis(2800);
-/// How long the balancer needs to notice that the VM is not ready.
-const BALANCER_LAG: Duration = Duration::from_secs(2);
 /// Part of the grace period that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
-/// Time in which the last answers are written, before that.
-const ANSWER_TIME: Duration = Duration::from_millis(100);
+/// Time between the end of the last request and the exit of the process; within [`EXIT_MARGIN`].
+pub const LAST_WRITES: Duration = Duration::from_millis(200);
 /// Part of the grace period that is reserved for refusing requests that still wait for a model.
 const REFUSE_MARGIN: Duration = Duration::from_millis(1500);
 /// Time after which the caller of a refused request may retry; another VM accepts it at once.
@@ -57,18 +56,15 @@
     /// Plans a stop whose signal is seen at `seen`, where the process must have exited after `grace`
     /// from when it was sent. The process runs up to `late` late, as far as is known.
     pub fn new(seen: Instant, grace: Duration, late: Duration) -> Self {
-        let closes = grace.saturating_sub(EXIT_MARGIN);
-        let ends = closes.saturating_sub(ANSWER_TIME);
+        let ends = grace.saturating_sub(EXIT_MARGIN);
         let spare = ends.saturating_sub(grace.saturating_sub(grace / LAST_PART));
         let begun = seen.checked_sub(late.min(spare)).unwrap_or(seen);
-        let ends = begun + ends;
-        let refuses = (begun + ACCEPT_TIME).max(seen + BALANCER_LAG);
         Self {
             begun,
-            refuses: refuses.min(ends),
+            refuses: (seen + ACCEPT_TIME).min(begun + ends),
             waits: begun + grace.saturating_sub(REFUSE_MARGIN),
-            ends,
-            closes: begun + closes,
+            ends: begun + ends,
+            closes: begun + grace.min(ends + LAST_WRITES),
         }
     }
 
