Keep to a pause that an upstream asks for while requests wait for room there

What the upstream saw: it named a limit, then turned requests away with 503 and `Retry-After`; up to a second later it still got the requests that had waited for room (BUDGET allows two in the pause after half a second).

Cause: whether an upstream has asked for a pause was looked at when it was chosen, and not after the wait for its limit, which is up to a second for the most urgent requests and half a second for the next ones.

Evidence: with a limit of 10 a second and requests of priority 0, they came 105, 209, 314, 419, 524, 629, 737, 841 and 945 ms after the pause was told: 5 where 2 may be. With priority 1: 106, 211, 316 and 420 ms, which is allowed, so that the first version of the test passed.

Change: the gate looks again before it gives out a permit; the request then goes elsewhere or is refused with the time that is left of the pause.

--- a/src/gateway/upstream_limit/gate.rs
+++ b/src/gateway/upstream_limit/gate.rs
@@ -203,6 +203,11 @@
                 self.wait_for_grant(upstream, asked, wait).await?;
             }
         }
+        // It may have asked for a pause while the request waited.
+        let now = gateway.clock.now();
+        if let Some(until) = upstream.health.deferred_until(now) {
+            return Err(until.saturating_duration_since(now));
+        }
         Ok(Permit {
             upstream: upstream.clone(),
         })
