--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,10 +1,11 @@
 //! Forwards response bodies. A stream of events is forwarded event by event, and after a failure
-//! it is resumed at another engine where its route allows that.
+//! it is resumed at another engine where its route allows that ([`resume`]).
+
+mod resume;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
@@ -15,23 +16,21 @@
 use slog::{info, warn};
 
 use super::attempt::{Attempts, Origin};
+use super::attempt_end::AttemptEnd;
 use super::configuration::RouteKind;
 use super::engine_pace::{Silent, Standing};
 use super::engine_run::EngineRun;
+use super::event_room::EventRoom;
 use super::events::{EventError, EventSplitter};
-use super::exchange::{BodyRead, ResponseError, SendOutcome, UpstreamResponse};
-use super::head_wait::HeadWait;
+use super::exchange::{BodyRead, ResponseError, UpstreamResponse};
 use super::model_wait::give_up_time;
 use super::quarantine::crashes::Written;
-use super::quarantine::gate::Clearance;
 use super::relay::{AdmittedRequest, ResponseAborted};
 use super::request::SharedParts;
 use super::response::CallerBody;
 use super::stream_progress::StreamProgress;
-use super::upstream_limit::gate::Permit;
 
-/// Time between two looks at a retry budget that is used up.
-const RETRY_LOOK: Duration = Duration::from_millis(50);
+use resume::Place;
 
 /// Forwards a response that streams events.
 pub fn forward(
@@ -57,6 +56,7 @@
         response,
         attempts,
         events,
+        room: EventRoom::default(),
         progress: StreamProgress::open(give_up, gap, started),
         run: EngineRun::open(started),
         next: Next::Read,
@@ -115,15 +115,26 @@
         return Some((Ok(bytes), Some(body)));
     }
     let time_left = body.admitted.time_left();
-    match body.response.read_next(time_left).await {
+    let read = tokio::select! {
+        biased;
+        read = body.response.read_next(time_left) => read,
+        () = body.admitted.stop_ended() => {
+            body.admitted.on_cut_by_stop(None);
+            return Some((Err(ResponseAborted), None));
+        }
+    };
+    match read {
         BodyRead::Bytes(bytes) => Some((Ok(bytes), Some(body))),
         BodyRead::End => {
+            body.response.end_attempt(AttemptEnd::Answered);
             if body.response.is_framed() && body.response.meta.sealed {
                 body.admitted.on_completed();
             }
             None
         }
         BodyRead::Failed(error) => {
+            let error = error.at_deadline();
+            body.response.end_attempt(error.into());
             if error == ResponseError::Disconnected {
                 let Origin { upstream, sent } = &body.origin;
                 let engine = &upstream.registration;
@@ -139,7 +150,16 @@
 async fn next_event(
     mut stream: Stream,
 ) -> Option<(Result<Bytes, ResponseAborted>, Option<Stream>)> {
-    match stream.next().await {
+    let admitted = Arc::clone(&stream.admitted);
+    let next = tokio::select! {
+        biased;
+        next = stream.next() => next,
+        () = admitted.stop_ended() => {
+            admitted.on_cut_by_stop(stream.events.last_id());
+            Err(ResponseAborted)
+        }
+    };
+    match next {
         Ok(Some(bytes)) => Some((Ok(bytes), Some(stream))),
         Ok(None) => None,
         Err(aborted) => Some((Err(aborted), None)),
@@ -154,6 +174,7 @@
     response: UpstreamResponse,
     attempts: Attempts,
     events: EventSplitter,
+    room: EventRoom,
     progress: StreamProgress,
     /// The response of the engine that is being forwarded now.
     run: EngineRun,
@@ -163,24 +184,6 @@
     kept: bool,
 }
 
-/// Outcome of resuming a stream at one engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Attempted {
-    /// The stream goes on there.
-    Resumed,
-    /// It does not.
-    Failed,
-    /// The engine broke the connection.
-    Crashed,
-}
-
-/// Leave to send a request to another engine.
-#[derive(Debug)]
-struct Place {
-    permit: Permit,
-    clearance: Clearance,
-}
-
 /// What a stream does next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Next {
@@ -200,7 +203,7 @@
                 Next::Read => {}
                 Next::Leave => {
                     self.next = Next::Read;
-                    self.resume(ResponseError::Invalid, None).await?;
+                    self.resume(ResponseError::Invalid).await?;
                     continue;
                 }
                 Next::End => {
@@ -209,7 +212,7 @@
                 }
             }
             let time_left = self.admitted.time_left();
-            let max_wait = if self.resumable() {
+            let max_wait = if self.movable() {
                 self.progress.next_look(self.now()).min(time_left)
             } else {
                 time_left
@@ -218,7 +221,7 @@
             let silent = matches!(read, BodyRead::Failed(ResponseError::Silent));
             if silent && max_wait < time_left {
                 if let Some(place) = self.leave_silent().await {
-                    self.resume(ResponseError::Silent, Some(place)).await?;
+                    self.leave(place).await?;
                 }
                 continue;
             }
@@ -234,18 +237,21 @@
                     None => continue,
                 },
                 BodyRead::End => ResponseError::Disconnected,
-                BodyRead::Failed(error) => error,
+                BodyRead::Failed(error) => error.at_deadline(),
             };
-            self.resume(error, None).await?;
+            self.resume(error).await?;
         }
     }
 
     /// Decides whether a silent engine is left; returns where the stream may go on then.
     async fn leave_silent(&mut self) -> Option<Place> {
         let now = self.now();
-        let standing = self.standing(now);
+        let since = self.progress.silent_since();
+        let present = self.admitted.gateway.lateness().present(since, now);
+        let standing = self.standing(present);
         let longest = self.origin.upstream.health.pace().longest_silence(now);
-        let waits = !self.progress.silence_left(standing, longest, now).is_zero();
+        let left = self.progress.silence_left(standing, longest, present);
+        let waits = !left.is_zero();
         if !waits && self.can_resume_now() && self.admitted.has_retry() {
             let place = self.reserve().await;
             if place.is_some() {
@@ -289,7 +295,11 @@
         if completed.any {
             self.record_event();
         }
-        if let Some(fault) = completed.fault {
+        let fits = self
+            .room
+            .fit(&self.admitted.connection.slot, self.events.held_bytes());
+        let no_room = (!fits).then_some(EventError::NoRoom);
+        if let Some(fault) = completed.fault.or(no_room) {
             self.on_fault(fault);
         }
         (!completed.events.is_empty()).then_some(completed.events)
@@ -350,6 +360,7 @@
 
     /// Records the end of the stream.
     fn on_end(&mut self) {
+        self.response.end_attempt(AttemptEnd::Answered);
         if self.response.is_framed() {
             self.prove();
             self.admitted.on_completed();
@@ -409,142 +420,8 @@
         resumes && self.attempts.sent < self.admitted.route.attempts
     }
 
-    /// Whether another engine could resume the stream now.
-    fn can_resume_now(&self) -> bool {
-        let mut tried = self.attempts.tried.clone();
-        tried.insert(self.origin.upstream.registration.id.clone());
-        self.admitted.has_alternative(&tried)
-    }
-
-    /// Resumes the stream at another engine after the last complete event, first at `place` if
-    /// there is one.
-    async fn resume(
-        &mut self,
-        error: ResponseError,
-        mut place: Option<Place>,
-    ) -> Result<(), ResponseAborted> {
-        let suspect = error == ResponseError::Disconnected && self.is_suspect();
-        self.on_lost(error);
-        self.events.on_resumed();
-        let certain = self.events.is_certain();
-        while certain && !suspect && self.resumable() && !self.admitted.time_left().is_zero() {
-            if place.is_none() {
-                if error == ResponseError::Silent {
-                    self.wait_for_retry().await;
-                }
-                place = self.reserve().await;
-            }
-            let Some(next) = place.take() else {
-                break;
-            };
-            match self.go_on_at(next).await {
-                Attempted::Resumed => {
-                    self.progress.on_resumed(self.now());
-                    return Ok(());
-                }
-                Attempted::Crashed if self.admitted.stops_retries() => break,
-                Attempted::Crashed | Attempted::Failed => {}
-            }
-        }
-        let gateway = &self.admitted.gateway;
-        warn!(gateway.log, "stream_cut"; "request" => %self.admitted.request.head.id,
-            "event" => self.events.last_id(), "resumable" => self.resumable(),
-            "certain" => certain, "suspect" => suspect, "sent" => self.attempts.sent,
-            "left_ms" => self.admitted.time_left().as_millis() as u64);
-        Err(ResponseAborted)
-    }
-
-    /// Records that the engine is given up.
-    fn on_lost(&mut self, error: ResponseError) {
-        let now = self.now();
-        let standing = self.standing(now);
-        let admitted = &self.admitted;
-        let parts = admitted.request.head.shared_parts();
-        warn!(admitted.gateway.log, "stream_lost"; "request" => %admitted.request.head.id,
-            "why" => %error, "upstream" => %self.origin.upstream.registration.id,
-            "event" => self.events.last_id(), "standing" => ?standing,
-            "left_ms" => admitted.time_left().as_millis() as u64, "parts" => %parts,
-            "digest" => %admitted.digest, "answered_ms" => self.run.age(now).as_millis() as u64,
-            "written" => ?self.run.written());
-        if error == ResponseError::Disconnected {
-            self.on_disconnected();
-        }
-        // A full engine that is slow has not failed.
-        if error != ResponseError::Silent || standing != Standing::Queued {
-            self.origin.upstream.health.on_failure(now);
-        }
-    }
-
-    /// Waits until the retry budget allows a retry, or the caller no longer waits for an event. An
-    /// engine that was silent may have been sound, so the stream is not cut for lack of budget.
-    async fn wait_for_retry(&self) {
-        while !self.admitted.has_retry()
-            && self.progress.is_awaited(self.now())
-            && !self.admitted.time_left().is_zero()
-        {
-            tokio::time::sleep(RETRY_LOOK).await;
-        }
-    }
-
-    /// Takes what it needs to send the request to another engine; `None` if that is not possible.
-    async fn reserve(&self) -> Option<Place> {
-        let admitted = &self.admitted;
-        let gateway = &admitted.gateway;
-        let trusted = admitted.account.is_none() || gateway.keys_trusted();
-        let permit = admitted.reserve_upstream(&self.attempts.tried).await.ok()?;
-        if !trusted {
-            return None;
-        }
-        let clearance = admitted.clear_to_send().ok()?;
-        let place = Place { permit, clearance };
-        gateway.try_retry(&admitted.service).then_some(place)
-    }
-
-    /// Sends the request to another engine.
-    async fn go_on_at(&mut self, place: Place) -> Attempted {
-        let admitted = Arc::clone(&self.admitted);
-        let gateway = &admitted.gateway;
-        let Place { permit, clearance } = place;
-        let upstream = permit.upstream().clone();
-        self.attempts.tried.insert(upstream.registration.id.clone());
-        // The former engine must not go on with the request beside this one.
-        self.response.close();
-        let after = self.events.last_id();
-        let sent = gateway.clock.now();
-        let wait = HeadWait {
-            request: &admitted,
-            tried: self.attempts.tried.clone(),
-            sent,
-            may_retry: false,
-            paid: AtomicBool::new(false),
-        };
-        let outcome = admitted.send(permit, clearance, after, &wait).await;
-        if !matches!(outcome, SendOutcome::NotSent(_)) {
-            self.attempts.sent += 1;
-        }
-        match outcome {
-            SendOutcome::Responded(response) if response.head.status.is_success() => {
-                info!(gateway.log, "stream_resumed"; "request" => %admitted.request.head.id,
-                    "upstream" => %upstream.registration.id, "event" => after);
-                admitted.release_body(self.attempts.sent);
-                self.response = *response;
-                self.run = EngineRun::open(gateway.clock.now());
-                self.origin = Origin { upstream, sent };
-                return Attempted::Resumed;
-            }
-            SendOutcome::NotRun(reason) => admitted.on_declined(&upstream, reason),
-            SendOutcome::Unknown(ResponseError::Disconnected) => {
-                let parts = self.unproven_parts();
-                let engine = &upstream.registration;
-                admitted.on_engine_crash(engine, parts, Written::NoHead, sent);
-                upstream.health.on_failure(gateway.clock.now());
-                return Attempted::Crashed;
-            }
-            SendOutcome::NotSent(_) if admitted.time_left().is_zero() => {}
-            SendOutcome::NotSent(_) | SendOutcome::Responded(_) | SendOutcome::Unknown(_) => {
-                upstream.health.on_failure(gateway.clock.now());
-            }
-        }
-        Attempted::Failed
+    /// Whether another attempt can resume the stream, as it is certain after which event.
+    fn movable(&self) -> bool {
+        self.resumable() && self.events.is_certain()
     }
 }
