--- a/tests/gateway_quota_start.rs
+++ b/tests/gateway_quota_start.rs
@@ -69,6 +69,22 @@
     }
 }
 
+// Guards against: levels that rise above zero together and admit all that is asked until reports
+// arrive. Fails, see KNOWN-RED.txt.
+#[test]
+fn an_account_that_turns_to_five_times_its_rate_keeps_to_it_while_reports_are_late() {
+    let mut plan = Plan::new(60);
+    plan.starts = ms(500);
+    plan.rate = 24_000.0;
+    plan.burst = 48_000;
+    plan.loss = 0.0;
+    plan.delay = ms(40);
+    plan.late = Duration::from_secs(2);
+    plan.loads = vec![(Duration::ZERO, 0.0), (ms(6000), 5.0)];
+    plan.length = Duration::from_secs(18);
+    check(&plan, 1);
+}
+
 // Guards against: VMs that keep to the quota by refusing what it allows.
 #[test]
 fn an_account_gets_its_rate_once_the_vms_hear_each_other() {
