--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -3,7 +3,6 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -13,6 +12,7 @@
 use crate::ids::UpstreamId;
 use crate::outcome::{Ran, Reason, Refusal};
 
+use super::attempt_end::AttemptEnd;
 use super::configuration::RouteKind;
 use super::exchange::{
     self, BufferedBody, DeclineReason, ResponseError, SendOutcome, UpstreamRequest,
@@ -24,6 +24,8 @@
 use super::quarantine::gate::Clearance;
 use super::relay::{AdmittedRequest, CAPACITY_RETRY};
 use super::response::{self, CallerBody};
+use super::retry_budget::Payment;
+use super::retry_metrics::RetryCause;
 use super::signals::UpstreamObserver;
 use super::stream;
 use super::upstream::Upstream;
@@ -43,8 +45,12 @@
     failed_connects: usize,
     /// Whether the request may have run.
     pub ran: bool,
-    /// Whether the retry budget has paid for the next attempt.
-    pub paid: bool,
+    /// Attempts whose outcome is not known yet; the request may run there.
+    pub pending: u32,
+    /// The retry budget's payment for the next attempt, if it was made before.
+    pub payment: Option<Payment>,
+    /// Why the last attempt ended.
+    pub ended: Option<RetryCause>,
     /// Whether a response has shown that the request crashes no engine.
     pub proven: bool,
     /// Error response of an upstream, which the caller gets unless a later attempt succeeds.
@@ -60,6 +66,25 @@
     pub sent: Instant,
 }
 
+/// An attempt with its outcome.
+#[derive(Debug)]
+pub(super) struct Sent {
+    /// Where the request was sent.
+    pub origin: Origin,
+    /// What came of it.
+    pub outcome: SendOutcome,
+}
+
+impl Sent {
+    /// Whether the upstream has not run the request for certain.
+    pub fn is_declined(&self) -> bool {
+        matches!(
+            self.outcome,
+            SendOutcome::NotRun(_) | SendOutcome::NotSent(_)
+        )
+    }
+}
+
 /// An upstream's response with its complete body.
 #[derive(Debug)]
 struct BufferedResponse {
@@ -80,7 +105,7 @@
 impl Attempts {
     /// A refusal that tells the caller whether the request may have run.
     pub(super) fn refusal(&self, reason: Reason) -> Refusal {
-        if self.ran {
+        if self.ran || self.pending > 0 {
             return Refusal::unknown(reason);
         }
         Refusal::not_run(reason)
@@ -89,12 +114,12 @@
     /// The response after the last attempt: the error response of an upstream if there is one,
     /// otherwise a refusal.
     pub(super) fn give_up(
-        self,
+        &mut self,
         reason: Reason,
         retry: Duration,
     ) -> Result<Response<CallerBody>, Refusal> {
         let refusal = self.refusal(reason);
-        if let Some(failure) = self.failure {
+        if let Some(failure) = self.failure.take() {
             return Ok(failure.into());
         }
         Err(match refusal.ran {
@@ -113,21 +138,54 @@
         clearance: Clearance,
         attempts: &mut Attempts,
     ) -> Result<Option<Response<CallerBody>>, Refusal> {
-        let gateway = &self.gateway;
-        let upstream = &permit.upstream().clone();
-        let may_retry = attempts.sent + 1 < self.route.attempts;
-        let sent = gateway.clock.now();
-        let registration = &upstream.registration;
-        attempts.tried.insert(registration.id.clone());
-        let wait = HeadWait {
+        let upstream = permit.upstream().clone();
+        attempts.tried.insert(upstream.registration.id.clone());
+        attempts.pending = 1;
+        if attempts.sent + 1 < self.route.attempts && self.route.kind.retryable() {
+            return self.attempt_hedged(permit, clearance, attempts).await;
+        }
+        let wait = self.head_wait(&upstream, attempts);
+        let sent = self.send_once(permit, clearance, &wait).await;
+        self.conclude(sent, attempts).await
+    }
+
+    /// The wait of an attempt that starts now.
+    pub(super) fn head_wait(&self, upstream: &Upstream, attempts: &Attempts) -> HeadWait<'_> {
+        HeadWait {
             request: self,
+            upstream: upstream.clone(),
             tried: attempts.tried.clone(),
-            sent,
-            may_retry: may_retry && self.route.kind.retryable(),
-            paid: AtomicBool::new(false),
+            sent: self.gateway.clock.now(),
+            watch: self.gateway.attempt_ends.watch(),
+        }
+    }
+
+    /// Sends the request from its beginning to one upstream.
+    pub(super) async fn send_once(
+        &self,
+        permit: Permit,
+        clearance: Clearance,
+        wait: &HeadWait<'_>,
+    ) -> Sent {
+        let outcome = self.send(permit, clearance, None, wait).await;
+        let origin = Origin {
+            upstream: wait.upstream.clone(),
+            sent: wait.sent,
         };
-        let outcome = self.send(permit, clearance, None, &wait).await;
-        attempts.paid = wait.paid.into_inner();
+        Sent { origin, outcome }
+    }
+
+    /// Handles the outcome of an attempt. `None` means that another upstream may be tried.
+    pub(super) async fn conclude(
+        self: &Arc<Self>,
+        attempt: Sent,
+        attempts: &mut Attempts,
+    ) -> Result<Option<Response<CallerBody>>, Refusal> {
+        let gateway = &self.gateway;
+        attempts.pending = attempts.pending.saturating_sub(1);
+        let Sent { origin, outcome } = attempt;
+        let Origin { upstream, sent } = &origin.clone();
+        let registration = &upstream.registration;
         let now = gateway.clock.now();
         let mut begun = false;
         let error = match outcome {
@@ -149,6 +207,7 @@
             }
             SendOutcome::NotRun(reason) => {
                 attempts.sent += 1;
+                attempts.ended = Some(RetryCause::Declined);
                 self.on_declined(upstream, reason);
                 if attempts.sent < self.route.attempts {
                     return Ok(None);
@@ -161,10 +220,6 @@
                 attempts.ran = true;
                 begun = true;
                 self.release_body(attempts.sent);
-                let origin = Origin {
-                    upstream: upstream.clone(),
-                    sent,
-                };
                 match self.handle_response(origin, *response, attempts).await {
                     Ok(response) => return Ok(response),
                     Err(error) => error,
@@ -175,7 +230,7 @@
                 attempts.ran = true;
                 if error == ResponseError::Disconnected {
                     let parts = self.request.head.shared_parts();
-                    self.on_engine_crash(registration, parts, Written::NoHead, sent);
+                    self.on_engine_crash(registration, parts, Written::NoHead, *sent);
                 }
                 error
             }
@@ -183,6 +238,7 @@
         warn!(gateway.log, "answer_lost"; "request" => %self.request.head.id,
             "upstream" => %registration.id, "why" => %error, "sent" => attempts.sent,
             "parts" => %self.request.head.shared_parts(), "digest" => %self.digest);
+        attempts.ended = Some(error.into());
         upstream.health.on_failure(now);
         let broken_off = error == ResponseError::Disconnected;
         let suspect = broken_off && (begun && self.has_new_part() || self.stops_retries());
@@ -193,7 +249,7 @@
             return Ok(Some(failure.into()));
         }
         Err(attempts.refusal(match (error, self.time_left().is_zero()) {
-            (_, true) => Reason::Deadline,
+            (ResponseError::Deadline, _) | (_, true) => Reason::Deadline,
             (ResponseError::Silent, _) => Reason::UpstreamSilent,
             _ => Reason::UpstreamFailed,
         }))
@@ -211,7 +267,7 @@
         let gateway = &self.gateway;
         let upstream = &permit.upstream().clone();
         let head = &self.request.head;
-        let time_left = self.time_left();
+        let time_left = self.answer_left();
         let account = self.account.as_deref();
         let options = ForwardOptions {
             upstream: upstream.registration.id.clone(),
@@ -241,7 +297,15 @@
             },
         };
         let sent = gateway.clock.now();
-        let outcome = exchange::send(&gateway.dialect, request, guard).await;
+        let watch = &wait.watch;
+        let mut outcome = exchange::send(&gateway.dialect, request, guard).await;
+        match (&mut outcome, self.time_left().is_zero()) {
+            (SendOutcome::Responded(response), _) => response.set_watch(watch.clone()),
+            (SendOutcome::NotSent(_), true) => watch.end(AttemptEnd::Deadline),
+            (SendOutcome::NotSent(_), false) => watch.end(AttemptEnd::Unreachable),
+            (SendOutcome::NotRun(_), _) => watch.end(AttemptEnd::Refused),
+            (SendOutcome::Unknown(error), _) => watch.end((*error).into()),
+        }
         let answered = match &outcome {
             SendOutcome::Responded(_) => true,
             SendOutcome::NotRun(reason) => *reason != DeclineReason::Elsewhere,
@@ -323,6 +387,7 @@
             return Ok(Some(stream::forward(admitted, origin, response, attempts)));
         }
         if claims_not_run(status) {
+            response.end_attempt(AttemptEnd::Invalid);
             upstream.health.on_failure(self.gateway.clock.now());
             return Err(ResponseError::Invalid);
         }
@@ -330,8 +395,14 @@
         let slot = &self.connection.slot;
         let read = response.read_buffered(slot, self.time_left()).await;
         self.observe_buffered(&origin, &response, &read);
+        if let Err(error) = &read {
+            response.end_attempt((*error).into());
+        }
         let body = match read? {
-            BufferedBody::Whole(body) => body,
+            BufferedBody::Whole(body) => {
+                response.end_attempt(AttemptEnd::Answered);
+                body
+            }
             BufferedBody::Begun(first, next) => {
                 let begun = [first, next];
                 let body = stream::forward_plain(Arc::clone(self), origin, response, begun);
@@ -353,6 +424,7 @@
         upstream.health.on_failure(self.gateway.clock.now());
         if attempts.sent < self.route.attempts && self.route.kind == RouteKind::Idempotent {
             attempts.failure = Some(buffered);
+            attempts.ended = Some(RetryCause::FailureStatus);
             return Ok(None);
         }
         Ok(Some(buffered.into()))
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -12,6 +12,9 @@
 //! warming up (`warm_up`). [`exchange`] sends the request, and [`stream`] and [`events`] forward
 //! the response in complete events whose numbers are sound ([`event_numbers`]).
 //!
+//! When the VM is told to stop, [`stop`] plans until when what is answered, by what requests lately
+//! took ([`answer_times`]) and how late its timers are ([`lateness`]).
+//!
 //! In the background, [`store_watch`] keeps the configuration, the registrations and the closed
 //! data centres ([`centre_closure`]) up to date, [`mesh`] reports this VM's usage to the other VMs,
 //! and [`controller`] orders engines to load and unload models and adapters while this VM holds the
@@ -19,7 +22,9 @@
 
 pub mod adapter_placement;
 pub mod allowance;
+pub mod answer_times;
 pub mod attempt;
+pub mod attempt_end;
 pub mod balancer;
 pub mod broadcast;
 pub mod caller_limit;
@@ -35,6 +40,7 @@
 pub mod engine_run;
 mod engine_state;
 pub mod event_numbers;
+mod event_room;
 pub mod events;
 pub mod exchange;
 pub mod fanout;
@@ -44,6 +50,8 @@
 pub mod freshness;
 mod generation_record;
 pub mod head_wait;
+mod hedge;
+pub mod lateness;
 mod leadership;
 pub mod lease;
 pub mod load_limiter;
@@ -58,6 +66,8 @@
 pub mod quota_order;
 pub mod quota_refusals;
 pub mod reachability;
+pub mod read_meter;
+pub mod recent_use;
 pub mod relay;
 pub mod reload;
 pub mod request;
@@ -65,11 +75,13 @@
 pub mod response;
 pub mod retry_after;
 pub mod retry_budget;
+pub mod retry_metrics;
 pub mod run;
 pub mod serve;
 pub mod signals;
 pub mod slowdown;
 pub mod state;
+pub mod stop;
 pub mod store_watch;
 pub mod stream;
 pub mod stream_progress;
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -4,8 +4,9 @@
 //! here are held only briefly and never across an await.
 
 mod quotas;
+mod retries;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -21,6 +22,8 @@
 use crate::schema::mesh::{ConfigurationReport, FollowRequest, LeavingUpstream};
 
 use super::allowance::Allowance;
+use super::answer_times::AnswerTimes;
+use super::attempt_end::AttemptEnds;
 use super::caller_limit::CallerLimits;
 use super::caller_limit::bounds::ProcessLimits;
 use super::caller_limit::metrics::CallerLimitMetrics;
@@ -31,13 +34,16 @@
 use super::fanout::roles::{Capacity, Role};
 use super::fleet::{Fleet, UpstreamMap};
 use super::freshness::Freshness;
+use super::lateness::{Lateness, LatenessMetrics};
 use super::log_limit::{LineVerdict, LogLimit};
 use super::metrics::{Counters, Gauges};
 use super::platform_api::{DecodeError, Dialect};
 use super::quarantine::Quarantine;
 use super::reachability::Reachability;
 use super::retry_budget::{RetryBound, RetryBudget};
+use super::retry_metrics::RetryMetrics;
 use super::signals::LeavingHints;
+use super::stop::{StopPlan, StopSignal};
 use super::unreadable_objects::UnreadableObjects;
 use super::upstream_limit::UpstreamLimits;
 
@@ -88,6 +94,12 @@
     pub gauges: Gauges,
     /// Metrics of responses and refusals to callers.
     pub edge_metrics: EdgeMetrics,
+    /// Counters of attempts by their end.
+    pub attempt_ends: AttemptEnds,
+    /// Metrics of how late the process runs.
+    pub lateness_metrics: LatenessMetrics,
+    /// Metrics of retries.
+    pub retry_metrics: RetryMetrics,
     /// Counter of the requests in progress, which shutdown waits for.
     pub running: Arc<RequestTracker>,
     /// The configuration in force; absent until the first one is read.
@@ -109,8 +121,8 @@
     /// Wakes the task that registers this VM when the store has come back from an older copy,
     /// which may lack the registration.
     pub store_returned: Notify,
-    /// Notifies waiters when this VM begins to shut down.
-    pub shutdown_started: Notify,
+    /// Tells waiters when this VM stops.
+    pub stop: StopSignal,
     /// Requests a round of the leader's decisions at once.
     pub orders_due: Notify,
     /// Requests that asks for permits are sent to the leader.
@@ -125,13 +137,15 @@
     demand: Mutex<LocalDemand>,
     allowances: Mutex<BTreeMap<ClientAccount, Allowance>>,
     retry_budgets: Mutex<BTreeMap<ServiceId, RetryBudget>>,
+    /// Start of this process.
+    started: Instant,
     reachability: Mutex<Reachability>,
     quarantine: Mutex<Quarantine>,
     upstream_limits: Mutex<UpstreamLimits>,
     /// Whether this VM holds the lease.
     leads: AtomicBool,
-    /// When requests that still wait for a model are refused, once shutdown has begun.
-    drain_deadline: Mutex<Option<Instant>>,
+    answer_times: Mutex<AnswerTimes>,
+    lateness: Mutex<Lateness>,
     unreadable: Mutex<UnreadableObjects>,
     /// What callers hold of this VM's memory and descriptors.
     pub caller_limits: Arc<CallerLimits>,
@@ -172,8 +186,12 @@
     /// If the name of a metric is already registered.
     pub fn open(deps: GatewayDeps) -> Result<Arc<Self>, prometheus::Error> {
         let freshness = Freshness::new(deps.bounds.withdrawal, deps.bounds.first_start);
-        let reachability = Reachability::open(deps.clock.now());
+        let started = deps.clock.now();
+        let reachability = Reachability::open(started);
         let edge_metrics = EdgeMetrics::open(&deps.metrics)?;
+        let attempt_ends = AttemptEnds::open(&deps.metrics)?;
+        let lateness_metrics = LatenessMetrics::open(&deps.metrics)?;
+        let retry_metrics = RetryMetrics::open(&deps.metrics)?;
         let counters = Counters::open()?;
         counters.register(deps.metrics.registry())?;
         let gauges = Gauges::open(&deps.metrics)?;
@@ -187,10 +205,14 @@
             gauges,
             metrics: deps.metrics,
             edge_metrics,
+            attempt_ends,
+            lateness_metrics,
+            retry_metrics,
             vm: deps.vm,
             centre: deps.centre,
             capacity: deps.capacity,
             dialect: deps.dialect,
+            stop: StopSignal::open(Arc::clone(&deps.clock)),
             clock: deps.clock,
             log: deps.log,
             running: RequestTracker::open(),
@@ -203,7 +225,6 @@
             coverage_changed: Notify::new(),
             follow_due: Notify::new(),
             store_returned: Notify::new(),
-            shutdown_started: Notify::new(),
             orders_due: Notify::new(),
             asks_due: Notify::new(),
             settings_due: Notify::new(),
@@ -215,15 +236,17 @@
             demand: Mutex::default(),
             allowances: Mutex::default(),
             retry_budgets: Mutex::default(),
+            started,
             reachability: Mutex::new(reachability),
             quarantine: Mutex::default(),
             upstream_limits: Mutex::default(),
             leads: AtomicBool::new(false),
-            drain_deadline: Mutex::new(None),
+            answer_times: Mutex::default(),
             unreadable: Mutex::default(),
             caller_limits,
             log_limit: Mutex::default(),
             closures: Mutex::default(),
+            lateness: Mutex::default(),
         }))
     }
 
@@ -289,6 +312,11 @@
         lock(&self.closures)
     }
 
+    /// Times in which this process stood still.
+    pub fn lateness(&self) -> MutexGuard<'_, Lateness> {
+        lock(&self.lateness)
+    }
+
     /// Parts of prompts, and requests, that crash engines.
     pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         lock(&self.quarantine)
@@ -425,18 +453,16 @@
         fresh && known && !self.running.is_leaving()
     }
 
-    /// Begins the shutdown of this VM; requests that still wait for a model at `drain_deadline` are
-    /// refused.
-    pub fn begin_shutdown(&self, drain_deadline: Instant) {
-        *lock(&self.drain_deadline) = Some(drain_deadline);
+    /// Begins the stop of this VM, which ends as `plan` says.
+    pub fn begin_stop(&self, plan: StopPlan) {
         self.running.set_leaving();
+        self.stop.begin(plan);
         self.upstreams_changed.notify_waiters();
-        self.shutdown_started.notify_waiters();
     }
 
-    /// When requests that wait for a model are refused; absent until shutdown begins.
-    pub fn drain_deadline(&self) -> Option<Instant> {
-        *lock(&self.drain_deadline)
+    /// How long the requests of each route lately took.
+    pub fn answer_times(&self) -> MutexGuard<'_, AnswerTimes> {
+        lock(&self.answer_times)
     }
 
     /// Puts a configuration into force if it is newer than the current one; returns whether it is.
@@ -453,6 +479,9 @@
             "services" => configuration.services.len());
         self.report_unreadable(&configuration);
         self.update_allowances(&configuration);
+        let routes = configuration.routes.values().flatten();
+        let names: BTreeSet<_> = routes.map(|route| &route.name).collect();
+        self.answer_times().retain(|name| names.contains(name));
         let slow_starts = in_force.as_ref().map(|old| old.slow_starts());
         let slow_start_changed = slow_starts != Some(configuration.slow_starts());
         self.configuration.store(Some(Arc::new(configuration)));
@@ -497,46 +526,4 @@
     pub fn on_peer_message(&self, now: Instant) {
         lock(&self.reachability).last_received = now;
     }
-
-    fn retry_budget<'a>(
-        &self,
-        budgets: &'a mut BTreeMap<ServiceId, RetryBudget>,
-        service: &ServiceId,
-    ) -> &'a mut RetryBudget {
-        let entry = budgets.entry(service.clone());
-        entry.or_insert_with(|| RetryBudget::new(self.bounds().retries))
-    }
-
-    /// Counts a request for a service, which raises its retry budget.
-    pub fn count_request(&self, service: &ServiceId) {
-        let now = self.clock.now();
-        let mut retry_budgets = lock(&self.retry_budgets);
-        self.retry_budget(&mut retry_budgets, service)
-            .on_request(now);
-    }
-
-    /// Whether a service's budget has a retry left.
-    pub fn has_retry(&self, service: &ServiceId) -> bool {
-        let now = self.clock.now();
-        let vms = self.reachability().peak;
-        let mut retry_budgets = lock(&self.retry_budgets);
-        self.retry_budget(&mut retry_budgets, service)
-            .is_left(vms, now)
-    }
-
-    /// Spends one retry of a service's budget; false if none is left.
-    pub fn try_retry(&self, service: &ServiceId) -> bool {
-        let now = self.clock.now();
-        let vms = self.reachability().peak;
-        let mut retry_budgets = lock(&self.retry_budgets);
-        let taken = self
-            .retry_budget(&mut retry_budgets, service)
-            .try_spend(vms, now);
-        if taken {
-            self.counters.repeats.inc();
-        } else {
-            self.counters.repeats_spared.inc();
-        }
-        taken
-    }
 }
