Leave no payment for a retry where the first attempt was free

A first attempt needs no payment.

A payment is kept only once an attempt has been made. The test fails with the condition taken out.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -103,6 +103,14 @@
 }
 
 impl Attempts {
+    /// Leaves a payment for the next attempt, as this one was not sent. The first attempt is free, so
+    /// nothing was paid for it.
+    pub fn keep_payment(&mut self, payment: Payment) {
+        if self.ended.is_some() {
+            self.payment = Some(payment);
+        }
+    }
+
     /// A refusal that tells the caller whether the request may have run.
     pub(super) fn refusal(&self, reason: Reason) -> Refusal {
         if self.ran || self.pending > 0 {
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -370,7 +370,7 @@
             }
             // No connection was opened, so the payment is left for the next upstream.
             if attempts.sent == sent_before {
-                attempts.payment = Some(payment);
+                attempts.keep_payment(payment);
             }
         }
     }
--- a/tests/gateway_retry_budget.rs
+++ b/tests/gateway_retry_budget.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use basilgw::gateway::attempt::Attempts;
 use basilgw::gateway::exchange::ResponseError;
 use basilgw::gateway::reachability::Reachability;
 use basilgw::gateway::retry_budget::{PAYMENT_LIFETIME, Payment, RetryBound, RetryBudget};
@@ -344,3 +345,16 @@
     assert!(payment.is_valid(paid + PAYMENT_LIFETIME / 2));
     assert!(!payment.is_valid(paid + PAYMENT_LIFETIME));
 }
+
+/// Guards against a first attempt that opens no connection and leaves a payment that nobody made,
+/// with which the next retry is not counted.
+#[test]
+fn a_first_attempt_leaves_no_payment() {
+    let payment = Payment::new(Instant::now());
+    let mut attempts = Attempts::default();
+    attempts.keep_payment(payment);
+    assert_eq!(attempts.payment, None);
+    attempts.ended = Some(RetryCause::Declined);
+    attempts.keep_payment(payment);
+    assert_eq!(attempts.payment, Some(payment));
+}
