Keep a silent engine where the next one resets or fails at once

A stream whose engine was silent was cut where the next engine reset the connection, or answered with an error, within moments: only a refusal kept the first engine. Engines reset connections beyond what they accept, so a sound stream was cut under load (LOST). Found by a reviewer's reading.

An engine whose attempt is over does not work on the request, so the first one is kept then, also before the head.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -76,6 +76,14 @@
 }
 
 impl Sent {
+    /// Whether the upstream broke the connection before a response.
+    pub fn is_broken_off(&self) -> bool {
+        matches!(
+            self.outcome,
+            SendOutcome::Unknown(ResponseError::Disconnected)
+        )
+    }
+
     /// Whether the upstream has not run the request for certain.
     pub fn is_declined(&self) -> bool {
         matches!(
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -41,6 +41,18 @@
     Responded(Box<UpstreamResponse>),
 }
 
+impl SendOutcome {
+    /// Whether the upstream does not work on the request, nor begins to, and gave no answer that a
+    /// stream could go on with.
+    pub fn is_over(&self) -> bool {
+        match self {
+            Self::NotSent(_) | Self::NotRun(_) => true,
+            Self::Unknown(error) => *error == ResponseError::Disconnected,
+            Self::Responded(response) => !response.head.status.is_success(),
+        }
+    }
+}
+
 /// Why an upstream did not run a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DeclineReason {
--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -115,7 +115,7 @@
             early.ok()
         };
         let early = match early {
-            Some(sent) if sent.is_declined() => {
+            Some(sent) if sent.is_declined() || sent.is_broken_off() => {
                 // The first attempt is not over, so neither is the request.
                 let _declined = self.conclude(sent, attempts).await;
                 return self.conclude(first.await, attempts).await;
--- a/src/gateway/stream/resume.rs
+++ b/src/gateway/stream/resume.rs
@@ -208,7 +208,9 @@
                 let engine = &upstream.registration;
                 admitted.on_engine_crash(engine, parts, Written::NoHead, wait.sent);
                 upstream.health.on_failure(gateway.clock.now());
-                return Attempted::Crashed;
+                if !kept {
+                    return Attempted::Crashed;
+                }
             }
             SendOutcome::Responded(response) => {
                 response.end_attempt(AttemptEnd::Answered);
@@ -227,7 +229,7 @@
     }
 
     /// Waits for the outcome of sending the request to another engine; returns also whether the
-    /// former one is kept, since the request was not run.
+    /// former one is kept, since the other one does not work on the request.
     async fn await_outcome<F>(&mut self, sending: F, former: Former) -> (SendOutcome, bool)
     where
         F: Future<Output = SendOutcome>,
@@ -242,7 +244,7 @@
         let mut sending = pin!(sending);
         let early = tokio::time::timeout(REFUSAL_TIME, sending.as_mut()).await;
         match early {
-            Ok(outcome @ (SendOutcome::NotRun(_) | SendOutcome::NotSent(_))) => (outcome, true),
+            Ok(outcome) if outcome.is_over() => (outcome, true),
             Ok(outcome) => {
                 self.give_up(ResponseError::Silent);
                 (outcome, false)
