Send no late stream of which nothing is known in a stop

A stream that was read whole late in a stop was passed on if the time to its first event was left, which is all that a route's objective says of a stream, and was cut at the end (LOST). This concerns VMs that have seen few answers of the route: among hundreds of VMs, or soon after a start.

Such a stream is refused as not run now; another VM serves it. Streams that come while new requests are accepted are sent as before. The new pure test does not build on the code before, which took only the objective.

--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -17,7 +17,7 @@
 
 use super::answer_times::AnswerRange;
 use super::attempt::Attempts;
-use super::configuration::Route;
+use super::configuration::{Route, RouteKind};
 use super::relay::AdmittedRequest;
 use super::response::CallerBody;
 use super::state::Gateway;
@@ -84,17 +84,26 @@
     Late,
 }
 
-/// Least time that a request is taken to need. `known` is what requests of its route lately took,
-/// `goal` its objective.
+/// Time that a request of a route of this kind is taken to need where nothing is known of it. The
+/// objective of a stream is for its first event, so it says nothing of the whole.
+pub fn unknown_time(kind: RouteKind, goal: Duration) -> Duration {
+    match kind {
+        RouteKind::Streaming { .. } => Duration::MAX,
+        RouteKind::Idempotent | RouteKind::Mutating => goal,
+    }
+}
+
+/// Least time that a request is taken to need. `known` is what requests of its route lately took;
+/// one that comes late needs `unknown` where that is absent.
 ///
 /// One that was accepted is turned away only if none of these were answered in the time left. One
 /// that comes late is sent only if all of them were, as another VM can serve it.
-pub fn time_needed(sending: Sending, known: Option<AnswerRange>, goal: Duration) -> Duration {
+pub fn time_needed(sending: Sending, known: Option<AnswerRange>, unknown: Duration) -> Duration {
     match (sending, known) {
         (Sending::Accepted, Some(known)) => known.shortest,
         (Sending::Accepted, None) => Duration::ZERO,
         (Sending::Late, Some(known)) => known.longest,
-        (Sending::Late, None) => goal,
+        (Sending::Late, None) => unknown,
     }
 }
 
@@ -166,7 +175,7 @@
     /// Time that a request of this route must have left when it is first sent in a stop.
     pub fn time_needed(&self, route: &Route) -> Duration {
         let known = self.answer_times().range(&route.name);
-        time_needed(Sending::Late, known, route.goal)
+        time_needed(Sending::Late, known, unknown_time(route.kind, route.goal))
     }
 
     /// Does what must be done before a request can be sent, as long as it can still be sent if it
@@ -215,7 +224,8 @@
             Sending::Late
         };
         let known = self.gateway.answer_times().range(&self.route.name);
-        let needed = time_needed(sending, known, self.route.goal);
+        let unknown = unknown_time(self.route.kind, self.route.goal);
+        let needed = time_needed(sending, known, unknown);
         let stop_left = plan.ends.saturating_duration_since(now);
         is_too_late(needed, stop_left, self.time_left())
     }
--- a/tests/gateway_stop.rs
+++ b/tests/gateway_stop.rs
@@ -5,8 +5,11 @@
 
 use basilgw::clock::{Clock, SystemClock};
 use basilgw::gateway::answer_times::{AnswerRange, AnswerTimes};
+use basilgw::gateway::configuration::RouteKind;
 use basilgw::gateway::lateness::Lateness;
-use basilgw::gateway::stop::{Sending, StopPlan, StopSignal, is_too_late, time_needed};
+use basilgw::gateway::stop::{
+    Sending, StopPlan, StopSignal, is_too_late, time_needed, unknown_time,
+};
 
 mod gateway_support;
 use gateway_support::{id, ms};
@@ -148,3 +151,19 @@
     times.retain(|_| false);
     assert_eq!(times.range(&route), None, "no such route any more");
 }
+
+// Guards against: a late stream that is sent since its first event would come in time, and cut (LOST).
+#[test]
+fn a_late_stream_of_which_nothing_is_known_is_not_sent() {
+    let stream = RouteKind::Streaming {
+        resumable: true,
+        gap: ms(150),
+    };
+    let needed = |kind| time_needed(Sending::Late, None, unknown_time(kind, GOAL));
+    assert!(is_too_late(needed(stream), ms(4500), ms(9000)));
+    assert!(!is_too_late(
+        needed(RouteKind::Mutating),
+        ms(4500),
+        ms(9000)
+    ));
+}
