Learn what requests take from those that succeed alone

What a route's last answers took decides in a stop which late requests are still sent. Answers with an error counted too: after a few quick ones, a request that takes seconds was sent with hardly any time left, and cut (LOST).

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -380,6 +380,7 @@
                 if response.head.status.is_success() {
                     self.on_sound_parts();
                 }
+                self.record_time(response.head.status);
                 self.on_completed();
             }
             _ => {}
--- a/src/gateway/quarantine/gate.rs
+++ b/src/gateway/quarantine/gate.rs
@@ -93,10 +93,8 @@
         self.gateway.on_sound(parts.hashes());
     }
 
-    /// Records that the engine completed the response, so that the request crashes no engine, and
-    /// what it took.
+    /// Records that the engine completed the response, so that the request crashes no engine.
     pub fn on_completed(&self) {
-        self.record_time();
         self.gateway.on_sound([self.digest]);
     }
 }
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::Response;
+use http::{Response, StatusCode};
 use slog::warn;
 use tokio::sync::watch;
 
@@ -252,8 +252,12 @@
             "event" => event, "left_ms" => self.time_left().as_millis() as u64);
     }
 
-    /// Records what the request took, which was answered to its end.
-    pub(super) fn record_time(&self) {
+    /// Records what the request took, which was answered to its end with this status. How soon an
+    /// upstream fails says nothing of what its work takes.
+    pub(super) fn record_time(&self, status: StatusCode) {
+        if !status.is_success() {
+            return;
+        }
         let now = self.gateway.clock.now();
         let taken = now.saturating_duration_since(self.complete);
         let mut times = self.gateway.answer_times();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -128,6 +128,7 @@
         BodyRead::End => {
             body.response.end_attempt(AttemptEnd::Answered);
             if body.response.is_framed() && body.response.meta.sealed {
+                body.admitted.record_time(body.response.head.status);
                 body.admitted.on_completed();
             }
             None
@@ -363,6 +364,7 @@
         self.response.end_attempt(AttemptEnd::Answered);
         if self.response.is_framed() {
             self.prove();
+            self.admitted.record_time(self.response.head.status);
             self.admitted.on_completed();
         }
     }
