Keep silent upstreams late in a stop

A stream that may be resumed was given up at a silent engine 6.6 s after SIGTERM, begun anew at another one at 7.2 s, and cut at the end of the grace (LOST); its caller would have waited until 8.7 s. An engine's silence is no reason to end an answer sooner.

From the moment at which new requests are refused, a silent upstream is kept. The test is of the decision; the streams before and after were not counted anew.

--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -162,7 +162,7 @@
     async fn second_place(&self, wait: &HeadWait<'_>) -> Second {
         loop {
             let possible =
-                || self.has_alternative(&wait.tried) && self.has_retry() && !self.is_too_late(true);
+                || self.has_alternative(&wait.tried) && self.has_retry() && !self.keeps_silent();
             match wait.decide(possible) {
                 Ok(look) => tokio::time::sleep(look).await,
                 // The first attempt ends by itself.
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// Whether a silent upstream is kept, although another one could begin anew. It may answer in
+    /// time, which gets less likely for the other one.
+    pub fn keeps_silent(&self, now: Instant) -> bool {
+        now >= self.refuses
+    }
+
     /// The last moment at which a request that needs this time is first sent to an upstream.
     pub fn latest_send(&self, needed: Duration) -> Instant {
         let latest = self.ends.checked_sub(needed);
@@ -230,6 +236,13 @@
         is_too_late(needed, stop_left, self.time_left())
     }
 
+    /// Whether the request stays at a silent upstream, as this VM stops.
+    pub(super) fn keeps_silent(&self) -> bool {
+        let now = self.gateway.clock.now();
+        let plan = self.gateway.stop_plan();
+        plan.is_some_and(|plan| plan.keeps_silent(now))
+    }
+
     /// The answer to a request that is given up, as this VM stops.
     pub(super) fn end_for_stop(
         &self,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -253,7 +253,8 @@
         let longest = self.origin.upstream.health.pace().longest_silence(now);
         let left = self.progress.silence_left(standing, longest, present);
         let waits = !left.is_zero();
-        if !waits && self.can_resume_now() && self.admitted.has_retry() {
+        let may_leave = !waits && !self.admitted.keeps_silent();
+        if may_leave && self.can_resume_now() && self.admitted.has_retry() {
             let place = self.reserve().await;
             if place.is_some() {
                 return place;
--- a/tests/gateway_stop.rs
+++ b/tests/gateway_stop.rs
@@ -167,3 +167,12 @@
         ms(9000)
     ));
 }
+
+// Guards against: a stream that leaves a silent engine late in a stop for one that cannot end it (LOST).
+#[test]
+fn a_silent_engine_is_kept_once_requests_are_refused() {
+    let begun = Instant::now();
+    let plan = StopPlan::new(begun, GRACE, ms(0));
+    assert!(plan.keeps_silent(plan.refuses) && plan.keeps_silent(plan.ends));
+    assert!(!plan.keeps_silent(begun), "another one has the time");
+}
