Run no request of a model at two engines at once

A request of a model on an idempotent route was sent to a second engine while the first was kept. Whether the rule on requests that go on at another engine is meant for it is not certain; it is handed over as streams are now. Where the last of two attempts fails, the caller gets the answer that an upstream gave before, if there is one. Found by a reviewer's reading; not tested.

--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -25,7 +25,7 @@
 use super::exchange::{ResponseError, SendOutcome};
 use super::head_wait::{HeadWait, LOOK_AGAIN};
 use super::quarantine::gate::Clearance;
-use super::relay::AdmittedRequest;
+use super::relay::{AdmittedRequest, CAPACITY_RETRY};
 use super::response::CallerBody;
 use super::retry_metrics::RetryCause;
 use super::upstream_limit::gate::Permit;
@@ -72,7 +72,7 @@
         } = second;
         let second_wait = self.head_wait(permit.upstream(), attempts);
         let mut second = Box::pin(self.send_once(permit, clearance, &second_wait));
-        if self.route.kind != RouteKind::Idempotent {
+        if self.route.kind != RouteKind::Idempotent || self.request.head.target.is_some() {
             return self.hand_over(first, &first_wait, second, attempts).await;
         }
         let (sent, is_first) = tokio::select! {
@@ -90,7 +90,7 @@
         match (earlier, self.conclude(sent, attempts).await) {
             (_, Ok(Some(response))) => Ok(Some(response)),
             // The later attempt may have run.
-            (Err(refusal), _) => Err(attempts.refusal(refusal.reason)),
+            (Err(refusal), _) => attempts.give_up(refusal.reason, CAPACITY_RETRY).map(Some),
             (Ok(_), later) => later,
         }
     }
