Don't hold this VM's lack of room against an engine

Where this VM had no room for the rest of an event, its engine was given up as one that sends wrong numbers, a retry was spent at the next one, which met the same lack, and sound engines were ejected. The stream is cut at once now, and the log says why.

--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -27,9 +27,6 @@
     /// An event has no number, or one that cannot be read.
     #[error("an event has no readable number")]
     Unnumbered,
-    /// This VM has no room for the rest of an event.
-    #[error("there is no room for the rest of an event")]
-    NoRoom,
 }
 
 /// What bytes of a stream have completed.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -192,6 +192,8 @@
     Read,
     /// It leaves the engine, whose next event is faulty.
     Leave,
+    /// It is cut, as this VM has no room for the rest of an event.
+    Cut,
     /// It ends as complete.
     End,
 }
@@ -207,6 +209,7 @@
                     self.resume(ResponseError::Invalid).await?;
                     continue;
                 }
+                Next::Cut => return self.cut_for_room(),
                 Next::End => {
                     self.on_end();
                     return Ok(None);
@@ -229,7 +232,7 @@
             let error = match read {
                 BodyRead::Bytes(bytes) => match self.take(&bytes) {
                     Some(events) => return Ok(Some(events)),
-                    None if self.next == Next::Leave => continue,
+                    None if self.next != Next::Read => continue,
                     None if !self.progress.stalled(self.now()) => continue,
                     None => ResponseError::Silent,
                 },
@@ -300,13 +303,23 @@
         let fits = self
             .room
             .fit(&self.admitted.connection.slot, self.events.held_bytes());
-        let no_room = (!fits).then_some(EventError::NoRoom);
-        if let Some(fault) = completed.fault.or(no_room) {
+        if let Some(fault) = completed.fault {
             self.on_fault(fault);
+        } else if !fits {
+            self.next = Next::Cut;
         }
         (!completed.events.is_empty()).then_some(completed.events)
     }
 
+    /// Ends the stream early, since this VM has no room for it. That says nothing of its engine, and
+    /// there would be no more room with another one.
+    fn cut_for_room(&self) -> Result<Option<Bytes>, ResponseAborted> {
+        warn!(self.admitted.gateway.log, "stream_without_room";
+            "request" => %self.admitted.request.head.id, "event" => self.events.last_id(),
+            "held" => self.events.held_bytes());
+        Err(ResponseAborted)
+    }
+
     /// Takes the end of the body; returns the events that it lets forward, if there are any.
     fn finish(&mut self) -> Option<Bytes> {
         match self.events.finish() {
