--- a/src/gateway/head_wait.rs
+++ b/src/gateway/head_wait.rs
@@ -1,6 +1,6 @@
 //! How long a request waits for the head of its response before another upstream is tried.
 //!
-//! A silent upstream may be busy. It is left, or another one is tried beside it ([`super::hedge`]),
+//! A silent upstream may be busy. It is left, or another one is tried beside it (`hedge`),
 //! only once another one takes the request and the retry budget has paid for that; otherwise the
 //! request waits on, as long as its caller does. Time in which this process stood still is not held
 //! against the upstream ([`super::lateness`]).
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -27,7 +27,7 @@
 const ACCEPT_TIME: Duration = Duration::from_millis(2800);
 /// Part of the grace period that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
-/// Time between the end of the last request and the exit of the process; within [`EXIT_MARGIN`].
+/// Time between the end of the last request and the exit of the process; within `EXIT_MARGIN`.
 pub const LAST_WRITES: Duration = Duration::from_millis(200);
 /// Part of the grace period that is reserved for refusing requests that still wait for a model.
 const REFUSE_MARGIN: Duration = Duration::from_millis(1500);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,5 +1,5 @@
 //! Forwards response bodies. A stream of events is forwarded event by event, and after a failure
-//! it is resumed at another engine where its route allows that ([`resume`]).
+//! it is resumed at another engine where its route allows that (`stream::resume`).
 
 mod resume;
 
