--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -75,24 +75,6 @@
     pub outcome: SendOutcome,
 }
 
-impl Sent {
-    /// Whether the upstream broke the connection before a response.
-    pub fn is_broken_off(&self) -> bool {
-        matches!(
-            self.outcome,
-            SendOutcome::Unknown(ResponseError::Disconnected)
-        )
-    }
-
-    /// Whether the upstream has not run the request for certain.
-    pub fn is_declined(&self) -> bool {
-        matches!(
-            self.outcome,
-            SendOutcome::NotRun(_) | SendOutcome::NotSent(_)
-        )
-    }
-}
-
 /// An upstream's response with its complete body.
 #[derive(Debug)]
 struct BufferedResponse {
@@ -251,6 +233,20 @@
                 error
             }
         };
+        self.on_failed(upstream, (error, begun), attempts)
+    }
+
+    /// Records a failed attempt, whose response had `begun` or not, and decides between a further
+    /// one, an earlier failure and a refusal.
+    fn on_failed(
+        &self,
+        upstream: &Upstream,
+        (error, begun): (ResponseError, bool),
+        attempts: &mut Attempts,
+    ) -> Result<Option<Response<CallerBody>>, Refusal> {
+        let gateway = &self.gateway;
+        let registration = &upstream.registration;
+        let now = gateway.clock.now();
         warn!(gateway.log, "answer_lost"; "request" => %self.request.head.id,
             "upstream" => %registration.id, "why" => %error, "sent" => attempts.sent,
             "parts" => %self.request.head.shared_parts(), "digest" => %self.digest);
--- a/src/gateway/event_room.rs
+++ b/src/gateway/event_room.rs
@@ -18,8 +18,8 @@
 }
 
 impl EventRoom {
-    /// Charges `held` bytes to the caller, and releases them once none is charged any more; false
-    /// if there is no room for them.
+    /// Charges the caller for `held` bytes beyond the first [`FREE_BYTES`]; false if there is no room.
+    /// The charge is released as a whole, once `held` is at most that.
     pub fn fit(&mut self, slot: &CallerSlot, held: usize) -> bool {
         let needed = held.saturating_sub(FREE_BYTES) as u64;
         if needed == 0 {
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -11,7 +11,7 @@
 
 /// Largest size of an event, and of the events held until their numbers are judged, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
-/// Bytes at the end of a buffer that may be the beginning of an event's end.
+/// Bytes of the longest end of an event that an earlier read may have brought without its last one.
 const END_BYTES: usize = 2;
 
 /// Why the rest of a stream must not be forwarded.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -42,15 +42,22 @@
 }
 
 impl SendOutcome {
-    /// Whether the upstream does not work on the request, nor begins to, and gave no answer that a
-    /// stream could go on with.
-    pub fn is_over(&self) -> bool {
+    /// Whether the upstream declined the request or broke the connection, so that it does not go on
+    /// with it.
+    pub fn has_stopped(&self) -> bool {
         match self {
             Self::NotSent(_) | Self::NotRun(_) => true,
             Self::Unknown(error) => *error == ResponseError::Disconnected,
-            Self::Responded(response) => !response.head.status.is_success(),
+            Self::Responded(_) => false,
         }
     }
+
+    /// Whether another upstream may go on with a stream: this one has stopped, or answered with a
+    /// failure.
+    pub fn is_over(&self) -> bool {
+        let failed = |response: &UpstreamResponse| !response.head.status.is_success();
+        self.has_stopped() || matches!(self, Self::Responded(response) if failed(response))
+    }
 }
 
 /// Why an upstream did not run a request.
@@ -84,7 +91,7 @@
 }
 
 impl ResponseError {
-    /// The same where the wait was for all of the caller's time.
+    /// Turns silence into the end of the caller's time, for a wait that lasted until the deadline.
     #[must_use]
     pub fn at_deadline(self) -> Self {
         match self {
--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -95,8 +95,8 @@
         }
     }
 
-    /// Leaves the first upstream, unless the second one says at once that it does not run the
-    /// request.
+    /// Leaves the first upstream, unless the second one at once says that it does not run the
+    /// request, or breaks the connection.
     async fn hand_over<F, G>(
         self: &Arc<Self>,
         first: Pin<Box<F>>,
@@ -115,7 +115,7 @@
             early.ok()
         };
         let early = match early {
-            Some(sent) if sent.is_declined() || sent.is_broken_off() => {
+            Some(sent) if sent.outcome.has_stopped() => {
                 // The first attempt is not over, so neither is the request.
                 let _declined = self.conclude(sent, attempts).await;
                 return self.conclude(first.await, attempts).await;
--- a/src/gateway/lateness.rs
+++ b/src/gateway/lateness.rs
@@ -19,10 +19,10 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Lateness of a tick that is usual.
 const USUAL_LATENESS: Duration = Duration::from_millis(50);
-/// Lateness that is logged.
+/// Least lateness that is logged.
 const LOGGED_LATENESS: Duration = Duration::from_millis(500);
 /// Time for which a pause is remembered; no silence is measured over a longer one.
-const MEMORY: Duration = Duration::from_mins(1);
+const PAUSE_LIFETIME: Duration = Duration::from_mins(1);
 /// Time back from now in which pauses tell how late the process may run now.
 const RECENT: Duration = Duration::from_secs(5);
 /// Most pauses that are remembered.
@@ -58,7 +58,7 @@
         if let Some(pause) = late {
             self.pauses.push_back(pause);
         }
-        let is_old = |pause: &Pause| now.saturating_duration_since(pause.to) > MEMORY;
+        let is_old = |pause: &Pause| now.saturating_duration_since(pause.to) > PAUSE_LIFETIME;
         while self.pauses.len() > MAX_PAUSES || self.pauses.front().is_some_and(is_old) {
             self.pauses.pop_front();
         }
@@ -80,7 +80,7 @@
     }
 
     /// The longest pause of the last seconds.
-    pub fn greatest(&self, now: Instant) -> Duration {
+    pub fn longest_pause(&self, now: Instant) -> Duration {
         let recent = |pause: &Pause| now.saturating_duration_since(pause.to) <= RECENT;
         let pauses = self.pauses.iter().copied().chain(self.overdue(now));
         let lengths = pauses.filter(recent).map(|pause| pause.after(pause.from));
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -156,7 +156,8 @@
     body: Incoming,
     started: Instant,
 ) -> Result<Response<CallerBody>, Refusal> {
-    // Also a refusal counts until it is written.
+    // Kept if the next line refuses the request, so that a stop waits for the refusal; otherwise the
+    // next guard replaces it.
     connection.keep_guard(gateway.running.hold());
     connection.keep_guard(gateway.running.try_start(usize::MAX)?);
     let configuration = gateway.configuration.load_full();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -165,7 +165,7 @@
         }
     }
     let now = gateway.clock.now();
-    let late = gateway.lateness().greatest(now);
+    let late = gateway.lateness().longest_pause(now);
     let plan = StopPlan::new(now, gateway.bounds().grace, late);
     drain(&gateway, &callers, plan).await;
     Ok(())
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -34,8 +34,8 @@
 /// Time after which the caller of a refused request may retry; another VM accepts it at once.
 const STOP_RETRY: Duration = Duration::from_millis(200);
 
-/// Last part of the grace period, before which upstreams at work are not left.
-const LAST_PART: u32 = 6;
+/// Divisor of the grace period: upstreams at work are not left before its last sixth.
+const LAST_PART_DIVISOR: u32 = 6;
 
 /// When this VM ends what, from the signal to stop on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,7 +57,7 @@
     /// from when it was sent. The process runs up to `late` late, as far as is known.
     pub fn new(seen: Instant, grace: Duration, late: Duration) -> Self {
         let ends = grace.saturating_sub(EXIT_MARGIN);
-        let spare = ends.saturating_sub(grace.saturating_sub(grace / LAST_PART));
+        let spare = ends.saturating_sub(grace.saturating_sub(grace / LAST_PART_DIVISOR));
         let begun = seen.checked_sub(late.min(spare)).unwrap_or(seen);
         Self {
             begun,
--- a/src/gateway/stream/resume.rs
+++ b/src/gateway/stream/resume.rs
@@ -31,8 +31,9 @@
 enum Attempted {
     /// The stream goes on there.
     Resumed,
-    /// It does not, as the engine did not take the request; the former one is kept.
-    Declined,
+    /// It does not: the engine refused, failed or broke the connection at once, and the former one
+    /// is kept.
+    Stayed,
     /// It does not.
     Failed,
     /// The engine broke the connection.
@@ -63,11 +64,12 @@
         self.admitted.has_alternative(&tried)
     }
 
-    /// Moves the stream from a silent engine to `place`, unless the engine there does not take it.
+    /// Moves the stream from a silent engine to `place`, unless the engine there refuses it or
+    /// fails at once.
     pub(super) async fn leave(&mut self, place: Place) -> Result<(), ResponseAborted> {
         match self.go_on_at(place, Former::Silent).await {
             Attempted::Resumed => Ok(()),
-            Attempted::Declined => {
+            Attempted::Stayed => {
                 self.progress.tolerate_silence(self.now());
                 Ok(())
             }
@@ -98,7 +100,7 @@
             match self.go_on_at(place, Former::Lost).await {
                 Attempted::Resumed => return Ok(()),
                 Attempted::Crashed if self.admitted.stops_retries() => break,
-                Attempted::Crashed | Attempted::Failed | Attempted::Declined => {}
+                Attempted::Crashed | Attempted::Failed | Attempted::Stayed => {}
             }
         }
         self.cut(false)
@@ -222,7 +224,7 @@
             }
         }
         if kept {
-            Attempted::Declined
+            Attempted::Stayed
         } else {
             Attempted::Failed
         }
--- a/src/gateway/stream_progress.rs
+++ b/src/gateway/stream_progress.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use super::engine_pace::Standing;
+use super::head_wait::LOOK_AGAIN;
 
 /// A resumable stream is moved to another engine after this time without an event, unless its
 /// engine is busy; callers disconnect after two seconds without one.
@@ -17,8 +18,6 @@
 const USUAL_SILENCE: u32 = 2;
 /// Share of the caller's patience after which a stream of a full engine is moved, in quarters.
 const FULL_QUARTERS: u32 = 3;
-/// Shortest time to the next look at a silent engine.
-const LOOK_AGAIN: Duration = Duration::from_millis(300);
 
 /// Progress of one stream.
 #[derive(Clone, Copy, Debug)]
--- a/tests/gateway_quota_parted.rs
+++ b/tests/gateway_quota_parted.rs
@@ -248,6 +248,7 @@
     assert_eq!(level_after(listed), 1000);
 }
 
+// Guards against: tokens of before a silence that count as admitted in it, or ones in it that are missed.
 #[test]
 fn recent_use_counts_the_tokens_of_a_span() {
     let start = Instant::now();
--- a/tests/gateway_read_meter.rs
+++ b/tests/gateway_read_meter.rs
@@ -4,8 +4,8 @@
 
 const MIB: u64 = 1 << 20;
 
-/// Guards against interim responses, chunk extensions or trailers without end, which keep a VM
-/// reading until its caller gives up.
+// Guards against: interim responses, chunk extensions or trailers without end, which keep a VM
+// reading until its caller gives up.
 #[test]
 fn bytes_without_data_end_a_connection() {
     let meter = ReadMeter::default();
@@ -16,7 +16,7 @@
     }
 }
 
-/// Guards against a bound that cuts sound responses: long ones, and ones in chunks of one byte.
+// Guards against: a bound that cuts sound responses: long ones, and ones in chunks of one byte.
 #[test]
 fn responses_of_any_length_and_any_chunks_go_on() {
     for bytes_per_data_byte in [1, 6, 12] {
@@ -28,7 +28,7 @@
     }
 }
 
-/// Guards against a count that goes on over the responses of one kept connection.
+// Guards against: a count that goes on over the responses of one kept connection.
 #[test]
 fn each_response_of_a_connection_is_counted_anew() {
     let meter = ReadMeter::default();
--- a/tests/gateway_retry_budget.rs
+++ b/tests/gateway_retry_budget.rs
@@ -346,8 +346,8 @@
     assert!(!payment.is_valid(paid + PAYMENT_LIFETIME));
 }
 
-/// Guards against a first attempt that opens no connection and leaves a payment that nobody made,
-/// with which the next retry is not counted.
+// Guards against: a first attempt that opens no connection and leaves a payment that nobody made,
+// with which the next retry is not counted.
 #[test]
 fn a_first_attempt_leaves_no_payment() {
     let payment = Payment::new(Instant::now());
--- a/tests/gateway_stop.rs
+++ b/tests/gateway_stop.rs
@@ -67,9 +67,9 @@
     for tick in 5..56 {
         lateness.on_tick(start + ms(tick * 100));
     }
-    assert_eq!(lateness.greatest(start + ms(5500)), ms(400));
+    assert_eq!(lateness.longest_pause(start + ms(5500)), ms(400));
     lateness.on_tick(start + ms(5600));
-    assert_eq!(lateness.greatest(start + ms(5600)), ms(0));
+    assert_eq!(lateness.longest_pause(start + ms(5600)), ms(0));
 }
 
 // Guards against: a second signal that moves the end.
@@ -98,7 +98,7 @@
     assert!(begun.elapsed() >= ms(420), "20 ms, and 400 of the plan");
 }
 
-// Guards against: refusing what may be served in time (the twin of the next one).
+// Guards against: refusing an accepted request that may still be served in time.
 #[test]
 fn an_accepted_request_is_refused_only_if_none_was_answered_that_soon() {
     let needed = |known| time_needed(Sending::Accepted, known, GOAL);
@@ -107,7 +107,7 @@
     assert!(!is_too_late(needed(None), ms(1), ms(9000)), "nothing known");
 }
 
-// Guards against: sending what arrived whole after the door closed, and cutting it at the end (LOST).
+// Guards against: sending a request that was whole only after the VM refuses new ones, and cutting it (LOST).
 #[test]
 fn a_late_request_is_sent_only_if_all_were_answered_that_soon() {
     let needed = |known| time_needed(Sending::Late, known, GOAL);
@@ -125,7 +125,7 @@
 
 // Guards against: a body that is read until nothing can be done with it.
 #[test]
-fn a_body_is_awaited_as_long_as_it_can_be_sent_and_at_least_until_the_door_closes() {
+fn a_body_is_awaited_as_long_as_it_can_be_sent_and_at_least_until_requests_are_refused() {
     let plan = StopPlan::new(Instant::now(), GRACE, ms(0));
     assert_eq!(plan.latest_send(ms(300)) + ms(300), plan.ends);
     assert_eq!(plan.latest_send(ms(60_000)), plan.refuses);
