Give each watch of the store a module of its own

The loop stays; configuration, registrations and closures are modules under it, each with its constants, its handler and its spawn.

--- a/src/gateway/fanout/exchange.rs
+++ b/src/gateway/fanout/exchange.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::BootTime;
 use crate::gateway::state::Gateway;
-use crate::gateway::store_watch;
+use crate::gateway::store_watch::registrations;
 use crate::ids::{DataCentre, Version};
 use crate::schema::mesh::{
     FollowRequest, FollowResponse, KnownClosures, KnownConfiguration, KnownRegistrations,
@@ -122,7 +122,7 @@
         return false;
     }
     if !changes.changes.is_empty() {
-        store_watch::apply_registration_changes(gateway, changes.changes.clone());
+        registrations::apply_changes(gateway, changes.changes.clone());
     }
     let read = sent.minus(Duration::from_millis(known.age_ms));
     let now = gateway.clock.boot();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -130,10 +130,10 @@
     let metrics = metrics.map_err(bind_error(addresses.metrics))?;
     mesh.spawn();
     lateness::spawn(&gateway);
-    store_watch::spawn_configuration(&gateway, Arc::clone(&platform.configurations));
-    store_watch::spawn_registrations(&gateway, Arc::clone(&platform.registrations));
+    store_watch::configuration::spawn(&gateway, Arc::clone(&platform.configurations));
+    store_watch::registrations::spawn(&gateway, Arc::clone(&platform.registrations));
     if gateway.bounds().closure.is_some() {
-        store_watch::spawn_closures(&gateway, Arc::clone(&platform.closures));
+        store_watch::closures::spawn(&gateway, Arc::clone(&platform.closures));
     }
     reload::spawn(&gateway, settings);
     tokio::spawn(discover_peers(
