Split the controller into its loop, its planning and its orders

The loop with leadership, reports and notices stays; what is planned for a service and how orders are sent and answered are modules under it.

--- a/src/gateway/controller.rs
+++ b/src/gateway/controller.rs
@@ -6,6 +6,9 @@
 //! carried out, however late the other arrives. The space that an order needs counts as used from
 //! before the order is sent until a report newer than the order shows its outcome.
 
+mod orders;
+mod planning;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -13,25 +16,16 @@
 use slog::info;
 use tokio::task::{JoinHandle, JoinSet};
 
-use crate::ids::{AdapterId, Epoch, ModelId, ObjectKey, ServiceId, UpstreamId};
+use crate::ids::{Epoch, ObjectKey, UpstreamId};
 use crate::schema::mesh::InventoryUpdate;
 use crate::store::ObjectStore;
 
-use super::adapter_placement::{AdapterAction, LoadingAdapters, plan_adapters};
-use super::configuration::EngineSpec;
-use super::demand::Demand;
 use super::engine_state::{EngineState, RETRY_DELAY};
 use super::fleet::Fleet;
 use super::leadership::Leadership;
 use super::load_limiter::LoadLimiter;
 use super::mesh::Mesh;
-use super::placement::{
-    self, EngineView, ModelAction, ModelDemand, StorageTier, load_time, plan_models,
-};
-use super::platform_api::{
-    ControlError, ControlReply, EngineClient, Order, OrderAction, OrderResponse, UpstreamSignals,
-};
-use super::request::Target;
+use super::platform_api::{ControlError, ControlReply, EngineClient, UpstreamSignals};
 use super::state::Gateway;
 use super::upstream::Registration;
 
@@ -41,17 +35,8 @@
 const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(10);
 /// Timeout for an engine's report or its response to an order.
 const ENGINE_TIMEOUT: Duration = Duration::from_millis(200);
-/// Greatest number of loads from the weight store at the same time; more would slow down all.
-const MAX_REMOTE_LOADS: usize = 4;
-/// Time between the notice to the other VMs that a model is being unloaded and the order to unload
-/// it, so that no request for the model is on its way to the engine any more.
-const NOTICE_LEAD: Duration = Duration::from_millis(40);
-/// Usual time for an engine to unload a model.
-const UNLOAD_TIME: Duration = Duration::from_millis(700);
 /// Time within which every VM reports its demand to a new leader.
 const DEMAND_REPORT_TIME: Duration = Duration::from_millis(450);
-/// Time for an engine to load an adapter.
-const ADAPTER_LOAD_TIME: Duration = Duration::from_millis(15);
 
 /// Contends for the lease, and controls the engines while this VM is the leader.
 #[derive(Debug)]
@@ -286,258 +271,4 @@
             self.mesh.broadcast_updates(epoch, updates).await;
         }
     }
-
-    /// The engines of a service as the planner sees them.
-    fn engine_views(&self, service: &ServiceId) -> BTreeMap<UpstreamId, EngineView> {
-        let now = self.gateway.clock.now();
-        let engines = self
-            .engines
-            .iter()
-            .filter(|(_, e)| e.registration.service == *service);
-        let mut views: BTreeMap<_, _> = engines
-            .map(|(id, engine)| (id.clone(), engine.view(now)))
-            .collect();
-        for ((engine, model), requests) in self.mesh.running_requests() {
-            if let Some(view) = views.get_mut(&engine) {
-                view.running_requests.insert(model, requests);
-            }
-        }
-        views
-    }
-
-    /// Plans the models of a service and sends the orders.
-    async fn place_models(
-        &mut self,
-        service: &ServiceId,
-        spec: &EngineSpec,
-        demand: &BTreeMap<Target, Demand>,
-        epoch: Epoch,
-    ) {
-        let now = self.gateway.clock.now();
-        let views = self.engine_views(service);
-        let models = demand_by_model(demand, &views);
-        let allowed = self.load_limiter.available(spec.remote_rate, now);
-        let loading = self.engines.values().filter(|e| e.loads_remotely()).count();
-        let remote_loads = allowed.min(MAX_REMOTE_LOADS.saturating_sub(loading));
-        let actions = plan_models(&views, spec, &models, remote_loads, now);
-        let mut orders = Vec::new();
-        for (id, planned) in actions {
-            let (action, incoming) = match planned {
-                ModelAction::Load(model, tier) => {
-                    if tier == StorageTier::Remote {
-                        self.load_limiter.record_load();
-                        self.gateway.counters.store_loads.inc();
-                    }
-                    (OrderAction::Load(model_target(model.clone())), model)
-                }
-                ModelAction::Unload { model, incoming } => {
-                    (OrderAction::Unload(model_target(model)), incoming)
-                }
-            };
-            if let Some(engine) = self.engines.get_mut(&id) {
-                let model_spec = spec.models.get(&incoming);
-                let tier = placement::storage_tier(&engine.view(now).inventory, &incoming);
-                let time = model_spec.map_or(UNLOAD_TIME, |model_spec| load_time(model_spec, tier));
-                engine.expected_end = now
-                    + match action {
-                        OrderAction::Load(_) => time,
-                        OrderAction::Unload(_) => time + UNLOAD_TIME,
-                    };
-                engine.incoming_model = Some(incoming);
-            }
-            orders.push((id, action));
-        }
-        self.issue_orders(orders, epoch).await;
-    }
-
-    /// Plans the adapters of a service and sends the orders.
-    async fn place_adapters(
-        &mut self,
-        service: &ServiceId,
-        spec: &EngineSpec,
-        demand: &BTreeMap<Target, Demand>,
-        epoch: Epoch,
-    ) {
-        let views = self.engine_views(service);
-        let actions = plan_adapters(&views, &self.loading_adapters(service), spec, demand);
-        let orders = actions.into_iter().map(|(id, action)| match action {
-            AdapterAction::Load(model, adapter) => {
-                (id, OrderAction::Load(adapter_target(model, adapter)))
-            }
-            AdapterAction::Unload(model, adapter) => {
-                (id, OrderAction::Unload(adapter_target(model, adapter)))
-            }
-        });
-        let orders: Vec<_> = orders.collect();
-        if !orders.is_empty() {
-            self.issue_orders(orders, epoch).await;
-            // An engine gets one order in a round, but there may be more adapters to load on it.
-            self.gateway.orders_due.notify_one();
-        }
-    }
-
-    /// The adapters that the engines of a service are loading.
-    fn loading_adapters(&self, service: &ServiceId) -> BTreeMap<UpstreamId, LoadingAdapters> {
-        let engines = self
-            .engines
-            .iter()
-            .filter(|(_, e)| e.registration.service == *service);
-        engines
-            .map(|(id, engine)| (id.clone(), engine.loading_adapters()))
-            .collect()
-    }
-
-    /// Sends the loads at once, and the unloads after a notice to all VMs, whose requests must not
-    /// go to a model that is being unloaded.
-    async fn issue_orders(&mut self, orders: Vec<(UpstreamId, OrderAction)>, epoch: Epoch) {
-        let (loads, unloads): (Vec<_>, Vec<_>) = orders
-            .into_iter()
-            .partition(|(_, action)| matches!(action, OrderAction::Load(_)));
-        self.send_orders(loads, epoch).await;
-        let updates = unloads.iter().filter_map(|(id, action)| {
-            let (OrderAction::Load(target) | OrderAction::Unload(target)) = action;
-            self.inventory_update(id, target, false)
-        });
-        let updates: Vec<_> = updates.collect();
-        if !updates.is_empty() {
-            self.mesh.broadcast_updates(epoch, updates).await;
-            tokio::time::sleep(NOTICE_LEAD).await;
-            self.send_orders(unloads, epoch).await;
-        }
-    }
-
-    /// Sends orders to several engines concurrently, unless this VM is no longer the leader.
-    async fn send_orders(&mut self, orders: Vec<(UpstreamId, OrderAction)>, epoch: Epoch) {
-        let boot = self.gateway.clock.boot();
-        if self.leadership.epoch(boot) != Some(epoch) {
-            return;
-        }
-        let mut sends = JoinSet::new();
-        for (id, action) in orders {
-            let Some(engine) = self.engines.get(&id) else {
-                continue;
-            };
-            let Some(report) = &engine.report else {
-                continue;
-            };
-            let order = Order {
-                action,
-                expected_orders: report.accepted_orders,
-                holder: self.gateway.vm.clone(),
-                epoch,
-            };
-            let at = engine.registration.address;
-            let engine_client = Arc::clone(&self.engine_client);
-            sends.spawn(async move {
-                let response = engine_client.send_order(at, &id, &order);
-                let reply = tokio::time::timeout(ENGINE_TIMEOUT, response).await;
-                let silent = |_late| ControlReply::failed(ControlError::Silent);
-                (id, order, reply.unwrap_or_else(silent))
-            });
-        }
-        while let Some(done) = sends.join_next().await {
-            // A failed task has no response; the engine's next report shows its state.
-            if let Ok((id, order, reply)) = done {
-                self.apply_response(&id, &order, reply.outcome);
-                self.apply_signals(&id, reply.signals);
-            }
-        }
-    }
-
-    fn apply_response(
-        &mut self,
-        id: &UpstreamId,
-        order: &Order,
-        response: Result<OrderResponse, ControlError>,
-    ) {
-        let now = self.gateway.clock.now();
-        let Some(engine) = self.engines.get_mut(id) else {
-            return;
-        };
-        self.gateway.counters.orders.inc();
-        info!(self.gateway.log, "order_given"; "engine" => %id, "act" => %order.action,
-            "after" => order.expected_orders, "epoch" => %order.epoch, "answer" => ?response);
-        engine.apply_response(&order.action, response, now);
-        let held = engine.registration.inventory.clone();
-        if response == Ok(OrderResponse::Fenced) {
-            self.leadership.on_fenced();
-        }
-        let OrderAction::Load(target) = &order.action else {
-            return;
-        };
-        let succeeded = matches!(response, Ok(OrderResponse::Accepted | OrderResponse::Holds));
-        if succeeded && target.adapter.is_some() && !held.can_serve(target) {
-            self.announce_adapter(id, target, order.epoch);
-        }
-    }
-
-    /// Announces to all VMs that an engine holds an adapter, after the time that the load takes.
-    fn announce_adapter(&self, id: &UpstreamId, target: &Target, epoch: Epoch) {
-        let Some(update) = self.inventory_update(id, target, true) else {
-            return;
-        };
-        let mesh = Arc::clone(&self.mesh);
-        tokio::spawn(async move {
-            tokio::time::sleep(ADAPTER_LOAD_TIME).await;
-            mesh.broadcast_updates(epoch, vec![update]).await;
-        });
-    }
-
-    fn inventory_update(
-        &self,
-        id: &UpstreamId,
-        target: &Target,
-        present: bool,
-    ) -> Option<InventoryUpdate> {
-        let engine = self.engines.get(id)?;
-        Some(InventoryUpdate {
-            engine: id.clone(),
-            born: engine.registration.started_ms,
-            model: target.model.clone(),
-            adapter: target.adapter.clone(),
-            present,
-        })
-    }
-}
-
-/// Sums the demand of each model and its adapters. Requests that wait for an adapter count as
-/// waiting for the model only if no engine holds the model.
-fn demand_by_model(
-    demand: &BTreeMap<Target, Demand>,
-    views: &BTreeMap<UpstreamId, EngineView>,
-) -> BTreeMap<ModelId, ModelDemand> {
-    let mut by_model: BTreeMap<ModelId, ModelDemand> = BTreeMap::new();
-    for (target, part) in demand {
-        let entry = by_model.entry(target.model.clone()).or_default();
-        entry.total.rate += part.rate;
-        entry.total.late += part.late;
-        if target.adapter.is_some() {
-            entry.adapter_rate += part.rate;
-            entry.adapters += 1;
-        }
-        if target.adapter.is_none() || !is_held(views, &target.model) {
-            entry.total.waiting += part.waiting;
-        }
-    }
-    by_model
-}
-
-fn model_target(model: ModelId) -> Target {
-    Target {
-        model,
-        adapter: None,
-    }
-}
-
-fn adapter_target(model: ModelId, adapter: AdapterId) -> Target {
-    Target {
-        model,
-        adapter: Some(adapter),
-    }
-}
-
-fn is_held(views: &BTreeMap<UpstreamId, EngineView>, model: &ModelId) -> bool {
-    views
-        .values()
-        .any(|view| view.inventory.loaded.contains_key(model))
 }
