Count and log each request that ends without a complete answer

A connection that ended with a request in progress left no count and no line, so that the hypotheses of the incident on unanswered requests looked the same in the record. Each such request is now counted by its cause (`basilgw_requests_unanswered_total`) and told by one line (`request_unanswered`) with its stage, its id, the time since its head and the time since the configuration in force was taken. Lines that callers can cause at will count towards the 50 a second of such lines.

Tests: one request for each of three causes is counted and named; the twin has a whole stream, bytes that are no request, a head over the limit, a connection without a byte and a refusal before a long body, and nothing is counted. Breaks: without the check for heads that the HTTP library refused, or for a body that was not read, the twin is red; taking an aborted response for a caller's leaving turns the first red.

Not shown by a test: the causes `gave_way`, `unread` and `stop`.

--- a/src/gateway/caller_limit/metrics.rs
+++ b/src/gateway/caller_limit/metrics.rs
@@ -4,6 +4,7 @@
 
 use crate::metrics::Metrics;
 
+use super::super::unanswered::UnansweredCause;
 use super::ledger::{Ledger, Phase, Purpose};
 
 /// Why a caller's connection was closed.
@@ -52,6 +53,7 @@
     connections: IntGaugeVec,
     refusals: IntCounterVec,
     closes: IntCounterVec,
+    unanswered: IntCounterVec,
 }
 
 impl CallerLimitMetrics {
@@ -71,17 +73,23 @@
             "basilgw_caller_closes_total",
             "Connections of callers that were closed, by reason.",
         );
+        let unanswered = Opts::new(
+            "basilgw_requests_unanswered_total",
+            "Requests that ended without a complete answer, by cause.",
+        );
         let found = Self {
             bytes: IntGaugeVec::new(bytes, &["purpose"])?,
             connections: IntGaugeVec::new(connections, &["phase"])?,
             refusals: IntCounterVec::new(refusals, &["lack"])?,
             closes: IntCounterVec::new(closes, &["reason"])?,
+            unanswered: IntCounterVec::new(unanswered, &["why"])?,
         };
         let registry = metrics.registry();
         registry.register(Box::new(found.bytes.clone()))?;
         registry.register(Box::new(found.connections.clone()))?;
         registry.register(Box::new(found.refusals.clone()))?;
         registry.register(Box::new(found.closes.clone()))?;
+        registry.register(Box::new(found.unanswered.clone()))?;
         Ok(found)
     }
 
@@ -95,6 +103,11 @@
         self.closes.with_label_values(&[reason.label()]).inc();
     }
 
+    /// Counts a request that ended without a complete answer.
+    pub fn unanswered(&self, cause: UnansweredCause) {
+        self.unanswered.with_label_values(&[cause.label()]).inc();
+    }
+
     /// Sets the gauges, for a scrape.
     pub(super) fn refresh(&self, ledger: &Ledger) {
         let purposes = [
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -24,11 +24,13 @@
 
 use crate::clock::Clock;
 use crate::edge::RequestGuard;
+use crate::ids::RequestId;
 
 use super::caller_limit::CallerSlot;
 use super::framing::RawHead;
 use super::relay::ResponseAborted;
 use super::response::CallerBody;
+use super::unanswered::{UnansweredRequest, UnansweredStage};
 
 /// Longest time for which what a caller still sends after its refusal is thrown away. Without it
 /// the connection would be reset, and the refusal might be lost.
@@ -56,8 +58,10 @@
 enum Stage {
     /// There was none, or its response is written.
     Done,
-    /// The HTTP library has not taken the whole response.
+    /// It has no response yet.
     Running,
+    /// The HTTP library has not taken the whole response.
+    Responding,
     /// It has, and may still have to write some of it.
     Taken,
 }
@@ -67,6 +71,10 @@
     /// Requests that have arrived so far.
     arrived: usize,
     stage: Stage,
+    /// Id of the last request, if its head was decoded.
+    id: Option<RequestId>,
+    /// When the last request arrived.
+    begun: Instant,
     /// Whether the body of the last request was not read to its end.
     unread: bool,
     /// When the last request ended, or the connection was opened.
@@ -99,6 +107,8 @@
         let progress = Progress {
             arrived: 0,
             stage: Stage::Done,
+            id: None,
+            begun: clock.now(),
             unread: false,
             idle_since: clock.now(),
             blocked_since: None,
@@ -123,11 +133,43 @@
         let mut progress = self.lock();
         progress.arrived += 1;
         progress.stage = Stage::Running;
+        progress.id = None;
+        progress.begun = self.clock.now();
         progress.unread = unread;
         progress.declared = declared;
         progress.outlives_end = true;
     }
 
+    /// Notes the id of the request.
+    pub fn set_request(&self, id: &RequestId) {
+        self.lock().id = Some(id.clone());
+    }
+
+    /// The request that has no complete answer now, if there is one.
+    pub fn unanswered(&self) -> Option<UnansweredRequest> {
+        let progress = self.lock();
+        let stage = match progress.stage {
+            // What follows the head of a request whose body was not read is no head.
+            Stage::Done if self.raw_head.is_partial() && !progress.unread => {
+                return Some(UnansweredRequest {
+                    stage: UnansweredStage::Head,
+                    id: None,
+                    spent: None,
+                });
+            }
+            Stage::Done => return None,
+            Stage::Running if progress.unread => UnansweredStage::Body,
+            Stage::Running => UnansweredStage::Running,
+            Stage::Responding | Stage::Taken => UnansweredStage::Response,
+        };
+        let spent = self.clock.now().saturating_duration_since(progress.begun);
+        Some(UnansweredRequest {
+            stage,
+            id: progress.id.clone(),
+            spent: Some(spent),
+        })
+    }
+
     /// Sets whether the request goes on after the end of the caller's sending side; it does until
     /// this is known.
     pub fn set_outlives_end(&self, outlives: bool) {
@@ -163,6 +205,7 @@
     /// Makes the request last until this body is written.
     pub fn watch_body(self: &Arc<Self>, body: CallerBody) -> CallerBody {
         self.slot.begin_response();
+        self.lock().stage = Stage::Responding;
         let body = WatchedBody {
             body,
             connection: Arc::clone(self),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,8 @@
 //! the platform's [`platform_api::Dialect`], looks up the route and the client account in the
 //! [`configuration`], checks that the configuration is fresh enough to trust keys ([`freshness`])
 //! and charges the request to the account's quota ([`allowance`]). What callers hold of the VM's
-//! memory and descriptors meanwhile is bounded ([`caller_limit`], [`connection`]). Then
+//! memory and descriptors meanwhile is bounded ([`caller_limit`], [`connection`]); what ends without
+//! an answer is counted ([`unanswered`]). Then
 //! [`balancer`] chooses one of the upstreams in use ([`fleet`]); if no engine holds the model, the
 //! request waits for it to be loaded (`model_wait`, [`demand`]). A request that crashes engines, as
 //! such or by a part of its prompt, is not sent ([`quarantine`]). An upstream that names a limit
@@ -85,6 +86,7 @@
 pub mod store_watch;
 pub mod stream;
 pub mod stream_progress;
+pub mod unanswered;
 mod unreadable_objects;
 pub mod upstream;
 pub mod upstream_limit;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -104,6 +104,7 @@
         }
     };
     let id = head.id.clone();
+    connection.set_request(&id);
     let started = gateway.clock.now();
     let outcome = admit(gateway, connection, head, body, started).await;
     let spent = gateway.clock.now().saturating_duration_since(started);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -32,6 +32,7 @@
 use super::relay;
 use super::response::{self, CallerBody};
 use super::state::Gateway;
+use super::unanswered::UnansweredCause;
 
 /// Smallest buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
@@ -202,7 +203,10 @@
             // The connection goes first, as it reads what the others look at.
             biased;
             // An error, such as an invalid request, ends only this connection.
-            _ended = connection.as_mut() => return,
+            ended = connection.as_mut() => {
+                report_ended(&gateway, &caller, ended);
+                return;
+            }
             // Announces the end of kept-alive connections; a caller that still used one after the
             // exit would lose its request. The first request of a connection may be on its way, and
             // the head of another one may have begun; its response ends the connection.
@@ -239,6 +243,27 @@
         }
     };
     gateway.caller_limits.metrics.closed(closed);
+    if let Some(request) = caller.unanswered() {
+        gateway.on_unanswered(&request, closed.into());
+    }
+}
+
+/// Reports the request that a connection left without a complete answer as it ended, if any.
+fn report_ended(gateway: &Gateway, caller: &CallerConnection, ended: hyper::Result<()>) {
+    // The HTTP library has refused a head that it could not read.
+    let refused = ended.as_ref().is_err_and(hyper::Error::is_parse);
+    let aborted = ended.is_err_and(|error| error.is_user());
+    let Some(request) = caller.unanswered().filter(|_| !refused) else {
+        return;
+    };
+    let now = gateway.clock.now();
+    let stopped = gateway.stop_plan().is_some_and(|plan| plan.ends <= now);
+    let cause = match (aborted, stopped) {
+        (true, true) => UnansweredCause::Stop,
+        (true, false) => UnansweredCause::Aborted,
+        (false, _) => UnansweredCause::CallerLeft,
+    };
+    gateway.on_unanswered(&request, cause);
 }
 
 /// Limits on callers, those of the configuration if there is one.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -104,6 +104,8 @@
     pub running: Arc<RequestTracker>,
     /// The configuration in force; absent until the first one is read.
     pub configuration: ArcSwapOption<Configuration>,
+    /// When it came into force.
+    configured: Mutex<Option<Instant>>,
     /// Upstreams in use.
     pub upstreams: ArcSwap<UpstreamMap>,
     /// Notifies waiters when the upstreams in use change or shutdown begins.
@@ -217,6 +219,7 @@
             log: deps.log,
             running: RequestTracker::open(),
             configuration: ArcSwapOption::empty(),
+            configured: Mutex::default(),
             upstreams: ArcSwap::default(),
             upstreams_changed: Notify::new(),
             usage_due: Notify::new(),
@@ -485,12 +488,19 @@
         let slow_starts = in_force.as_ref().map(|old| old.slow_starts());
         let slow_start_changed = slow_starts != Some(configuration.slow_starts());
         self.configuration.store(Some(Arc::new(configuration)));
+        *lock(&self.configured) = Some(self.clock.now());
         if slow_start_changed {
             self.on_slow_start_changed();
         }
         true
     }
 
+    /// Time since the configuration in force came into force; absent where there is none.
+    pub fn configuration_age(&self) -> Option<Duration> {
+        let since = (*lock(&self.configured))?;
+        Some(self.clock.now().saturating_duration_since(since))
+    }
+
     /// Counts the entries that could not be read, and names the first of them in the log.
     fn report_unreadable(&self, configuration: &Configuration) {
         let faults = &configuration.unreadable.faults;
--- /dev/null
+++ b/src/gateway/unanswered.rs
@@ -0,0 +1,108 @@
+//! Requests that end without a complete answer at their caller's connection. Each is counted by its
+//! cause and named in the log, with how far it came and the age of the configuration in force.
+
+use std::time::Duration;
+
+use slog::warn;
+
+use crate::ids::RequestId;
+
+use super::caller_limit::metrics::CloseReason;
+use super::state::Gateway;
+
+/// Why a request got no complete answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnansweredCause {
+    /// Its connection gave way to another.
+    GaveWay,
+    /// Its head took too long.
+    HeadTimeout,
+    /// The caller took nothing of the response for too long.
+    Unread,
+    /// The caller closed the connection.
+    CallerLeft,
+    /// The response was aborted.
+    Aborted,
+    /// The response was aborted because this VM stops.
+    Stop,
+}
+
+/// How far a request came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnansweredStage {
+    /// Its head was not complete.
+    Head,
+    /// Its body was not read to its end.
+    Body,
+    /// It waited or ran.
+    Running,
+    /// Its response had begun.
+    Response,
+}
+
+/// A request without a complete answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnansweredRequest {
+    /// How far it came.
+    pub stage: UnansweredStage,
+    /// Its id; absent until its head is decoded.
+    pub id: Option<RequestId>,
+    /// Time since its head was complete; absent before.
+    pub spent: Option<Duration>,
+}
+
+impl UnansweredCause {
+    /// Name in metrics and the log.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::GaveWay => "gave_way",
+            Self::HeadTimeout => "head_timeout",
+            Self::Unread => "unread",
+            Self::CallerLeft => "caller_left",
+            Self::Aborted => "aborted",
+            Self::Stop => "stop",
+        }
+    }
+
+    /// Whether callers can cause such ends as often as they like.
+    fn caused_by_caller(self) -> bool {
+        !matches!(self, Self::Aborted | Self::Stop)
+    }
+}
+
+impl From<CloseReason> for UnansweredCause {
+    fn from(reason: CloseReason) -> Self {
+        match reason {
+            CloseReason::GaveWay => Self::GaveWay,
+            CloseReason::HeadTimeout => Self::HeadTimeout,
+            CloseReason::Unread => Self::Unread,
+        }
+    }
+}
+
+impl UnansweredStage {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Head => "head",
+            Self::Body => "body",
+            Self::Running => "running",
+            Self::Response => "response",
+        }
+    }
+}
+
+impl Gateway {
+    /// Counts and logs a request that got no complete answer.
+    pub fn on_unanswered(&self, request: &UnansweredRequest, cause: UnansweredCause) {
+        self.caller_limits.metrics.unanswered(cause);
+        if cause.caused_by_caller() && !self.may_log() {
+            return;
+        }
+        let millis = |time: Duration| time.as_millis() as u64;
+        warn!(self.log, "request_unanswered"; "why" => cause.label(),
+            "stage" => request.stage.label(),
+            "request" => request.id.as_ref().map(ToString::to_string),
+            "spent_ms" => request.spent.map(millis),
+            "configuration_ms" => self.configuration_age().map(millis));
+    }
+}
