Send the head of a stream with its first events

A stream's status went to its caller as the engine's head came, though nothing could be told yet. An engine that broke off, closed, was silent to the deadline or sent no event left the caller a bare 200, or no byte; so did the stop of this VM. Plain routes got a whole 502.

Cause: handle_response gave the attempts away with the engine's head and returned the response at once.

The first events are now read within the attempt (stream::start), by the stream's own rules for silence, faults and resumption, and go to the caller with the head. Until then another engine may serve the stream from its beginning, with that engine's head, or the request gets a whole refusal: 504 at the deadline and for silence, otherwise 502, both "unknown". The attempts stay with the request meanwhile, so the refusal of a stop doesn't claim that it did not run. Bytes that can be forwarded, comments too, are forwarded at once as before. An engine that resumes must answer 200.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -101,6 +101,18 @@
         }
     }
 
+    /// What a stream takes over of them. The request may still be refused as a whole, so they stay
+    /// here too.
+    pub(super) fn for_stream(&self) -> Self {
+        Self {
+            tried: self.tried.clone(),
+            sent: self.sent,
+            ran: self.ran,
+            proven: self.proven,
+            ..Self::default()
+        }
+    }
+
     /// A refusal that tells the caller whether the request may have run.
     pub(super) fn refusal(&self, reason: Reason) -> Refusal {
         if self.ran || self.pending > 0 {
@@ -218,6 +230,10 @@
                 attempts.ran = true;
                 begun = true;
                 self.release_body(attempts.sent);
+                if self.is_stream(&response) {
+                    let started = self.start_stream(origin, *response, attempts);
+                    return started.await.map(Some);
+                }
                 match self.handle_response(origin, *response, attempts).await {
                     Ok(response) => return Ok(response),
                     Err(error) => error,
@@ -260,11 +276,16 @@
         if let Some(failure) = attempts.failure.take() {
             return Ok(Some(failure.into()));
         }
-        Err(attempts.refusal(match (error, self.time_left().is_zero()) {
+        Err(attempts.refusal(self.failure_reason(error)))
+    }
+
+    /// The reason of the refusal after the last attempt has failed.
+    pub(super) fn failure_reason(&self, error: ResponseError) -> Reason {
+        match (error, self.time_left().is_zero()) {
             (ResponseError::Deadline, _) | (_, true) => Reason::Deadline,
             (ResponseError::Silent, _) => Reason::UpstreamSilent,
             _ => Reason::UpstreamFailed,
-        }))
+        }
     }
 
     /// Sends the request to one upstream. `after` is the last event that was forwarded to the
@@ -392,13 +413,6 @@
     ) -> Result<Option<Response<CallerBody>>, ResponseError> {
         let upstream = &origin.upstream;
         let status = response.head.status;
-        let streams = matches!(self.route.kind, RouteKind::Streaming { .. });
-        if streams && status == StatusCode::OK {
-            upstream.health.on_success();
-            let admitted = Arc::clone(self);
-            let attempts = std::mem::take(attempts);
-            return Ok(Some(stream::forward(admitted, origin, response, attempts)));
-        }
         if claims_not_run(status) {
             response.end_attempt(AttemptEnd::Invalid);
             upstream.health.on_failure(self.gateway.clock.now());
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,7 +1,9 @@
-//! Forwards response bodies. A stream of events is forwarded event by event, and after a failure
-//! it is resumed at another engine where its route allows that (`stream::resume`).
+//! Forwards response bodies. A stream of events is forwarded event by event, from its first one on
+//! (`stream::start`), and after a failure it is resumed at another engine where its route allows that
+//! (`stream::resume`).
 
 mod resume;
+mod start;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -9,8 +11,6 @@
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http::Response;
-use http::header::CONTENT_LENGTH;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
 use slog::{info, warn};
@@ -23,7 +23,6 @@
 use super::event_room::EventRoom;
 use super::events::{EventError, EventSplitter};
 use super::exchange::{BodyRead, ResponseError, UpstreamResponse};
-use super::model_wait::give_up_time;
 use super::quarantine::crashes::Written;
 use super::relay::{AdmittedRequest, ResponseAborted};
 use super::request::SharedParts;
@@ -32,42 +31,6 @@
 
 use resume::Place;
 
-/// Forwards a response that streams events.
-pub fn forward(
-    admitted: Arc<AdmittedRequest>,
-    origin: Origin,
-    response: UpstreamResponse,
-    attempts: Attempts,
-) -> Response<CallerBody> {
-    let status = response.head.status;
-    let mut headers = admitted.gateway.dialect.response_headers(&response.head);
-    // Another engine that resumes the stream may send a different number of bytes.
-    headers.remove(CONTENT_LENGTH);
-    let events = EventSplitter::resume_after(admitted.request.head.last_event);
-    let give_up = give_up_time(&admitted.route);
-    let gap = match admitted.route.kind {
-        RouteKind::Streaming { gap, .. } => gap,
-        RouteKind::Idempotent | RouteKind::Mutating => give_up,
-    };
-    let started = admitted.gateway.clock.now();
-    let stream = Stream {
-        admitted,
-        origin,
-        response,
-        attempts,
-        events,
-        room: EventRoom::default(),
-        progress: StreamProgress::open(give_up, gap, started),
-        run: EngineRun::open(started),
-        next: Next::Read,
-        kept: false,
-    };
-    let mut response = Response::new(streamed_body(Some(stream), next_event));
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    response
-}
-
 /// Forwards a body that is not buffered whole; `begun` is what was read of it.
 pub fn forward_plain(
     admitted: Arc<AdmittedRequest>,
@@ -151,6 +114,9 @@
 async fn next_event(
     mut stream: Stream,
 ) -> Option<(Result<Bytes, ResponseAborted>, Option<Stream>)> {
+    if let Some(first) = stream.first.take() {
+        return Some((Ok(first), Some(stream)));
+    }
     let admitted = Arc::clone(&stream.admitted);
     let next = tokio::select! {
         biased;
@@ -174,6 +140,8 @@
     origin: Origin,
     response: UpstreamResponse,
     attempts: Attempts,
+    /// Events that were read before the head was sent, and not forwarded yet.
+    first: Option<Bytes>,
     events: EventSplitter,
     room: EventRoom,
     progress: StreamProgress,
@@ -181,6 +149,8 @@
     run: EngineRun,
     /// What follows the events that were returned last.
     next: Next,
+    /// Why the last engine that was lost ended; absent while there was none.
+    lost: Option<ResponseError>,
     /// Whether it was recorded that the stream stays at its engine in this silence.
     kept: bool,
 }
--- a/src/gateway/stream/resume.rs
+++ b/src/gateway/stream/resume.rs
@@ -127,6 +127,7 @@
     /// Records that the engine is given up.
     fn on_lost(&mut self, error: ResponseError) {
         self.response.end_attempt(error.into());
+        self.lost = Some(error);
         let now = self.now();
         let standing = self.standing(now);
         let admitted = &self.admitted;
@@ -190,7 +191,7 @@
             self.attempts.sent += 1;
         }
         match outcome {
-            SendOutcome::Responded(response) if response.head.status.is_success() => {
+            SendOutcome::Responded(response) if admitted.is_stream(&response) => {
                 info!(gateway.log, "stream_resumed"; "request" => %admitted.request.head.id,
                     "upstream" => %upstream.registration.id, "event" => after);
                 admitted.release_body(self.attempts.sent);
--- /dev/null
+++ b/src/gateway/stream/start.rs
@@ -0,0 +1,109 @@
+//! Starts to forward a stream of events.
+//!
+//! The head of the response goes to the caller together with the first events. Until these are
+//! there, the stream can still begin at another engine, with that one's head, or the request is
+//! refused as a whole.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::CONTENT_LENGTH;
+use http::{Response, StatusCode};
+
+use super::{Next, Stream, next_event, streamed_body};
+use crate::gateway::attempt::{Attempts, Origin};
+use crate::gateway::configuration::RouteKind;
+use crate::gateway::engine_run::EngineRun;
+use crate::gateway::event_room::EventRoom;
+use crate::gateway::events::EventSplitter;
+use crate::gateway::exchange::UpstreamResponse;
+use crate::gateway::model_wait::give_up_time;
+use crate::gateway::relay::{AdmittedRequest, CAPACITY_RETRY, ResponseAborted};
+use crate::gateway::response::{self, CallerBody};
+use crate::gateway::stream_progress::StreamProgress;
+use crate::outcome::{Reason, Refusal};
+
+impl AdmittedRequest {
+    /// Whether the response is a stream of events.
+    pub(in crate::gateway) fn is_stream(&self, response: &UpstreamResponse) -> bool {
+        let streams = matches!(self.route.kind, RouteKind::Streaming { .. });
+        streams && response.head.status == StatusCode::OK
+    }
+
+    /// Forwards a stream of events, from its first events on.
+    ///
+    /// # Errors
+    ///
+    /// A refusal where there are none, at this engine or another one.
+    pub(in crate::gateway) async fn start_stream(
+        self: &Arc<Self>,
+        origin: Origin,
+        response: UpstreamResponse,
+        attempts: &mut Attempts,
+    ) -> Result<Response<CallerBody>, Refusal> {
+        origin.upstream.health.on_success();
+        let mut stream = Stream::open(self, origin, response, attempts.for_stream());
+        match stream.next().await {
+            Ok(first) => Ok(stream.respond(first)),
+            Err(ResponseAborted) => attempts.give_up(stream.end_reason(), CAPACITY_RETRY),
+        }
+    }
+}
+
+impl Stream {
+    fn open(
+        admitted: &Arc<AdmittedRequest>,
+        origin: Origin,
+        response: UpstreamResponse,
+        attempts: Attempts,
+    ) -> Self {
+        let give_up = give_up_time(&admitted.route);
+        let gap = match admitted.route.kind {
+            RouteKind::Streaming { gap, .. } => gap,
+            RouteKind::Idempotent | RouteKind::Mutating => give_up,
+        };
+        let started = admitted.gateway.clock.now();
+        Self {
+            admitted: Arc::clone(admitted),
+            origin,
+            response,
+            attempts,
+            first: None,
+            events: EventSplitter::resume_after(admitted.request.head.last_event),
+            room: EventRoom::default(),
+            progress: StreamProgress::open(give_up, gap, started),
+            run: EngineRun::open(started),
+            next: Next::Read,
+            lost: None,
+            kept: false,
+        }
+    }
+
+    /// The response that begins with these events; without any, the stream has ended.
+    fn respond(mut self, first: Option<Bytes>) -> Response<CallerBody> {
+        let head = &self.response.head;
+        let status = head.status;
+        let mut headers = self.admitted.gateway.dialect.response_headers(head);
+        // Another engine that resumes the stream may send a different number of bytes.
+        headers.remove(CONTENT_LENGTH);
+        let body = if first.is_some() {
+            self.first = first;
+            streamed_body(Some(self), next_event)
+        } else {
+            response::complete_body(Bytes::new())
+        };
+        let mut response = Response::new(body);
+        *response.status_mut() = status;
+        *response.headers_mut() = headers;
+        response
+    }
+
+    /// Why there is no event.
+    fn end_reason(&self) -> Reason {
+        match self.lost {
+            _ if self.next == Next::Cut => Reason::Capacity,
+            Some(error) => self.admitted.failure_reason(error),
+            None => Reason::UpstreamFailed,
+        }
+    }
+}
