Forward an answer that is no stream whole on a streaming route

On a streaming route, an answer of 200 that names another type than text/event-stream was read as events. A route whose kind changes to streaming while its engines answer plainly does this.

Such an answer is now handled as on any other route: buffered within the bounds and forwarded whole, or a whole failure. A resumed stream doesn't go on at an engine that answers so. An answer without a type is still a stream.

--- a/src/gateway/stream/start.rs
+++ b/src/gateway/stream/start.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use http::header::CONTENT_LENGTH;
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use http::{Response, StatusCode};
 
 use super::{Next, Stream, next_event, streamed_body};
@@ -23,11 +23,18 @@
 use crate::gateway::stream_progress::StreamProgress;
 use crate::outcome::{Reason, Refusal};
 
+/// Media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 impl AdmittedRequest {
-    /// Whether the response is a stream of events.
+    /// Whether the response is a stream of events. On a streaming route it is unless it names
+    /// another type.
     pub(in crate::gateway) fn is_stream(&self, response: &UpstreamResponse) -> bool {
-        let streams = matches!(self.route.kind, RouteKind::Streaming { .. });
-        streams && response.head.status == StatusCode::OK
+        let head = &response.head;
+        let media_type = head.headers.get(CONTENT_TYPE);
+        matches!(self.route.kind, RouteKind::Streaming { .. })
+            && head.status == StatusCode::OK
+            && media_type.is_none_or(|value| names_events(value.as_bytes()))
     }
 
     /// Forwards a stream of events, from its first events on.
@@ -107,3 +114,10 @@
         }
     }
 }
+
+/// Whether a media type, with or without parameters, is that of a stream of events.
+fn names_events(value: &[u8]) -> bool {
+    let essence = value.split(|byte| *byte == b';').next();
+    let essence = essence.unwrap_or_default().trim_ascii();
+    essence.eq_ignore_ascii_case(EVENT_STREAM)
+}
