Write what was taken of a body before its failure ends it

A body that failed right behind its head or its events took them with it: the HTTP library drops what it has not written when a body fails. The caller got no byte of an answer that had begun, where a visible cut is due.

Cause: the failure was passed on in the same poll as what came before it, without a write in between.

A failure is now held back until the connection has written all that was taken before (WatchedBody); the library writes while the body waits, and the flush wakes it. This holds for streams and for plain bodies that aren't buffered whole. A caller that takes nothing counts as blocked meanwhile, so the unread bound ends it as before; a caller that leaves ends the connection at once.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -83,6 +83,8 @@
     ended: Option<Instant>,
     /// Wakes the connection to see that end.
     reader: Option<Waker>,
+    /// Wakes a body that has failed, once all that was taken of it is written.
+    failed: Option<Waker>,
 }
 
 impl Progress {
@@ -107,6 +109,7 @@
             outlives_end: false,
             ended: None,
             reader: None,
+            failed: None,
         };
         Arc::new(Self {
             slot,
@@ -166,6 +169,7 @@
         let body = WatchedBody {
             body,
             connection: Arc::clone(self),
+            failure: None,
         };
         body.boxed_unsync()
     }
@@ -186,9 +190,13 @@
         self.lock().blocked_since
     }
 
-    /// Ends the request if its response was taken whole; all bytes taken so far are written.
+    /// Ends the request if its response was taken whole, and lets a failure of its body end it; all
+    /// bytes taken so far are written.
     fn on_flushed(&self) {
         let mut progress = self.lock();
+        if let Some(failed) = progress.failed.take() {
+            failed.wake();
+        }
         if progress.stage != Stage::Taken {
             return;
         }
@@ -229,10 +237,29 @@
 }
 
 /// A body that tells its connection when the HTTP library has taken it whole.
+///
+/// The HTTP library drops what it has not written when a body fails. A failure is therefore held
+/// back until the head and all of the body that came before are written.
 #[derive(Debug)]
 struct WatchedBody {
     body: CallerBody,
     connection: Arc<CallerConnection>,
+    /// The failure that is held back.
+    failure: Option<ResponseAborted>,
+}
+
+impl WatchedBody {
+    /// Whether the connection has written all that was taken since the failure.
+    fn poll_written(&self, cx: &Context<'_>) -> Poll<()> {
+        let mut progress = self.connection.lock();
+        match &mut progress.failed {
+            Some(waker) => {
+                waker.clone_from(cx.waker());
+                Poll::Pending
+            }
+            None => Poll::Ready(()),
+        }
+    }
 }
 
 impl Body for WatchedBody {
@@ -243,7 +270,18 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        if let Some(failure) = self.failure {
+            ready!(self.poll_written(cx));
+            return Poll::Ready(Some(Err(failure)));
+        }
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if let Some(Err(failure)) = frame {
+            self.failure = Some(failure);
+            // A body that waits lets the HTTP library write what it has.
+            self.connection.lock().failed = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
