Keep a connection for the idle time that its caller knew

Callers reuse a kept connection within the idle time that they know. The VM read the newest one at its next look at a connection, so that a configuration that shortens it closed connections which callers could still use, and a request could cross the close.

The longest idle time in force since the connection's last request arrived (or since it was opened) holds now; a shorter one holds from the next request on. `IdleTimes` keeps those that were replaced as far as they can still decide, 64 at most. Giving way to others for room is as it was.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -73,7 +73,7 @@
     stage: Stage,
     /// Id of the last request, if its head was decoded.
     id: Option<RequestId>,
-    /// When the last request arrived.
+    /// When the last request arrived, or the connection was opened.
     begun: Instant,
     /// Whether the body of the last request was not read to its end.
     unread: bool,
@@ -218,6 +218,11 @@
         self.lock().arrived > 0
     }
 
+    /// When the last request arrived, or the connection was opened.
+    pub fn last_request(&self) -> Instant {
+        self.lock().begun
+    }
+
     /// Since when there is no request in progress; `None` if there is one.
     pub fn idle_since(&self) -> Option<Instant> {
         let progress = self.lock();
--- /dev/null
+++ b/src/gateway/connection_bounds.rs
@@ -0,0 +1,58 @@
+//! How long a caller's connection may be idle.
+//!
+//! Callers go by the idle time that they knew when they sent their last request. A shorter one of a
+//! later configuration therefore holds for a connection from its next request on.
+
+use std::time::{Duration, Instant};
+
+/// Added to the idle time, so that a request sent just before it ends still arrives in time.
+const IDLE_GRACE: Duration = Duration::from_millis(500);
+/// Most idle times kept that were replaced. The longest one, which is the oldest, goes first.
+const MAX_REPLACED: usize = 64;
+
+/// The idle time in force, and those that it replaced.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IdleTimes {
+    current: Duration,
+    /// When each of them was replaced, in this order. Each is longer than all that came after it;
+    /// those that are not never decide.
+    replaced: Vec<(Instant, Duration)>,
+}
+
+impl IdleTimes {
+    /// Starts with an idle time in force.
+    pub fn new(current: Duration) -> Self {
+        Self {
+            current,
+            replaced: Vec::new(),
+        }
+    }
+
+    /// Puts another idle time into force.
+    pub fn replace(&mut self, idle_time: Duration, now: Instant) {
+        self.replaced.push((now, self.current));
+        self.replaced.retain(|(_, replaced)| *replaced > idle_time);
+        if self.replaced.len() > MAX_REPLACED {
+            self.replaced.remove(0);
+        }
+        self.current = idle_time;
+    }
+
+    /// The longest idle time that was in force at any moment from `since` on.
+    pub fn longest_since(&self, since: Instant) -> Duration {
+        let mut replaced = self.replaced.iter();
+        let longest = replaced.find(|(until, _)| *until > since);
+        longest.map_or(self.current, |(_, time)| *time)
+    }
+
+    /// When a connection must end that is idle since `idle_since`, and whose last request arrived at
+    /// `last_request`. Without a request, both are when it was opened.
+    pub fn idle_end(&self, last_request: Instant, idle_since: Instant) -> Instant {
+        idle_since + self.longest_since(last_request) + IDLE_GRACE
+    }
+
+    /// When a connection must end whose caller takes nothing since `blocked_since`.
+    pub fn unread_end(&self, blocked_since: Instant) -> Instant {
+        blocked_since + self.current + IDLE_GRACE
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,7 +4,7 @@
 //! the platform's [`platform_api::Dialect`], looks up the route and the client account in the
 //! [`configuration`], checks that the configuration is fresh enough to trust keys ([`freshness`])
 //! and charges the request to the account's quota ([`allowance`]). What callers hold of the VM's
-//! memory and descriptors meanwhile is bounded ([`caller_limit`], [`connection`]); what ends without
+//! memory and descriptors meanwhile is bounded ([`caller_limit`], [`connection`], [`connection_bounds`]); what ends without
 //! an answer is counted ([`unanswered`]). Then
 //! [`balancer`] chooses one of the upstreams in use ([`fleet`]); if no engine holds the model, the
 //! request waits for it to be loaded (`model_wait`, [`demand`]). A request that crashes engines, as
@@ -33,6 +33,7 @@
 pub mod client;
 pub mod configuration;
 pub mod connection;
+pub mod connection_bounds;
 pub mod controller;
 pub mod crowding;
 pub mod demand;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -36,8 +36,8 @@
 
 /// Smallest buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
-/// Added to the idle time, so that a request sent just before it ends still arrives in time.
-const IDLE_GRACE: Duration = Duration::from_millis(500);
+/// Added to the idle time between two looks at a connection that is busy.
+const BUSY_INTERVAL: Duration = Duration::from_millis(500);
 /// Added to the time of a head, which the caller counts from its first byte too.
 const HEAD_GRACE: Duration = Duration::from_millis(500);
 /// Pause after a failed accept, without which a persistent error would cause a busy loop.
@@ -197,7 +197,7 @@
     let closed = loop {
         let mut wait = time_left(&gateway, &caller);
         if raw_head.is_partial() {
-            wait = wait.max(IDLE_GRACE);
+            wait = wait.max(BUSY_INTERVAL);
         }
         tokio::select! {
             // The connection goes first, as it reads what the others look at.
@@ -300,24 +300,23 @@
 
 /// Time until the state of the connection has to be looked at again.
 fn time_left(gateway: &Gateway, caller: &CallerConnection) -> Duration {
-    let bound = idle_bound(gateway);
-    let idle = idle_time_left(gateway, caller).unwrap_or(bound);
-    let unread = unread_time_left(gateway, caller).unwrap_or(bound);
-    idle.min(unread)
+    let idle = idle_time_left(gateway, caller);
+    let unread = unread_time_left(gateway, caller);
+    let busy = || caller_bounds(gateway).idle_time + BUSY_INTERVAL;
+    idle.into_iter().chain(unread).min().unwrap_or_else(busy)
 }
 
 /// Time until the connection has been idle for too long; `None` while a request is in progress.
 fn idle_time_left(gateway: &Gateway, caller: &CallerConnection) -> Option<Duration> {
-    let until = caller.idle_since()? + idle_bound(gateway);
+    let idle_since = caller.idle_since()?;
+    let times = gateway.idle_times.load();
+    let until = times.idle_end(caller.last_request(), idle_since);
     Some(until.saturating_duration_since(gateway.clock.now()))
 }
 
 /// Time until the caller has taken nothing of a response for too long; `None` if it takes it.
 fn unread_time_left(gateway: &Gateway, caller: &CallerConnection) -> Option<Duration> {
-    let until = caller.blocked_since()? + idle_bound(gateway);
+    let blocked_since = caller.blocked_since()?;
+    let until = gateway.idle_times.load().unread_end(blocked_since);
     Some(until.saturating_duration_since(gateway.clock.now()))
 }
-
-fn idle_bound(gateway: &Gateway) -> Duration {
-    caller_bounds(gateway).idle_time + IDLE_GRACE
-}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -28,7 +28,8 @@
 use super::caller_limit::bounds::ProcessLimits;
 use super::caller_limit::metrics::CallerLimitMetrics;
 use super::centre_closure::ClosedCentres;
-use super::configuration::Configuration;
+use super::configuration::{CallerBounds, Configuration};
+use super::connection_bounds::IdleTimes;
 use super::demand::LocalDemand;
 use super::fanout::coverage::Coverage;
 use super::fanout::roles::{Capacity, Role};
@@ -106,6 +107,8 @@
     pub configuration: ArcSwapOption<Configuration>,
     /// When it came into force.
     configured: Mutex<Option<Instant>>,
+    /// Idle times of callers' connections.
+    pub idle_times: ArcSwap<IdleTimes>,
     /// Upstreams in use.
     pub upstreams: ArcSwap<UpstreamMap>,
     /// Notifies waiters when the upstreams in use change or shutdown begins.
@@ -220,6 +223,7 @@
             running: RequestTracker::open(),
             configuration: ArcSwapOption::empty(),
             configured: Mutex::default(),
+            idle_times: ArcSwap::from_pointee(IdleTimes::new(CallerBounds::DEFAULT.idle_time)),
             upstreams: ArcSwap::default(),
             upstreams_changed: Notify::new(),
             usage_due: Notify::new(),
@@ -487,8 +491,12 @@
         self.answer_times().retain(|name| names.contains(name));
         let slow_starts = in_force.as_ref().map(|old| old.slow_starts());
         let slow_start_changed = slow_starts != Some(configuration.slow_starts());
+        let now = self.clock.now();
+        let mut idle_times = IdleTimes::clone(&self.idle_times.load());
+        idle_times.replace(configuration.bounds.idle_time, now);
+        self.idle_times.store(Arc::new(idle_times));
         self.configuration.store(Some(Arc::new(configuration)));
-        *lock(&self.configured) = Some(self.clock.now());
+        *lock(&self.configured) = Some(now);
         if slow_start_changed {
             self.on_slow_start_changed();
         }
