Give a caller that takes nothing at least five seconds

A caller that took nothing of its answer was closed after the idle time: under an idle time of 0.5 s, one that stood still for a second lost an answer in its midst, and a configuration that shortens the idle time did so at once. Nothing tells callers that the idle time bounds this too.

The bound is now the longest idle time in force since the caller last took some, at least 5 s: four retransmissions of a lost segment take 3 s, and a caller may pause besides.

Breaks: without the floor, or by the newest idle time alone, the pure test is red.

--- a/src/gateway/connection_bounds.rs
+++ b/src/gateway/connection_bounds.rs
@@ -1,12 +1,18 @@
-//! How long a caller's connection may be idle.
+//! How long a caller's connection may be idle, or its caller take nothing of a response.
 //!
 //! Callers go by the idle time that they knew when they sent their last request. A shorter one of a
 //! later configuration therefore holds for a connection from its next request on.
+//!
+//! A caller that takes nothing may have stopped for a moment, or wait for a lost segment to be sent
+//! again. Cutting its answer then costs a whole request, so a short idle time does not bound this.
 
 use std::time::{Duration, Instant};
 
 /// Added to the idle time, so that a request sent just before it ends still arrives in time.
 const IDLE_GRACE: Duration = Duration::from_millis(500);
+/// Least time in which a caller may take nothing: four retransmissions of a lost segment by TCP, which
+/// takes 3 s, and a pause of its own.
+const UNREAD_FLOOR: Duration = Duration::from_secs(5);
 /// Most idle times kept that were replaced. The longest one, which is the oldest, goes first.
 const MAX_REPLACED: usize = 64;
 
@@ -53,6 +59,6 @@
 
     /// When a connection must end whose caller takes nothing since `blocked_since`.
     pub fn unread_end(&self, blocked_since: Instant) -> Instant {
-        blocked_since + self.current + IDLE_GRACE
+        blocked_since + self.longest_since(blocked_since).max(UNREAD_FLOOR) + IDLE_GRACE
     }
 }
--- a/tests/gateway_connection_bounds.rs
+++ b/tests/gateway_connection_bounds.rs
@@ -1,4 +1,4 @@
-//! Until when connections of callers may be idle while configurations change.
+//! Until when connections of callers may be idle or unread while configurations change.
 
 use std::time::{Duration, Instant};
 
@@ -48,3 +48,17 @@
     assert!(format!("{many:?}").len() < 10_000);
     assert_eq!(many.longest_since(start + SECOND * 998), SECOND * 1002);
 }
+
+// Guards against: an answer that is cut as its caller stands still for a second or so (LOST), and
+// callers that take nothing for good.
+#[test]
+fn a_caller_that_takes_nothing_is_given_seconds() {
+    let start = Instant::now();
+    let end = |times: &IdleTimes, blocked: u32| {
+        let end = times.unread_end(start + SECOND * blocked);
+        (end - start).as_millis()
+    };
+    assert_eq!(end(&times(start, 1, &[]), 0), 5500);
+    let shortened = times(start, 15, &[(10, 1)]);
+    assert_eq!([9, 10].map(|at| end(&shortened, at)), [24_500, 15_500]);
+}
