--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -32,11 +32,12 @@
 use super::relay;
 use super::response::{self, CallerBody};
 use super::state::Gateway;
+use super::unanswered::UnansweredCause;
 
 /// Smallest buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
-/// Added to the idle time, so that a request sent just before it ends still arrives in time.
-const IDLE_GRACE: Duration = Duration::from_millis(500);
+/// Added to the idle time between two looks at a connection that is busy.
+const BUSY_INTERVAL: Duration = Duration::from_millis(500);
 /// Added to the time of a head, which the caller counts from its first byte too.
 const HEAD_GRACE: Duration = Duration::from_millis(500);
 /// Pause after a failed accept, without which a persistent error would cause a busy loop.
@@ -196,13 +197,16 @@
     let closed = loop {
         let mut wait = time_left(&gateway, &caller);
         if raw_head.is_partial() {
-            wait = wait.max(IDLE_GRACE);
+            wait = wait.max(BUSY_INTERVAL);
         }
         tokio::select! {
             // The connection goes first, as it reads what the others look at.
             biased;
             // An error, such as an invalid request, ends only this connection.
-            _ended = connection.as_mut() => return,
+            ended = connection.as_mut() => {
+                report_ended(&gateway, &caller, ended);
+                return;
+            }
             // Announces the end of kept-alive connections; a caller that still used one after the
             // exit would lose its request. The first request of a connection may be on its way, and
             // the head of another one may have begun; its response ends the connection.
@@ -239,6 +243,27 @@
         }
     };
     gateway.caller_limits.metrics.closed(closed);
+    if let Some(request) = caller.unanswered() {
+        gateway.on_unanswered(&request, closed.into());
+    }
+}
+
+/// Reports the request that a connection left without a complete answer as it ended, if any.
+fn report_ended(gateway: &Gateway, caller: &CallerConnection, ended: hyper::Result<()>) {
+    // The HTTP library has refused a head that it could not read.
+    let refused = ended.as_ref().is_err_and(hyper::Error::is_parse);
+    let aborted = ended.is_err_and(|error| error.is_user());
+    let Some(request) = caller.unanswered().filter(|_| !refused) else {
+        return;
+    };
+    let now = gateway.clock.now();
+    let stopped = gateway.stop_plan().is_some_and(|plan| plan.ends <= now);
+    let cause = match (aborted, stopped) {
+        (true, true) => UnansweredCause::Stop,
+        (true, false) => UnansweredCause::Aborted,
+        (false, _) => UnansweredCause::CallerLeft,
+    };
+    gateway.on_unanswered(&request, cause);
 }
 
 /// Limits on callers, those of the configuration if there is one.
@@ -275,24 +300,23 @@
 
 /// Time until the state of the connection has to be looked at again.
 fn time_left(gateway: &Gateway, caller: &CallerConnection) -> Duration {
-    let bound = idle_bound(gateway);
-    let idle = idle_time_left(gateway, caller).unwrap_or(bound);
-    let unread = unread_time_left(gateway, caller).unwrap_or(bound);
-    idle.min(unread)
+    let idle = idle_time_left(gateway, caller);
+    let unread = unread_time_left(gateway, caller);
+    let busy = || caller_bounds(gateway).idle_time + BUSY_INTERVAL;
+    idle.into_iter().chain(unread).min().unwrap_or_else(busy)
 }
 
 /// Time until the connection has been idle for too long; `None` while a request is in progress.
 fn idle_time_left(gateway: &Gateway, caller: &CallerConnection) -> Option<Duration> {
-    let until = caller.idle_since()? + idle_bound(gateway);
+    let idle_since = caller.idle_since()?;
+    let times = gateway.idle_times.load();
+    let until = times.idle_end(caller.last_request(), idle_since);
     Some(until.saturating_duration_since(gateway.clock.now()))
 }
 
 /// Time until the caller has taken nothing of a response for too long; `None` if it takes it.
 fn unread_time_left(gateway: &Gateway, caller: &CallerConnection) -> Option<Duration> {
-    let until = caller.blocked_since()? + idle_bound(gateway);
+    let blocked_since = caller.blocked_since()?;
+    let until = gateway.idle_times.load().unread_end(blocked_since);
     Some(until.saturating_duration_since(gateway.clock.now()))
 }
-
-fn idle_bound(gateway: &Gateway) -> Duration {
-    caller_bounds(gateway).idle_time + IDLE_GRACE
-}
