Reset the connection of a caller over HTTP/1.0 whose stream is cut

What callers saw: over HTTP/1.0 a streamed answer has no length and ends with its connection. A stream that was cut, whatever the reason, ended with an ordinary close and looked complete.

Cause: a body that fails makes the HTTP library drop the connection, which the kernel closes as it does after a whole answer. Over HTTP/1.1 the missing last chunk tells the two apart; over HTTP/1.0 nothing does. The same holds for a connection that is closed for a caller that reads nothing or gives way, and for the end of the process.

Change: while the body of such a response has not ended, its socket is set to be reset when it is closed; once the body has ended and all of it is written, it is closed as before. Responses of known length and over HTTP/1.1 are not touched.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -8,8 +8,12 @@
 //! A caller that shuts down its sending side looks like one that has left. A request that runs at
 //! most once goes on, as its caller may wait for the response; it is sent only if the end came just
 //! before. Any other request is cancelled, as an upstream must not work for a caller that has left.
+//!
+//! A response of unknown length over HTTP/1.0 ends with its connection. So that one which is cut does
+//! not look complete, its connection is reset unless the body has ended and all of it is written.
 
 use std::io;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -19,6 +23,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Sleep;
 
@@ -48,6 +53,8 @@
     raw_head: RawHead,
     /// Whether the caller takes nothing of what is to be written.
     is_blocked: AtomicBool,
+    /// Whether the body of the response has not ended, and its end is that of the connection.
+    close_delimited: AtomicBool,
     progress: Mutex<Progress>,
 }
 
@@ -113,6 +120,7 @@
             clock,
             raw_head,
             is_blocked: AtomicBool::new(false),
+            close_delimited: AtomicBool::new(false),
             progress: Mutex::new(progress),
         })
     }
@@ -170,6 +178,11 @@
         body.boxed_unsync()
     }
 
+    /// Makes the end of the connection the end of the response, of which nothing is written yet.
+    pub fn set_close_delimited(&self) {
+        self.close_delimited.store(true, Ordering::Relaxed);
+    }
+
     /// Whether a request has arrived so far.
     pub fn has_served(&self) -> bool {
         self.lock().arrived > 0
@@ -243,7 +256,12 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseAborted>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if frame.is_none() || self.body.is_end_stream() {
+            let delimited = &self.connection.close_delimited;
+            delimited.store(false, Ordering::Relaxed);
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -267,6 +285,8 @@
     stream: S,
     connection: Arc<CallerConnection>,
     closing: Closing,
+    /// Whether the socket is reset when it is closed.
+    resets: bool,
 }
 
 /// How far the end of a connection has come.
@@ -284,8 +304,27 @@
             stream,
             connection,
             closing: Closing::Open,
+            resets: false,
         }
     }
+
+    /// Whether the body of a response that ends with the connection has not ended.
+    fn is_cut_by_close(&self) -> bool {
+        self.connection.close_delimited.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether the socket is reset when it is closed, also by the end of this process.
+    fn set_reset(&mut self, resets: bool)
+    where
+        S: AsFd,
+    {
+        if self.resets == resets {
+            return;
+        }
+        self.resets = resets;
+        // Fails only for a socket that is closed already.
+        let _ignored = SockRef::from(&self.stream).set_linger(resets.then_some(Duration::ZERO));
+    }
 }
 
 impl<S> AsyncRead for CallerStream<S>
@@ -309,13 +348,16 @@
 
 impl<S> AsyncWrite for CallerStream<S>
 where
-    S: AsyncRead + AsyncWrite + Unpin,
+    S: AsyncRead + AsyncWrite + AsFd + Unpin,
 {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        if self.is_cut_by_close() {
+            self.set_reset(true);
+        }
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.connection.on_write(written.is_pending());
         written
@@ -326,6 +368,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        if self.is_cut_by_close() {
+            self.set_reset(true);
+        }
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.connection.on_write(written.is_pending());
         written
@@ -338,6 +383,9 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
         self.connection.on_flushed();
+        if !self.is_cut_by_close() {
+            self.set_reset(false);
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Version};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -169,9 +169,13 @@
         let caller = Arc::clone(&caller);
         let raw_head = raw_head.clone();
         let declared = framing::declared_length(request.headers());
+        let version = request.version();
         caller.begin_request(declared, !request.body().is_end_stream());
         async move {
             let mut response = relay::handle_request(&gateway, &caller, request, &raw_head).await;
+            if version < Version::HTTP_11 && response.body().size_hint().exact().is_none() {
+                caller.set_close_delimited();
+            }
             if !raw_head.restart(declared) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
