--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -8,6 +8,9 @@
 //! A caller that shuts down its sending side looks like one that has left. A request that runs at
 //! most once goes on, as its caller may wait for the response; it is sent only if the end came just
 //! before. Any other request is cancelled, as an upstream must not work for a caller that has left.
+//!
+//! A response of unknown length over HTTP/1.0 ends with its connection. So that one which is cut does
+//! not look complete, its connection is reset unless the body has ended and all of it is written.
 
 use std::io;
 use std::pin::Pin;
@@ -19,7 +22,9 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
 use crate::clock::Clock;
@@ -50,6 +55,8 @@
     raw_head: RawHead,
     /// Whether the caller takes nothing of what is to be written.
     is_blocked: AtomicBool,
+    /// Whether the body of the response has not ended, and its end is that of the connection.
+    close_delimited: AtomicBool,
     progress: Mutex<Progress>,
 }
 
@@ -126,6 +133,7 @@
             clock,
             raw_head,
             is_blocked: AtomicBool::new(false),
+            close_delimited: AtomicBool::new(false),
             progress: Mutex::new(progress),
         })
     }
@@ -217,6 +225,11 @@
         body.boxed_unsync()
     }
 
+    /// Makes the end of the connection the end of the response, of which nothing is written yet.
+    pub fn set_close_delimited(&self) {
+        self.close_delimited.store(true, Ordering::Relaxed);
+    }
+
     /// Whether a request has arrived so far.
     pub fn has_served(&self) -> bool {
         self.lock().arrived > 0
@@ -329,6 +342,10 @@
             self.connection.lock().failed = Some(cx.waker().clone());
             return Poll::Pending;
         }
+        if frame.is_none() || self.body.is_end_stream() {
+            let delimited = &self.connection.close_delimited;
+            delimited.store(false, Ordering::Relaxed);
+        }
         Poll::Ready(frame)
     }
 
@@ -353,6 +370,10 @@
     stream: S,
     connection: Arc<CallerConnection>,
     closing: Closing,
+    /// Sets whether the socket is reset when it is closed.
+    set_reset: fn(&S, bool),
+    /// Whether it is.
+    resets: bool,
 }
 
 /// How far the end of a connection has come.
@@ -364,16 +385,37 @@
 }
 
 impl<S> CallerStream<S> {
-    /// Wraps the socket of a connection.
-    pub fn new(stream: S, connection: Arc<CallerConnection>) -> Self {
+    /// Wraps the socket of a connection; `set_reset` sets whether it is reset when it is closed.
+    pub fn new(stream: S, connection: Arc<CallerConnection>, set_reset: fn(&S, bool)) -> Self {
         Self {
             stream,
             connection,
             closing: Closing::Open,
+            set_reset,
+            resets: false,
+        }
+    }
+
+    /// Whether the body of a response that ends with the connection has not ended.
+    fn is_cut_by_close(&self) -> bool {
+        self.connection.close_delimited.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether the socket is reset when it is closed.
+    fn set_reset(&mut self, resets: bool) {
+        if self.resets != resets {
+            self.resets = resets;
+            (self.set_reset)(&self.stream, resets);
         }
     }
 }
 
+/// Sets whether a socket is reset when it is closed, also by the end of this process.
+pub fn set_reset(stream: &TcpStream, resets: bool) {
+    // Fails only for a socket that is closed already.
+    let _ignored = SockRef::from(stream).set_linger(resets.then_some(Duration::ZERO));
+}
+
 impl<S> AsyncRead for CallerStream<S>
 where
     S: AsyncRead + Unpin,
@@ -402,6 +444,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        if self.is_cut_by_close() {
+            self.set_reset(true);
+        }
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.connection.on_write(written.is_pending());
         written
@@ -412,6 +457,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        if self.is_cut_by_close() {
+            self.set_reset(true);
+        }
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.connection.on_write(written.is_pending());
         written
@@ -424,6 +472,9 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
         self.connection.on_flushed();
+        if !self.is_cut_by_close() {
+            self.set_reset(false);
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Version};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -27,7 +27,7 @@
 use super::caller_limit::CallerSlot;
 use super::caller_limit::metrics::CloseReason;
 use super::configuration::CallerBounds;
-use super::connection::{CallerConnection, CallerStream};
+use super::connection::{self, CallerConnection, CallerStream};
 use super::framing::{self, RawHead, RecordedStream};
 use super::relay;
 use super::response::{self, CallerBody};
@@ -170,9 +170,13 @@
         let caller = Arc::clone(&caller);
         let raw_head = raw_head.clone();
         let declared = framing::declared_length(request.headers());
+        let version = request.version();
         caller.begin_request(declared, !request.body().is_end_stream());
         async move {
             let mut response = relay::handle_request(&gateway, &caller, request, &raw_head).await;
+            if version < Version::HTTP_11 && response.body().size_hint().exact().is_none() {
+                caller.set_close_delimited();
+            }
             if !raw_head.restart(declared) {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
@@ -183,7 +187,7 @@
     let head_bytes = caller_bounds(&gateway).head_bytes;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(head_bytes.max(MIN_BUFFER_BYTES));
-    let stream = CallerStream::new(stream, Arc::clone(&caller));
+    let stream = CallerStream::new(stream, Arc::clone(&caller), connection::set_reset);
     let stream = RecordedStream::new(stream, raw_head.clone());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
--- a/tests/gateway_body_failure.rs
+++ b/tests/gateway_body_failure.rs
@@ -42,7 +42,7 @@
     let slot = limits.connect([127, 0, 0, 1].into()).await;
     let connection = CallerConnection::open(slot, clock, RawHead::default());
     let (caller, socket) = tokio::io::duplex(SOCKET_BYTES);
-    let stream = CallerStream::new(socket, Arc::clone(&connection));
+    let stream = CallerStream::new(socket, Arc::clone(&connection), |_, _| {});
     (caller, connection, stream)
 }
 
