Count a stream as a success of its engine from its first event on

An engine that ended each stream between its head and its first event got stream after stream: its callers got a 200 without an event, and since this change began a 502 each. Its health was reset by each head, so it never had two failures in a row.

For plain answers that was so already: they count as they are whole.

Test: an_engine_without_events_is_left_out_for_a_while, beside a sound engine on a route that allows one attempt.

--- a/src/gateway/stream/start.rs
+++ b/src/gateway/stream/start.rs
@@ -48,10 +48,12 @@
         response: UpstreamResponse,
         attempts: &mut Attempts,
     ) -> Result<Response<CallerBody>, Refusal> {
-        origin.upstream.health.on_success();
         let mut stream = Stream::open(self, origin, response, attempts.for_stream());
         match stream.next().await {
-            Ok(first) => Ok(stream.respond(first)),
+            Ok(first) => {
+                stream.origin.upstream.health.on_success();
+                Ok(stream.respond(first))
+            }
             Err(ResponseAborted) => attempts.give_up(stream.end_reason(), CAPACITY_RETRY),
         }
     }
