Send the head of a long plain answer with its first bytes

An answer whose declared length is more than what is buffered, or for which there was no room, was forwarded from its head on. One that ended before its first byte left its caller a bare 200, as streams did.

The first part of such a body is now read before the head is sent; what fails before is handled as for any plain answer: another attempt where the route allows it, or a whole failure. Later failures stay visible cuts.

Test: a_long_answer_without_a_byte_becomes_a_whole_failure; before, a 200 without a byte, cut.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -289,8 +289,8 @@
     }
 
     /// Reads the complete body within `max_wait`, the caller's time, as far as there is room for it among what the
-    /// caller holds. A body whose declared length exceeds the largest size that is buffered is not
-    /// read.
+    /// caller holds. Of a body whose declared length exceeds the largest size that is buffered, only
+    /// the first part is read.
     ///
     /// # Errors
     ///
@@ -305,7 +305,7 @@
         if let Some(bytes) = declared {
             let fits = usize::try_from(bytes).is_ok_and(|bytes| bytes <= MAX_BUFFERED_BYTES);
             if !fits || !reserve(slot, &mut buffer, bytes as usize, bytes as usize) {
-                return Ok(BufferedBody::Begun(Bytes::new(), Bytes::new()));
+                return self.read_first(max_wait).await;
             }
         }
         let read = async {
@@ -327,6 +327,15 @@
         let read = tokio::time::timeout(max_wait, read).await;
         read.unwrap_or(Err(ResponseError::Deadline))
     }
+
+    /// Reads the first part of the body, without which there is nothing to forward.
+    async fn read_first(&mut self, max_wait: Duration) -> Result<BufferedBody, ResponseError> {
+        match self.read_next(max_wait).await {
+            BodyRead::Bytes(bytes) => Ok(BufferedBody::Begun(bytes, Bytes::new())),
+            BodyRead::End => Ok(BufferedBody::Whole(Bytes::new())),
+            BodyRead::Failed(error) => Err(error.at_deadline()),
+        }
+    }
 }
 
 /// Makes room in the buffer for `more` bytes of a response; false if there is none.
