Read a connection once more before it is closed as idle

A VM short of processor time may see the timer of an idle connection before the runtime has asked the kernel what has arrived: a whole request in the socket's buffer would be lost in the close. The half second beyond the idle time hides shorter delays. The first look that finds the connection idle for too long now only has it read straight from the kernel; the next one closes it if there was nothing. An idle close takes one turn of the timer more.

Not seen in a process: found by reading.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -9,7 +9,8 @@
 //! most once goes on, as its caller may wait for the response; it is sent only if the end came just
 //! before. Any other request is cancelled, as an upstream must not work for a caller that has left.
 
-use std::io;
+use std::io::{self, ErrorKind, Read};
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -19,6 +20,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Sleep;
 
@@ -50,6 +52,8 @@
     raw_head: RawHead,
     /// Whether the caller takes nothing of what is to be written.
     is_blocked: AtomicBool,
+    /// Whether the connection is about to be closed as idle.
+    is_ending: AtomicBool,
     progress: Mutex<Progress>,
 }
 
@@ -123,6 +127,7 @@
             clock,
             raw_head,
             is_blocked: AtomicBool::new(false),
+            is_ending: AtomicBool::new(false),
             progress: Mutex::new(progress),
         })
     }
@@ -130,6 +135,7 @@
     /// Notes that the head of a request has arrived, which declares a body of length `declared`.
     /// `unread` is whether it has a body.
     pub fn begin_request(&self, declared: Option<u64>, unread: bool) {
+        self.is_ending.store(false, Ordering::Relaxed);
         let mut progress = self.lock();
         progress.arrived += 1;
         progress.stage = Stage::Running;
@@ -140,6 +146,12 @@
         progress.outlives_end = true;
     }
 
+    /// Has each read ask the kernel until the next request arrives, as the connection is about to be
+    /// closed as idle. Returns false if this was called before.
+    pub fn look_again(&self) -> bool {
+        !self.is_ending.swap(true, Ordering::Relaxed)
+    }
+
     /// Notes the id of the request.
     pub fn set_request(&self, id: &RequestId) {
         self.lock().id = Some(id.clone());
@@ -338,7 +350,7 @@
 
 impl<S> AsyncRead for CallerStream<S>
 where
-    S: AsyncRead + Unpin,
+    S: AsyncRead + AsFd + Unpin,
 {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -346,7 +358,13 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        let read = match Pin::new(&mut self.stream).poll_read(cx, buf) {
+            // The runtime may not have asked the kernel for some time, if it had no processor.
+            Poll::Pending if self.connection.is_ending.load(Ordering::Relaxed) => {
+                ready!(read_now(&self.stream, buf))
+            }
+            read => ready!(read),
+        };
         let ended = read.is_ok() && buf.filled().len() == before && buf.remaining() > 0;
         if ended && self.connection.keeps_end(cx) {
             return Poll::Pending;
@@ -409,6 +427,22 @@
     }
 }
 
+/// Reads what the kernel holds, whether or not the runtime knows of it.
+fn read_now<S>(stream: &S, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>>
+where
+    S: AsFd,
+{
+    let socket = SockRef::from(stream);
+    match (&*socket).read(buf.initialize_unfilled()) {
+        Ok(bytes) => {
+            buf.advance(bytes);
+            Poll::Ready(Ok(()))
+        }
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Poll::Pending,
+        Err(e) => Poll::Ready(Err(e)),
+    }
+}
+
 /// Reads and throws away until the peer has ended its side.
 fn poll_discard<S>(stream: &mut S, cx: &mut Context<'_>) -> Poll<()>
 where
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -233,9 +233,11 @@
                 if unread_time_left(&gateway, &caller).is_some_and(|left| left.is_zero()) {
                     break CloseReason::Unread;
                 }
-                // A head that has begun has a time of its own.
+                // A head that has begun has a time of its own. Before the end, the connection reads
+                // once more, as a request may have arrived that the runtime does not know of yet.
                 if !raw_head.is_partial()
                     && idle_time_left(&gateway, &caller).is_some_and(|left| left.is_zero())
+                    && !caller.look_again()
                 {
                     connection.as_mut().graceful_shutdown();
                 }
