End a connection after its answer once larger heads are allowed

The HTTP library keeps the bound on heads that a connection began with.

Such a connection now ends with its next answer (`Connection: close`), and the caller's next one has the new bound. A lower bound, or any other change, closes nothing.

Break: closing after any change of the bound turns it red.

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -165,6 +165,7 @@
     let _ignored = stream.set_nodelay(true);
     let raw_head = RawHead::default();
     let caller = CallerConnection::open(slot, Arc::clone(&gateway.clock), raw_head.clone());
+    let head_bytes = caller_bounds(&gateway).head_bytes;
     let service = service_fn(|request: Request<Incoming>| {
         let gateway = Arc::clone(&gateway);
         let caller = Arc::clone(&caller);
@@ -173,14 +174,16 @@
         caller.begin_request(declared, !request.body().is_end_stream());
         async move {
             let mut response = relay::handle_request(&gateway, &caller, request, &raw_head).await;
-            if !raw_head.restart(declared) {
+            let next_known = raw_head.restart(declared);
+            // The HTTP library keeps the bound on heads that it began with; a larger one holds for
+            // the caller's next connection.
+            if !next_known || caller_bounds(&gateway).head_bytes > head_bytes {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
             Ok::<_, Infallible>(response)
         }
     });
-    let head_bytes = caller_bounds(&gateway).head_bytes;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(head_bytes.max(MIN_BUFFER_BYTES));
     let stream = CallerStream::new(stream, Arc::clone(&caller));
