--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -12,7 +12,7 @@
 //! A response of unknown length over HTTP/1.0 ends with its connection. So that one which is cut does
 //! not look complete, its connection is reset unless the body has ended and all of it is written.
 
-use std::io;
+use std::io::{self, ErrorKind, Read};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -57,6 +57,8 @@
     is_blocked: AtomicBool,
     /// Whether the body of the response has not ended, and its end is that of the connection.
     close_delimited: AtomicBool,
+    /// Whether the connection is about to be closed as idle.
+    is_ending: AtomicBool,
     progress: Mutex<Progress>,
 }
 
@@ -134,6 +136,7 @@
             raw_head,
             is_blocked: AtomicBool::new(false),
             close_delimited: AtomicBool::new(false),
+            is_ending: AtomicBool::new(false),
             progress: Mutex::new(progress),
         })
     }
@@ -141,6 +144,7 @@
     /// Notes that the head of a request has arrived, which declares a body of length `declared`.
     /// `unread` is whether it has a body.
     pub fn begin_request(&self, declared: Option<u64>, unread: bool) {
+        self.is_ending.store(false, Ordering::Relaxed);
         let mut progress = self.lock();
         progress.arrived += 1;
         progress.stage = Stage::Running;
@@ -151,6 +155,12 @@
         progress.outlives_end = true;
     }
 
+    /// Has each read ask the kernel until the next request arrives, as the connection is about to be
+    /// closed as idle. Returns false if this was called before.
+    pub fn look_again(&self) -> bool {
+        !self.is_ending.swap(true, Ordering::Relaxed)
+    }
+
     /// Notes the id of the request.
     pub fn set_request(&self, id: &RequestId) {
         self.lock().id = Some(id.clone());
@@ -370,9 +380,8 @@
     stream: S,
     connection: Arc<CallerConnection>,
     closing: Closing,
-    /// Sets whether the socket is reset when it is closed.
-    set_reset: fn(&S, bool),
-    /// Whether it is.
+    ops: SocketOps<S>,
+    /// Whether the socket is reset when it is closed.
     resets: bool,
 }
 
@@ -385,13 +394,13 @@
 }
 
 impl<S> CallerStream<S> {
-    /// Wraps the socket of a connection; `set_reset` sets whether it is reset when it is closed.
-    pub fn new(stream: S, connection: Arc<CallerConnection>, set_reset: fn(&S, bool)) -> Self {
+    /// Wraps the socket of a connection.
+    pub fn new(stream: S, connection: Arc<CallerConnection>, ops: SocketOps<S>) -> Self {
         Self {
             stream,
             connection,
             closing: Closing::Open,
-            set_reset,
+            ops,
             resets: false,
         }
     }
@@ -405,13 +414,29 @@
     fn set_reset(&mut self, resets: bool) {
         if self.resets != resets {
             self.resets = resets;
-            (self.set_reset)(&self.stream, resets);
+            (self.ops.set_reset)(&self.stream, resets);
         }
     }
 }
 
-/// Sets whether a socket is reset when it is closed, also by the end of this process.
-pub fn set_reset(stream: &TcpStream, resets: bool) {
+/// What a connection asks of its socket beside reading and writing.
+#[derive(Debug)]
+pub struct SocketOps<S> {
+    /// Sets whether the socket is reset when it is closed, also by the end of this process.
+    pub set_reset: fn(&S, bool),
+    /// Reads what the kernel holds, whether or not the runtime knows of it.
+    pub read_now: fn(&S, &mut ReadBuf<'_>) -> Poll<io::Result<()>>,
+}
+
+impl SocketOps<TcpStream> {
+    /// Those of a TCP socket.
+    pub const TCP: Self = Self {
+        set_reset,
+        read_now,
+    };
+}
+
+fn set_reset(stream: &TcpStream, resets: bool) {
     // Fails only for a socket that is closed already.
     let _ignored = SockRef::from(stream).set_linger(resets.then_some(Duration::ZERO));
 }
@@ -426,7 +451,13 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let read = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        let read = match Pin::new(&mut self.stream).poll_read(cx, buf) {
+            // The runtime may not have asked the kernel for some time, if it had no processor.
+            Poll::Pending if self.connection.is_ending.load(Ordering::Relaxed) => {
+                ready!((self.ops.read_now)(&self.stream, buf))
+            }
+            read => ready!(read),
+        };
         let ended = read.is_ok() && buf.filled().len() == before && buf.remaining() > 0;
         if ended && self.connection.keeps_end(cx) {
             return Poll::Pending;
@@ -498,6 +529,18 @@
     }
 }
 
+fn read_now(stream: &TcpStream, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    let socket = SockRef::from(stream);
+    match (&*socket).read(buf.initialize_unfilled()) {
+        Ok(bytes) => {
+            buf.advance(bytes);
+            Poll::Ready(Ok(()))
+        }
+        Err(e) if e.kind() == ErrorKind::WouldBlock => Poll::Pending,
+        Err(e) => Poll::Ready(Err(e)),
+    }
+}
+
 /// Reads and throws away until the peer has ended its side.
 fn poll_discard<S>(stream: &mut S, cx: &mut Context<'_>) -> Poll<()>
 where
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -27,7 +27,7 @@
 use super::caller_limit::CallerSlot;
 use super::caller_limit::metrics::CloseReason;
 use super::configuration::CallerBounds;
-use super::connection::{self, CallerConnection, CallerStream};
+use super::connection::{CallerConnection, CallerStream, SocketOps};
 use super::framing::{self, RawHead, RecordedStream};
 use super::relay;
 use super::response::{self, CallerBody};
@@ -165,6 +165,7 @@
     let _ignored = stream.set_nodelay(true);
     let raw_head = RawHead::default();
     let caller = CallerConnection::open(slot, Arc::clone(&gateway.clock), raw_head.clone());
+    let head_bytes = caller_bounds(&gateway).head_bytes;
     let service = service_fn(|request: Request<Incoming>| {
         let gateway = Arc::clone(&gateway);
         let caller = Arc::clone(&caller);
@@ -177,17 +178,19 @@
             if version < Version::HTTP_11 && response.body().size_hint().exact().is_none() {
                 caller.set_close_delimited();
             }
-            if !raw_head.restart(declared) {
+            let next_known = raw_head.restart(declared);
+            // The HTTP library keeps the bound on heads that it began with; a larger one holds for
+            // the caller's next connection.
+            if !next_known || caller_bounds(&gateway).head_bytes > head_bytes {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
             }
             Ok::<_, Infallible>(response)
         }
     });
-    let head_bytes = caller_bounds(&gateway).head_bytes;
     let mut builder = http1::Builder::new();
     builder.max_buf_size(head_bytes.max(MIN_BUFFER_BYTES));
-    let stream = CallerStream::new(stream, Arc::clone(&caller), connection::set_reset);
+    let stream = CallerStream::new(stream, Arc::clone(&caller), SocketOps::TCP);
     let stream = RecordedStream::new(stream, raw_head.clone());
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
@@ -237,9 +240,11 @@
                 if unread_time_left(&gateway, &caller).is_some_and(|left| left.is_zero()) {
                     break CloseReason::Unread;
                 }
-                // A head that has begun has a time of its own.
+                // A head that has begun has a time of its own. Before the end, the connection reads
+                // once more, as a request may have arrived that the runtime does not know of yet.
                 if !raw_head.is_partial()
                     && idle_time_left(&gateway, &caller).is_some_and(|left| left.is_zero())
+                    && !caller.look_again()
                 {
                     connection.as_mut().graceful_shutdown();
                 }
--- a/tests/gateway_body_failure.rs
+++ b/tests/gateway_body_failure.rs
@@ -2,13 +2,14 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use basilgw::clock::{Clock, SystemClock};
 use basilgw::gateway::caller_limit::CallerLimits;
 use basilgw::gateway::caller_limit::bounds::{CallerLimitBounds, ProcessLimits};
 use basilgw::gateway::caller_limit::metrics::CallerLimitMetrics;
-use basilgw::gateway::connection::{CallerConnection, CallerStream};
+use basilgw::gateway::connection::{CallerConnection, CallerStream, SocketOps};
 use basilgw::gateway::framing::RawHead;
 use basilgw::gateway::relay::ResponseAborted;
 use basilgw::gateway::response::CallerBody;
@@ -25,6 +26,11 @@
 
 /// Less than a head, so that it is written in parts.
 const SOCKET_BYTES: usize = 64;
+/// A pipe has no kernel behind it.
+const PIPE: SocketOps<DuplexStream> = SocketOps {
+    set_reset: |_, _| {},
+    read_now: |_, _| Poll::Pending,
+};
 
 /// A connection, and its caller's side.
 async fn connect() -> (
@@ -42,7 +48,7 @@
     let slot = limits.connect([127, 0, 0, 1].into()).await;
     let connection = CallerConnection::open(slot, clock, RawHead::default());
     let (caller, socket) = tokio::io::duplex(SOCKET_BYTES);
-    let stream = CallerStream::new(socket, Arc::clone(&connection), |_, _| {});
+    let stream = CallerStream::new(socket, Arc::clone(&connection), PIPE);
     (caller, connection, stream)
 }
 
