End a caller's connection with the refusal of a stream that finds no room

Since streams send their head with their first events, a stream that this VM has no room for is refused as a whole in place of a cut, and its caller's connection was kept.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -59,6 +59,8 @@
     close_delimited: AtomicBool,
     /// Whether the connection is about to be closed as idle.
     is_ending: AtomicBool,
+    /// Whether the connection ends with the response, as this VM has no room.
+    lacks_room: AtomicBool,
     progress: Mutex<Progress>,
 }
 
@@ -137,6 +139,7 @@
             is_blocked: AtomicBool::new(false),
             close_delimited: AtomicBool::new(false),
             is_ending: AtomicBool::new(false),
+            lacks_room: AtomicBool::new(false),
             progress: Mutex::new(progress),
         })
     }
@@ -161,6 +164,16 @@
         !self.is_ending.swap(true, Ordering::Relaxed)
     }
 
+    /// Has the connection end with the response, so that it takes no room while this VM has none.
+    pub fn set_lacks_room(&self) {
+        self.lacks_room.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the connection ends with the response, as this VM has no room.
+    pub fn lacks_room(&self) -> bool {
+        self.lacks_room.load(Ordering::Relaxed)
+    }
+
     /// Notes the id of the request.
     pub fn set_request(&self, id: &RequestId) {
         self.lock().id = Some(id.clone());
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -287,6 +287,7 @@
         warn!(self.admitted.gateway.log, "stream_without_room";
             "request" => %self.admitted.request.head.id, "event" => self.events.last_id(),
             "held" => self.events.held_bytes());
+        self.admitted.connection.set_lacks_room();
         Err(ResponseAborted)
     }
 
