Count a stream as a success of its engine with its first events

What callers saw: an engine that ends each stream behind its head stayed in use, and each stream that it was given failed (502 on a route that is not resumable, a retry from the budget on one that is).

Cause: the head of a stream counted as a success and reset the failures of the engine, so that two in a row, which eject it, never came together.

The success is now counted as the first events go to the caller, for the engine that sent them.

--- a/src/gateway/stream/start.rs
+++ b/src/gateway/stream/start.rs
@@ -48,10 +48,13 @@
         response: UpstreamResponse,
         attempts: &mut Attempts,
     ) -> Result<Response<CallerBody>, Refusal> {
-        origin.upstream.health.on_success();
         let mut stream = Stream::open(self, origin, response, attempts.for_stream());
         match stream.next().await {
-            Ok(first) => Ok(stream.respond(first)),
+            Ok(first) => {
+                // A head alone shows nothing: an engine may end each stream behind it.
+                stream.origin.upstream.health.on_success();
+                Ok(stream.respond(first))
+            }
             Err(ResponseAborted) => attempts.give_up(stream.end_reason(), CAPACITY_RETRY),
         }
     }
