Answer HEAD on a streaming route as on any other route

What callers saw: HEAD on a streaming route got 502, and each counted as a crash of its engine: the shared parts of the prompt that it named were under suspicion, and the engine was ejected after two.

Cause: since the head of a stream is sent with its first events, an answer of 200 on a streaming route is read for events. One to HEAD has no body, and no length or chunks where its engine would stream, so its end looked like a broken connection.

Such an answer is no stream; it is forwarded as on any other route.

--- a/src/gateway/stream/start.rs
+++ b/src/gateway/stream/start.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
-use http::{Response, StatusCode};
+use http::{Method, Response, StatusCode};
 
 use super::{Next, Stream, next_event, streamed_body};
 use crate::gateway::attempt::{Attempts, Origin};
@@ -28,11 +28,12 @@
 
 impl AdmittedRequest {
     /// Whether the response is a stream of events. On a streaming route it is unless it names
-    /// another type.
+    /// another type or, as one to HEAD, has no body.
     pub(in crate::gateway) fn is_stream(&self, response: &UpstreamResponse) -> bool {
         let head = &response.head;
         let media_type = head.headers.get(CONTENT_TYPE);
         matches!(self.route.kind, RouteKind::Streaming { .. })
+            && self.request.head.method != Method::HEAD
             && head.status == StatusCode::OK
             && media_type.is_none_or(|value| names_events(value.as_bytes()))
     }
