Pass a failure on where the last upstream declines the request

What callers saw: an upstream answered an idempotent request with 500, and the next and last one declined it: they got 502 in place of that answer, with Retry-After, which names a time to come again for a request that had run.

Cause: a last attempt that is declined ended in a refusal of its own. All other ends give the failure that was kept, and name no time for a request that may have run (Attempts::give_up); this one now does too.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -222,8 +222,7 @@
                 if attempts.sent < self.route.attempts {
                     return Ok(None);
                 }
-                let refusal = attempts.refusal(Reason::Capacity);
-                return Err(refusal.retry_after(CAPACITY_RETRY));
+                return attempts.give_up(Reason::Capacity, CAPACITY_RETRY).map(Some);
             }
             SendOutcome::Responded(response) => {
                 attempts.sent += 1;
