Move the socket of a caller's connection to a module of its own

The second is caller_stream.rs now, with CallerStream, SocketOps and Closing. It asks the state through methods in place of its fields: is_ending and is_cut_by_close are new there, with the code that they had. No change of behaviour.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -3,16 +3,12 @@
 //!
 //! The HTTP library drops the body of a response once it has taken the last bytes, which may still
 //! wait in its buffer. It flushes the stream when the buffer is empty: a request counts as in
-//! progress until then ([`CallerStream`]).
+//! progress until then (`CallerStream`).
 //!
 //! A caller that shuts down its sending side looks like one that has left. A request that runs at
 //! most once goes on, as its caller may wait for the response; it is sent only if the end came just
 //! before. Any other request is cancelled, as an upstream must not work for a caller that has left.
-//!
-//! A response of unknown length over HTTP/1.0 ends with its connection. So that one which is cut does
-//! not look complete, its connection is reset unless the body has ended and all of it is written.
 
-use std::io::{self, ErrorKind, Read};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -22,10 +18,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
-use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
-use tokio::time::Sleep;
 
 use crate::clock::Clock;
 use crate::edge::RequestGuard;
@@ -37,14 +29,9 @@
 use super::response::CallerBody;
 use super::unanswered::{UnansweredRequest, UnansweredStage};
 
-/// Longest time for which what a caller still sends after its refusal is thrown away. Without it
-/// the connection would be reset, and the refusal might be lost.
-const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Longest time after the end of a caller's sending side in which its request is still sent to an
 /// upstream.
 const END_GRACE: Duration = Duration::from_millis(250);
-/// Bytes thrown away at once.
-const DISCARD_BYTES: usize = 4096;
 
 /// The state of a caller's connection.
 #[derive(Debug)]
@@ -164,6 +151,11 @@
         !self.is_ending.swap(true, Ordering::Relaxed)
     }
 
+    /// Whether each read asks the kernel.
+    pub(super) fn is_ending(&self) -> bool {
+        self.is_ending.load(Ordering::Relaxed)
+    }
+
     /// Has the connection end with the response, so that it takes no room while this VM has none.
     pub fn set_lacks_room(&self) {
         self.lacks_room.store(true, Ordering::Relaxed);
@@ -253,6 +245,12 @@
         self.close_delimited.store(true, Ordering::Relaxed);
     }
 
+    /// Whether a close now would cut the response: its end is that of the connection, and its body has
+    /// not ended.
+    pub(super) fn is_cut_by_close(&self) -> bool {
+        self.close_delimited.load(Ordering::Relaxed)
+    }
+
     /// Whether a request has arrived so far.
     pub fn has_served(&self) -> bool {
         self.lock().arrived > 0
@@ -276,7 +274,7 @@
 
     /// Ends the request if its response was taken whole, and lets a failure of its body end it; all
     /// bytes taken so far are written.
-    fn on_flushed(&self) {
+    pub(super) fn on_flushed(&self) {
         let mut progress = self.lock();
         if let Some(failed) = progress.failed.take() {
             failed.wake();
@@ -295,7 +293,7 @@
 
     /// Whether the end of the caller's sending side is kept from the HTTP library, which would
     /// cancel the request.
-    fn keeps_end(&self, cx: &Context<'_>) -> bool {
+    pub(super) fn keeps_end(&self, cx: &Context<'_>) -> bool {
         let mut progress = self.lock();
         let whole = !progress.unread || progress.declared == Some(self.raw_head.body_bytes());
         let keeps = progress.stage != Stage::Done && progress.outlives_end && whole;
@@ -306,7 +304,8 @@
         keeps
     }
 
-    fn on_write(&self, pending: bool) {
+    /// Notes whether the caller takes what is written; `pending` is whether a write has to wait.
+    pub(super) fn on_write(&self, pending: bool) {
         if self.is_blocked.swap(pending, Ordering::Relaxed) == pending {
             return;
         }
@@ -386,185 +385,3 @@
         self.connection.lock().stage = Stage::Taken;
     }
 }
-
-/// A caller's socket, which tells its connection what is written.
-#[derive(Debug)]
-pub struct CallerStream<S> {
-    stream: S,
-    connection: Arc<CallerConnection>,
-    closing: Closing,
-    ops: SocketOps<S>,
-    /// Whether the socket is reset when it is closed.
-    resets: bool,
-}
-
-/// How far the end of a connection has come.
-#[derive(Debug)]
-enum Closing {
-    Open,
-    /// All is written; what still arrives is thrown away until this timer ends.
-    Discarding(Pin<Box<Sleep>>),
-}
-
-impl<S> CallerStream<S> {
-    /// Wraps the socket of a connection.
-    pub fn new(stream: S, connection: Arc<CallerConnection>, ops: SocketOps<S>) -> Self {
-        Self {
-            stream,
-            connection,
-            closing: Closing::Open,
-            ops,
-            resets: false,
-        }
-    }
-
-    /// Whether the body of a response that ends with the connection has not ended.
-    fn is_cut_by_close(&self) -> bool {
-        self.connection.close_delimited.load(Ordering::Relaxed)
-    }
-
-    /// Sets whether the socket is reset when it is closed.
-    fn set_reset(&mut self, resets: bool) {
-        if self.resets != resets {
-            self.resets = resets;
-            (self.ops.set_reset)(&self.stream, resets);
-        }
-    }
-}
-
-/// What a connection asks of its socket beside reading and writing.
-#[derive(Debug)]
-pub struct SocketOps<S> {
-    /// Sets whether the socket is reset when it is closed, also by the end of this process.
-    pub set_reset: fn(&S, bool),
-    /// Reads what the kernel holds, whether or not the runtime knows of it.
-    pub read_now: fn(&S, &mut ReadBuf<'_>) -> Poll<io::Result<()>>,
-}
-
-impl SocketOps<TcpStream> {
-    /// Those of a TCP socket.
-    pub const TCP: Self = Self {
-        set_reset,
-        read_now,
-    };
-}
-
-fn set_reset(stream: &TcpStream, resets: bool) {
-    // Fails only for a socket that is closed already.
-    let _ignored = SockRef::from(stream).set_linger(resets.then_some(Duration::ZERO));
-}
-
-impl<S> AsyncRead for CallerStream<S>
-where
-    S: AsyncRead + Unpin,
-{
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let read = match Pin::new(&mut self.stream).poll_read(cx, buf) {
-            // The runtime may not have asked the kernel for some time, if it had no processor.
-            Poll::Pending if self.connection.is_ending.load(Ordering::Relaxed) => {
-                ready!((self.ops.read_now)(&self.stream, buf))
-            }
-            read => ready!(read),
-        };
-        let ended = read.is_ok() && buf.filled().len() == before && buf.remaining() > 0;
-        if ended && self.connection.keeps_end(cx) {
-            return Poll::Pending;
-        }
-        Poll::Ready(read)
-    }
-}
-
-impl<S> AsyncWrite for CallerStream<S>
-where
-    S: AsyncRead + AsyncWrite + Unpin,
-{
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        if self.is_cut_by_close() {
-            self.set_reset(true);
-        }
-        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.connection.on_write(written.is_pending());
-        written
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        if self.is_cut_by_close() {
-            self.set_reset(true);
-        }
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.connection.on_write(written.is_pending());
-        written
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
-        self.connection.on_flushed();
-        if !self.is_cut_by_close() {
-            self.set_reset(false);
-        }
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if matches!(self.closing, Closing::Open) {
-            ready!(Pin::new(&mut self.stream).poll_shutdown(cx))?;
-            if !self.connection.lock().unread {
-                return Poll::Ready(Ok(()));
-            }
-            self.closing = Closing::Discarding(Box::pin(tokio::time::sleep(DISCARD_TIME)));
-        }
-        let Self {
-            stream, closing, ..
-        } = &mut *self;
-        if let Closing::Discarding(end) = closing
-            && end.as_mut().poll(cx).is_pending()
-        {
-            ready!(poll_discard(stream, cx));
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-fn read_now(stream: &TcpStream, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-    let socket = SockRef::from(stream);
-    match (&*socket).read(buf.initialize_unfilled()) {
-        Ok(bytes) => {
-            buf.advance(bytes);
-            Poll::Ready(Ok(()))
-        }
-        Err(e) if e.kind() == ErrorKind::WouldBlock => Poll::Pending,
-        Err(e) => Poll::Ready(Err(e)),
-    }
-}
-
-/// Reads and throws away until the peer has ended its side.
-fn poll_discard<S>(stream: &mut S, cx: &mut Context<'_>) -> Poll<()>
-where
-    S: AsyncRead + Unpin,
-{
-    loop {
-        let mut bytes = [0; DISCARD_BYTES];
-        let mut buffer = ReadBuf::new(&mut bytes);
-        let read = ready!(Pin::new(&mut *stream).poll_read(cx, &mut buffer));
-        if read.is_err() || buffer.filled().is_empty() {
-            return Poll::Ready(());
-        }
-    }
-}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -29,6 +29,7 @@
 pub mod balancer;
 pub mod broadcast;
 pub mod caller_limit;
+pub mod caller_stream;
 pub mod centre_closure;
 pub mod client;
 pub mod configuration;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -26,8 +26,9 @@
 
 use super::caller_limit::CallerSlot;
 use super::caller_limit::metrics::CloseReason;
+use super::caller_stream::{CallerStream, SocketOps};
 use super::configuration::CallerBounds;
-use super::connection::{CallerConnection, CallerStream, SocketOps};
+use super::connection::CallerConnection;
 use super::framing::{self, RawHead, RecordedStream};
 use super::relay;
 use super::response::{self, CallerBody};
