Name the final read of an idle connection, and the waker of a failed body

look_again and is_ending stopped the reader: neither says what is looked at, and a connection that ends for another reason is not ending in this sense. They are begin_final_read, in_final_read and final_read now. Progress::failed was no failure but the waker of the failed body: failed_body. Two comments say when the first is called again, and that what follows an unread body is the rest of it. No change of behaviour.

--- a/src/gateway/caller_stream.rs
+++ b/src/gateway/caller_stream.rs
@@ -109,7 +109,7 @@
         let before = buf.filled().len();
         let read = match Pin::new(&mut self.stream).poll_read(cx, buf) {
             // The runtime may not have asked the kernel for some time, if it had no processor.
-            Poll::Pending if self.connection.is_ending() => {
+            Poll::Pending if self.connection.in_final_read() => {
                 ready!((self.ops.read_now)(&self.stream, buf))
             }
             read => ready!(read),
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -44,8 +44,8 @@
     is_blocked: AtomicBool,
     /// Whether the body of the response has not ended, and its end is that of the connection.
     close_delimited: AtomicBool,
-    /// Whether the connection is about to be closed as idle.
-    is_ending: AtomicBool,
+    /// Whether each read asks the kernel, as the connection is about to be closed as idle.
+    final_read: AtomicBool,
     /// Whether the connection ends with the response, as this VM has no room.
     lacks_room: AtomicBool,
     progress: Mutex<Progress>,
@@ -89,8 +89,9 @@
     ended: Option<Instant>,
     /// Wakes the connection to see that end.
     reader: Option<Waker>,
-    /// Wakes a body that has failed, once all that was taken of it is written.
-    failed: Option<Waker>,
+    /// Wakes a body that has failed, once all that was taken of it is written; absent before a failure
+    /// and after that.
+    failed_body: Option<Waker>,
 }
 
 impl Progress {
@@ -117,7 +118,7 @@
             outlives_end: false,
             ended: None,
             reader: None,
-            failed: None,
+            failed_body: None,
         };
         Arc::new(Self {
             slot,
@@ -125,7 +126,7 @@
             raw_head,
             is_blocked: AtomicBool::new(false),
             close_delimited: AtomicBool::new(false),
-            is_ending: AtomicBool::new(false),
+            final_read: AtomicBool::new(false),
             lacks_room: AtomicBool::new(false),
             progress: Mutex::new(progress),
         })
@@ -134,7 +135,7 @@
     /// Notes that the head of a request has arrived, which declares a body of length `declared`.
     /// `unread` is whether it has a body.
     pub fn begin_request(&self, declared: Option<u64>, unread: bool) {
-        self.is_ending.store(false, Ordering::Relaxed);
+        self.final_read.store(false, Ordering::Relaxed);
         let mut progress = self.lock();
         progress.arrived += 1;
         progress.stage = Stage::Running;
@@ -146,14 +147,14 @@
     }
 
     /// Has each read ask the kernel until the next request arrives, as the connection is about to be
-    /// closed as idle. Returns false if this was called before.
-    pub fn look_again(&self) -> bool {
-        !self.is_ending.swap(true, Ordering::Relaxed)
+    /// closed as idle. Returns false if it was called before since the last request.
+    pub fn begin_final_read(&self) -> bool {
+        !self.final_read.swap(true, Ordering::Relaxed)
     }
 
     /// Whether each read asks the kernel.
-    pub(super) fn is_ending(&self) -> bool {
-        self.is_ending.load(Ordering::Relaxed)
+    pub(super) fn in_final_read(&self) -> bool {
+        self.final_read.load(Ordering::Relaxed)
     }
 
     /// Has the connection end with the response, so that it takes no room while this VM has none.
@@ -175,7 +176,7 @@
     pub fn unanswered(&self) -> Option<UnansweredRequest> {
         let progress = self.lock();
         let stage = match progress.stage {
-            // What follows the head of a request whose body was not read is no head.
+            // Behind a request whose body was not read, this is the rest of that body and no head.
             Stage::Done if self.raw_head.is_partial() && !progress.unread => {
                 return Some(UnansweredRequest {
                     stage: UnansweredStage::Head,
@@ -276,8 +277,8 @@
     /// bytes taken so far are written.
     pub(super) fn on_flushed(&self) {
         let mut progress = self.lock();
-        if let Some(failed) = progress.failed.take() {
-            failed.wake();
+        if let Some(body) = progress.failed_body.take() {
+            body.wake();
         }
         if progress.stage != Stage::Taken {
             return;
@@ -335,7 +336,7 @@
     /// Whether the connection has written all that was taken since the failure.
     fn poll_written(&self, cx: &Context<'_>) -> Poll<()> {
         let mut progress = self.connection.lock();
-        match &mut progress.failed {
+        match &mut progress.failed_body {
             Some(waker) => {
                 waker.clone_from(cx.waker());
                 Poll::Pending
@@ -361,7 +362,7 @@
         if let Some(Err(failure)) = frame {
             self.failure = Some(failure);
             // A body that waits lets the HTTP library write what it has.
-            self.connection.lock().failed = Some(cx.waker().clone());
+            self.connection.lock().failed_body = Some(cx.waker().clone());
             return Poll::Pending;
         }
         if frame.is_none() || self.body.is_end_stream() {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -245,7 +245,7 @@
                 // once more, as a request may have arrived that the runtime does not know of yet.
                 if !raw_head.is_partial()
                     && idle_time_left(&gateway, &caller).is_some_and(|left| left.is_zero())
-                    && !caller.look_again()
+                    && !caller.begin_final_read()
                 {
                     connection.as_mut().graceful_shutdown();
                 }
--- a/tests/gateway_last_read.rs
+++ b/tests/gateway_last_read.rs
@@ -50,13 +50,13 @@
     let slot = limits.connect(IpAddr::V4(Ipv4Addr::LOCALHOST)).await;
     let connection = CallerConnection::open(slot, SystemClock::open(), RawHead::default());
     let mut stream = CallerStream::new(stream, Arc::clone(&connection), SocketOps::TCP);
-    assert!(connection.look_again(), "the first look");
+    assert!(connection.begin_final_read(), "the first look");
     assert_eq!(read(&mut stream), None, "nothing has arrived");
     caller.write_all(b"GET").expect("a write");
-    assert!(!connection.look_again(), "the next one closes");
+    assert!(!connection.begin_final_read(), "the next one closes");
     assert_eq!(read(&mut stream), Some(3));
     connection.begin_request(Some(0), false);
     caller.write_all(b"GET").expect("a write");
     assert_eq!(read(&mut stream), None, "the runtime alone is asked");
-    assert!(connection.look_again(), "a first look anew");
+    assert!(connection.begin_final_read(), "a first look anew");
 }
