Split what serve_connection does for a request and for an idle connection

What a request needs beside its relay, and the decision that an idle connection ends, with its final read first, are functions now. BUSY_INTERVAL said only one of its two uses: it is also the least wait while a head arrives. No change of behaviour.

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -37,7 +37,8 @@
 
 /// Smallest buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
-/// Added to the idle time between two looks at a connection that is busy.
+/// Added to the idle time between two looks at a connection that has a request in progress, and the
+/// least time between two looks at one on which a head is arriving.
 const BUSY_INTERVAL: Duration = Duration::from_millis(500);
 /// Added to the time of a head, which the caller counts from its first byte too.
 const HEAD_GRACE: Duration = Duration::from_millis(500);
@@ -172,13 +173,9 @@
         let caller = Arc::clone(&caller);
         let raw_head = raw_head.clone();
         let declared = framing::declared_length(request.headers());
-        let version = request.version();
         caller.begin_request(declared, !request.body().is_end_stream());
         async move {
-            let mut response = relay::handle_request(&gateway, &caller, request, &raw_head).await;
-            if version < Version::HTTP_11 && response.body().size_hint().exact().is_none() {
-                caller.set_close_delimited();
-            }
+            let mut response = serve_request(&gateway, &caller, request, &raw_head).await;
             let next_known = raw_head.restart(declared);
             // The HTTP library keeps the bound on heads that it began with; a larger one holds for
             // the caller's next connection.
@@ -241,12 +238,8 @@
                 if unread_time_left(&gateway, &caller).is_some_and(|left| left.is_zero()) {
                     break CloseReason::Unread;
                 }
-                // A head that has begun has a time of its own. Before the end, the connection reads
-                // once more, as a request may have arrived that the runtime does not know of yet.
-                if !raw_head.is_partial()
-                    && idle_time_left(&gateway, &caller).is_some_and(|left| left.is_zero())
-                    && !caller.begin_final_read()
-                {
+                // A head that has begun has a time of its own.
+                if !raw_head.is_partial() && ends_as_idle(&gateway, &caller) {
                     connection.as_mut().graceful_shutdown();
                 }
             }
@@ -258,6 +251,21 @@
     }
 }
 
+/// Handles a request, and notes whether its response ends with the connection.
+async fn serve_request(
+    gateway: &Arc<Gateway>,
+    caller: &Arc<CallerConnection>,
+    request: Request<Incoming>,
+    raw_head: &RawHead,
+) -> Response<CallerBody> {
+    let version = request.version();
+    let response = relay::handle_request(gateway, caller, request, raw_head).await;
+    if version < Version::HTTP_11 && response.body().size_hint().exact().is_none() {
+        caller.set_close_delimited();
+    }
+    response
+}
+
 /// Reports the request that a connection left without a complete answer as it ended, if any.
 fn report_ended(gateway: &Gateway, caller: &CallerConnection, ended: hyper::Result<()>) {
     // The HTTP library has refused a head that it could not read.
@@ -324,6 +332,13 @@
     Some(until.saturating_duration_since(gateway.clock.now()))
 }
 
+/// Whether the connection ends now, as it was idle for too long. When that is first so it only reads
+/// once more, as a request may have arrived that the runtime does not know of yet.
+fn ends_as_idle(gateway: &Gateway, caller: &CallerConnection) -> bool {
+    let idle = idle_time_left(gateway, caller).is_some_and(|left| left.is_zero());
+    idle && !caller.begin_final_read()
+}
+
 /// Time until the caller has taken nothing of a response for too long; `None` if it takes it.
 fn unread_time_left(gateway: &Gateway, caller: &CallerConnection) -> Option<Duration> {
     let blocked_since = caller.blocked_since()?;
