Say in comments what stopped a reader who is new to them

- connection_bounds: 'those that are not never decide' and 'goes first' needed a second reading; the reason of UNREAD_FLOOR reads as a sentence now.
- state: 'When it came into force' had lost its subject.
- exchange: what the first part of a body is read for.
- closures: one comment stood for two constants. registrations: filter_decoded filters nothing, and logs.
- gateway: the module's page names caller_stream, and which module does what at a caller's connection.

Comments, one name and a page; no change of behaviour.

--- a/src/gateway/connection_bounds.rs
+++ b/src/gateway/connection_bounds.rs
@@ -10,18 +10,18 @@
 
 /// Added to the idle time, so that a request sent just before it ends still arrives in time.
 const IDLE_GRACE: Duration = Duration::from_millis(500);
-/// Least time in which a caller may take nothing: four retransmissions of a lost segment by TCP, which
-/// takes 3 s, and a pause of its own.
+/// Least time in which a caller may take nothing. TCP takes 3 s to send a lost segment again four
+/// times; the rest is for a pause of the caller itself.
 const UNREAD_FLOOR: Duration = Duration::from_secs(5);
-/// Most idle times kept that were replaced. The longest one, which is the oldest, goes first.
+/// Most replaced idle times that are kept. Beyond it the oldest one, which is the longest, is dropped.
 const MAX_REPLACED: usize = 64;
 
 /// The idle time in force, and those that it replaced.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct IdleTimes {
     current: Duration,
-    /// When each of them was replaced, in this order. Each is longer than all that came after it;
-    /// those that are not never decide.
+    /// The replaced idle times, each with the moment of its replacement, oldest first. One that is not
+    /// longer than all after it is left out, as it is never the longest.
     replaced: Vec<(Instant, Duration)>,
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -288,9 +288,9 @@
         }
     }
 
-    /// Reads the complete body within `max_wait`, the caller's time, as far as there is room for it among what the
-    /// caller holds. Of a body whose declared length exceeds the largest size that is buffered, only
-    /// the first part is read.
+    /// Reads the complete body within `max_wait`, the caller's time, as far as there is room for it
+    /// among what the caller holds. Of a body whose declared length exceeds the largest size that is
+    /// buffered, only the first part is read.
     ///
     /// # Errors
     ///
@@ -328,7 +328,8 @@
         read.unwrap_or(Err(ResponseError::Deadline))
     }
 
-    /// Reads the first part of the body, without which there is nothing to forward.
+    /// Reads only the first part of the body, so that a refusal can still take its place if
+    /// none of it comes.
     async fn read_first(&mut self, max_wait: Duration) -> Result<BufferedBody, ResponseError> {
         match self.read_next(max_wait).await {
             BodyRead::Bytes(bytes) => Ok(BufferedBody::Begun(bytes, Bytes::new())),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,11 +4,13 @@
 //! the platform's [`platform_api::Dialect`], looks up the route and the client account in the
 //! [`configuration`], checks that the configuration is fresh enough to trust keys ([`freshness`])
 //! and charges the request to the account's quota ([`allowance`]). What callers hold of the VM's
-//! memory and descriptors meanwhile is bounded ([`caller_limit`], [`connection`], [`connection_bounds`]); what ends without
-//! an answer is counted ([`unanswered`]). Then
-//! [`balancer`] chooses one of the upstreams in use ([`fleet`]); if no engine holds the model, the
-//! request waits for it to be loaded (`model_wait`, [`demand`]). A request that crashes engines, as
-//! such or by a part of its prompt, is not sent ([`quarantine`]). An upstream that names a limit
+//! memory and descriptors meanwhile is bounded ([`caller_limit`]). [`connection`] follows the state
+//! of each caller's connection and [`caller_stream`] its socket; [`connection_bounds`] says how long
+//! it may be idle, and [`unanswered`] counts what ends without a complete answer.
+//!
+//! Then [`balancer`] chooses one of the upstreams in use ([`fleet`]); if no engine holds the model,
+//! the request waits for it to be loaded (`model_wait`, [`demand`]). A request that crashes engines,
+//! as such or by a part of its prompt, is not sent ([`quarantine`]). An upstream that names a limit
 //! gets no more requests from all VMs together ([`upstream_limit`]), and neither does one that is
 //! warming up (`warm_up`). [`exchange`] sends the request, and [`stream`] and [`events`] forward
 //! the response in complete events whose numbers are sound ([`event_numbers`]).
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -105,7 +105,7 @@
     pub running: Arc<RequestTracker>,
     /// The configuration in force; absent until the first one is read.
     pub configuration: ArcSwapOption<Configuration>,
-    /// When it came into force.
+    /// When the configuration in force came into force.
     configured: Mutex<Option<Instant>>,
     /// Idle times of callers' connections.
     pub idle_times: ArcSwap<IdleTimes>,
--- a/src/gateway/store_watch/closures.rs
+++ b/src/gateway/store_watch/closures.rs
@@ -14,9 +14,10 @@
 use crate::gateway::platform_api::{NamedObject, ObjectChange, ObjectSource};
 use crate::gateway::state::Gateway;
 
-/// Longest wait for a change to the closed data centres, as shares of the time in which a closure
-/// must be in force, where other VMs rely on what this one reads and elsewhere.
+/// Longest wait for a change to the closed data centres where other VMs rely on what this one reads,
+/// as a share of the time in which a closure must be in force.
 const READER_SHARE: f64 = 0.3;
+/// The same share where no other VM relies on it.
 const SHARE: f64 = 0.4;
 /// The time in which a closure must be in force where the settings no longer say.
 const DEFAULT_BOUND: Duration = Duration::from_secs(5);
--- a/src/gateway/store_watch/registrations.rs
+++ b/src/gateway/store_watch/registrations.rs
@@ -42,8 +42,8 @@
 struct Handler(Arc<Gateway>);
 
 impl Handler {
-    /// Returns the registration, or logs why it could not be decoded.
-    fn filter_decoded(&self, item: NamedObject<Registration>) -> Option<Registration> {
+    /// The registration; absent, with a line in the log, if it could not be decoded.
+    fn decoded_or_logged(&self, item: NamedObject<Registration>) -> Option<Registration> {
         match item {
             (_, Ok(registration)) => Some(registration),
             (name, Err(e)) => {
@@ -131,7 +131,7 @@
     fn on_list(&self, items: Vec<NamedObject<Registration>>, version: Version) {
         let decoded = items
             .into_iter()
-            .filter_map(|item| self.filter_decoded(item));
+            .filter_map(|item| self.decoded_or_logged(item));
         let registrations: Vec<_> = decoded.collect();
         info!(self.0.log, "registrations_listed"; "count" => registrations.len());
         self.0.on_registrations_listed(&registrations);
@@ -148,7 +148,7 @@
         let changes = changes.into_iter().map(|change| match change {
             ObjectChange::Set(item) => RegistrationChange {
                 name: item.0.clone(),
-                registration: self.filter_decoded(item),
+                registration: self.decoded_or_logged(item),
             },
             ObjectChange::Removed(name) => RegistrationChange {
                 name,
--- a/src/gateway/unanswered.rs
+++ b/src/gateway/unanswered.rs
@@ -64,7 +64,8 @@
         }
     }
 
-    /// Whether callers can cause such ends as often as they like.
+    /// Whether callers can cause such ends as often as they like, so that their lines in the log are
+    /// limited.
     fn caused_by_caller(self) -> bool {
         !matches!(self, Self::Aborted | Self::Stop)
     }
