--- a/tests/gateway_body_failure.rs
+++ b/tests/gateway_body_failure.rs
@@ -27,7 +27,7 @@
 
 /// Less than a head, so that it is written in parts.
 const SOCKET_BYTES: usize = 64;
-/// A pipe has no kernel behind it.
+/// The operations of a pipe: it has no reset, and holds nothing that the runtime does not know of.
 const PIPE: SocketOps<DuplexStream> = SocketOps {
     set_reset: |_, _| {},
     read_now: |_, _| Poll::Pending,
@@ -60,7 +60,7 @@
     connection.watch_body(StreamBody::new(frames).boxed_unsync())
 }
 
-/// The same that has sent a request, whose response has that body.
+/// A served connection whose caller has sent a request; the response has a failing body.
 async fn open() -> (DuplexStream, Arc<CallerConnection>, JoinHandle<()>) {
     let (mut caller, connection, stream) = connect().await;
     let watched = Arc::clone(&connection);
@@ -77,7 +77,8 @@
     (caller, connection, task)
 }
 
-// Guards against: a head and events that are dropped unwritten, as the body fails right behind them (LOST).
+// Guards against: a head and events that are dropped unwritten, as the body fails right behind them
+// (LOST).
 #[tokio::test]
 async fn what_was_taken_of_a_body_is_written_before_its_failure() {
     let (mut caller, _connection, task) = open().await;
@@ -91,7 +92,8 @@
     task.await.expect("an end");
 }
 
-// Guards against: a failure that is held back for good, as nothing wakes it after the last write (twin).
+// Guards against: a failure that is held back for good, as nothing wakes the body after the last write
+// (twin).
 #[tokio::test(start_paused = true)]
 async fn a_failure_follows_once_all_before_it_is_written() {
     let (_caller, connection, mut stream) = connect().await;
@@ -106,7 +108,8 @@
     assert!(matches!(failure, Some(Err(ResponseAborted))));
 }
 
-// Guards against: a failure that waits for a caller which takes nothing, and isn't seen to (twin).
+// Guards against: a failure that waits for good for a caller which takes nothing, as the bound on such
+// callers doesn't see it (twin).
 #[tokio::test(start_paused = true)]
 async fn a_caller_that_takes_nothing_of_a_failed_body_counts_as_blocked() {
     let (caller, connection, task) = open().await;
