--- a/tests/gateway_last_read.rs
+++ b/tests/gateway_last_read.rs
@@ -10,7 +10,8 @@
 use basilgw::gateway::caller_limit::CallerLimits;
 use basilgw::gateway::caller_limit::bounds::ProcessLimits;
 use basilgw::gateway::caller_limit::metrics::CallerLimitMetrics;
-use basilgw::gateway::connection::{CallerConnection, CallerStream, SocketOps};
+use basilgw::gateway::caller_stream::{CallerStream, SocketOps};
+use basilgw::gateway::connection::CallerConnection;
 use basilgw::gateway::framing::RawHead;
 use basilgw::metrics::Metrics;
 use tokio::io::{AsyncRead, ReadBuf};
@@ -49,13 +50,13 @@
     let slot = limits.connect(IpAddr::V4(Ipv4Addr::LOCALHOST)).await;
     let connection = CallerConnection::open(slot, SystemClock::open(), RawHead::default());
     let mut stream = CallerStream::new(stream, Arc::clone(&connection), SocketOps::TCP);
-    assert!(connection.look_again(), "the first look");
+    assert!(connection.begin_final_read(), "the first look");
     assert_eq!(read(&mut stream), None, "nothing has arrived");
     caller.write_all(b"GET").expect("a write");
-    assert!(!connection.look_again(), "the next one closes");
+    assert!(!connection.begin_final_read(), "the next one closes");
     assert_eq!(read(&mut stream), Some(3));
     connection.begin_request(Some(0), false);
     caller.write_all(b"GET").expect("a write");
     assert_eq!(read(&mut stream), None, "the runtime alone is asked");
-    assert!(connection.look_again(), "a first look anew");
+    assert!(connection.begin_final_read(), "a first look anew");
 }
