Hold comments in front of a stream's first event

What callers saw: an engine that sent a comment (": ping") and broke off before its first event left its caller a 200 with the comment and a cut, in place of a whole refusal.

Cause: the head went out with the first bytes that could be forwarded, and a comment was such.

Change: the start of a stream holds comments until the first event may be forwarded or the body ends properly, 4 KiB at most; beyond that they are forwarded as before. They are dropped as their engine is left. No event waits for anything new. As before, a comment neither counts as progress nor ends a stream as stalled. An engine counts as sound with its first event.

Cost: a comment no longer reaches its caller before the first event, so it keeps nothing alive on that side until then.

--- a/src/gateway/event_numbers.rs
+++ b/src/gateway/event_numbers.rs
@@ -101,7 +101,7 @@
     }
 
     /// Whether no event has been forwarded.
-    fn is_fresh(&self) -> bool {
+    pub fn is_fresh(&self) -> bool {
         self.forwarded == 0 && !self.unnumbered
     }
 
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -72,6 +72,11 @@
         self.numbers.is_certain()
     }
 
+    /// Whether no event has been forwarded, at most comments.
+    pub fn is_fresh(&self) -> bool {
+        self.numbers.is_fresh()
+    }
+
     /// Adds bytes and returns the events that may be forwarded now. After a fault nothing more may
     /// be added before [`Self::on_resumed`].
     pub fn push(&mut self, bytes: &[u8]) -> Completed {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::stream::unfold;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
@@ -114,8 +114,9 @@
 async fn next_event(
     mut stream: Stream,
 ) -> Option<(Result<Bytes, ResponseAborted>, Option<Stream>)> {
-    if let Some(first) = stream.first.take() {
-        return Some((Ok(first), Some(stream)));
+    let first = std::mem::take(&mut stream.first);
+    if !first.is_empty() {
+        return Some((Ok(first.freeze()), Some(stream)));
     }
     let admitted = Arc::clone(&stream.admitted);
     let next = tokio::select! {
@@ -140,8 +141,9 @@
     origin: Origin,
     response: UpstreamResponse,
     attempts: Attempts,
-    /// Events that were read before the head was sent, and not forwarded yet.
-    first: Option<Bytes>,
+    /// Comments and events of the engine that were read before the head was sent, and not forwarded
+    /// yet.
+    first: BytesMut,
     events: EventSplitter,
     room: EventRoom,
     progress: StreamProgress,
--- a/src/gateway/stream/resume.rs
+++ b/src/gateway/stream/resume.rs
@@ -122,6 +122,8 @@
         self.on_lost(error);
         self.response.close();
         self.events.on_resumed();
+        // The caller gets nothing of an engine whose head it does not get.
+        self.first.clear();
     }
 
     /// Records that the engine is given up.
--- a/src/gateway/stream/start.rs
+++ b/src/gateway/stream/start.rs
@@ -1,12 +1,12 @@
 //! Starts to forward a stream of events.
 //!
-//! The head of the response goes to the caller together with the first events. Until these are
-//! there, the stream can still begin at another engine, with that one's head, or the request is
-//! refused as a whole.
+//! The head of the response goes to the caller together with the first event. Until that is there,
+//! the stream can still begin at another engine, with that one's head, or the request is refused as
+//! a whole. Comments in front of the first event are held until then.
 
 use std::sync::Arc;
 
-use bytes::Bytes;
+use bytes::BytesMut;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE};
 use http::{Method, Response, StatusCode};
 
@@ -25,6 +25,8 @@
 
 /// Media type of a stream of events.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
+/// Most bytes of comments that are held in front of the first event; with more, the response begins.
+const MAX_COMMENT_BYTES: usize = 4 << 10;
 
 impl AdmittedRequest {
     /// Whether the response is a stream of events. On a streaming route it is unless it names
@@ -50,11 +52,11 @@
         attempts: &mut Attempts,
     ) -> Result<Response<CallerBody>, Refusal> {
         let mut stream = Stream::open(self, origin, response, attempts.for_stream());
-        match stream.next().await {
-            Ok(first) => {
+        match stream.read_first().await {
+            Ok(ended) => {
                 // A head alone shows nothing: an engine may end each stream behind it.
                 stream.origin.upstream.health.on_success();
-                Ok(stream.respond(first))
+                Ok(stream.respond(ended))
             }
             Err(ResponseAborted) => attempts.give_up(stream.end_reason(), CAPACITY_RETRY),
         }
@@ -79,7 +81,7 @@
             origin,
             response,
             attempts,
-            first: None,
+            first: BytesMut::new(),
             events: EventSplitter::resume_after(admitted.request.head.last_event),
             room: EventRoom::default(),
             progress: StreamProgress::open(give_up, gap, started),
@@ -90,18 +92,30 @@
         }
     }
 
-    /// The response that begins with these events; without any, the stream has ended.
-    fn respond(mut self, first: Option<Bytes>) -> Response<CallerBody> {
+    /// Reads up to the first event, with the comments of its engine in front of it. Returns whether
+    /// the stream has ended.
+    async fn read_first(&mut self) -> Result<bool, ResponseAborted> {
+        while let Some(bytes) = self.next().await? {
+            self.first.extend_from_slice(&bytes);
+            let holds = self.events.is_fresh() && self.next != Next::End;
+            if !holds || self.first.len() > MAX_COMMENT_BYTES {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
+    /// The response that begins with what was read first; that is all of it if the stream has ended.
+    fn respond(mut self, ended: bool) -> Response<CallerBody> {
         let head = &self.response.head;
         let status = head.status;
         let mut headers = self.admitted.gateway.dialect.response_headers(head);
         // Another engine that resumes the stream may send a different number of bytes.
         headers.remove(CONTENT_LENGTH);
-        let body = if first.is_some() {
-            self.first = first;
-            streamed_body(Some(self), next_event)
+        let body = if ended {
+            response::complete_body(self.first.split().freeze())
         } else {
-            response::complete_body(Bytes::new())
+            streamed_body(Some(self), next_event)
         };
         let mut response = Response::new(body);
         *response.status_mut() = status;
