--- a/src/gateway/controller/planning.rs
+++ b/src/gateway/controller/planning.rs
@@ -1,7 +1,7 @@
 //! Plans which models and adapters the engines of a service load and unload next.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::Controller;
 use crate::gateway::adapter_placement::{AdapterAction, LoadingAdapters, plan_adapters};
@@ -67,22 +67,35 @@
                     (OrderAction::Unload(model_target(model)), incoming)
                 }
             };
-            if let Some(engine) = self.engines.get_mut(&id) {
-                let model_spec = spec.models.get(&incoming);
-                let tier = placement::storage_tier(&engine.view(now).inventory, &incoming);
-                let time = model_spec.map_or(UNLOAD_TIME, |model_spec| load_time(model_spec, tier));
-                engine.expected_end = now
-                    + match action {
-                        OrderAction::Load(_) => time,
-                        OrderAction::Unload(_) => time + UNLOAD_TIME,
-                    };
-                engine.incoming_model = Some(incoming);
-            }
+            self.expect_model(&id, &action, incoming, spec, now);
             orders.push((id, action));
         }
         self.issue_orders(orders, epoch).await;
     }
 
+    /// Notes which model an engine will hold after an order, and by when.
+    fn expect_model(
+        &mut self,
+        id: &UpstreamId,
+        action: &OrderAction,
+        incoming: ModelId,
+        spec: &EngineSpec,
+        now: Instant,
+    ) {
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        let model_spec = spec.models.get(&incoming);
+        let tier = placement::storage_tier(&engine.view(now).inventory, &incoming);
+        let time = model_spec.map_or(UNLOAD_TIME, |model_spec| load_time(model_spec, tier));
+        engine.expected_end = now
+            + match action {
+                OrderAction::Load(_) => time,
+                OrderAction::Unload(_) => time + UNLOAD_TIME,
+            };
+        engine.incoming_model = Some(incoming);
+    }
+
     /// Plans the adapters of a service and sends the orders.
     pub(super) async fn place_adapters(
         &mut self,
