Say what a connection does after a refusal for room, and why a stream has no event

A newcomer took "lacks room" for a state of the connection; the name says now that it closes after its response. The reason of a stream without an event is read from top to bottom.

--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -47,7 +47,7 @@
     /// Whether each read asks the kernel, as the connection is about to be closed as idle.
     final_read: AtomicBool,
     /// Whether the connection ends with the response, as this VM has no room.
-    lacks_room: AtomicBool,
+    closes_after: AtomicBool,
     progress: Mutex<Progress>,
 }
 
@@ -127,7 +127,7 @@
             is_blocked: AtomicBool::new(false),
             close_delimited: AtomicBool::new(false),
             final_read: AtomicBool::new(false),
-            lacks_room: AtomicBool::new(false),
+            closes_after: AtomicBool::new(false),
             progress: Mutex::new(progress),
         })
     }
@@ -158,13 +158,13 @@
     }
 
     /// Has the connection end with the response, so that it takes no room while this VM has none.
-    pub fn set_lacks_room(&self) {
-        self.lacks_room.store(true, Ordering::Relaxed);
+    pub fn set_closes_after_response(&self) {
+        self.closes_after.store(true, Ordering::Relaxed);
     }
 
     /// Whether the connection ends with the response, as this VM has no room.
-    pub fn lacks_room(&self) -> bool {
-        self.lacks_room.load(Ordering::Relaxed)
+    pub fn closes_after_response(&self) -> bool {
+        self.closes_after.load(Ordering::Relaxed)
     }
 
     /// Notes the id of the request.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -128,7 +128,7 @@
         }
     };
     // What follows a chunked body may be a smuggled request, so the connection is not reused.
-    if chunked || !gateway.is_ready() || connection.lacks_room() {
+    if chunked || !gateway.is_ready() || connection.closes_after_response() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -289,7 +289,7 @@
         warn!(self.admitted.gateway.log, "stream_without_room";
             "request" => %self.admitted.request.head.id, "event" => self.events.last_id(),
             "held" => self.events.held_bytes());
-        self.admitted.connection.set_lacks_room();
+        self.admitted.connection.set_closes_after_response();
         Err(ResponseAborted)
     }
 
--- a/src/gateway/stream/start.rs
+++ b/src/gateway/stream/start.rs
@@ -54,7 +54,7 @@
         let mut stream = Stream::open(self, origin, response, attempts.for_stream());
         match stream.read_first().await {
             Ok(ended) => {
-                // A head alone shows nothing: an engine may end each stream behind it.
+                // A head alone shows nothing: an engine may end each stream right after it.
                 stream.origin.upstream.health.on_success();
                 Ok(stream.respond(ended))
             }
@@ -123,10 +123,12 @@
         response
     }
 
-    /// Why there is no event.
+    /// Why the stream has ended before its first event.
     fn end_reason(&self) -> Reason {
+        if self.next == Next::Cut {
+            return Reason::Capacity;
+        }
         match self.lost {
-            _ if self.next == Next::Cut => Reason::Capacity,
             Some(error) => self.admitted.failure_reason(error),
             None => Reason::UpstreamFailed,
         }
