Name in the log what the configuration changed under a request that is cut

What callers saw: a stream or an answer that ends early beside a change of the configuration. The line `request_unanswered` told only how old the configuration in force was; whether the request's own route had another kind or another time by then could not be told, nor a cut by the deadline from one by a failed engine.

The line now has the kind and the time of the route that the request was admitted with, those of the route of that name in force, and the time that was left.

--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -30,6 +30,18 @@
 }
 
 impl RouteKind {
+    /// Name in the log.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Idempotent => "idempotent",
+            Self::Mutating => "mutating",
+            Self::Streaming {
+                resumable: true, ..
+            } => "resumable",
+            Self::Streaming { .. } => "streaming",
+        }
+    }
+
     /// Whether a request that may have run already may be sent again.
     pub fn retryable(self) -> bool {
         matches!(
@@ -282,6 +294,12 @@
         }
     }
 
+    /// Finds a route by its name.
+    pub fn route_named(&self, name: &RouteId) -> Option<&Arc<Route>> {
+        let mut routes = self.routes.values().flatten();
+        routes.find(|route| route.name == *name)
+    }
+
     /// Finds the client account that owns a key.
     ///
     /// # Errors
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -27,7 +27,7 @@
 use super::framing::RawHead;
 use super::relay::ResponseAborted;
 use super::response::CallerBody;
-use super::unanswered::{UnansweredRequest, UnansweredStage};
+use super::unanswered::{Admission, UnansweredRequest, UnansweredStage};
 
 /// Longest time after the end of a caller's sending side in which its request is still sent to an
 /// upstream.
@@ -71,6 +71,8 @@
     stage: Stage,
     /// Id of the last request, if its head was decoded.
     id: Option<RequestId>,
+    /// What the last request was admitted with; absent until it is.
+    admission: Option<Admission>,
     /// When the last request arrived, or the connection was opened.
     begun: Instant,
     /// Whether the body of the last request was not read to its end.
@@ -109,6 +111,7 @@
             arrived: 0,
             stage: Stage::Done,
             id: None,
+            admission: None,
             begun: clock.now(),
             unread: false,
             idle_since: clock.now(),
@@ -140,6 +143,7 @@
         progress.arrived += 1;
         progress.stage = Stage::Running;
         progress.id = None;
+        progress.admission = None;
         progress.begun = self.clock.now();
         progress.unread = unread;
         progress.declared = declared;
@@ -172,6 +176,11 @@
         self.lock().id = Some(id.clone());
     }
 
+    /// Notes what the request is admitted with.
+    pub fn set_admission(&self, admission: Admission) {
+        self.lock().admission = Some(admission);
+    }
+
     /// The request that has no complete answer now, if there is one.
     pub fn unanswered(&self) -> Option<UnansweredRequest> {
         let progress = self.lock();
@@ -182,6 +191,7 @@
                     stage: UnansweredStage::Head,
                     id: None,
                     spent: None,
+                    admission: None,
                 });
             }
             Stage::Done => return None,
@@ -194,6 +204,7 @@
             stage,
             id: progress.id.clone(),
             spent: Some(spent),
+            admission: progress.admission.clone(),
         })
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -32,6 +32,7 @@
 use super::response::{self, CallerBody};
 use super::retry_budget::Payment;
 use super::state::Gateway;
+use super::unanswered::Admission;
 use super::upstream::Upstream;
 use super::upstream_limit::gate::NoPermit;
 
@@ -176,6 +177,10 @@
     let draw = balancer::stable_hash(head.id.as_str().as_bytes(), 0);
     let service = route.service(draw).ok_or_else(not_ready)?.clone();
     let deadline = started + max_wait;
+    connection.set_admission(Admission {
+        route: Arc::clone(route),
+        deadline,
+    });
     let name = account.as_ref().map(|account| &account.name);
     let needed = gateway.time_needed(route);
     let placed = gateway.before_stop(needed, connection.slot.start(name));
--- a/src/gateway/unanswered.rs
+++ b/src/gateway/unanswered.rs
@@ -1,13 +1,15 @@
 //! Requests that end without a complete answer at their caller's connection. Each is counted by its
 //! cause and named in the log, with how far it came and the age of the configuration in force.
 
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use slog::warn;
 
 use crate::ids::RequestId;
 
 use super::caller_limit::metrics::CloseReason;
+use super::configuration::Route;
 use super::state::Gateway;
 
 /// Why a request got no complete answer.
@@ -23,6 +25,8 @@
     CallerLeft,
     /// The response was aborted.
     Aborted,
+    /// The response was aborted as the request's time was up.
+    Deadline,
     /// The response was aborted because this VM stops.
     Stop,
 }
@@ -40,8 +44,17 @@
     Response,
 }
 
+/// What a request was admitted with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Admission {
+    /// Its route, as it was in force then.
+    pub route: Arc<Route>,
+    /// When its response must be complete.
+    pub deadline: Instant,
+}
+
 /// A request without a complete answer.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct UnansweredRequest {
     /// How far it came.
     pub stage: UnansweredStage,
@@ -49,6 +62,8 @@
     pub id: Option<RequestId>,
     /// Time since its head was complete; absent before.
     pub spent: Option<Duration>,
+    /// What it was admitted with; absent before.
+    pub admission: Option<Admission>,
 }
 
 impl UnansweredCause {
@@ -60,6 +75,7 @@
             Self::Unread => "unread",
             Self::CallerLeft => "caller_left",
             Self::Aborted => "aborted",
+            Self::Deadline => "deadline",
             Self::Stop => "stop",
         }
     }
@@ -67,7 +83,7 @@
     /// Whether callers can cause such ends as often as they like, so that their lines in the log are
     /// limited.
     fn caused_by_caller(self) -> bool {
-        !matches!(self, Self::Aborted | Self::Stop)
+        !matches!(self, Self::Aborted | Self::Deadline | Self::Stop)
     }
 }
 
@@ -100,10 +116,20 @@
             return;
         }
         let millis = |time: Duration| time.as_millis() as u64;
+        let admission = request.admission.as_ref();
+        let route = admission.map(|admission| &admission.route);
+        let configuration = self.configuration.load();
+        let current = configuration.as_ref().zip(route);
+        let current = current.and_then(|(found, route)| found.route_named(&route.name));
+        let left = admission.map(|a| a.deadline.saturating_duration_since(self.clock.now()));
         warn!(self.log, "request_unanswered"; "why" => cause.label(),
             "stage" => request.stage.label(),
             "request" => request.id.as_ref().map(ToString::to_string),
-            "spent_ms" => request.spent.map(millis),
+            "spent_ms" => request.spent.map(millis), "left_ms" => left.map(millis),
+            "kind" => route.map(|route| route.kind.label()),
+            "kind_now" => current.map(|route| route.kind.label()),
+            "timeout_ms" => route.map(|route| millis(route.timeout)),
+            "timeout_now_ms" => current.map(|route| millis(route.timeout)),
             "configuration_ms" => self.configuration_age().map(millis));
     }
 }
