Go back to an engine that was left as silent where the next one fails

Callers saw a stream cut, or a 502, 504 or 500, though its engine was sound and only silent for a second or so: the stream had been taken to another engine, and that one broke off, answered with an error or declined late.

Cause: the former engine is closed 0.15 s after the next one was asked, before that one has given anything, and was then out of the question for good. A decision is taken before it must be and can't be taken back; here it must be taken early, as two engines may not go on with one request for more than 0.4 s, so it is made one that can be taken back.

Change: the engines that a request was taken from for silence alone are kept in mind (left_engines, pure). Where the next one fails, and the route allows no other engine or there is none, the request goes back by a new request, for a stream after the last complete event. It does so once; it is paid from the retry budget, for which a stream waits as after any silence; the body is kept until then. `attempts` bounds engines, not sendings: it is at no more engines than before, so `attempts.sent` may exceed it by one. No return to an engine that broke off or was faulty, to a later run, after a crash that a part of the prompt or the request may have caused, without budget or time. The same holds before the first event, before the head, and for idempotent requests to engines; mutating ones never move.

Weighed: (b) keeping the former engine longer than 0.15 s, up to the 0.4 s of the rule less closing and lateness, covers a failure in a tenth of a second more and nothing later; not done. (c) An engine that is ejected is not moved to already (has_alternative), and a full one declines at once, which keeps the former one; nothing added. A return for silence of the next engine: nothing tells which of the two goes on sooner; not done, so a next engine that hangs to the deadline still costs the request.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -19,6 +19,7 @@
     UpstreamResponse,
 };
 use super::head_wait::HeadWait;
+use super::left_engines::LeftEngines;
 use super::platform_api::ForwardOptions;
 use super::quarantine::crashes::Written;
 use super::quarantine::gate::Clearance;
@@ -28,7 +29,7 @@
 use super::retry_metrics::RetryCause;
 use super::signals::UpstreamObserver;
 use super::stream;
-use super::upstream::Upstream;
+use super::upstream::{Upstream, UpstreamInstance};
 use super::upstream_limit::gate::Permit;
 
 /// Failed connections after which a request is refused.
@@ -39,6 +40,8 @@
 pub struct Attempts {
     /// Upstreams that the request was sent to, or that could not be reached.
     pub tried: BTreeSet<UpstreamId>,
+    /// Those of them that the request left for silence.
+    pub(super) left: LeftEngines,
     /// Number of times that the request was sent.
     pub sent: u32,
     /// Number of connections that could not be opened.
@@ -106,6 +109,7 @@
     pub(super) fn for_stream(&self) -> Self {
         Self {
             tried: self.tried.clone(),
+            left: self.left.clone(),
             sent: self.sent,
             ran: self.ran,
             proven: self.proven,
@@ -113,6 +117,19 @@
         }
     }
 
+    /// Records that the request is sent to an upstream.
+    pub(super) fn on_sent(&mut self, upstream: &Upstream) {
+        let registration = &upstream.registration;
+        self.tried.insert(registration.id.clone());
+        let instance = UpstreamInstance::from(&**registration);
+        self.left.on_sent(&instance);
+    }
+
+    /// Whether the request may be sent once more, on a route that allows so many attempts.
+    pub(super) fn may_go_on(&self, most: u32) -> bool {
+        self.sent < most || self.left.open().is_some()
+    }
+
     /// A refusal that tells the caller whether the request may have run.
     pub(super) fn refusal(&self, reason: Reason) -> Refusal {
         if self.ran || self.pending > 0 {
@@ -149,7 +166,7 @@
         attempts: &mut Attempts,
     ) -> Result<Option<Response<CallerBody>>, Refusal> {
         let upstream = permit.upstream().clone();
-        attempts.tried.insert(upstream.registration.id.clone());
+        attempts.on_sent(&upstream);
         attempts.pending = 1;
         if attempts.sent + 1 < self.route.attempts && self.route.kind.retryable() {
             return self.attempt_hedged(permit, clearance, attempts).await;
@@ -219,7 +236,7 @@
                 attempts.sent += 1;
                 attempts.ended = Some(RetryCause::Declined);
                 self.on_declined(upstream, reason);
-                if attempts.sent < self.route.attempts {
+                if attempts.may_go_on(self.route.attempts) {
                     return Ok(None);
                 }
                 return attempts.give_up(Reason::Capacity, CAPACITY_RETRY).map(Some);
@@ -228,7 +245,7 @@
                 attempts.sent += 1;
                 attempts.ran = true;
                 begun = true;
-                self.release_body(attempts.sent);
+                self.release_body(attempts);
                 if self.is_stream(&response) {
                     let started = self.start_stream(origin, *response, attempts);
                     return started.await.map(Some);
@@ -269,7 +286,8 @@
         upstream.health.on_failure(now);
         let broken_off = error == ResponseError::Disconnected;
         let suspect = broken_off && (begun && self.has_new_part() || self.stops_retries());
-        if self.route.kind.retryable() && attempts.sent < self.route.attempts && !suspect {
+        let most = self.route.attempts;
+        if self.route.kind.retryable() && attempts.may_go_on(most) && !suspect {
             return Ok(None);
         }
         if let Some(failure) = attempts.failure.take() {
@@ -448,7 +466,12 @@
             return Ok(Some(buffered.into()));
         }
         upstream.health.on_failure(self.gateway.clock.now());
-        if attempts.sent < self.route.attempts && self.route.kind == RouteKind::Idempotent {
+        let goes_on = match self.route.kind {
+            RouteKind::Idempotent => attempts.may_go_on(self.route.attempts),
+            // The engine that it was taken from has not failed.
+            RouteKind::Streaming { .. } | RouteKind::Mutating => attempts.left.open().is_some(),
+        };
+        if goes_on {
             attempts.failure = Some(buffered);
             attempts.ended = Some(RetryCause::FailureStatus);
             return Ok(None);
--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -28,6 +28,7 @@
 use super::relay::{AdmittedRequest, CAPACITY_RETRY};
 use super::response::CallerBody;
 use super::retry_metrics::RetryCause;
+use super::upstream::UpstreamInstance;
 use super::upstream_limit::gate::Permit;
 
 /// Longest time for which a silent engine is kept while the next one may refuse a stream.
@@ -132,6 +133,8 @@
             outcome: SendOutcome::Unknown(ResponseError::Silent),
         };
         let _left = self.conclude(left, attempts).await;
+        let instance = UpstreamInstance::from(&*first_wait.upstream.registration);
+        attempts.left.on_left(instance);
         let sent = match early {
             Some(sent) => sent,
             None => second.await,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -59,6 +59,7 @@
 pub mod lateness;
 mod leadership;
 pub mod lease;
+pub mod left_engines;
 pub mod load_limiter;
 pub mod log_limit;
 pub mod mesh;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -297,9 +297,9 @@
         self.deadline.saturating_duration_since(now)
     }
 
-    /// Releases the body if the request, sent `sent` times and answered, is not sent again.
-    pub fn release_body(&self, sent: u32) {
-        if !self.route.kind.retryable() || sent >= self.route.attempts {
+    /// Releases the body if the request, which is answered, is not sent again after these attempts.
+    pub(super) fn release_body(&self, attempts: &Attempts) {
+        if !self.route.kind.retryable() || !attempts.may_go_on(self.route.attempts) {
             self.request.body.release();
         }
     }
@@ -336,7 +336,7 @@
             if self.time_left().is_zero() {
                 return attempts.give_up(Reason::Deadline, CAPACITY_RETRY);
             }
-            let permit = match self.reserve_upstream(&attempts.tried).await {
+            let permit = match self.reserve_next(attempts).await {
                 Ok(permit) => permit,
                 Err(NoPermit::Full(delay)) => {
                     let spread = rand::rng().random_range(RETURN_SPREAD);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -399,14 +399,24 @@
 
     /// Whether the route allows another attempt to resume the stream.
     fn resumable(&self) -> bool {
-        let resumes = matches!(
+        self.resumes() && self.attempts.sent < self.admitted.route.attempts
+    }
+
+    /// Whether streams of the route may be resumed.
+    fn resumes(&self) -> bool {
+        matches!(
             self.admitted.route.kind,
             RouteKind::Streaming {
                 resumable: true,
                 ..
             }
-        );
-        resumes && self.attempts.sent < self.admitted.route.attempts
+        )
+    }
+
+    /// Whether an engine can go on with the stream once this one has failed.
+    fn may_go_on(&self) -> bool {
+        let most = self.admitted.route.attempts;
+        self.resumes() && self.attempts.may_go_on(most) && self.events.is_certain()
     }
 
     /// Whether another attempt can resume the stream, as it is certain after which event.
--- a/src/gateway/stream/resume.rs
+++ b/src/gateway/stream/resume.rs
@@ -21,7 +21,8 @@
 use crate::gateway::quarantine::gate::Clearance;
 use crate::gateway::relay::ResponseAborted;
 use crate::gateway::retry_metrics::RetryCause;
-use crate::gateway::upstream_limit::gate::Permit;
+use crate::gateway::upstream::UpstreamInstance;
+use crate::gateway::upstream_limit::gate::{NoPermit, Permit};
 
 /// Time between two looks at a retry budget that is used up.
 const RETRY_LOOK: Duration = Duration::from_millis(50);
@@ -90,11 +91,12 @@
 
     /// Sends the request to other engines until one goes on with the stream, after `error`.
     async fn go_on(&mut self, error: ResponseError) -> Result<(), ResponseAborted> {
-        while self.movable() && !self.admitted.time_left().is_zero() {
-            if error == ResponseError::Silent {
+        while self.may_go_on() && !self.admitted.time_left().is_zero() {
+            if error == ResponseError::Silent || self.attempts.left.open().is_some() {
                 self.wait_for_retry().await;
             }
-            let Some(place) = self.reserve().await else {
+            let next = self.admitted.reserve_next(&self.attempts).await;
+            let Some(place) = self.pay_for(next) else {
                 break;
             };
             match self.go_on_at(place, Former::Lost).await {
@@ -126,6 +128,14 @@
         self.first.clear();
     }
 
+    /// Closes the connection to a silent engine, which may be sound.
+    fn leave_sound(&mut self) {
+        let registration = &*self.origin.upstream.registration;
+        let instance = UpstreamInstance::from(registration);
+        self.attempts.left.on_left(instance);
+        self.give_up(ResponseError::Silent);
+    }
+
     /// Records that the engine is given up.
     fn on_lost(&mut self, error: ResponseError) {
         self.response.end_attempt(error.into());
@@ -161,12 +171,19 @@
         }
     }
 
-    /// Takes what it needs to send the request to another engine; `None` if that is not possible.
+    /// Takes what it needs to leave a silent engine for another one; `None` if that is not possible.
     pub(super) async fn reserve(&self) -> Option<Place> {
+        let tried = &self.attempts.tried;
+        let next = self.admitted.reserve_upstream(tried).await;
+        self.pay_for(next)
+    }
+
+    /// Takes what it needs beside the permit to send the request to another engine.
+    fn pay_for(&self, next: Result<Permit, NoPermit>) -> Option<Place> {
+        let permit = next.ok()?;
         let admitted = &self.admitted;
         let gateway = &admitted.gateway;
         let trusted = admitted.account.is_none() || gateway.keys_trusted();
-        let permit = admitted.reserve_upstream(&self.attempts.tried).await.ok()?;
         if !trusted {
             return None;
         }
@@ -182,7 +199,7 @@
         let gateway = &admitted.gateway;
         let Place { permit, clearance } = place;
         let upstream = permit.upstream().clone();
-        self.attempts.tried.insert(upstream.registration.id.clone());
+        self.attempts.on_sent(&upstream);
         let after = self.events.last_id();
         let wait = admitted.head_wait(&upstream, &self.attempts);
         let sending = admitted.send(permit, clearance, after, &wait);
@@ -196,7 +213,7 @@
             SendOutcome::Responded(response) if admitted.is_stream(&response) => {
                 info!(gateway.log, "stream_resumed"; "request" => %admitted.request.head.id,
                     "upstream" => %upstream.registration.id, "event" => after);
-                admitted.release_body(self.attempts.sent);
+                admitted.release_body(&self.attempts);
                 let now = gateway.clock.now();
                 self.response = *response;
                 self.run = EngineRun::open(now);
@@ -243,7 +260,7 @@
             return (sending.await, false);
         }
         if self.admitted.may_close_late() {
-            self.give_up(ResponseError::Silent);
+            self.leave_sound();
             return (sending.await, false);
         }
         let mut sending = pin!(sending);
@@ -251,11 +268,11 @@
         match early {
             Ok(outcome) if outcome.is_over() => (outcome, true),
             Ok(outcome) => {
-                self.give_up(ResponseError::Silent);
+                self.leave_sound();
                 (outcome, false)
             }
             Err(_late) => {
-                self.give_up(ResponseError::Silent);
+                self.leave_sound();
                 (sending.await, false)
             }
         }
--- a/src/gateway/upstream_limit/gate.rs
+++ b/src/gateway/upstream_limit/gate.rs
@@ -10,7 +10,8 @@
 use super::table::Statement;
 use super::{Decision, GRANT_LIFETIME, SILENCE_PAUSE, Step, VmCounts};
 use crate::clock::BootTime;
-use crate::gateway::balancer::NoEngine;
+use crate::gateway::attempt::Attempts;
+use crate::gateway::balancer::{self, NoEngine};
 use crate::gateway::fleet::service_upstreams;
 use crate::gateway::platform_api::LimitSignal;
 use crate::gateway::relay::AdmittedRequest;
@@ -91,6 +92,47 @@
         self.wait_for_room(full).await
     }
 
+    /// Asks for leave to send the request to an upstream that it was not sent to, if its route
+    /// allows that, or else back to one that it left for silence.
+    ///
+    /// # Errors
+    ///
+    /// [`NoPermit`].
+    pub(in crate::gateway) async fn reserve_next(
+        &self,
+        attempts: &Attempts,
+    ) -> Result<Permit, NoPermit> {
+        let mut fresh = Err(NoPermit::NoEngine(NoEngine::Unusable));
+        if attempts.sent < self.route.attempts {
+            fresh = self.reserve_upstream(&attempts.tried).await;
+        }
+        match (fresh, attempts.left.open()) {
+            (Err(none), Some(left)) => self.reserve_among(left).await.ok_or(none),
+            (fresh, _) => fresh,
+        }
+    }
+
+    /// Asks for leave to send the request to one of these runs of upstreams.
+    async fn reserve_among(&self, instances: &BTreeSet<UpstreamInstance>) -> Option<Permit> {
+        let gateway = &self.gateway;
+        let upstreams = gateway.upstreams.load();
+        let candidates = service_upstreams(&upstreams, &self.service).filter(|upstream| {
+            let instance = UpstreamInstance::from(&*upstream.registration);
+            instances.contains(&instance)
+        });
+        let head = &self.request.head;
+        let now = gateway.clock.now();
+        let none_tried = BTreeSet::new();
+        let chosen = balancer::choose_upstream(candidates, head, &gateway.centre, &none_tried, now);
+        let upstream = chosen.ok()?.clone();
+        drop(upstreams);
+        let max_wait = self.longest_queueing();
+        let permit = self.reserve(&upstream, max_wait).await.ok()?;
+        info!(gateway.log, "request_returns"; "request" => %head.id,
+            "upstream" => %upstream.registration.id);
+        Some(permit)
+    }
+
     /// The upstreams that are warming up, of all services.
     fn warming_up(&self) -> BTreeSet<UpstreamId> {
         let now = self.gateway.clock.boot();
