Keep a silent engine where the next one answers with an error at once

Before the head of the response, the first engine was kept only if the next one declined or broke off within 0.15 s, not if it answered with an error; after the head it was kept for an error too.

Now an error (5xx) of the next engine within that time leaves the request at the first one. The error's body is read meanwhile and goes to the caller if the first attempt fails too. Any other answer is one, and is passed on.

a_request_stays_at_its_engine_where_the_next_one_answers_an_error_at_once (request, request to a plain route, head, first event): on the code before the former engine got the request twice (first cell); now once in all four, and its answer is whole. Break: has_stopped in place of has_failed turns it red.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -466,12 +466,9 @@
             return Ok(Some(buffered.into()));
         }
         upstream.health.on_failure(self.gateway.clock.now());
-        let goes_on = match self.route.kind {
-            RouteKind::Idempotent => attempts.may_go_on(self.route.attempts),
-            // The engine that it was taken from has not failed.
-            RouteKind::Streaming { .. } | RouteKind::Mutating => attempts.left.open().is_some(),
-        };
-        if goes_on {
+        let fresh = attempts.sent < self.route.attempts && self.route.kind == RouteKind::Idempotent;
+        // An attempt that is still made, or an engine that was left, has not failed.
+        if fresh || attempts.pending > 0 || attempts.left.open().is_some() {
             attempts.failure = Some(buffered);
             attempts.ended = Some(RetryCause::FailureStatus);
             return Ok(None);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -52,6 +52,12 @@
         }
     }
 
+    /// Whether the upstream has stopped, or answered that it failed.
+    pub fn has_failed(&self) -> bool {
+        let failed = |response: &UpstreamResponse| response.head.status.is_server_error();
+        self.has_stopped() || matches!(self, Self::Responded(response) if failed(response))
+    }
+
     /// Whether another upstream may go on with a stream: this one has stopped, or answered with a
     /// failure.
     pub fn is_over(&self) -> bool {
--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -97,7 +97,7 @@
     }
 
     /// Leaves the first upstream, unless the second one at once says that it does not run the
-    /// request, or breaks the connection.
+    /// request, breaks the connection or answers with an error.
     async fn hand_over<F, G>(
         self: &Arc<Self>,
         first: Pin<Box<F>>,
@@ -116,10 +116,8 @@
             early.ok()
         };
         let early = match early {
-            Some(sent) if sent.outcome.has_stopped() => {
-                // The first attempt is not over, so neither is the request.
-                let _declined = self.conclude(sent, attempts).await;
-                return self.conclude(first.await, attempts).await;
+            Some(sent) if sent.outcome.has_failed() => {
+                return self.stay(first, sent, attempts).await;
             }
             early => early,
         };
@@ -142,6 +140,30 @@
         self.conclude(sent, attempts).await
     }
 
+    /// Waits on for the first attempt, as the second one has failed or was declined.
+    async fn stay<F>(
+        self: &Arc<Self>,
+        mut first: Pin<Box<F>>,
+        second: Sent,
+        attempts: &mut Attempts,
+    ) -> Result<Option<Response<CallerBody>>, Refusal>
+    where
+        F: Future<Output = Sent>,
+    {
+        // The first attempt is not over, so neither is the request. An error response of the second
+        // one may take time to read.
+        let early = tokio::select! {
+            biased;
+            _failed = self.conclude(second, attempts) => None,
+            sent = first.as_mut() => Some(sent),
+        };
+        let sent = match early {
+            Some(sent) => sent,
+            None => first.await,
+        };
+        self.conclude(sent, attempts).await
+    }
+
     /// Whether this process may run too late to leave an upstream in time.
     pub(super) fn may_close_late(&self) -> bool {
         let now = self.gateway.clock.now();
