Let a VM know how many VMs there are before it is ready

Callers of a VM of the first start saw streams end after the events of their first engine, and requests as a 502, though another engine was sound; accounts had 0.5 / 360 of their quota there.

Cause: a figure that isn't known yet is taken as its worst value at a moment when the VM already serves. A VM was ready with configuration and registrations and counted 360 VMs until it had read their list: until the next usage report after the list came, 0.7 s after a list that lacked it or failed, and up to 20 s after a store that was away had come back, as these reads double their interval and nothing woke them.

What is known when (one VM, store at 0 / 150 ms a call): configuration after 5 / 160 ms, registrations likewise, the list after 9 to 12 / 315 ms (one call more: the registration is written first, so that VMs that start together find each other).

Change: - A VM is ready once it has read the list, or 1 s after its start: it can serve without, and the store may refuse just that. - A retry or a resumption that is refused only for want of that number waits for it, 1 s and the caller's time at most, before it reserves anything. - The number is in force as it is read, not with the next usage report. - A VM that isn't in the list yet reads again after 0.1 s, doubled as before (three reads more in the first 0.7 s of an outage), and as soon as the store answers it again. Weighed and left: to learn the number from the other VMs' reports, as none knows of VMs that it doesn't hear and a VM that starts first hears nobody; to read without registering first, since two VMs would then miss each other until the next list.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -93,6 +93,11 @@
 }
 
 impl Attempts {
+    /// Whether the next attempt is a retry that isn't paid for.
+    pub fn needs_payment(&self) -> bool {
+        self.ended.is_some() && self.payment.is_none()
+    }
+
     /// Leaves a payment for the next attempt, as this one was not sent. The first attempt is free, so
     /// nothing was paid for it.
     pub fn keep_payment(&mut self, payment: Payment) {
--- a/src/gateway/mesh.rs
+++ b/src/gateway/mesh.rs
@@ -134,7 +134,11 @@
         let own = &self.gateway.vm;
         self.gateway.upstream_limits().roster.add(own, ids);
         let others = vms.into_iter().filter(|(vm, _)| *vm != self.gateway.vm);
-        self.lock().peers.on_list(others, complete, now);
+        let mut state = self.lock();
+        state.peers.on_list(others, complete, now);
+        let reachability = state.peers.reachability(now);
+        drop(state);
+        self.gateway.set_reachability(reachability);
         self.gateway.usage_due.notify_one();
     }
 
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -336,6 +336,10 @@
             if self.time_left().is_zero() {
                 return attempts.give_up(Reason::Deadline, CAPACITY_RETRY);
             }
+            if attempts.needs_payment() {
+                let left = self.time_left();
+                gateway.await_vm_count(&self.service, left).await;
+            }
             let permit = match self.reserve_upstream(&attempts.tried).await {
                 Ok(permit) => permit,
                 Err(NoPermit::Full(delay)) => {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -35,7 +35,7 @@
 const VMS_INTERVAL: Duration = Duration::from_secs(20);
 /// Interval between these reads until this VM is registered and a read has succeeded; it doubles
 /// with each failure, up to the other interval.
-const VMS_RETRY_DELAY: Duration = Duration::from_millis(700);
+const VMS_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Longest wait for a response of the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -50,6 +50,8 @@
 
 /// Most unreadable entries of one configuration that are named in the log.
 const MAX_FAULT_LINES: usize = 20;
+/// Time from its start after which a VM is ready though it hasn't read how many VMs there are.
+const LIST_PATIENCE: Duration = Duration::from_secs(1);
 
 /// Settings that bound what a VM does; they may change while it runs.
 #[derive(Clone, Debug, PartialEq)]
@@ -124,8 +126,10 @@
     /// Asks this VM's reader at once.
     pub follow_due: Notify,
     /// Wakes the task that registers this VM when the store has come back from an older copy,
-    /// which may lack the registration.
+    /// which may lack the registration, or answers again before this VM was registered.
     pub store_returned: Notify,
+    /// Notifies waiters when the registered VMs, this one among them, were read for the first time.
+    pub vms_listed: Notify,
     /// Tells waiters when this VM stops.
     pub stop: StopSignal,
     /// Requests a round of the leader's decisions at once.
@@ -232,6 +236,7 @@
             coverage_changed: Notify::new(),
             follow_due: Notify::new(),
             store_returned: Notify::new(),
+            vms_listed: Notify::new(),
             orders_due: Notify::new(),
             asks_due: Notify::new(),
             settings_due: Notify::new(),
@@ -457,7 +462,14 @@
         let fresh = self.freshness().ready(self.clock.boot());
         let known =
             self.configuration.load().is_some() && self.read_fleet(|fleet| fleet.initialized);
-        fresh && known && !self.running.is_leaving()
+        fresh && known && self.vms_counted() && !self.running.is_leaving()
+    }
+
+    /// Whether this VM has read how many VMs there are, or has tried to for long enough: it can
+    /// serve without.
+    fn vms_counted(&self) -> bool {
+        let age = self.clock.now().saturating_duration_since(self.started);
+        self.reachability().listed || age >= LIST_PATIENCE
     }
 
     /// Begins the stop of this VM, which ends as `plan` says.
@@ -532,7 +544,13 @@
     /// now.
     pub fn set_reachability(&self, reachability: Reachability) {
         self.refill_allowances();
-        *lock(&self.reachability) = reachability;
+        let before = std::mem::replace(&mut *lock(&self.reachability), reachability);
+        if reachability.listed && !before.listed {
+            let age = self.clock.now().saturating_duration_since(self.started);
+            info!(self.log, "vms_listed"; "vms" => reachability.vms,
+                "started_ms" => age.as_millis() as u64);
+            self.vms_listed.notify_waiters();
+        }
     }
 
     /// How many VMs are known and reachable.
--- a/src/gateway/state/retries.rs
+++ b/src/gateway/state/retries.rs
@@ -1,6 +1,7 @@
 //! The services' retry budgets at this VM.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use slog::info;
 
@@ -10,6 +11,9 @@
 
 use super::{Gateway, lock};
 
+/// Longest that a retry waits for the number of VMs.
+const COUNT_WAIT: Duration = Duration::from_secs(1);
+
 impl Gateway {
     fn retry_budget<'a>(
         &self,
@@ -41,6 +45,32 @@
             .is_left(vms, now)
     }
 
+    /// Waits for a moment, at most for `left`, where a retry is refused only because this VM hasn't
+    /// read yet how many VMs there are.
+    pub async fn await_vm_count(&self, service: &ServiceId, left: Duration) {
+        let counted = async {
+            loop {
+                let listed = self.vms_listed.notified();
+                if !self.lacks_vm_count(service) {
+                    return;
+                }
+                listed.await;
+            }
+        };
+        let _late = tokio::time::timeout(left.min(COUNT_WAIT), counted).await;
+    }
+
+    fn lacks_vm_count(&self, service: &ServiceId) -> bool {
+        let reachability = self.reachability();
+        if reachability.listed {
+            return false;
+        }
+        let now = self.clock.now();
+        let mut retry_budgets = lock(&self.retry_budgets);
+        let budget = self.retry_budget(&mut retry_budgets, service);
+        !budget.is_left(reachability.most_vms(), now) && budget.is_left(reachability.peak, now)
+    }
+
     /// Spends one retry of a service's budget; false if none is left.
     pub fn try_retry(&self, service: &ServiceId, cause: RetryCause) -> bool {
         let now = self.clock.now();
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -176,6 +176,9 @@
             "away_ms" => outage.as_millis() as u64);
         self.failures = 0;
         self.gateway.store_recovered.notify_waiters();
+        if !self.gateway.reachability().listed {
+            self.gateway.store_returned.notify_one();
+        }
         if outage >= MIN_OUTAGE {
             self.handler.on_recovery();
         }
--- a/src/gateway/stream/resume.rs
+++ b/src/gateway/stream/resume.rs
@@ -165,6 +165,9 @@
     pub(super) async fn reserve(&self) -> Option<Place> {
         let admitted = &self.admitted;
         let gateway = &admitted.gateway;
+        gateway
+            .await_vm_count(&admitted.service, admitted.time_left())
+            .await;
         let trusted = admitted.account.is_none() || gateway.keys_trusted();
         let permit = admitted.reserve_upstream(&self.attempts.tried).await.ok()?;
         if !trusted {
