--- a/src/gateway/stream/resume.rs
+++ b/src/gateway/stream/resume.rs
@@ -95,6 +95,7 @@
             if error == ResponseError::Silent || self.attempts.left.open().is_some() {
                 self.wait_for_retry().await;
             }
+            self.await_vm_count().await;
             let next = self.admitted.reserve_next(&self.attempts).await;
             let Some(place) = self.pay_for(next) else {
                 break;
@@ -171,8 +172,17 @@
         }
     }
 
+    /// Waits for the number of VMs, for a moment, where the retry budget lacks it.
+    async fn await_vm_count(&self) {
+        let admitted = &self.admitted;
+        let left = admitted.time_left();
+        let gateway = &admitted.gateway;
+        gateway.await_vm_count(&admitted.service, left).await;
+    }
+
     /// Takes what it needs to leave a silent engine for another one; `None` if that is not possible.
     pub(super) async fn reserve(&self) -> Option<Place> {
+        self.await_vm_count().await;
         let tried = &self.attempts.tried;
         let next = self.admitted.reserve_upstream(tried).await;
         self.pay_for(next)
