Let running requests have a route time that was lengthened

What callers saw: an operator lengthens the time of a route, and requests that run under it still end at the former time, as the configuration in force no longer asks: streams are cut after a 200 and some events, plain requests get a 504.

Cause: the end of a request was taken once, as it was admitted, and copied: as a deadline, and as the time left that each wait was given when it began.

Change: a request has one RequestTime, which its connection shares and every wait asks. Its end is that of its caller's own budget, or of the longest time that its route had while it ran, if that is sooner. So a time that rises gives it more, and one that falls, also after a rise, takes nothing back. RouteTimes holds the times in force and those that they replaced, as IdleTimes does; both are TimeHistory now. A route is told by host and prefix, which select its requests: its name may move to others. A route that is gone keeps its time. A wait that comes to the end it knew goes on if that is later by then (`RequestTime::bound`): reading the body of a request, connecting, waiting for a head, reading a body, a silent stream, waiting for a model. The second attempt looks again where it had given up, and the wait for room at a limited upstream asks before each upstream. Waits that asked in a loop already (silence, retry budget, hedge, stop) needed no change. The time of a body counts from the request's head, as that of all else: it began anew with the body before. `request_unanswered` tells the true `left_ms` and finds the route in force by host and prefix.

Evidence: a_stream_runs_on_under_a_longer_route_time was cut after 2,503 ms with six of ten events, and a_plain_request_runs_on_under_a_longer_route_time got a 504 after 2,503 ms, with 9.5 s in force since 0.5 s; now both are whole. The decision is tested without a network in gateway_request_time.

Broken on purpose: the time at admission alone turns nine of the tests red; waits that don't ask again turn a_wait_goes_on_where_the_end_has_moved, a_plain_request_runs_on_..., a_body_may_arrive_..., a_silent_stream_runs_on_... and a_request_waits_for_its_model_... red, each its own; ignoring the caller's budget turns a_callers_own_budget_... and a_longer_route_time_holds_up_to_... red; forgetting replaced times turns a_shorter_route_time_holds_for_later_requests_only red. Twins: a_shorter_route_time_takes_nothing_back, and unchanged ends in a_longer_route_time_holds_up_to_the_callers_budget.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -321,7 +321,7 @@
             permit,
             request_id: &head.id,
             request,
-            patience: wait,
+            time: Arc::clone(&self.time),
             observer: &UpstreamObserver {
                 gateway,
                 upstream,
@@ -419,7 +419,7 @@
         }
         let headers = self.gateway.dialect.response_headers(&response.head);
         let slot = &self.connection.slot;
-        let read = response.read_buffered(slot, self.time_left()).await;
+        let read = response.read_buffered(slot).await;
         self.observe_buffered(&origin, &response, &read);
         if let Err(error) = &read {
             response.end_attempt((*error).into());
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -55,6 +55,15 @@
     }
 }
 
+/// What a route is told by: the requests that it is for. Its name may move to other requests.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RouteKey {
+    /// Host of its requests, in lowercase.
+    pub host: CompactString,
+    /// Prefix of their paths.
+    pub prefix: CompactString,
+}
+
 /// Requests of one path prefix on one host, and how they are served.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
@@ -294,10 +303,10 @@
         }
     }
 
-    /// Finds a route by its name.
-    pub fn route_named(&self, name: &RouteId) -> Option<&Arc<Route>> {
-        let mut routes = self.routes.values().flatten();
-        routes.find(|route| route.name == *name)
+    /// Finds the route for the requests of another configuration's route.
+    pub fn route_of(&self, key: &RouteKey) -> Option<&Arc<Route>> {
+        let mut routes = self.routes.get(&key.host)?.iter();
+        routes.find(|route| route.prefix == key.prefix)
     }
 
     /// Finds the client account that owns a key.
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -26,8 +26,9 @@
 use super::caller_limit::CallerSlot;
 use super::framing::RawHead;
 use super::relay::ResponseAborted;
+use super::request_time::RequestTime;
 use super::response::CallerBody;
-use super::unanswered::{Admission, UnansweredRequest, UnansweredStage};
+use super::unanswered::{UnansweredRequest, UnansweredStage};
 
 /// Longest time after the end of a caller's sending side in which its request is still sent to an
 /// upstream.
@@ -71,8 +72,8 @@
     stage: Stage,
     /// Id of the last request, if its head was decoded.
     id: Option<RequestId>,
-    /// What the last request was admitted with; absent until it is.
-    admission: Option<Admission>,
+    /// The time of the last request; absent until it is admitted.
+    time: Option<Arc<RequestTime>>,
     /// When the last request arrived, or the connection was opened.
     begun: Instant,
     /// Whether the body of the last request was not read to its end.
@@ -111,7 +112,7 @@
             arrived: 0,
             stage: Stage::Done,
             id: None,
-            admission: None,
+            time: None,
             begun: clock.now(),
             unread: false,
             idle_since: clock.now(),
@@ -143,7 +144,7 @@
         progress.arrived += 1;
         progress.stage = Stage::Running;
         progress.id = None;
-        progress.admission = None;
+        progress.time = None;
         progress.begun = self.clock.now();
         progress.unread = unread;
         progress.declared = declared;
@@ -176,9 +177,9 @@
         self.lock().id = Some(id.clone());
     }
 
-    /// Notes what the request is admitted with.
-    pub fn set_admission(&self, admission: Admission) {
-        self.lock().admission = Some(admission);
+    /// Notes the time of the request, which is admitted.
+    pub fn set_time(&self, time: Arc<RequestTime>) {
+        self.lock().time = Some(time);
     }
 
     /// The request that has no complete answer now, if there is one.
@@ -191,7 +192,7 @@
                     stage: UnansweredStage::Head,
                     id: None,
                     spent: None,
-                    admission: None,
+                    time: None,
                 });
             }
             Stage::Done => return None,
@@ -204,7 +205,7 @@
             stage,
             id: progress.id.clone(),
             spent: Some(spent),
-            admission: progress.admission.clone(),
+            time: progress.time.clone(),
         })
     }
 
--- a/src/gateway/connection_bounds.rs
+++ b/src/gateway/connection_bounds.rs
@@ -8,47 +8,31 @@
 
 use std::time::{Duration, Instant};
 
+use super::time_history::TimeHistory;
+
 /// Added to the idle time, so that a request sent just before it ends still arrives in time.
 const IDLE_GRACE: Duration = Duration::from_millis(500);
 /// Least time in which a caller may take nothing. TCP takes 3 s to send a lost segment again four
 /// times; the rest is for a pause of the caller itself.
 const UNREAD_FLOOR: Duration = Duration::from_secs(5);
-/// Most replaced idle times that are kept. Beyond it the oldest one, which is the longest, is dropped.
-const MAX_REPLACED: usize = 64;
-
 /// The idle time in force, and those that it replaced.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct IdleTimes {
-    current: Duration,
-    /// The replaced idle times, each with the moment of its replacement, oldest first. One that is not
-    /// longer than all after it is left out, as it is never the longest.
-    replaced: Vec<(Instant, Duration)>,
-}
+pub struct IdleTimes(TimeHistory);
 
 impl IdleTimes {
     /// Starts with an idle time in force.
     pub fn new(current: Duration) -> Self {
-        Self {
-            current,
-            replaced: Vec::new(),
-        }
+        Self(TimeHistory::new(current))
     }
 
     /// Puts another idle time into force.
     pub fn replace(&mut self, idle_time: Duration, now: Instant) {
-        self.replaced.push((now, self.current));
-        self.replaced.retain(|(_, replaced)| *replaced > idle_time);
-        if self.replaced.len() > MAX_REPLACED {
-            self.replaced.remove(0);
-        }
-        self.current = idle_time;
+        self.0.replace(idle_time, now);
     }
 
     /// The longest idle time that was in force at any moment from `since` on.
     pub fn longest_since(&self, since: Instant) -> Duration {
-        let mut replaced = self.replaced.iter();
-        let longest = replaced.find(|(until, _)| *until > since);
-        longest.map_or(self.current, |(_, time)| *time)
+        self.0.longest_since(since)
     }
 
     /// When a connection must end that is idle since `idle_since`, and whose last request arrived at
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,6 +20,7 @@
 use super::client::{ConnectError, Connection};
 use super::platform_api::{Dialect, EngineLoad, ResponseMeta, UpstreamSignals};
 use super::read_meter::MeteredBody;
+use super::request_time::RequestTime;
 use super::upstream::RequestGuard;
 use super::upstream_limit::gate::Permit;
 
@@ -114,6 +115,8 @@
     connection: Connection,
     /// Absent once the response is closed.
     guard: Option<RequestGuard>,
+    /// The request's time.
+    time: Arc<RequestTime>,
     /// Counts the end of the attempt.
     watch: Option<AttemptWatch>,
 }
@@ -127,18 +130,12 @@
     pub request_id: &'a RequestId,
     /// Encoded request.
     pub request: Request<Full<Bytes>>,
-    /// Decides how long to wait for the head of the response.
-    pub patience: &'a dyn Patience,
+    /// The request's time.
+    pub time: Arc<RequestTime>,
     /// Told what the upstream states about itself in its response, whatever its status.
     pub observer: &'a dyn SignalObserver,
 }
 
-/// Decides how long a request waits for the head of its response.
-pub trait Patience: Send + Sync + Debug {
-    /// Time to wait until the next decision; `None` if the caller's time is up.
-    fn next_wait(&self) -> Option<Duration>;
-}
-
 /// Receives what upstreams state about themselves in the heads of their responses.
 pub trait SignalObserver: Send + Sync + Debug {
     /// Handles the statements in a response of the upstream that the request was sent to.
@@ -154,17 +151,18 @@
     request: UpstreamRequest<'_>,
     guard: RequestGuard,
 ) -> SendOutcome {
-    let Some(wait) = request.patience.next_wait() else {
+    let time = request.time;
+    if time.is_over() {
         return SendOutcome::NotSent(ConnectError::Timeout);
-    };
-    let within = CONNECT_TIMEOUT.min(wait);
+    }
     let upstream = Arc::clone(&request.permit.upstream().registration);
-    let mut connection = match Connection::open(upstream.address, within).await {
-        Ok(connection) => connection,
-        Err(e) => return SendOutcome::NotSent(e),
+    let opened = Connection::open(upstream.address, CONNECT_TIMEOUT);
+    let mut connection = match time.bound(opened).await {
+        Some(Ok(connection)) => connection,
+        Some(Err(e)) => return SendOutcome::NotSent(e),
+        None => return SendOutcome::NotSent(ConnectError::Timeout),
     };
-    let responded = connection.send(request.request);
-    let response = match wait_patiently(responded, request.patience).await {
+    let response = match time.bound(connection.send(request.request)).await {
         Some(Ok(response)) => response,
         Some(Err(_ended)) => return SendOutcome::Unknown(ResponseError::Disconnected),
         None => return SendOutcome::Unknown(ResponseError::Deadline),
@@ -206,24 +204,11 @@
         body,
         connection,
         guard: Some(guard),
+        time,
         watch: None,
     }))
 }
 
-/// Waits for a result; `None` if patience ends before.
-async fn wait_patiently<F>(result: F, patience: &dyn Patience) -> Option<F::Output>
-where
-    F: Future,
-{
-    tokio::pin!(result);
-    loop {
-        let wait = patience.next_wait()?;
-        if let Ok(result) = tokio::time::timeout(wait, result.as_mut()).await {
-            return Some(result);
-        }
-    }
-}
-
 /// Result of reading the next part of a body.
 #[derive(Debug)]
 pub enum BodyRead {
@@ -274,12 +259,23 @@
 
     /// Reads the next part of the body, waiting at most `max_wait`.
     pub async fn read_next(&mut self, max_wait: Duration) -> BodyRead {
+        let read = tokio::time::timeout(max_wait, self.next_part()).await;
+        read.unwrap_or(BodyRead::Failed(ResponseError::Silent))
+    }
+
+    /// Reads the next part of the body within the request's time.
+    pub async fn read_in_time(&mut self) -> BodyRead {
+        let time = Arc::clone(&self.time);
+        let read = time.bound(self.next_part()).await;
+        read.unwrap_or(BodyRead::Failed(ResponseError::Deadline))
+    }
+
+    async fn next_part(&mut self) -> BodyRead {
         loop {
-            let frame = match tokio::time::timeout(max_wait, self.body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_broken))) => return BodyRead::Failed(ResponseError::Disconnected),
-                Ok(None) => return BodyRead::End,
-                Err(_late) => return BodyRead::Failed(ResponseError::Silent),
+            let frame = match self.body.frame().await {
+                Some(Ok(frame)) => frame,
+                Some(Err(_broken)) => return BodyRead::Failed(ResponseError::Disconnected),
+                None => return BodyRead::End,
             };
             // A frame without data holds trailers, which are not forwarded.
             if let Ok(bytes) = frame.into_data() {
@@ -288,8 +284,8 @@
         }
     }
 
-    /// Reads the complete body within `max_wait`, the caller's time, as far as there is room for it
-    /// among what the caller holds. Of a body whose declared length exceeds the largest size that is
+    /// Reads the complete body within the request's time, as far as there is room for it among what
+    /// the caller holds. Of a body whose declared length exceeds the largest size that is
     /// buffered, only the first part is read.
     ///
     /// # Errors
@@ -298,22 +294,22 @@
     pub async fn read_buffered(
         &mut self,
         slot: &CallerSlot,
-        max_wait: Duration,
     ) -> Result<BufferedBody, ResponseError> {
         let mut buffer = ChargedBuffer::default();
         let declared = self.body.size_hint().exact();
         if let Some(bytes) = declared {
             let fits = usize::try_from(bytes).is_ok_and(|bytes| bytes <= MAX_BUFFERED_BYTES);
             if !fits || !reserve(slot, &mut buffer, bytes as usize, bytes as usize) {
-                return self.read_first(max_wait).await;
+                return self.read_first().await;
             }
         }
+        let time = Arc::clone(&self.time);
         let read = async {
             loop {
-                let bytes = match self.read_next(max_wait).await {
+                let bytes = match self.next_part().await {
                     BodyRead::Bytes(bytes) => bytes,
                     BodyRead::End => return Ok(BufferedBody::Whole(buffer.freeze())),
-                    BodyRead::Failed(error) => return Err(error.at_deadline()),
+                    BodyRead::Failed(error) => return Err(error),
                 };
                 if bytes.len() > MAX_BUFFERED_BYTES - buffer.len() {
                     return Err(ResponseError::Invalid);
@@ -324,17 +320,17 @@
                 buffer.push(&bytes);
             }
         };
-        let read = tokio::time::timeout(max_wait, read).await;
+        let read = time.bound(read).await;
         read.unwrap_or(Err(ResponseError::Deadline))
     }
 
     /// Reads only the first part of the body, so that a refusal can still take its place if
     /// none of it comes.
-    async fn read_first(&mut self, max_wait: Duration) -> Result<BufferedBody, ResponseError> {
-        match self.read_next(max_wait).await {
+    async fn read_first(&mut self) -> Result<BufferedBody, ResponseError> {
+        match self.read_in_time().await {
             BodyRead::Bytes(bytes) => Ok(BufferedBody::Begun(bytes, Bytes::new())),
             BodyRead::End => Ok(BufferedBody::Whole(Bytes::new())),
-            BodyRead::Failed(error) => Err(error.at_deadline()),
+            BodyRead::Failed(error) => Err(error),
         }
     }
 }
--- a/src/gateway/head_wait.rs
+++ b/src/gateway/head_wait.rs
@@ -11,7 +11,7 @@
 use crate::ids::UpstreamId;
 
 use super::attempt_end::AttemptWatch;
-use super::exchange::{Patience, ResponseError};
+use super::exchange::ResponseError;
 use super::relay::AdmittedRequest;
 use super::upstream::Upstream;
 
@@ -82,10 +82,3 @@
         wait.ok_or(ResponseError::Silent)
     }
 }
-
-impl Patience for HeadWait<'_> {
-    fn next_wait(&self) -> Option<Duration> {
-        let left = self.request.time_left();
-        Some(left).filter(|left| !left.is_zero())
-    }
-}
--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -165,8 +165,8 @@
                 || self.has_alternative(&wait.tried) && self.has_retry() && !self.keeps_silent();
             match wait.decide(possible) {
                 Ok(look) => tokio::time::sleep(look).await,
-                // The first attempt ends by itself.
-                Err(ResponseError::Deadline) => std::future::pending().await,
+                // The first attempt ends by itself, unless the request has got more time meanwhile.
+                Err(ResponseError::Deadline) => tokio::time::sleep(LOOK_AGAIN).await,
                 Err(_silent) => match self.reserve_second(wait).await {
                     Some(second) => return second,
                     None => tokio::time::sleep(LOOK_AGAIN).await,
--- a/src/gateway/model_wait.rs
+++ b/src/gateway/model_wait.rs
@@ -79,13 +79,14 @@
                 return Ok(());
             }
             let left = self.wait_left(now);
-            if left.is_zero() || tokio::time::timeout(left, changed).await.is_err() {
+            if left.is_zero() {
                 info!(gateway.log, "model_not_loaded"; "request" => %self.request.head.id,
                     "target" => %target, "missing" => ?missing);
                 let waited = gateway.clock.now().saturating_duration_since(wait_start);
                 gateway.gauges.observe_wait(waited, false);
                 return Err(refuse(Reason::Deadline));
             }
+            let _woken = tokio::time::timeout(left, changed).await;
         }
     }
 
@@ -119,7 +120,9 @@
 
     /// Time that the request can still wait so that its caller receives the answer or a refusal.
     pub(super) fn wait_left(&self, now: Instant) -> Duration {
-        let give_up_at = self.deadline.min(self.started + give_up_time(&self.route));
+        let end = self.time.end();
+        let give_up_at =
+            give_up_time(&self.route).map_or(end, |time| end.min(self.time.started + time));
         let plan = self.gateway.stop_plan();
         let until = plan.map_or(give_up_at, |plan| give_up_at.min(plan.waits));
         until.saturating_duration_since(now + REFUSAL_MARGIN)
@@ -167,14 +170,14 @@
     delay < left
 }
 
-/// Time after which a caller gives up waiting for the response to begin.
-pub(super) fn give_up_time(route: &Route) -> Duration {
-    match route.kind {
-        RouteKind::Streaming { gap, .. } => MIN_GIVE_UP
-            .max(route.goal * GIVE_UP_GOALS)
-            .max(gap * GIVE_UP_GAPS),
-        _ => route.timeout,
-    }
+/// Time after which the caller of a stream gives up waiting for the response to begin; `None` for
+/// other requests, whose callers wait for all their time.
+pub(super) fn give_up_time(route: &Route) -> Option<Duration> {
+    let RouteKind::Streaming { gap, .. } = route.kind else {
+        return None;
+    };
+    let goals = route.goal * GIVE_UP_GOALS;
+    Some(MIN_GIVE_UP.max(goals).max(gap * GIVE_UP_GAPS))
 }
 
 /// Counts a request as waiting for `target` until it is dropped.
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -23,16 +23,16 @@
 use super::caller_limit::NoRoom;
 use super::caller_limit::buffer::{self, BodyError};
 use super::caller_limit::metrics::Lack;
-use super::configuration::{Account, Configuration, Missing, Route, RouteKind};
+use super::configuration::{Account, Configuration, Missing, Route, RouteKey, RouteKind};
 use super::connection::CallerConnection;
 use super::fleet::service_upstreams;
 use super::framing::RawHead;
 use super::request::{BufferedRequest, KeptBody, RequestHead, Size};
 use super::request_digest::request_digest;
+use super::request_time::RequestTime;
 use super::response::{self, CallerBody};
 use super::retry_budget::Payment;
 use super::state::Gateway;
-use super::unanswered::Admission;
 use super::upstream::Upstream;
 use super::upstream_limit::gate::NoPermit;
 
@@ -64,12 +64,10 @@
     pub service: ServiceId,
     /// Client account of its key; absent where no key is required.
     pub account: Option<Arc<Account>>,
-    /// When its head arrived.
-    pub started: Instant,
+    /// The time that it has.
+    pub time: Arc<RequestTime>,
     /// When it was read to its end.
     pub complete: Instant,
-    /// When its response must be complete.
-    pub deadline: Instant,
     /// Connection of its caller.
     pub connection: Arc<CallerConnection>,
 }
@@ -173,14 +171,10 @@
     let route = found.map_err(|missing| refuse_missing(missing, Reason::UnknownRoute))?;
     let account = authenticate(&configuration, route, &head)?;
     connection.set_outlives_end(route.kind == RouteKind::Mutating);
-    let max_wait = head.max_wait.unwrap_or(route.timeout).min(route.timeout);
     let draw = balancer::stable_hash(head.id.as_str().as_bytes(), 0);
     let service = route.service(draw).ok_or_else(not_ready)?.clone();
-    let deadline = started + max_wait;
-    connection.set_admission(Admission {
-        route: Arc::clone(route),
-        deadline,
-    });
+    let time = gateway.request_time(started, &head, route);
+    connection.set_time(Arc::clone(&time));
     let name = account.as_ref().map(|account| &account.name);
     let needed = gateway.time_needed(route);
     let placed = gateway.before_stop(needed, connection.slot.start(name));
@@ -188,7 +182,7 @@
         .await?
         .map_err(|NoRoom| no_room(gateway, Lack::Request))?;
     let max_bytes = configuration.bounds.body_bytes;
-    let read = read_body(gateway, connection, body, max_bytes, max_wait);
+    let read = read_body(gateway, connection, body, max_bytes, &time);
     let body = gateway.before_stop(needed, read).await??;
     let digest = request_digest(name, &head, &body);
     if let Some(delay) = gateway.quarantine_delay(head.shared_parts(), digest) {
@@ -206,9 +200,8 @@
         route: Arc::clone(route),
         service,
         account: account.clone(),
-        started,
+        time,
         complete: gateway.clock.now(),
-        deadline,
         request: BufferedRequest {
             head,
             body: KeptBody::new(body),
@@ -260,7 +253,7 @@
     connection: &CallerConnection,
     body: Incoming,
     max_bytes: usize,
-    max_wait: Duration,
+    time: &RequestTime,
 ) -> Result<Bytes, Refusal> {
     let read = async {
         let body = buffer::read_body(&connection.slot, body, max_bytes).await?;
@@ -270,8 +263,8 @@
     let read = tokio::select! {
         biased;
         () = connection.slot.evicted() => Err(BodyError::from(NoRoom)),
-        read = tokio::time::timeout(max_wait, read) => {
-            read.map_err(|_late| Refusal::not_run(Reason::Timeout))?
+        read = time.bound(read) => {
+            read.ok_or_else(|| Refusal::not_run(Reason::Timeout))?
         }
     };
     let body = read.map_err(|error| match error {
@@ -290,11 +283,33 @@
     Refusal::not_run(Reason::Capacity).retry_after(CAPACITY_RETRY.mul_f64(spread))
 }
 
+impl Gateway {
+    /// The time of a request that arrived at `started`, and is admitted under `route`.
+    fn request_time(
+        &self,
+        started: Instant,
+        head: &RequestHead,
+        route: &Arc<Route>,
+    ) -> Arc<RequestTime> {
+        let key = RouteKey {
+            host: head.host.clone(),
+            prefix: route.prefix.clone(),
+        };
+        Arc::new(RequestTime {
+            started,
+            budget: head.max_wait,
+            route: Arc::clone(route),
+            key,
+            times: Arc::clone(&self.route_times),
+            clock: Arc::clone(&self.clock),
+        })
+    }
+}
+
 impl AdmittedRequest {
-    /// Time until the deadline.
+    /// Time until its response must be complete.
     pub fn time_left(&self) -> Duration {
-        let now = self.gateway.clock.now();
-        self.deadline.saturating_duration_since(now)
+        self.time.left()
     }
 
     /// Releases the body if the request, sent `sent` times and answered, is not sent again.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -276,8 +276,7 @@
     };
     let now = gateway.clock.now();
     let stopped = gateway.stop_plan().is_some_and(|plan| plan.ends <= now);
-    let admission = request.admission.as_ref();
-    let late = admission.is_some_and(|admission| admission.deadline <= now);
+    let late = request.time.as_ref().is_some_and(|time| time.is_over());
     let cause = match (aborted, stopped) {
         (true, true) => UnansweredCause::Stop,
         (true, false) if late => UnansweredCause::Deadline,
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -43,6 +43,7 @@
 use super::reachability::Reachability;
 use super::retry_budget::{RetryBound, RetryBudget};
 use super::retry_metrics::RetryMetrics;
+use super::route_times::RouteTimes;
 use super::signals::LeavingHints;
 use super::stop::{StopPlan, StopSignal};
 use super::unreadable_objects::UnreadableObjects;
@@ -107,6 +108,8 @@
     pub configuration: ArcSwapOption<Configuration>,
     /// When the configuration in force came into force.
     configured: Mutex<Option<Instant>>,
+    /// Times of the routes in force, and those that they replaced.
+    pub route_times: Arc<ArcSwap<RouteTimes>>,
     /// Idle times of callers' connections.
     pub idle_times: ArcSwap<IdleTimes>,
     /// Upstreams in use.
@@ -223,6 +226,7 @@
             running: RequestTracker::open(),
             configuration: ArcSwapOption::empty(),
             configured: Mutex::default(),
+            route_times: Arc::default(),
             idle_times: ArcSwap::from_pointee(IdleTimes::new(CallerBounds::DEFAULT.idle_time)),
             upstreams: ArcSwap::default(),
             upstreams_changed: Notify::new(),
@@ -495,6 +499,9 @@
         let mut idle_times = IdleTimes::clone(&self.idle_times.load());
         idle_times.replace(configuration.bounds.idle_time, now);
         self.idle_times.store(Arc::new(idle_times));
+        let mut route_times = RouteTimes::clone(&self.route_times.load());
+        route_times.replace(&configuration, now);
+        self.route_times.store(Arc::new(route_times));
         self.configuration.store(Some(Arc::new(configuration)));
         *lock(&self.configured) = Some(now);
         if slow_start_changed {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -77,10 +77,9 @@
     if let Some(bytes) = body.begun.pop_front() {
         return Some((Ok(bytes), Some(body)));
     }
-    let time_left = body.admitted.time_left();
     let read = tokio::select! {
         biased;
-        read = body.response.read_next(time_left) => read,
+        read = body.response.read_in_time() => read,
         () = body.admitted.stop_ended() => {
             body.admitted.on_cut_by_stop(None);
             return Some((Err(ResponseAborted), None));
@@ -97,7 +96,6 @@
             None
         }
         BodyRead::Failed(error) => {
-            let error = error.at_deadline();
             body.response.end_attempt(error.into());
             if error == ResponseError::Disconnected {
                 let Origin { upstream, sent } = &body.origin;
@@ -201,6 +199,9 @@
                 }
                 continue;
             }
+            if silent && !self.admitted.time_left().is_zero() {
+                continue;
+            }
             let error = match read {
                 BodyRead::Bytes(bytes) => match self.take(&bytes) {
                     Some(events) => return Ok(Some(events)),
--- a/src/gateway/stream/start.rs
+++ b/src/gateway/stream/start.rs
@@ -70,7 +70,7 @@
         response: UpstreamResponse,
         attempts: Attempts,
     ) -> Self {
-        let give_up = give_up_time(&admitted.route);
+        let give_up = give_up_time(&admitted.route).unwrap_or(admitted.route.timeout);
         let gap = match admitted.route.kind {
             RouteKind::Streaming { gap, .. } => gap,
             RouteKind::Idempotent | RouteKind::Mutating => give_up,
--- a/src/gateway/unanswered.rs
+++ b/src/gateway/unanswered.rs
@@ -2,14 +2,14 @@
 //! cause and named in the log, with how far it came and the age of the configuration in force.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use slog::warn;
 
 use crate::ids::RequestId;
 
 use super::caller_limit::metrics::CloseReason;
-use super::configuration::Route;
+use super::request_time::RequestTime;
 use super::state::Gateway;
 
 /// Why a request got no complete answer.
@@ -44,17 +44,8 @@
     Response,
 }
 
-/// What a request was admitted with.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Admission {
-    /// Its route, as it was in force then.
-    pub route: Arc<Route>,
-    /// When its response must be complete.
-    pub deadline: Instant,
-}
-
 /// A request without a complete answer.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct UnansweredRequest {
     /// How far it came.
     pub stage: UnansweredStage,
@@ -62,8 +53,8 @@
     pub id: Option<RequestId>,
     /// Time since its head was complete; absent before.
     pub spent: Option<Duration>,
-    /// What it was admitted with; absent before.
-    pub admission: Option<Admission>,
+    /// Its time, with the route that it was admitted under; absent before.
+    pub time: Option<Arc<RequestTime>>,
 }
 
 impl UnansweredCause {
@@ -116,12 +107,12 @@
             return;
         }
         let millis = |time: Duration| time.as_millis() as u64;
-        let admission = request.admission.as_ref();
-        let route = admission.map(|admission| &admission.route);
+        let time = request.time.as_ref();
+        let route = time.map(|time| &time.route);
         let configuration = self.configuration.load();
-        let current = configuration.as_ref().zip(route);
-        let current = current.and_then(|(found, route)| found.route_named(&route.name));
-        let left = admission.map(|a| a.deadline.saturating_duration_since(self.clock.now()));
+        let current = configuration.as_ref().zip(time);
+        let current = current.and_then(|(found, time)| found.route_of(&time.key));
+        let left = time.map(|time| time.left());
         warn!(self.log, "request_unanswered"; "why" => cause.label(),
             "stage" => request.stage.label(),
             "request" => request.id.as_ref().map(ToString::to_string),
--- a/src/gateway/upstream_limit/gate.rs
+++ b/src/gateway/upstream_limit/gate.rs
@@ -146,10 +146,11 @@
     async fn wait_for_room(&self, mut full: Vec<(Duration, Upstream)>) -> Result<Permit, NoPermit> {
         full.sort_by_key(|(delay, _)| *delay);
         let clock = &self.gateway.clock;
-        let until = clock.boot().plus(self.longest_queueing());
+        let begun = clock.boot();
         let mut delays = Vec::new();
         for (delay, upstream) in full {
-            let left = until.since(clock.boot());
+            let waited = clock.boot().since(begun);
+            let left = self.longest_queueing(waited);
             if left.is_zero() {
                 delays.push(delay);
                 continue;
@@ -163,12 +164,12 @@
         Err(NoPermit::Full(soonest.unwrap_or(SILENCE_PAUSE)))
     }
 
-    /// Longest time that the request may wait for room: less at a lower priority, so that the
-    /// more urgent requests find room.
-    fn longest_queueing(&self) -> Duration {
+    /// Longest time that a request that has `waited` for room may go on: less at a lower priority,
+    /// so that the more urgent requests find room.
+    fn longest_queueing(&self, waited: Duration) -> Duration {
         let rank = u32::from(self.priority()) + 1;
         let left = self.wait_left(self.gateway.clock.now());
-        left.min(super::granter::MAX_AHEAD / rank)
+        left.min((super::granter::MAX_AHEAD / rank).saturating_sub(waited))
     }
 
     /// Reports to the leader that the engines with the request's model cannot take all requests.
