Tell an engine that stops as told from one that crashes

What callers saw: nothing before requests were given a route time that was lengthened; since then an engine that was told the shorter time stops by itself at it, which can't be taken back, while the request goes on.

Cause: such a stop is a broken connection. It counted as a crash of the engine, for which the parts of a prompt and whole requests are held back; a mutating request got a 502, a resumable stream the engine's 504; and an answer without a length that was cut there looked complete.

Change: an attempt keeps the time that its engine was told (ToldTime). Where that is over and the request's is not, a broken connection, or the end of a body without a length, is `Stopped`, neither a crash nor a whole answer. It is handled as a failure otherwise: an idempotent request is sent again and a resumable stream goes on at another engine, with the longer time, as far as attempts and retry budget allow; a failure status of such an engine lets a resumable stream begin elsewhere. A mutating request is never sent again: its caller gets a 504. Under a route time that has not changed nothing falls short. No engine is told more than its caller's own budget leaves.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -23,6 +23,7 @@
 use super::quarantine::crashes::Written;
 use super::quarantine::gate::Clearance;
 use super::relay::{AdmittedRequest, CAPACITY_RETRY};
+use super::request_time::ToldTime;
 use super::response::{self, CallerBody};
 use super::retry_budget::Payment;
 use super::retry_metrics::RetryCause;
@@ -281,7 +282,7 @@
     /// The reason of the refusal after the last attempt has failed.
     pub(super) fn failure_reason(&self, error: ResponseError) -> Reason {
         match (error, self.time_left().is_zero()) {
-            (ResponseError::Deadline, _) | (_, true) => Reason::Deadline,
+            (ResponseError::Deadline | ResponseError::Stopped, _) | (_, true) => Reason::Deadline,
             (ResponseError::Silent, _) => Reason::UpstreamSilent,
             _ => Reason::UpstreamFailed,
         }
@@ -300,6 +301,7 @@
         let upstream = &permit.upstream().clone();
         let head = &self.request.head;
         let time_left = self.answer_left();
+        let told = ToldTime::new(Arc::clone(&self.time), time_left);
         let account = self.account.as_deref();
         let options = ForwardOptions {
             upstream: upstream.registration.id.clone(),
@@ -321,7 +323,7 @@
             permit,
             request_id: &head.id,
             request,
-            time: Arc::clone(&self.time),
+            told,
             observer: &UpstreamObserver {
                 gateway,
                 upstream,
@@ -448,7 +450,9 @@
             return Ok(Some(buffered.into()));
         }
         upstream.health.on_failure(self.gateway.clock.now());
-        if attempts.sent < self.route.attempts && self.route.kind == RouteKind::Idempotent {
+        let repeats = self.route.kind == RouteKind::Idempotent
+            || self.route.kind.retryable() && response.falls_short();
+        if attempts.sent < self.route.attempts && repeats {
             attempts.failure = Some(buffered);
             attempts.ended = Some(RetryCause::FailureStatus);
             return Ok(None);
--- a/src/gateway/attempt_end.rs
+++ b/src/gateway/attempt_end.rs
@@ -14,7 +14,7 @@
 pub enum AttemptEnd {
     /// The upstream's response was read to its end.
     Answered,
-    /// The caller's time was up.
+    /// The caller's time was up, or that which the upstream was told.
     Deadline,
     /// The upstream was silent, and another one was tried.
     Silence,
@@ -53,7 +53,7 @@
         match error {
             ResponseError::Disconnected => Self::BrokenOff,
             ResponseError::Silent => Self::Silence,
-            ResponseError::Deadline => Self::Deadline,
+            ResponseError::Deadline | ResponseError::Stopped => Self::Deadline,
             ResponseError::Invalid => Self::Invalid,
         }
     }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,7 +20,7 @@
 use super::client::{ConnectError, Connection};
 use super::platform_api::{Dialect, EngineLoad, ResponseMeta, UpstreamSignals};
 use super::read_meter::MeteredBody;
-use super::request_time::RequestTime;
+use super::request_time::ToldTime;
 use super::upstream::RequestGuard;
 use super::upstream_limit::gate::Permit;
 
@@ -48,7 +48,9 @@
     pub fn has_stopped(&self) -> bool {
         match self {
             Self::NotSent(_) | Self::NotRun(_) => true,
-            Self::Unknown(error) => *error == ResponseError::Disconnected,
+            Self::Unknown(error) => {
+                matches!(error, ResponseError::Disconnected | ResponseError::Stopped)
+            }
             Self::Responded(_) => false,
         }
     }
@@ -86,6 +88,9 @@
     /// Nothing was received before the caller's time was up.
     #[error("the caller's time was up")]
     Deadline,
+    /// The upstream stopped at the end of the time that it was told, before that of the request.
+    #[error("the upstream stopped at the time that it was told")]
+    Stopped,
     /// The bytes received are not a valid response to this request.
     #[error("the upstream's answer is not one to this request")]
     Invalid,
@@ -97,7 +102,7 @@
     pub fn at_deadline(self) -> Self {
         match self {
             Self::Silent => Self::Deadline,
-            Self::Disconnected | Self::Deadline | Self::Invalid => self,
+            Self::Disconnected | Self::Deadline | Self::Stopped | Self::Invalid => self,
         }
     }
 }
@@ -115,8 +120,8 @@
     connection: Connection,
     /// Absent once the response is closed.
     guard: Option<RequestGuard>,
-    /// The request's time.
-    time: Arc<RequestTime>,
+    /// The time that the upstream was told.
+    told: ToldTime,
     /// Counts the end of the attempt.
     watch: Option<AttemptWatch>,
 }
@@ -130,8 +135,8 @@
     pub request_id: &'a RequestId,
     /// Encoded request.
     pub request: Request<Full<Bytes>>,
-    /// The request's time.
-    pub time: Arc<RequestTime>,
+    /// The time that the upstream is told.
+    pub told: ToldTime,
     /// Told what the upstream states about itself in its response, whatever its status.
     pub observer: &'a dyn SignalObserver,
 }
@@ -151,7 +156,8 @@
     request: UpstreamRequest<'_>,
     guard: RequestGuard,
 ) -> SendOutcome {
-    let time = request.time;
+    let told = request.told;
+    let time = &told.request;
     if time.is_over() {
         return SendOutcome::NotSent(ConnectError::Timeout);
     }
@@ -164,7 +170,7 @@
     };
     let response = match time.bound(connection.send(request.request)).await {
         Some(Ok(response)) => response,
-        Some(Err(_ended)) => return SendOutcome::Unknown(ResponseError::Disconnected),
+        Some(Err(_ended)) => return SendOutcome::Unknown(broken(&told)),
         None => return SendOutcome::Unknown(ResponseError::Deadline),
     };
     let (head, body) = response.into_parts();
@@ -204,11 +210,19 @@
         body,
         connection,
         guard: Some(guard),
-        time,
+        told,
         watch: None,
     }))
 }
 
+/// Why an upstream that was told this time ended the connection.
+fn broken(told: &ToldTime) -> ResponseError {
+    if told.falls_short() {
+        return ResponseError::Stopped;
+    }
+    ResponseError::Disconnected
+}
+
 /// Result of reading the next part of a body.
 #[derive(Debug)]
 pub enum BodyRead {
@@ -257,6 +271,17 @@
         self.guard = None;
     }
 
+    /// Whether the upstream has stopped, or may stop, at the time that it was told, which is over
+    /// before that of the request.
+    pub fn falls_short(&self) -> bool {
+        self.told.falls_short()
+    }
+
+    /// Why the upstream has ended a body early.
+    pub fn broken(&self) -> ResponseError {
+        broken(&self.told)
+    }
+
     /// Reads the next part of the body, waiting at most `max_wait`.
     pub async fn read_next(&mut self, max_wait: Duration) -> BodyRead {
         let read = tokio::time::timeout(max_wait, self.next_part()).await;
@@ -265,7 +290,7 @@
 
     /// Reads the next part of the body within the request's time.
     pub async fn read_in_time(&mut self) -> BodyRead {
-        let time = Arc::clone(&self.time);
+        let time = Arc::clone(&self.told.request);
         let read = time.bound(self.next_part()).await;
         read.unwrap_or(BodyRead::Failed(ResponseError::Deadline))
     }
@@ -274,7 +299,11 @@
         loop {
             let frame = match self.body.frame().await {
                 Some(Ok(frame)) => frame,
-                Some(Err(_broken)) => return BodyRead::Failed(ResponseError::Disconnected),
+                Some(Err(_broken)) => return BodyRead::Failed(self.broken()),
+                // Without a length, a body that the upstream has cut ends like a whole one.
+                None if !self.is_framed() && self.falls_short() => {
+                    return BodyRead::Failed(ResponseError::Stopped);
+                }
                 None => return BodyRead::End,
             };
             // A frame without data holds trailers, which are not forwarded.
@@ -303,7 +332,7 @@
                 return self.read_first().await;
             }
         }
-        let time = Arc::clone(&self.time);
+        let time = Arc::clone(&self.told.request);
         let read = async {
             loop {
                 let bytes = match self.next_part().await {
--- a/src/gateway/request_time.rs
+++ b/src/gateway/request_time.rs
@@ -73,3 +73,25 @@
         }
     }
 }
+
+/// The time that an upstream was told for a request, at whose end it stops work. That cannot be
+/// taken back.
+#[derive(Clone, Debug)]
+pub struct ToldTime {
+    /// The request's own time.
+    pub request: Arc<RequestTime>,
+    until: Instant,
+}
+
+impl ToldTime {
+    /// The time of an upstream that is told now that `left` is left, in whole milliseconds.
+    pub fn new(request: Arc<RequestTime>, left: Duration) -> Self {
+        let until = request.clock.now() + Duration::from_millis(left.as_millis() as u64);
+        Self { request, until }
+    }
+
+    /// Whether it is over while the request goes on, whose route's time has risen since.
+    pub fn falls_short(&self) -> bool {
+        self.request.clock.now() >= self.until && !self.request.is_over()
+    }
+}
--- a/src/gateway/retry_metrics.rs
+++ b/src/gateway/retry_metrics.rs
@@ -29,7 +29,9 @@
     fn from(error: ResponseError) -> Self {
         match error {
             ResponseError::Disconnected => Self::BrokenOff,
-            ResponseError::Silent | ResponseError::Deadline => Self::Silent,
+            ResponseError::Silent | ResponseError::Deadline | ResponseError::Stopped => {
+                Self::Silent
+            }
             ResponseError::Invalid => Self::Invalid,
         }
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -213,7 +213,7 @@
                     Some(events) => return Ok(Some(events)),
                     None => continue,
                 },
-                BodyRead::End => ResponseError::Disconnected,
+                BodyRead::End => self.response.broken(),
                 BodyRead::Failed(error) => error.at_deadline(),
             };
             self.resume(error).await?;
--- a/src/gateway/stream/resume.rs
+++ b/src/gateway/stream/resume.rs
@@ -144,7 +144,10 @@
             self.on_disconnected();
         }
         // A full engine that is slow has not failed.
-        let silent = matches!(error, ResponseError::Silent | ResponseError::Deadline);
+        let silent = matches!(
+            error,
+            ResponseError::Silent | ResponseError::Deadline | ResponseError::Stopped
+        );
         if !silent || standing != Standing::Queued {
             self.origin.upstream.health.on_failure(now);
         }
--- a/tests/gateway_request_time.rs
+++ b/tests/gateway_request_time.rs
@@ -11,7 +11,7 @@
 use basilgw::gateway::configuration::{
     CallerBounds, Configuration, Route, RouteKey, RouteKind, UnreadableEntries,
 };
-use basilgw::gateway::request_time::RequestTime;
+use basilgw::gateway::request_time::{RequestTime, ToldTime};
 use basilgw::gateway::route_times::RouteTimes;
 use basilgw::gateway::time_history::TimeHistory;
 use gateway_support::{id, ms};
@@ -188,6 +188,29 @@
     );
 }
 
+// Guards against: an engine that stops at the time it was told taken for one that crashed, and one
+// that breaks off earlier, or under a route time that has not changed, taken for one that stopped.
+#[tokio::test(start_paused = true)]
+async fn a_told_time_falls_short_only_under_a_longer_route_time() {
+    let times = InForce::open(2500);
+    let requests = [times.admit(2500, None), times.admit(2500, Some(2500))];
+    let told = requests
+        .each_ref()
+        .map(|r| ToldTime::new(Arc::clone(r), r.left()));
+    let short = || told.each_ref().map(ToldTime::falls_short);
+    times.set(9500);
+    pass(2499).await;
+    assert_eq!(short(), [false, false], "before it is over");
+    pass(1).await;
+    assert_eq!(
+        short(),
+        [true, false],
+        "the caller's own budget is over too"
+    );
+    pass(7000).await;
+    assert_eq!(short(), [false, false], "so is the request");
+}
+
 // Guards against: memory that grows with the routes and times that were in force once.
 #[tokio::test(start_paused = true)]
 async fn times_that_are_over_are_forgotten() {
