--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -24,6 +24,7 @@
 use super::quarantine::crashes::Written;
 use super::quarantine::gate::Clearance;
 use super::relay::{AdmittedRequest, CAPACITY_RETRY};
+use super::request_time::ToldTime;
 use super::response::{self, CallerBody};
 use super::retry_budget::Payment;
 use super::retry_metrics::RetryCause;
@@ -304,7 +305,7 @@
     /// The reason of the refusal after the last attempt has failed.
     pub(super) fn failure_reason(&self, error: ResponseError) -> Reason {
         match (error, self.time_left().is_zero()) {
-            (ResponseError::Deadline, _) | (_, true) => Reason::Deadline,
+            (ResponseError::Deadline | ResponseError::Stopped, _) | (_, true) => Reason::Deadline,
             (ResponseError::Silent, _) => Reason::UpstreamSilent,
             _ => Reason::UpstreamFailed,
         }
@@ -323,6 +324,7 @@
         let upstream = &permit.upstream().clone();
         let head = &self.request.head;
         let time_left = self.answer_left();
+        let told = ToldTime::new(Arc::clone(&self.time), time_left);
         let account = self.account.as_deref();
         let options = ForwardOptions {
             upstream: upstream.registration.id.clone(),
@@ -344,7 +346,7 @@
             permit,
             request_id: &head.id,
             request,
-            patience: wait,
+            told,
             observer: &UpstreamObserver {
                 gateway,
                 upstream,
@@ -442,7 +444,7 @@
         }
         let headers = self.gateway.dialect.response_headers(&response.head);
         let slot = &self.connection.slot;
-        let read = response.read_buffered(slot, self.time_left()).await;
+        let read = response.read_buffered(slot).await;
         self.observe_buffered(&origin, &response, &read);
         if let Err(error) = &read {
             response.end_attempt((*error).into());
@@ -471,7 +473,9 @@
             return Ok(Some(buffered.into()));
         }
         upstream.health.on_failure(self.gateway.clock.now());
-        let fresh = attempts.sent < self.route.attempts && self.route.kind == RouteKind::Idempotent;
+        let repeats = self.route.kind == RouteKind::Idempotent
+            || self.route.kind.retryable() && response.falls_short();
+        let fresh = attempts.sent < self.route.attempts && repeats;
         // An attempt that is still made, or an engine that was left, has not failed.
         if fresh || attempts.pending > 0 || attempts.left.open().is_some() {
             attempts.failure = Some(buffered);
