Pass on the last engine's answer to a resumption before the first event

Callers saw a 502 of the VM where a stream's engine broke off before an event and the last engine that could be tried answered with an error or a plain answer, though nothing of the stream had gone out. The answer was complete, and thrown away: a resumption took nothing but a stream. The first engine that a request is sent to was heard in each case.

Now the stream gives way to such an answer as long as its head has not gone out, and the answer is handled as one to a first sending: it goes out whole, a status that would promise "not run" never does, and what breaks off in it becomes a 502. While another engine may be tried it is left as before, so nobody loses a stream that a later engine would have served; `attempts` of the request are those of the stream then.

Twin: an answer of another sort in the middle takes the place of no stream that a third engine serves, before the first event or after it, and where it comes last after an event the stream is a visible cut with its line in the log (9 cases).

Deliberate breaks, each red in the twin: answers passed on while another engine may be tried ("half" in place of the stream), and after the head has gone out (no `stream_cut`). The first test is red without the change.

Failed trial: passing on any answer but a 5xx at once, as for a first sending, took a 200 of the third engine away from callers. Left: where a further attempt is allowed but no engine takes it, the caller still gets the 502.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -28,6 +28,7 @@
 use super::retry_metrics::RetryCause;
 use super::signals::UpstreamObserver;
 use super::stream;
+use super::stream::start::Started;
 use super::upstream::Upstream;
 use super::upstream_limit::gate::Permit;
 
@@ -113,6 +114,13 @@
         }
     }
 
+    /// Takes over those that a stream made before its head was sent.
+    pub(super) fn take_over(&mut self, of_stream: Self) {
+        self.tried = of_stream.tried;
+        self.sent = of_stream.sent;
+        self.proven = of_stream.proven;
+    }
+
     /// A refusal that tells the caller whether the request may have run.
     pub(super) fn refusal(&self, reason: Reason) -> Refusal {
         if self.ran || self.pending > 0 {
@@ -198,6 +206,7 @@
         let registration = &upstream.registration;
         let now = gateway.clock.now();
         let mut begun = false;
+        let mut answering = upstream.clone();
         let error = match outcome {
             SendOutcome::NotSent(e) => {
                 info!(gateway.log, "upstream_unreachable"; "request" => %self.request.head.id,
@@ -229,10 +238,16 @@
                 attempts.ran = true;
                 begun = true;
                 self.release_body(attempts.sent);
-                if self.is_stream(&response) {
-                    let started = self.start_stream(origin, *response, attempts);
-                    return started.await.map(Some);
-                }
+                let started = if self.is_stream(&response) {
+                    self.start_stream(origin, *response, attempts).await?
+                } else {
+                    Started::Plain(origin, response)
+                };
+                let (origin, response) = match started {
+                    Started::Stream(response) => return Ok(Some(response)),
+                    Started::Plain(origin, response) => (origin, response),
+                };
+                answering = origin.upstream.clone();
                 match self.handle_response(origin, *response, attempts).await {
                     Ok(response) => return Ok(response),
                     Err(error) => error,
@@ -248,7 +263,7 @@
                 error
             }
         };
-        self.on_failed(upstream, (error, begun), attempts)
+        self.on_failed(&answering, (error, begun), attempts)
     }
 
     /// Records a failed attempt, whose response had `begun` or not, and decides between a further
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -3,7 +3,7 @@
 //! (`stream::resume`).
 
 mod resume;
-mod start;
+pub(super) mod start;
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -144,6 +144,8 @@
     /// Comments and events of the engine that were read before the head was sent, and not forwarded
     /// yet.
     first: BytesMut,
+    /// Whether the head was sent, so that no other answer can take the place of the stream.
+    begun: bool,
     events: EventSplitter,
     room: EventRoom,
     progress: StreamProgress,
@@ -168,6 +170,8 @@
     Cut,
     /// It ends as complete.
     End,
+    /// It gives way to the response, which is no stream of events.
+    GiveWay,
 }
 
 impl Stream {
@@ -182,6 +186,7 @@
                     continue;
                 }
                 Next::Cut => return self.cut_for_room(),
+                Next::GiveWay => return Err(ResponseAborted),
                 Next::End => {
                     self.on_end();
                     return Ok(None);
--- a/src/gateway/stream/resume.rs
+++ b/src/gateway/stream/resume.rs
@@ -10,7 +10,7 @@
 
 use slog::{info, warn};
 
-use super::Stream;
+use super::{Next, Stream};
 use crate::gateway::attempt::Origin;
 use crate::gateway::attempt_end::AttemptEnd;
 use crate::gateway::engine_pace::Standing;
@@ -217,6 +217,15 @@
                     return Attempted::Crashed;
                 }
             }
+            SendOutcome::Responded(response) if !(kept || self.begun || self.movable()) => {
+                self.response = *response;
+                self.origin = Origin {
+                    upstream,
+                    sent: wait.sent,
+                };
+                self.next = Next::GiveWay;
+                return Attempted::Resumed;
+            }
             SendOutcome::Responded(response) => {
                 response.end_attempt(AttemptEnd::Answered);
                 upstream.health.on_failure(gateway.clock.now());
--- a/src/gateway/stream/start.rs
+++ b/src/gateway/stream/start.rs
@@ -28,6 +28,15 @@
 /// Most bytes of comments that are held in front of the first event; with more, the response begins.
 const MAX_COMMENT_BYTES: usize = 4 << 10;
 
+/// What came of a stream before its head was sent.
+#[derive(Debug)]
+pub enum Started {
+    /// The response of the stream.
+    Stream(Response<CallerBody>),
+    /// The response of this upstream, which is no stream, takes its place.
+    Plain(Origin, Box<UpstreamResponse>),
+}
+
 impl AdmittedRequest {
     /// Whether the response is a stream of events. On a streaming route it is unless it names
     /// another type or, as one to HEAD, has no body.
@@ -50,15 +59,22 @@
         origin: Origin,
         response: UpstreamResponse,
         attempts: &mut Attempts,
-    ) -> Result<Response<CallerBody>, Refusal> {
+    ) -> Result<Started, Refusal> {
         let mut stream = Stream::open(self, origin, response, attempts.for_stream());
         match stream.read_first().await {
             Ok(ended) => {
                 // A head alone shows nothing: an engine may end each stream right after it.
                 stream.origin.upstream.health.on_success();
-                Ok(stream.respond(ended))
+                Ok(Started::Stream(stream.respond(ended)))
+            }
+            Err(ResponseAborted) if stream.next == Next::GiveWay => {
+                attempts.take_over(stream.attempts);
+                Ok(Started::Plain(stream.origin, Box::new(stream.response)))
+            }
+            Err(ResponseAborted) => {
+                let given_up = attempts.give_up(stream.end_reason(), CAPACITY_RETRY);
+                given_up.map(Started::Stream)
             }
-            Err(ResponseAborted) => attempts.give_up(stream.end_reason(), CAPACITY_RETRY),
         }
     }
 }
@@ -82,6 +98,7 @@
             response,
             attempts,
             first: BytesMut::new(),
+            begun: false,
             events: EventSplitter::resume_after(admitted.request.head.last_event),
             room: EventRoom::default(),
             progress: StreamProgress::open(give_up, gap, started),
@@ -107,6 +124,7 @@
 
     /// The response that begins with what was read first; that is all of it if the stream has ended.
     fn respond(mut self, ended: bool) -> Response<CallerBody> {
+        self.begun = true;
         let head = &self.response.head;
         let status = head.status;
         let mut headers = self.admitted.gateway.dialect.response_headers(head);
