Tell the next process of a VM which retries were used

Callers of a VM that was restarted as planned saw streams end after the events of their first engine, and requests end in a 502, though another engine was sound, for 13 s after the restart unless the VM had had ten requests of the service.

Cause: a process had no part of the retry slack for a window + 3 s, as the process before it may have used it. That is again a figure that isn't known and is taken at its worst while the VM serves; here it was known, by a process that had time to say so. The number of VMs makes no difference (`retry_refused` with `vms: 1`).

Change: a process that stops as planned ends its retries once nothing is left to answer, and writes what it has used of the slack into its VM's registration, in the 0.2 s for which it waits anyway: one write a stop. The next process reads its registration first, instead of meeting a conflict (as many calls as before at a restart, one more where the VM is new), writes it anew, and only then has its part, less what was used. Nothing is taken over after a kill, a lost write, from a process that didn't know itself what the one before had used, or from another generation of the store.

Why the sum holds: with e the retries that a process's own requests allow, s what it used beyond them and P a VM's part, it sends e + s at most and the next one e' + P - s; so the VM stays within e + e' + P over any number of restarts. Requests of a span of two windows count, as before among VMs.

Sums in virtual time at 9, 87, 295 and 360 VMs: all restarted eight times while everything fails; restarted right after a kill; 24 random mixes of kills and restarts. Twin: a VM that restarts has its whole part at once, and nothing once it is used.

--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -73,6 +73,7 @@
 pub mod reachability;
 pub mod read_meter;
 pub mod recent_use;
+pub mod registrar;
 pub mod relay;
 pub mod reload;
 pub mod request;
--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -7,7 +7,8 @@
 //! - A VM's window ends where it retries. The windows of all VMs that end within one window of the
 //!   platform span two, and hold at most twice the requests of the busier one.
 //! - The process before this one may have used the same part of the slack, and other VMs may count
-//!   without a VM that has just started. A process has no part until that was a window ago.
+//!   without a VM that has just started. A process has no part until that was a window ago, unless
+//!   the process before stopped as planned and told what it had used of it.
 
 use std::collections::VecDeque;
 use std::fmt::{self, Display, Formatter};
@@ -57,8 +58,11 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     bound: RetryBound,
-    /// Start of this process; absent where the whole system started for the first time with it.
+    /// Start of this process; absent where the whole system started for the first time with it, or
+    /// the process before told what it had used.
     started: Option<Instant>,
+    /// Retries of the slack that the process before had used, and when this one learned of them.
+    earlier: Option<(u32, Instant)>,
     /// Times of the requests, oldest first.
     requests: VecDeque<Instant>,
     /// Times of the retries, oldest first.
@@ -72,6 +76,7 @@
         Self {
             bound,
             started,
+            earlier: None,
             requests: VecDeque::new(),
             retries: VecDeque::new(),
         }
@@ -82,6 +87,20 @@
         self.bound = bound;
     }
 
+    /// Takes over from the process before, which used so many retries of the slack in its last window.
+    pub fn take_over(&mut self, used: u32, now: Instant) {
+        self.started = None;
+        self.earlier = Some((used, now));
+    }
+
+    /// Retries of the slack that were used within the last window, for the next process; `None` while
+    /// it isn't known what the one before had used.
+    pub fn slack_used(&mut self, now: Instant) -> Option<u32> {
+        self.drop_expired(now);
+        let own = (self.retries.len() as f64 - self.earned()).ceil().max(0.0) as u32;
+        self.is_settled(now).then_some(own + self.earlier_used(now))
+    }
+
     /// Counts a request that is sent for the first time.
     pub fn on_request(&mut self, now: Instant) {
         self.drop_expired(now);
@@ -101,19 +120,36 @@
     /// Whether the budget of this VM allows a retry now.
     pub fn is_left(&mut self, vms: u32, now: Instant) -> bool {
         self.drop_expired(now);
-        let earned = self.requests.len() as f64 * self.bound.ratio * USED_SHARE;
-        let allowed = earned + self.slack_part(vms, now);
+        let allowed = self.earned() + self.slack_part(vms, now);
         self.retries.len() as f64 + 1.0 <= allowed
     }
 
+    /// Retries that this VM's own requests allow.
+    fn earned(&self) -> f64 {
+        self.requests.len() as f64 * self.bound.ratio * USED_SHARE
+    }
+
     /// The part of the slack that this VM may use now.
     fn slack_part(&self, vms: u32, now: Instant) -> f64 {
-        let settles = self.bound.window + LEARNT_WITHIN;
-        let settled = |started| now.saturating_duration_since(started) >= settles;
-        if !self.started.is_none_or(settled) {
+        if !self.is_settled(now) {
             return 0.0;
         }
-        self.bound.slack / f64::from(vms.max(MIN_SLACK_PARTS))
+        let part = self.bound.slack / f64::from(vms.max(MIN_SLACK_PARTS));
+        (part - f64::from(self.earlier_used(now))).max(0.0)
+    }
+
+    /// Whether it is known what the process before has used, or that was a window ago.
+    fn is_settled(&self, now: Instant) -> bool {
+        let settles = self.bound.window + LEARNT_WITHIN;
+        let settled = |started| now.saturating_duration_since(started) >= settles;
+        self.started.is_none_or(settled)
+    }
+
+    /// Retries of the slack that the process before has used and that still count.
+    fn earlier_used(&self, now: Instant) -> u32 {
+        let recent = |at| now.saturating_duration_since(at) < self.bound.window;
+        let earlier = self.earlier.filter(|(_, at)| recent(*at));
+        earlier.map_or(0, |(used, _)| used)
     }
 
     fn drop_expired(&mut self, now: Instant) {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -12,7 +12,7 @@
 use thiserror::Error;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::ids::{DataCentre, IdError, ObjectKey, Version, VmId};
+use crate::ids::{DataCentre, IdError, ObjectKey, VmId};
 use crate::store::{ObjectStore, StoreError};
 
 use super::centre_closure::CentreClosure;
@@ -22,6 +22,7 @@
 use super::generation_record::RecordKeeper;
 use super::mesh::Mesh;
 use super::platform_api::{DecodeError, EngineClient, NamedObject, ObjectSource};
+use super::registrar::{Registrar, STORE_TIMEOUT, StoppedProcess};
 use super::reload::{self, SettingsSource};
 use super::serve::Listening;
 use super::state::Gateway;
@@ -36,8 +37,6 @@
 /// Interval between these reads until this VM is registered and a read has succeeded; it doubles
 /// with each failure, up to the other interval.
 const VMS_RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Longest wait for a response of the store.
-const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Addresses that a VM listens on.
 #[derive(Clone, Copy, Debug)]
@@ -85,6 +84,9 @@
     /// Processor time of the VM.
     #[serde(default)]
     pub capacity: Capacity,
+    /// What the process left that stopped here; absent while one runs, and where one was killed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stopped: Option<StoppedProcess>,
 }
 
 /// Why a VM cannot serve.
@@ -136,11 +138,19 @@
         store_watch::closures::spawn(&gateway, Arc::clone(&platform.closures));
     }
     reload::spawn(&gateway, settings);
+    let own = VmRegistration {
+        mesh: mesh_address,
+        centre: Some(gateway.centre.clone()),
+        capacity: gateway.capacity,
+        stopped: None,
+    };
+    let registrar = Registrar::new(&gateway, &platform.store, platform.vm_key, own);
+    let registrar = Arc::new(registrar);
     tokio::spawn(discover_peers(
         Arc::clone(&gateway),
         Arc::clone(&mesh),
-        platform.clone(),
-        mesh_address,
+        Arc::clone(&platform.vms),
+        Arc::clone(&registrar),
     ));
     tokio::spawn(publish_expiry(Arc::clone(&gateway)));
     let record = RecordKeeper::open(&gateway, &platform.store, platform.generation_key);
@@ -167,13 +177,13 @@
     let now = gateway.clock.now();
     let late = gateway.lateness().longest_pause(now);
     let plan = StopPlan::new(now, gateway.bounds().grace, late);
-    drain(&gateway, &callers, plan).await;
+    drain(&gateway, &callers, plan, &registrar).await;
     Ok(())
 }
 
 /// Waits for requests in progress, at most until the plan has them closed. New requests are accepted
 /// until the balancer no longer sends any.
-async fn drain(gateway: &Gateway, callers: &Listening, plan: StopPlan) {
+async fn drain(gateway: &Gateway, callers: &Listening, plan: StopPlan, registrar: &Registrar) {
     let phases = || gateway.caller_limits.phases();
     let late = gateway.clock.now().saturating_duration_since(plan.begun);
     info!(gateway.log, "shutdown_begins"; phases(), "late_ms" => late.as_millis() as u64);
@@ -194,7 +204,8 @@
     callers.task.abort();
     // What was read meanwhile still gets its refusal.
     let written = async {
-        tokio::time::sleep(LAST_WRITES).await;
+        let left = tokio::time::timeout(LAST_WRITES, registrar.leave());
+        let (_left, ()) = tokio::join!(left, tokio::time::sleep(LAST_WRITES));
         gateway.running.wait_drained().await;
     };
     tokio::select! {
@@ -219,21 +230,16 @@
 async fn discover_peers(
     gateway: Arc<Gateway>,
     mesh: Arc<Mesh>,
-    platform: PlatformClients,
-    mesh_address: SocketAddr,
+    vms: Arc<dyn ObjectSource<VmRegistration>>,
+    registrar: Arc<Registrar>,
 ) {
-    let own = VmRegistration {
-        mesh: mesh_address,
-        centre: Some(gateway.centre.clone()),
-        capacity: gateway.capacity,
-    };
     let mut registered = false;
     let mut retry_delay = VMS_RETRY_DELAY;
     loop {
         if !registered {
-            registered = register_vm(&gateway, &platform, &own).await;
+            registered = registrar.register().await;
         }
-        let listed = tokio::time::timeout(STORE_TIMEOUT, platform.vms.list()).await;
+        let listed = tokio::time::timeout(STORE_TIMEOUT, vms.list()).await;
         let done = match listed.unwrap_or(Err(StoreError::Unavailable)) {
             Ok(list) => {
                 let objects = list.items.into_iter();
@@ -241,7 +247,7 @@
                     .filter_map(|object| read_vm(&gateway, object))
                     .collect();
                 // The store loses registrations when it comes back from an older copy.
-                registered = vms.get(&gateway.vm) == Some(&own);
+                registered = vms.get(&gateway.vm) == Some(registrar.own());
                 mesh.add_registered(vms, registered);
                 registered
             }
@@ -278,31 +284,3 @@
     })
     .ok()
 }
-
-/// Writes this VM's registration; returns whether that succeeded.
-async fn register_vm(
-    gateway: &Gateway,
-    platform: &PlatformClients,
-    registration: &VmRegistration,
-) -> bool {
-    let Ok(value) = serde_json::to_vec(registration) else {
-        return false;
-    };
-    let mut version = Version::default();
-    // A registration of an earlier run still exists; the first conflict reveals its version.
-    for _ in 0..2 {
-        let put = platform
-            .store
-            .put(&platform.vm_key, version, value.clone().into());
-        let put = tokio::time::timeout(STORE_TIMEOUT, put).await;
-        match put.unwrap_or(Err(StoreError::Unknown)) {
-            Ok(_) => return true,
-            Err(StoreError::Conflict(known)) => version = known,
-            Err(e) => {
-                warn!(gateway.log, "vm_unregistered"; "error" => %e);
-                return false;
-            }
-        }
-    }
-    false
-}
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -146,6 +146,10 @@
     demand: Mutex<LocalDemand>,
     allowances: Mutex<BTreeMap<ClientAccount, Allowance>>,
     retry_budgets: Mutex<BTreeMap<ServiceId, RetryBudget>>,
+    /// Whether the process before told which retries it had used.
+    took_over: AtomicBool,
+    /// Whether no more retries are sent, as what was used is written down.
+    retries_closed: AtomicBool,
     /// Start of this process.
     started: Instant,
     reachability: Mutex<Reachability>,
@@ -248,6 +252,8 @@
             demand: Mutex::default(),
             allowances: Mutex::default(),
             retry_budgets: Mutex::default(),
+            took_over: AtomicBool::new(false),
+            retries_closed: AtomicBool::new(false),
             started,
             reachability: Mutex::new(reachability),
             quarantine: Mutex::default(),
--- a/src/gateway/state/retries.rs
+++ b/src/gateway/state/retries.rs
@@ -1,7 +1,8 @@
 //! The services' retry budgets at this VM.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
 use slog::info;
 
@@ -23,11 +24,46 @@
         let entry = budgets.entry(service.clone());
         entry.or_insert_with(|| {
             let bounds = self.bounds();
-            let started = (!bounds.first_start).then_some(self.started);
-            RetryBudget::new(bounds.retries, started)
+            RetryBudget::new(bounds.retries, self.start_without_account())
         })
     }
 
+    /// Start of this process, unless nothing was before it or the process before told what it had
+    /// used.
+    fn start_without_account(&self) -> Option<Instant> {
+        let known = self.bounds().first_start || self.took_over.load(Ordering::Relaxed);
+        (!known).then_some(self.started)
+    }
+
+    /// Takes over from the process before, which stopped as planned and had used these retries.
+    pub fn take_over_retries(&self, used: &BTreeMap<ServiceId, u32>) {
+        info!(self.log, "retries_taken_over"; "retries" => used.values().sum::<u32>());
+        let now = self.clock.now();
+        let mut budgets = lock(&self.retry_budgets);
+        self.took_over.store(true, Ordering::Relaxed);
+        for service in used.keys() {
+            self.retry_budget(&mut budgets, service);
+        }
+        for (service, budget) in budgets.iter_mut() {
+            budget.take_over(used.get(service).copied().unwrap_or_default(), now);
+        }
+    }
+
+    /// Sends no more retries, and returns the retries of the slack that were used, for the next
+    /// process; `None` if that isn't known.
+    pub fn close_retries(&self) -> Option<BTreeMap<ServiceId, u32>> {
+        self.retries_closed.store(true, Ordering::Relaxed);
+        let now = self.clock.now();
+        let bound = self.bounds().retries;
+        RetryBudget::new(bound, self.start_without_account()).slack_used(now)?;
+        let mut budgets = lock(&self.retry_budgets);
+        let used = budgets.iter_mut().filter_map(|(service, budget)| {
+            let used = budget.slack_used(now).filter(|used| *used > 0)?;
+            Some((service.clone(), used))
+        });
+        Some(used.collect())
+    }
+
     /// Counts a request for a service, which raises its retry budget.
     pub fn count_request(&self, service: &ServiceId) {
         let now = self.clock.now();
@@ -77,7 +113,8 @@
         let vms = self.reachability().most_vms();
         let mut retry_budgets = lock(&self.retry_budgets);
         let budget = self.retry_budget(&mut retry_budgets, service);
-        let taken = budget.try_spend(vms, now);
+        let closed = self.retries_closed.load(Ordering::Relaxed);
+        let taken = !closed && budget.try_spend(vms, now);
         let state = budget.to_string();
         drop(retry_budgets);
         self.retry_metrics.decided(cause, taken);
--- a/tests/gateway_pure.rs
+++ b/tests/gateway_pure.rs
@@ -219,6 +219,7 @@
                     mesh: "127.0.0.1:1".parse().expect("an address"),
                     centre: None,
                     capacity: Capacity::default(),
+                    stopped: None,
                 };
                 peers.add_registered(id(&format!("v{other}")), registration, start);
             }
--- a/tests/gateway_retry_budget.rs
+++ b/tests/gateway_retry_budget.rs
@@ -3,19 +3,22 @@
 //!
 //! Guards against a budget that each VM keeps to alone and that all VMs together exceed.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use basilgw::gateway::attempt::Attempts;
 use basilgw::gateway::exchange::ResponseError;
 use basilgw::gateway::reachability::Reachability;
+use basilgw::gateway::registrar::StoppedProcess;
 use basilgw::gateway::retry_budget::{PAYMENT_LIFETIME, Payment, RetryBound, RetryBudget};
 use basilgw::gateway::retry_metrics::{RetryCause, RetryMetrics};
+use basilgw::ids::{StoreGeneration, Version};
 use basilgw::metrics::Metrics;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
 mod gateway_support;
-use gateway_support::ms;
+use gateway_support::{id, ms};
 
 /// Length of the platform's window, and of one step, in milliseconds.
 const WINDOW_MS: u64 = 10_000;
@@ -95,6 +98,17 @@
         self.vms[vm] = self.process(vms, rate);
     }
 
+    /// Restarts a VM whose process stops as planned and tells the next one what it has used.
+    fn restart_planned(&mut self, vm: usize) {
+        let now = self.at();
+        let budget = self.vms[vm].budget.as_mut();
+        let used = budget.and_then(|budget| budget.slack_used(now));
+        self.restart(vm);
+        if let (Some(used), Some(budget)) = (used, &mut self.vms[vm].budget) {
+            budget.take_over(used, now);
+        }
+    }
+
     /// Plays for `length`; where all upstreams fail, each VM retries as often as it may.
     fn play(&mut self, length: u64, failing: bool) {
         let end = self.now + length;
@@ -176,6 +190,93 @@
     }));
 }
 
+// Guards against: a process that takes over from one before it, and one before that, and spends anew
+// what they have spent in the same window.
+#[test]
+fn vms_that_all_restart_as_planned_again_and_again_keep_to_the_slack() {
+    check(SIZES.map(|(vms, slack)| {
+        let mut fleet = Fleet::open(vms, slack, 0.5);
+        for _ in 0..8 {
+            fleet.play(1500, true);
+            for vm in 0..vms as usize {
+                fleet.restart_planned(vm);
+            }
+        }
+        fleet.play(20_000, true);
+        fleet
+    }));
+}
+
+// Guards against: a process that stops as planned and says that nothing is used, though it doesn't
+// know what the one before it had used that was killed.
+#[test]
+fn vms_that_restart_as_planned_soon_after_a_kill_keep_to_the_slack() {
+    check(SIZES.map(|(vms, slack)| {
+        let mut fleet = Fleet::open(vms, slack, 0.1);
+        fleet.play(1000, true);
+        for vm in 0..vms as usize {
+            fleet.restart(vm);
+        }
+        fleet.play(500, true);
+        for vm in 0..vms as usize {
+            fleet.restart_planned(vm);
+        }
+        fleet.play(20_000, true);
+        fleet
+    }));
+}
+
+// Guards against: any order of planned restarts and kills in which the sum exceeds the bound.
+#[test]
+fn vms_that_are_killed_and_restarted_as_planned_keep_to_the_bound() {
+    check((0..24).map(|seed| {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let (vms, slack) = SIZES[seed as usize % 2];
+        let mut fleet = Fleet::open(vms, slack, rng.random_range(0.2..8.0));
+        for _ in 0..20 {
+            for vm in 0..vms as usize {
+                match rng.random_range(0..6) {
+                    0 => fleet.restart(vm),
+                    1 | 2 => fleet.restart_planned(vm),
+                    _ => {}
+                }
+            }
+            let failing = rng.random_bool(0.7);
+            fleet.play(rng.random_range(1..30) * STEP_MS, failing);
+        }
+        fleet
+    }));
+}
+
+// Guards against: a process that has no part of the slack though the one before left it some.
+#[test]
+fn a_vm_that_restarted_as_planned_has_what_is_left_of_its_part() {
+    let mut fleet = Fleet::open(9, 58.0, 0.0);
+    fleet.restart_planned(0);
+    fleet.vms.truncate(1);
+    fleet.play(STEP_MS, true);
+    assert_eq!(fleet.retries.len(), 3, "its whole part");
+    fleet.restart_planned(0);
+    fleet.play(WINDOW_MS - STEP_MS, true);
+    assert_eq!(fleet.retries.len(), 3, "the process before has used it");
+    fleet.play(STEP_MS, true);
+    assert_eq!(fleet.retries.len(), 6);
+}
+
+// Guards against: what a process left that is used again once the store has come back from a copy in
+// which it stands, though other processes followed.
+#[test]
+fn what_a_process_left_holds_only_in_the_generation_in_which_it_was_written() {
+    let version = |generation| Version::compose(StoreGeneration(generation), 7).expect("a version");
+    let retries = BTreeMap::from([(id("llm"), 2)]);
+    let left = StoppedProcess {
+        generation: version(3).generation(),
+        retries: retries.clone(),
+    };
+    assert_eq!(left.clone().retries_if_last(version(3)), Some(retries));
+    assert_eq!(left.retries_if_last(version(4)), None);
+}
+
 // Guards against: VMs that start while the list of VMs cannot be read, and take themselves for few.
 #[test]
 fn vms_that_have_not_read_the_list_keep_to_the_slack() {
--- a/tests/gateway_support/quota.rs
+++ b/tests/gateway_support/quota.rs
@@ -186,6 +186,7 @@
         mesh: address(n),
         centre: None,
         capacity: Capacity::default(),
+        stopped: None,
     }
 }
 
