Say in the log why a stream that is cut doesn't go on at another engine

What callers saw: streams that may be resumed cut as their engine broke off, with most of their time left.

The line has `missing` now: why no place was found at another engine. Nothing else changes.

--- a/src/gateway/stream/resume.rs
+++ b/src/gateway/stream/resume.rs
@@ -48,6 +48,19 @@
     clearance: Clearance,
 }
 
+/// Why a stream that may go on at another engine doesn't.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NoPlace {
+    /// No engine takes it.
+    Engine(NoPermit),
+    /// Its key may have been withdrawn.
+    Untrusted,
+    /// Its request is held back, as it may crash engines.
+    HeldBack,
+    /// The retry budget is used up.
+    Budget,
+}
+
 /// Whether the former engine of a stream may still go on with it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Former {
@@ -74,7 +87,7 @@
                 self.progress.tolerate_silence(self.now());
                 Ok(())
             }
-            Attempted::Crashed if self.admitted.stops_retries() => self.cut(true),
+            Attempted::Crashed if self.admitted.stops_retries() => self.cut(true, None),
             Attempted::Failed | Attempted::Crashed => self.go_on(ResponseError::Silent).await,
         }
     }
@@ -84,7 +97,7 @@
         let suspect = error == ResponseError::Disconnected && self.is_suspect();
         self.give_up(error);
         if suspect {
-            return self.cut(true);
+            return self.cut(true, None);
         }
         self.go_on(error).await
     }
@@ -97,8 +110,9 @@
             }
             self.await_vm_count().await;
             let next = self.admitted.reserve_next(&self.attempts).await;
-            let Some(place) = self.pay_for(next) else {
-                break;
+            let place = match self.pay_for(next) {
+                Ok(place) => place,
+                Err(missing) => return self.cut(false, Some(missing)),
             };
             match self.go_on_at(place, Former::Lost).await {
                 Attempted::Resumed => return Ok(()),
@@ -106,16 +120,17 @@
                 Attempted::Crashed | Attempted::Failed | Attempted::Stayed => {}
             }
         }
-        self.cut(false)
+        self.cut(false, None)
     }
 
-    /// Ends the stream before its end, so that the caller does not take it for complete.
-    fn cut(&self, suspect: bool) -> Result<(), ResponseAborted> {
+    /// Ends the stream before its end, so that the caller does not take it for complete; `missing` is
+    /// why it doesn't go on at another engine, where one was looked for.
+    fn cut(&self, suspect: bool, missing: Option<NoPlace>) -> Result<(), ResponseAborted> {
         let gateway = &self.admitted.gateway;
         warn!(gateway.log, "stream_cut"; "request" => %self.admitted.request.head.id,
             "event" => self.events.last_id(), "resumable" => self.resumable(),
             "certain" => self.events.is_certain(), "suspect" => suspect,
-            "sent" => self.attempts.sent,
+            "sent" => self.attempts.sent, "missing" => missing.map(|missing| format!("{missing:?}")),
             "left_ms" => self.admitted.time_left().as_millis() as u64);
         Err(ResponseAborted)
     }
@@ -188,22 +203,23 @@
         self.await_vm_count().await;
         let tried = &self.attempts.tried;
         let next = self.admitted.reserve_upstream(tried).await;
-        self.pay_for(next)
+        self.pay_for(next).ok()
     }
 
     /// Takes what it needs beside the permit to send the request to another engine.
-    fn pay_for(&self, next: Result<Permit, NoPermit>) -> Option<Place> {
-        let permit = next.ok()?;
+    fn pay_for(&self, next: Result<Permit, NoPermit>) -> Result<Place, NoPlace> {
+        let permit = next.map_err(NoPlace::Engine)?;
         let admitted = &self.admitted;
         let gateway = &admitted.gateway;
         let trusted = admitted.account.is_none() || gateway.keys_trusted();
         if !trusted {
-            return None;
+            return Err(NoPlace::Untrusted);
         }
-        let clearance = admitted.clear_to_send().ok()?;
-        let place = Place { permit, clearance };
+        let held = admitted.clear_to_send();
+        let clearance = held.map_err(|_delay| NoPlace::HeldBack)?;
         let paid = gateway.try_retry(&admitted.service, RetryCause::Resumption);
-        paid.then_some(place)
+        let place = Place { permit, clearance };
+        paid.then_some(place).ok_or(NoPlace::Budget)
     }
 
     /// Sends the request to another engine.
