Read a kept connection once more before it ends for a stop

Callers saw their kept connection closed, without a byte, though their request was there before the close: the VM had taken SIGTERM, stood still for a moment, and told its idle connections to end as it went on, before its runtime had asked the kernel what had come meanwhile. A VM that is short of processor time may do the same without a pause. The close for the idle time reads once more since; the one for a stop did not.

Now a connection learns of the stop in two steps: it reads what the kernel holds, and then ends if no request has begun.

Test: 200 kept connections, SIGTERM, a pause 0 to 4.9 ms later, requests on those that are still open, and then the VM goes on. What is left comes between the last read and the close, one for each thread of the VM at most, and this is the test's bound.

Twin, in the same test: a quarter of the connections sends nothing, and these close within 1.5 s.

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -1,7 +1,7 @@
 //! The HTTP listeners of a VM: for callers, for the balancer's readiness checks, and for metrics.
 
 use std::convert::Infallible;
-use std::future::poll_fn;
+use std::future::{poll_fn, ready};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -45,6 +45,17 @@
 /// Pause after a failed accept, without which a persistent error would cause a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// How far a connection has come with the stop of this VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Closing {
+    /// No stop has begun.
+    No,
+    /// It reads what has arrived.
+    Reading,
+    /// It ends once it is idle.
+    Told,
+}
+
 /// A running listener.
 #[derive(Debug)]
 pub struct Listening {
@@ -198,7 +209,7 @@
     tokio::pin!(evicted);
     let head_late = head_late(&gateway, &caller, &raw_head);
     tokio::pin!(head_late);
-    let (mut closing, mut leaving) = (false, false);
+    let (mut closing, mut leaving) = (Closing::No, false);
     let closed = loop {
         let mut wait = time_left(&gateway, &caller);
         if raw_head.is_partial() {
@@ -212,11 +223,17 @@
                 report_ended(&gateway, &caller, ended);
                 return;
             }
+            // A request may have arrived that the runtime does not know of yet, so the connection reads
+            // once more before it ends.
+            () = shutdown.as_mut(), if closing == Closing::No => {
+                closing = Closing::Reading;
+                caller.begin_final_read();
+            }
             // Announces the end of kept-alive connections; a caller that still used one after the
             // exit would lose its request. The first request of a connection may be on its way, and
             // the head of another one may have begun; its response ends the connection.
-            () = shutdown.as_mut(), if !closing => {
-                closing = true;
+            () = ready(()), if closing == Closing::Reading => {
+                closing = Closing::Told;
                 if caller.has_served() && !raw_head.is_partial() {
                     connection.as_mut().graceful_shutdown();
                 }
