--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -3,23 +3,24 @@
 //! The request path reads the configuration and the upstreams through atomic snapshots. The locks
 //! here are held only briefly and never across an await.
 
+mod configuration;
 mod quotas;
 mod retries;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use tokio::sync::Notify;
 
 use crate::clock::{BootTime, Clock};
 use crate::edge::RequestTracker;
 use crate::ids::{ClientAccount, DataCentre, ServiceId, UpstreamId, VmId};
 use crate::metrics::{EdgeMetrics, Metrics};
-use crate::schema::mesh::{ConfigurationReport, FollowRequest, LeavingUpstream};
+use crate::schema::mesh::{FollowRequest, LeavingUpstream};
 
 use super::allowance::Allowance;
 use super::answer_times::AnswerTimes;
@@ -38,7 +39,7 @@
 use super::lateness::{Lateness, LatenessMetrics};
 use super::log_limit::{LineVerdict, LogLimit};
 use super::metrics::{Counters, Gauges};
-use super::platform_api::{DecodeError, Dialect};
+use super::platform_api::Dialect;
 use super::quarantine::Quarantine;
 use super::reachability::Reachability;
 use super::retry_budget::{RetryBound, RetryBudget};
@@ -49,8 +50,6 @@
 use super::unreadable_objects::UnreadableObjects;
 use super::upstream_limit::UpstreamLimits;
 
-/// Most unreadable entries of one configuration that are named in the log.
-const MAX_FAULT_LINES: usize = 20;
 /// Time from its start after which a VM is ready though it hasn't read how many VMs there are.
 const LIST_PATIENCE: Duration = Duration::from_secs(1);
 
@@ -395,41 +394,6 @@
         lock(&self.demand)
     }
 
-    /// Freshness of the configuration.
-    pub fn freshness(&self) -> MutexGuard<'_, Freshness> {
-        lock(&self.freshness)
-    }
-
-    /// Changes the freshness of the configuration, and logs whether reads of it count.
-    pub fn update_freshness<F>(&self, change: F)
-    where
-        F: FnOnce(&mut Freshness, BootTime),
-    {
-        let now = self.clock.boot();
-        let mut freshness = self.freshness();
-        let before = (freshness.doubted(), freshness.age(now).is_some());
-        change(&mut freshness, now);
-        let after = (freshness.doubted(), freshness.age(now).is_some());
-        drop(freshness);
-        if before.0 != after.0 {
-            info!(self.log, "store_generation_trusted"; "generation" => ?after.0.or(before.0),
-                "trusted" => after.0.is_none());
-        }
-        if before.1 && !after.1 {
-            warn!(self.log, "configuration_lost_by_store");
-        }
-    }
-
-    /// Applies what another VM says of its configuration; returns what must be answered, if it
-    /// asks.
-    pub fn on_configuration_report(
-        &self,
-        report: &ConfigurationReport,
-    ) -> Option<ConfigurationReport> {
-        self.update_freshness(|freshness, now| freshness.on_report(report, now));
-        self.freshness().answer(report)
-    }
-
     /// What this VM and its readers have read of the store.
     pub fn coverage(&self) -> MutexGuard<'_, Coverage> {
         lock(&self.coverage)
@@ -462,11 +426,6 @@
         Some((reader.clone(), request))
     }
 
-    /// Whether the configuration is fresh enough to accept keys.
-    pub fn keys_trusted(&self) -> bool {
-        self.freshness().is_fresh(self.clock.boot())
-    }
-
     /// Whether the balancer should send new callers to this VM.
     pub fn is_ready(&self) -> bool {
         let fresh = self.freshness().ready(self.clock.boot());
@@ -494,65 +453,6 @@
         lock(&self.answer_times)
     }
 
-    /// Puts a configuration into force if it is newer than the current one; returns whether it is.
-    pub fn apply_configuration(&self, configuration: Configuration) -> bool {
-        let in_force = self.configuration.load();
-        if in_force
-            .as_ref()
-            .is_some_and(|old| old.version >= configuration.version)
-        {
-            return false;
-        }
-        info!(self.log, "configuration_taken"; "version" => configuration.version,
-            "routes" => configuration.routes.values().map(Vec::len).sum::<usize>(),
-            "services" => configuration.services.len());
-        self.report_unreadable(&configuration);
-        self.update_allowances(&configuration);
-        let routes = configuration.routes.values().flatten();
-        let names: BTreeSet<_> = routes.map(|route| &route.name).collect();
-        self.answer_times().retain(|name| names.contains(name));
-        let slow_starts = in_force.as_ref().map(|old| old.slow_starts());
-        let slow_start_changed = slow_starts != Some(configuration.slow_starts());
-        let now = self.clock.now();
-        let mut idle_times = IdleTimes::clone(&self.idle_times.load());
-        idle_times.replace(configuration.bounds.idle_time, now);
-        self.idle_times.store(Arc::new(idle_times));
-        let mut route_times = RouteTimes::clone(&self.route_times.load());
-        route_times.replace(&configuration, now);
-        self.route_times.store(Arc::new(route_times));
-        self.configuration.store(Some(Arc::new(configuration)));
-        *lock(&self.configured) = Some(now);
-        if slow_start_changed {
-            self.on_slow_start_changed();
-        }
-        true
-    }
-
-    /// Time since the configuration in force came into force; absent where there is none.
-    pub fn configuration_age(&self) -> Option<Duration> {
-        let since = (*lock(&self.configured))?;
-        Some(self.clock.now().saturating_duration_since(since))
-    }
-
-    /// Counts the entries that could not be read, and names the first of them in the log.
-    fn report_unreadable(&self, configuration: &Configuration) {
-        let faults = &configuration.unreadable.faults;
-        self.counters.entries_unreadable.inc_by(faults.len() as u64);
-        for fault in faults.iter().take(MAX_FAULT_LINES) {
-            warn!(self.log, "configuration_entry_unreadable"; "version" => configuration.version,
-                "entry" => %fault.entry, "error" => %fault.error);
-        }
-    }
-
-    /// Counts an object of the store that cannot be read; true if the log has not named it yet.
-    pub fn on_unreadable(&self, kind: &'static str, name: &str, error: &DecodeError) -> bool {
-        let first = lock(&self.unreadable).add(kind, name, error);
-        if first {
-            self.counters.entries_unreadable.inc();
-        }
-        first
-    }
-
     /// Sets how many VMs are known and reachable. The quotas are refilled by the part used until
     /// now.
     pub fn set_reachability(&self, reachability: Reachability) {
