Rename and split what stopped a reader who was new to the changes

The engines that a request left are `returnable`, an engine that ends at its told time is `ToldTimeOver`, a stream's place is `Replaced`, a start whose slack is withheld is `unsettled`; what opens no connection, and the wait for the number of VMs, are functions of their own; what the process before used has a type.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 use crate::outcome::{Ran, Reason, Refusal};
 
 use super::attempt_end::AttemptEnd;
+use super::client::ConnectError;
 use super::configuration::RouteKind;
 use super::exchange::{
     self, BufferedBody, DeclineReason, ResponseError, SendOutcome, UpstreamRequest,
@@ -43,7 +44,7 @@
     /// Upstreams that the request was sent to, or that could not be reached.
     pub tried: BTreeSet<UpstreamId>,
     /// Those of them that the request left for silence.
-    pub(super) left: LeftEngines,
+    left_engines: LeftEngines,
     /// Number of times that the request was sent.
     pub sent: u32,
     /// Number of connections that could not be opened.
@@ -116,7 +117,7 @@
     pub(super) fn for_stream(&self) -> Self {
         Self {
             tried: self.tried.clone(),
-            left: self.left.clone(),
+            left_engines: self.left_engines.clone(),
             sent: self.sent,
             ran: self.ran,
             proven: self.proven,
@@ -129,18 +130,29 @@
         let registration = &upstream.registration;
         self.tried.insert(registration.id.clone());
         let instance = UpstreamInstance::from(&**registration);
-        self.left.on_sent(&instance);
+        self.left_engines.on_sent(&instance);
+    }
+
+    /// Records that the request leaves a silent upstream, which has not failed.
+    pub(super) fn on_left(&mut self, upstream: &Upstream) {
+        let instance = UpstreamInstance::from(&*upstream.registration);
+        self.left_engines.on_left(instance);
+    }
+
+    /// The upstreams that the request left for silence and may return to.
+    pub(super) fn returnable(&self) -> Option<&BTreeSet<UpstreamInstance>> {
+        self.left_engines.returnable()
     }
 
     /// Whether the request may be sent once more, on a route that allows so many attempts.
     pub(super) fn may_go_on(&self, most: u32) -> bool {
-        self.sent < most || self.left.open().is_some()
+        self.sent < most || self.returnable().is_some()
     }
 
     /// Takes over those that a stream made before its head was sent.
     pub(super) fn take_over(&mut self, of_stream: Self) {
         self.tried = of_stream.tried;
-        self.left = of_stream.left;
+        self.left_engines = of_stream.left_engines;
         self.sent = of_stream.sent;
         self.proven = of_stream.proven;
     }
@@ -223,30 +235,14 @@
         attempt: Sent,
         attempts: &mut Attempts,
     ) -> Result<Option<Response<CallerBody>>, Refusal> {
-        let gateway = &self.gateway;
         attempts.pending = attempts.pending.saturating_sub(1);
         let Sent { origin, outcome } = attempt;
         let Origin { upstream, sent } = &origin.clone();
-        let registration = &upstream.registration;
-        let now = gateway.clock.now();
         let mut begun = false;
-        let mut answering = upstream.clone();
+        let mut failed_upstream = upstream.clone();
         let error = match outcome {
-            SendOutcome::NotSent(e) => {
-                info!(gateway.log, "upstream_unreachable"; "request" => %self.request.head.id,
-                    "upstream" => %registration.id, "error" => %e);
-                // The caller's time ended before the connection's; that says nothing of the upstream.
-                if self.time_left().is_zero() {
-                    return Ok(None);
-                }
-                upstream.health.on_failure(now);
-                gateway.on_unreachable(registration);
-                attempts.failed_connects += 1;
-                if attempts.failed_connects < MAX_FAILED_CONNECTS {
-                    return Ok(None);
-                }
-                let refusal = attempts.refusal(Reason::Capacity);
-                return Err(refusal.retry_after(CAPACITY_RETRY));
+            SendOutcome::NotSent(error) => {
+                return self.on_unreachable(upstream, error, attempts);
             }
             SendOutcome::NotRun(reason) => {
                 attempts.sent += 1;
@@ -271,7 +267,7 @@
                     Started::Stream(response) => return Ok(Some(response)),
                     Started::Plain(origin, response) => (origin, response),
                 };
-                answering = origin.upstream.clone();
+                failed_upstream = origin.upstream.clone();
                 match self.handle_response(origin, *response, attempts).await {
                     Ok(response) => return Ok(response),
                     Err(error) => error,
@@ -282,12 +278,38 @@
                 attempts.ran = true;
                 if error == ResponseError::Disconnected {
                     let parts = self.request.head.shared_parts();
-                    self.on_engine_crash(registration, parts, Written::NoHead, *sent);
+                    let engine = &upstream.registration;
+                    self.on_engine_crash(engine, parts, Written::NoHead, *sent);
                 }
                 error
             }
         };
-        self.on_failed(&answering, (error, begun), attempts)
+        self.on_failed(&failed_upstream, (error, begun), attempts)
+    }
+
+    /// Handles a connection that could not be opened; another upstream may be tried after a few.
+    fn on_unreachable(
+        &self,
+        upstream: &Upstream,
+        error: ConnectError,
+        attempts: &mut Attempts,
+    ) -> Result<Option<Response<CallerBody>>, Refusal> {
+        let gateway = &self.gateway;
+        let registration = &upstream.registration;
+        info!(gateway.log, "upstream_unreachable"; "request" => %self.request.head.id,
+            "upstream" => %registration.id, "error" => %error);
+        // The caller's time ended before the connection's; that says nothing of the upstream.
+        if self.time_left().is_zero() {
+            return Ok(None);
+        }
+        upstream.health.on_failure(gateway.clock.now());
+        gateway.on_unreachable(registration);
+        attempts.failed_connects += 1;
+        if attempts.failed_connects < MAX_FAILED_CONNECTS {
+            return Ok(None);
+        }
+        let refusal = attempts.refusal(Reason::Capacity);
+        Err(refusal.retry_after(CAPACITY_RETRY))
     }
 
     /// Records a failed attempt, whose response had `begun` or not, and decides between a further
@@ -321,7 +343,9 @@
     /// The reason of the refusal after the last attempt has failed.
     pub(super) fn failure_reason(&self, error: ResponseError) -> Reason {
         match (error, self.time_left().is_zero()) {
-            (ResponseError::Deadline | ResponseError::Stopped, _) | (_, true) => Reason::Deadline,
+            (ResponseError::Deadline | ResponseError::ToldTimeOver, _) | (_, true) => {
+                Reason::Deadline
+            }
             (ResponseError::Silent, _) => Reason::UpstreamSilent,
             _ => Reason::UpstreamFailed,
         }
@@ -489,11 +513,12 @@
             return Ok(Some(buffered.into()));
         }
         upstream.health.on_failure(self.gateway.clock.now());
+        // A stream's failure is final, unless the time that its engine was told was over.
         let repeats = self.route.kind == RouteKind::Idempotent
             || self.route.kind.retryable() && response.falls_short();
         let fresh = attempts.sent < self.route.attempts && repeats;
         // An attempt that is still made, or an engine that was left, has not failed.
-        if fresh || attempts.pending > 0 || attempts.left.open().is_some() {
+        if fresh || attempts.pending > 0 || attempts.returnable().is_some() {
             attempts.failure = Some(buffered);
             attempts.ended = Some(RetryCause::FailureStatus);
             return Ok(None);
--- a/src/gateway/attempt_end.rs
+++ b/src/gateway/attempt_end.rs
@@ -53,7 +53,7 @@
         match error {
             ResponseError::Disconnected => Self::BrokenOff,
             ResponseError::Silent => Self::Silence,
-            ResponseError::Deadline | ResponseError::Stopped => Self::Deadline,
+            ResponseError::Deadline | ResponseError::ToldTimeOver => Self::Deadline,
             ResponseError::Invalid => Self::Invalid,
         }
     }
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -55,7 +55,8 @@
     }
 }
 
-/// What a route is told by: the requests that it is for. Its name may move to other requests.
+/// Identifies a route over configurations by the requests that it serves; its name may move to other
+/// requests.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RouteKey {
     /// Host of its requests, in lowercase.
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -49,20 +49,24 @@
         match self {
             Self::NotSent(_) | Self::NotRun(_) => true,
             Self::Unknown(error) => {
-                matches!(error, ResponseError::Disconnected | ResponseError::Stopped)
+                matches!(
+                    error,
+                    ResponseError::Disconnected | ResponseError::ToldTimeOver
+                )
             }
             Self::Responded(_) => false,
         }
     }
 
-    /// Whether the upstream has stopped, or answered that it failed.
+    /// Whether the upstream has stopped, or answered with status 5xx: a request that waits at another
+    /// upstream stays there.
     pub fn has_failed(&self) -> bool {
         let failed = |response: &UpstreamResponse| response.head.status.is_server_error();
         self.has_stopped() || matches!(self, Self::Responded(response) if failed(response))
     }
 
-    /// Whether another upstream may go on with a stream: this one has stopped, or answered with a
-    /// failure.
+    /// Whether another upstream may go on with a stream: this one has stopped, or answered with any
+    /// status but 2xx.
     pub fn is_over(&self) -> bool {
         let failed = |response: &UpstreamResponse| !response.head.status.is_success();
         self.has_stopped() || matches!(self, Self::Responded(response) if failed(response))
@@ -96,7 +100,7 @@
     Deadline,
     /// The upstream stopped at the end of the time that it was told, before that of the request.
     #[error("the upstream stopped at the time that it was told")]
-    Stopped,
+    ToldTimeOver,
     /// The bytes received are not a valid response to this request.
     #[error("the upstream's answer is not one to this request")]
     Invalid,
@@ -108,7 +112,7 @@
     pub fn at_deadline(self) -> Self {
         match self {
             Self::Silent => Self::Deadline,
-            Self::Disconnected | Self::Deadline | Self::Stopped | Self::Invalid => self,
+            Self::Disconnected | Self::Deadline | Self::ToldTimeOver | Self::Invalid => self,
         }
     }
 }
@@ -163,7 +167,7 @@
     guard: RequestGuard,
 ) -> SendOutcome {
     let told = request.told;
-    let time = &told.request;
+    let time = &told.request_time;
     if time.is_over() {
         return SendOutcome::NotSent(ConnectError::Timeout);
     }
@@ -176,7 +180,7 @@
     };
     let response = match time.bound(connection.send(request.request)).await {
         Some(Ok(response)) => response,
-        Some(Err(_ended)) => return SendOutcome::Unknown(broken(&told)),
+        Some(Err(_ended)) => return SendOutcome::Unknown(early_end_error(&told)),
         None => return SendOutcome::Unknown(ResponseError::Deadline),
     };
     let (head, body) = response.into_parts();
@@ -221,10 +225,10 @@
     }))
 }
 
-/// Why an upstream that was told this time ended the connection.
-fn broken(told: &ToldTime) -> ResponseError {
+/// The error for a connection that an upstream which was told this time ended early.
+fn early_end_error(told: &ToldTime) -> ResponseError {
     if told.falls_short() {
-        return ResponseError::Stopped;
+        return ResponseError::ToldTimeOver;
     }
     ResponseError::Disconnected
 }
@@ -283,9 +287,10 @@
         self.told.falls_short()
     }
 
-    /// Why the upstream has ended a body early.
-    pub fn broken(&self) -> ResponseError {
-        broken(&self.told)
+    /// The error for a body that the upstream ended early: `ToldTimeOver` if the time that it was told is
+    /// over and the request's is not, else `Disconnected`.
+    pub fn early_end_error(&self) -> ResponseError {
+        early_end_error(&self.told)
     }
 
     /// Reads the next part of the body, waiting at most `max_wait`.
@@ -296,7 +301,7 @@
 
     /// Reads the next part of the body within the request's time.
     pub async fn read_in_time(&mut self) -> BodyRead {
-        let time = Arc::clone(&self.told.request);
+        let time = Arc::clone(&self.told.request_time);
         let read = time.bound(self.next_part()).await;
         read.unwrap_or(BodyRead::Failed(ResponseError::Deadline))
     }
@@ -305,10 +310,10 @@
         loop {
             let frame = match self.body.frame().await {
                 Some(Ok(frame)) => frame,
-                Some(Err(_broken)) => return BodyRead::Failed(self.broken()),
+                Some(Err(_broken)) => return BodyRead::Failed(self.early_end_error()),
                 // Without a length, a body that the upstream has cut ends like a whole one.
                 None if !self.is_framed() && self.falls_short() => {
-                    return BodyRead::Failed(ResponseError::Stopped);
+                    return BodyRead::Failed(ResponseError::ToldTimeOver);
                 }
                 None => return BodyRead::End,
             };
@@ -338,7 +343,7 @@
                 return self.read_first().await;
             }
         }
-        let time = Arc::clone(&self.told.request);
+        let time = Arc::clone(&self.told.request_time);
         let read = async {
             loop {
                 let bytes = match self.next_part().await {
--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -28,7 +28,6 @@
 use super::relay::{AdmittedRequest, CAPACITY_RETRY};
 use super::response::CallerBody;
 use super::retry_metrics::RetryCause;
-use super::upstream::UpstreamInstance;
 use super::upstream_limit::gate::Permit;
 
 /// Longest time for which a silent engine is kept while the next one may refuse a stream.
@@ -97,7 +96,7 @@
     }
 
     /// Leaves the first upstream, unless the second one at once says that it does not run the
-    /// request, breaks the connection or answers with an error.
+    /// request, breaks the connection or answers with status 5xx.
     async fn hand_over<F, G>(
         self: &Arc<Self>,
         first: Pin<Box<F>>,
@@ -131,8 +130,7 @@
             outcome: SendOutcome::Unknown(ResponseError::Silent),
         };
         let _left = self.conclude(left, attempts).await;
-        let instance = UpstreamInstance::from(&*first_wait.upstream.registration);
-        attempts.left.on_left(instance);
+        attempts.on_left(&first_wait.upstream);
         let sent = match early {
             Some(sent) => sent,
             None => second.await,
--- a/src/gateway/left_engines.rs
+++ b/src/gateway/left_engines.rs
@@ -1,9 +1,9 @@
 //! The engines that a request has left for their silence, and whether it may go back to one of them.
 //!
-//! An engine that is silent may be sound, and is closed soon after another one has been asked, so
-//! that the two don't go on with one request. Where that one fails, the request may go back: it has
-//! then been at as many engines as before, which is what the attempts of its route bound. It does so
-//! once, and to no engine that failed, nor to a later run of one that it left.
+//! A silent engine may be sound. The connection to it is closed soon after another engine was asked, so
+//! that the two don't work on one request. If the other one fails, the request may return: it has then
+//! been at as many engines as before, which is what the attempts of its route bound. It does so once, and
+//! to no engine that failed, nor to a later run of one that it left.
 
 use std::collections::BTreeSet;
 
@@ -29,8 +29,8 @@
     }
 
     /// The engines that the request may go back to.
-    pub fn open(&self) -> Option<&BTreeSet<UpstreamInstance>> {
-        let open = !self.returned && !self.engines.is_empty();
-        open.then_some(&self.engines)
+    pub fn returnable(&self) -> Option<&BTreeSet<UpstreamInstance>> {
+        let returnable = !self.returned && !self.engines.is_empty();
+        returnable.then_some(&self.engines)
     }
 }
--- a/src/gateway/registrar.rs
+++ b/src/gateway/registrar.rs
@@ -1,9 +1,9 @@
 //! Writes this VM's registration, and in it what a process that stops as planned leaves to the next
 //! one of its VM.
 //!
-//! The next process would have to take it that this one has used its whole part of the retry slack.
-//! The registration is written anew before the next process uses what it says, so that no third one
-//! reads it, unless the store comes back from an older copy: then its generation differs.
+//! Without that report the next process must assume that this one used its whole part of the retry slack.
+//! The next process overwrites the report before it uses it, so that no third process does. After the
+//! store has come back from an older copy, the report's store generation differs, and it is ignored.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -103,7 +103,7 @@
     }
 
     /// Writes what this process leaves to the next one, and sends no more retries.
-    pub async fn leave(&self) {
+    pub async fn write_stopped(&self) {
         let retries = self.gateway.close_retries();
         let (Some(retries), Some(version)) = (retries, self.written()) else {
             return;
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -352,8 +352,7 @@
                 return attempts.give_up(Reason::Deadline, CAPACITY_RETRY);
             }
             if attempts.needs_payment() {
-                let left = self.time_left();
-                gateway.await_vm_count(&self.service, left).await;
+                self.await_vm_count().await;
             }
             let permit = match self.reserve_next(attempts).await {
                 Ok(permit) => permit,
@@ -419,6 +418,12 @@
         paid.then(|| Payment::new(now))
     }
 
+    /// Waits for the number of VMs, for a moment, where the retry budget lacks it.
+    pub(super) async fn await_vm_count(&self) {
+        let left = self.time_left();
+        self.gateway.await_vm_count(&self.service, left).await;
+    }
+
     /// Whether the retry budget of its service has a retry left.
     pub fn has_retry(&self) -> bool {
         self.gateway.has_retry(&self.service)
--- a/src/gateway/request_time.rs
+++ b/src/gateway/request_time.rs
@@ -24,7 +24,7 @@
     pub budget: Option<Duration>,
     /// Its route, as it was in force when the request was admitted.
     pub route: Arc<Route>,
-    /// What tells its route in other configurations.
+    /// Identifies its route in other configurations.
     pub key: RouteKey,
     /// Times of the routes in force.
     pub times: Arc<ArcSwap<RouteTimes>>,
@@ -46,18 +46,18 @@
         self.started + whole_time(self.budget, self.route.timeout, longest)
     }
 
-    /// Time until then.
+    /// Time until [`Self::end`]; zero after it.
     pub fn left(&self) -> Duration {
         self.end().saturating_duration_since(self.clock.now())
     }
 
-    /// Whether it is over.
+    /// Whether [`Self::end`] has passed.
     pub fn is_over(&self) -> bool {
         self.left().is_zero()
     }
 
-    /// Does what must be done within it; `None` if it is over before. A wait that comes to the end
-    /// goes on if that is later by then.
+    /// Runs `work` until [`Self::end`], which is read again when the wait is over; `None` if it isn't
+    /// done by then.
     pub async fn bound<F>(&self, work: F) -> Option<F::Output>
     where
         F: Future,
@@ -79,19 +79,23 @@
 #[derive(Clone, Debug)]
 pub struct ToldTime {
     /// The request's own time.
-    pub request: Arc<RequestTime>,
+    pub request_time: Arc<RequestTime>,
+    /// End of the time that the upstream was told.
     until: Instant,
 }
 
 impl ToldTime {
     /// The time of an upstream that is told now that `left` is left, in whole milliseconds.
-    pub fn new(request: Arc<RequestTime>, left: Duration) -> Self {
-        let until = request.clock.now() + Duration::from_millis(left.as_millis() as u64);
-        Self { request, until }
+    pub fn new(request_time: Arc<RequestTime>, left: Duration) -> Self {
+        let until = request_time.clock.now() + Duration::from_millis(left.as_millis() as u64);
+        Self {
+            request_time,
+            until,
+        }
     }
 
     /// Whether it is over while the request goes on, whose route's time has risen since.
     pub fn falls_short(&self) -> bool {
-        self.request.clock.now() >= self.until && !self.request.is_over()
+        self.request_time.clock.now() >= self.until && !self.request_time.is_over()
     }
 }
--- a/src/gateway/retry_budget.rs
+++ b/src/gateway/retry_budget.rs
@@ -54,6 +54,15 @@
     }
 }
 
+/// What the process before had used of the slack.
+#[derive(Clone, Copy, Debug)]
+struct EarlierUse {
+    /// Retries within its last window.
+    retries: u32,
+    /// When this process learned of them.
+    learned: Instant,
+}
+
 /// Requests and retries of one service that this VM sent within the window.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -61,8 +70,8 @@
     /// Start of this process; absent where the whole system started for the first time with it, or
     /// the process before told what it had used.
     started: Option<Instant>,
-    /// Retries of the slack that the process before had used, and when this one learned of them.
-    earlier: Option<(u32, Instant)>,
+    /// What the process before had used of the slack, where it told.
+    earlier: Option<EarlierUse>,
     /// Times of the requests, oldest first.
     requests: VecDeque<Instant>,
     /// Times of the retries, oldest first.
@@ -90,7 +99,10 @@
     /// Takes over from the process before, which used so many retries of the slack in its last window.
     pub fn take_over(&mut self, used: u32, now: Instant) {
         self.started = None;
-        self.earlier = Some((used, now));
+        self.earlier = Some(EarlierUse {
+            retries: used,
+            learned: now,
+        });
     }
 
     /// Retries of the slack that were used within the last window, for the next process; `None` while
@@ -139,7 +151,7 @@
     }
 
     /// Whether it is known what the process before has used, or that was a window ago.
-    fn is_settled(&self, now: Instant) -> bool {
+    pub fn is_settled(&self, now: Instant) -> bool {
         let settles = self.bound.window + LEARNT_WITHIN;
         let settled = |started| now.saturating_duration_since(started) >= settles;
         self.started.is_none_or(settled)
@@ -148,8 +160,8 @@
     /// Retries of the slack that the process before has used and that still count.
     fn earlier_used(&self, now: Instant) -> u32 {
         let recent = |at| now.saturating_duration_since(at) < self.bound.window;
-        let earlier = self.earlier.filter(|(_, at)| recent(*at));
-        earlier.map_or(0, |(used, _)| used)
+        let earlier = self.earlier.filter(|earlier| recent(earlier.learned));
+        earlier.map_or(0, |earlier| earlier.retries)
     }
 
     fn drop_expired(&mut self, now: Instant) {
--- a/src/gateway/retry_metrics.rs
+++ b/src/gateway/retry_metrics.rs
@@ -29,7 +29,7 @@
     fn from(error: ResponseError) -> Self {
         match error {
             ResponseError::Disconnected => Self::BrokenOff,
-            ResponseError::Silent | ResponseError::Deadline | ResponseError::Stopped => {
+            ResponseError::Silent | ResponseError::Deadline | ResponseError::ToldTimeOver => {
                 Self::Silent
             }
             ResponseError::Invalid => Self::Invalid,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -84,7 +84,7 @@
     /// Processor time of the VM.
     #[serde(default)]
     pub capacity: Capacity,
-    /// What the process left that stopped here; absent while one runs, and where one was killed.
+    /// Report of a process that stopped as planned; absent while a process runs, and after a kill.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub stopped: Option<StoppedProcess>,
 }
@@ -204,7 +204,7 @@
     callers.task.abort();
     // What was read meanwhile still gets its refusal.
     let written = async {
-        let left = tokio::time::timeout(LAST_WRITES, registrar.leave());
+        let left = tokio::time::timeout(LAST_WRITES, registrar.write_stopped());
         let (_left, ()) = tokio::join!(left, tokio::time::sleep(LAST_WRITES));
         gateway.running.wait_drained().await;
     };
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -52,8 +52,9 @@
     No,
     /// It reads what has arrived.
     Reading,
-    /// It ends once it is idle.
-    Told,
+    /// The last read is over: a served, idle connection was told to end, any other ends with its next
+    /// response.
+    Done,
 }
 
 /// A running listener.
@@ -232,8 +233,9 @@
             // Announces the end of kept-alive connections; a caller that still used one after the
             // exit would lose its request. The first request of a connection may be on its way, and
             // the head of another one may have begun; its response ends the connection.
+            // Ready at once, but only after the connection was polled with the last read.
             () = ready(()), if closing == Closing::Reading => {
-                closing = Closing::Told;
+                closing = Closing::Done;
                 if caller.has_served() && !raw_head.is_partial() {
                     connection.as_mut().graceful_shutdown();
                 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -51,7 +51,7 @@
 use super::upstream_limit::UpstreamLimits;
 
 /// Time from its start after which a VM is ready though it hasn't read how many VMs there are.
-const LIST_PATIENCE: Duration = Duration::from_secs(1);
+const READY_WITHOUT_LIST: Duration = Duration::from_secs(1);
 
 /// Settings that bound what a VM does; they may change while it runs.
 #[derive(Clone, Debug, PartialEq)]
@@ -431,14 +431,14 @@
         let fresh = self.freshness().ready(self.clock.boot());
         let known =
             self.configuration.load().is_some() && self.read_fleet(|fleet| fleet.initialized);
-        fresh && known && self.vms_counted() && !self.running.is_leaving()
+        fresh && known && self.vms_listed_or_late() && !self.running.is_leaving()
     }
 
     /// Whether this VM has read how many VMs there are, or has tried to for long enough: it can
     /// serve without.
-    fn vms_counted(&self) -> bool {
+    fn vms_listed_or_late(&self) -> bool {
         let age = self.clock.now().saturating_duration_since(self.started);
-        self.reachability().listed || age >= LIST_PATIENCE
+        self.reachability().listed || age >= READY_WITHOUT_LIST
     }
 
     /// Begins the stop of this VM, which ends as `plan` says.
--- a/src/gateway/state/retries.rs
+++ b/src/gateway/state/retries.rs
@@ -24,13 +24,13 @@
         let entry = budgets.entry(service.clone());
         entry.or_insert_with(|| {
             let bounds = self.bounds();
-            RetryBudget::new(bounds.retries, self.start_without_account())
+            RetryBudget::new(bounds.retries, self.unsettled_start())
         })
     }
 
-    /// Start of this process, unless nothing was before it or the process before told what it had
-    /// used.
-    fn start_without_account(&self) -> Option<Instant> {
+    /// Start of this process while its part of the slack is withheld; absent where nothing ran before
+    /// it, or the process before told what it had used.
+    fn unsettled_start(&self) -> Option<Instant> {
         let known = self.bounds().first_start || self.took_over.load(Ordering::Relaxed);
         (!known).then_some(self.started)
     }
@@ -55,7 +55,9 @@
         self.retries_closed.store(true, Ordering::Relaxed);
         let now = self.clock.now();
         let bound = self.bounds().retries;
-        RetryBudget::new(bound, self.start_without_account()).slack_used(now)?;
+        if !RetryBudget::new(bound, self.unsettled_start()).is_settled(now) {
+            return None;
+        }
         let mut budgets = lock(&self.retry_budgets);
         let used = budgets.iter_mut().filter_map(|(service, budget)| {
             let used = budget.slack_used(now).filter(|used| *used > 0)?;
@@ -81,8 +83,8 @@
             .is_left(vms, now)
     }
 
-    /// Waits for a moment, at most for `left`, where a retry is refused only because this VM hasn't
-    /// read yet how many VMs there are.
+    /// Waits until the registered VMs were read, for `COUNT_WAIT` or `left` at most, if only their
+    /// unknown number makes the budget refuse a retry.
     pub async fn await_vm_count(&self, service: &ServiceId, left: Duration) {
         let counted = async {
             loop {
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -176,6 +176,7 @@
             "away_ms" => outage.as_millis() as u64);
         self.failures = 0;
         self.gateway.store_recovered.notify_waiters();
+        // The registration and the list of VMs failed as well; they are tried again at once.
         if !self.gateway.reachability().listed {
             self.gateway.store_returned.notify_one();
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -168,8 +168,8 @@
     Cut,
     /// It ends as complete.
     End,
-    /// It gives way to the response, which is no stream of events.
-    GiveWay,
+    /// The whole response of an engine takes the place of the stream, whose head was not sent.
+    Replaced,
 }
 
 impl Stream {
@@ -184,7 +184,7 @@
                     continue;
                 }
                 Next::Cut => return self.cut_for_room(),
-                Next::GiveWay => return Err(ResponseAborted),
+                Next::Replaced => return Err(ResponseAborted),
                 Next::End => {
                     self.on_end();
                     return Ok(None);
@@ -204,6 +204,7 @@
                 }
                 continue;
             }
+            // The request's time was lengthened during the wait.
             if silent && !self.admitted.time_left().is_zero() {
                 continue;
             }
@@ -218,7 +219,7 @@
                     Some(events) => return Ok(Some(events)),
                     None => continue,
                 },
-                BodyRead::End => self.response.broken(),
+                BodyRead::End => self.response.early_end_error(),
                 BodyRead::Failed(error) => error.at_deadline(),
             };
             self.resume(error).await?;
--- a/src/gateway/stream/resume.rs
+++ b/src/gateway/stream/resume.rs
@@ -21,7 +21,6 @@
 use crate::gateway::quarantine::gate::Clearance;
 use crate::gateway::relay::ResponseAborted;
 use crate::gateway::retry_metrics::RetryCause;
-use crate::gateway::upstream::UpstreamInstance;
 use crate::gateway::upstream_limit::gate::{NoPermit, Permit};
 
 /// Time between two looks at a retry budget that is used up.
@@ -30,7 +29,7 @@
 /// Outcome of resuming a stream at one engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Attempted {
-    /// The stream goes on there.
+    /// The engine's response was taken over: as the stream, or in its place ([`Next::Replaced`]).
     Resumed,
     /// It does not: the engine refused, failed or broke the connection at once, and the former one
     /// is kept.
@@ -48,7 +47,8 @@
     clearance: Clearance,
 }
 
-/// Why a stream that may go on at another engine doesn't.
+/// Why a stream that may go on at another engine doesn't. Its debug form is the field `missing` of the
+/// line `stream_cut`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum NoPlace {
     /// No engine takes it.
@@ -105,10 +105,10 @@
     /// Sends the request to other engines until one goes on with the stream, after `error`.
     async fn go_on(&mut self, error: ResponseError) -> Result<(), ResponseAborted> {
         while self.may_go_on() && !self.admitted.time_left().is_zero() {
-            if error == ResponseError::Silent || self.attempts.left.open().is_some() {
+            if error == ResponseError::Silent || self.attempts.returnable().is_some() {
                 self.wait_for_retry().await;
             }
-            self.await_vm_count().await;
+            self.admitted.await_vm_count().await;
             let next = self.admitted.reserve_next(&self.attempts).await;
             let place = match self.pay_for(next) {
                 Ok(place) => place,
@@ -146,9 +146,7 @@
 
     /// Closes the connection to a silent engine, which may be sound.
     fn leave_sound(&mut self) {
-        let registration = &*self.origin.upstream.registration;
-        let instance = UpstreamInstance::from(registration);
-        self.attempts.left.on_left(instance);
+        self.attempts.on_left(&self.origin.upstream);
         self.give_up(ResponseError::Silent);
     }
 
@@ -172,7 +170,7 @@
         // A full engine that is slow has not failed.
         let silent = matches!(
             error,
-            ResponseError::Silent | ResponseError::Deadline | ResponseError::Stopped
+            ResponseError::Silent | ResponseError::Deadline | ResponseError::ToldTimeOver
         );
         if !silent || standing != Standing::Queued {
             self.origin.upstream.health.on_failure(now);
@@ -190,17 +188,9 @@
         }
     }
 
-    /// Waits for the number of VMs, for a moment, where the retry budget lacks it.
-    async fn await_vm_count(&self) {
-        let admitted = &self.admitted;
-        let left = admitted.time_left();
-        let gateway = &admitted.gateway;
-        gateway.await_vm_count(&admitted.service, left).await;
-    }
-
     /// Takes what it needs to leave a silent engine for another one; `None` if that is not possible.
     pub(super) async fn reserve(&self) -> Option<Place> {
-        self.await_vm_count().await;
+        self.admitted.await_vm_count().await;
         let tried = &self.attempts.tried;
         let next = self.admitted.reserve_upstream(tried).await;
         self.pay_for(next).ok()
@@ -263,13 +253,14 @@
                     return Attempted::Crashed;
                 }
             }
+            // No other engine can go on, and the caller has no head yet.
             SendOutcome::Responded(response) if !(kept || self.begun || self.may_go_on()) => {
                 self.response = *response;
                 self.origin = Origin {
                     upstream,
                     sent: wait.sent,
                 };
-                self.next = Next::GiveWay;
+                self.next = Next::Replaced;
                 return Attempted::Resumed;
             }
             SendOutcome::Responded(response) => {
--- a/src/gateway/stream/start.rs
+++ b/src/gateway/stream/start.rs
@@ -67,7 +67,7 @@
                 stream.origin.upstream.health.on_success();
                 Ok(Started::Stream(stream.respond(ended)))
             }
-            Err(ResponseAborted) if stream.next == Next::GiveWay => {
+            Err(ResponseAborted) if stream.next == Next::Replaced => {
                 attempts.take_over(stream.attempts);
                 Ok(Started::Plain(stream.origin, Box::new(stream.response)))
             }
--- a/src/gateway/time_history.rs
+++ b/src/gateway/time_history.rs
@@ -33,7 +33,8 @@
         self.current = time;
     }
 
-    /// Drops the replaced times that are over, for what began while they were in force.
+    /// Drops each replaced time that was replaced longer ago than it lasts: whatever began under it has
+    /// ended.
     pub fn forget_over(&mut self, now: Instant) {
         self.replaced.retain(|(until, time)| *until + *time > now);
     }
--- a/src/gateway/upstream_limit/gate.rs
+++ b/src/gateway/upstream_limit/gate.rs
@@ -106,7 +106,7 @@
         if attempts.sent < self.route.attempts {
             fresh = self.reserve_upstream(&attempts.tried).await;
         }
-        match (fresh, attempts.left.open()) {
+        match (fresh, attempts.returnable()) {
             (Err(none), Some(left)) => self.reserve_among(left).await.ok_or(none),
             (fresh, _) => fresh,
         }
--- a/tests/gateway_left_engines.rs
+++ b/tests/gateway_left_engines.rs
@@ -14,7 +14,7 @@
 }
 
 /// What a request may go back to after it was sent to these engines and left some of them.
-fn open(sent: &[&str], left: &[&str], back: Option<&str>) -> Vec<UpstreamInstance> {
+fn returnable(sent: &[&str], left: &[&str], back: Option<&str>) -> Vec<UpstreamInstance> {
     let mut engines = LeftEngines::default();
     for name in sent {
         engines.on_sent(&run(name, 1));
@@ -25,21 +25,26 @@
     if let Some(name) = back {
         engines.on_sent(&run(name, 1));
     }
-    engines.open().into_iter().flatten().cloned().collect()
+    engines
+        .returnable()
+        .into_iter()
+        .flatten()
+        .cloned()
+        .collect()
 }
 
 // Guards against: no way back to a sound engine, one to an engine that failed, and more than one.
 #[test]
 fn a_request_goes_back_once_to_an_engine_that_it_left_for_silence() {
-    assert_eq!(open(&["a"], &[], None), []);
-    assert_eq!(open(&["a", "b"], &[], None), []);
-    assert_eq!(open(&["a", "b"], &["a"], None), [run("a", 1)]);
+    assert_eq!(returnable(&["a"], &[], None), []);
+    assert_eq!(returnable(&["a", "b"], &[], None), []);
+    assert_eq!(returnable(&["a", "b"], &["a"], None), [run("a", 1)]);
     assert_eq!(
-        open(&["a", "b", "c"], &["a", "b"], None),
+        returnable(&["a", "b", "c"], &["a", "b"], None),
         [run("a", 1), run("b", 1)]
     );
-    assert_eq!(open(&["a", "b", "c"], &["a", "b"], Some("a")), []);
-    assert_eq!(open(&["a", "b"], &["a"], Some("a")), []);
+    assert_eq!(returnable(&["a", "b", "c"], &["a", "b"], Some("a")), []);
+    assert_eq!(returnable(&["a", "b"], &["a"], Some("a")), []);
 }
 
 // Guards against: a return to a later run of an engine, which knows nothing of the request.
@@ -48,6 +53,6 @@
     let mut engines = LeftEngines::default();
     engines.on_left(run("a", 1));
     engines.on_sent(&run("a", 2));
-    let open = engines.open().expect("a way back");
-    assert!(open.contains(&run("a", 1)) && !open.contains(&run("a", 2)));
+    let returnable = engines.returnable().expect("a way back");
+    assert!(returnable.contains(&run("a", 1)) && !returnable.contains(&run("a", 2)));
 }
