Let a request go on to a third engine where the second answers an error at once

What callers saw, since a request stays at its silent engine where the next one answers with an error at once: on a route with three attempts and more, an engine that is dead or hangs, a next one that answers 500, and a third one that would serve: the caller got the 500 at the end of its time, and the third engine was never asked.

Change: behind an error of the second engine the request leaves the first one where a third may be tried and paid for; it may still go back. A second engine that declines or breaks off keeps the request at the first, as before.

Left, as old: hang, hang, 200 and hang, reset, 200 end at the caller's time, as nobody looks for a third engine then.

--- a/src/gateway/hedge.rs
+++ b/src/gateway/hedge.rs
@@ -115,7 +115,7 @@
             early.ok()
         };
         let early = match early {
-            Some(sent) if sent.outcome.has_failed() => {
+            Some(sent) if self.stays(&sent.outcome, attempts) => {
                 return self.stay(first, sent, attempts).await;
             }
             early => early,
@@ -138,6 +138,17 @@
         self.conclude(sent, attempts).await
     }
 
+    /// Whether a request stays at its silent upstream, where the second one has this outcome at once.
+    /// Behind an error a third one may serve it, from where it can still go back.
+    fn stays(&self, outcome: &SendOutcome, attempts: &Attempts) -> bool {
+        let elsewhere = || {
+            attempts.sent + 2 < self.route.attempts
+                && self.has_retry()
+                && self.has_alternative(&attempts.tried)
+        };
+        outcome.has_stopped() || outcome.has_failed() && !elsewhere()
+    }
+
     /// Waits on for the first attempt, as the second one has failed or was declined.
     async fn stay<F>(
         self: &Arc<Self>,
