--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -178,7 +178,7 @@
         self.runs.append(run)
         self.running += 1
         try:
-            if self.models:
+            if self.models is not None:
                 await self.stream(writer, headers)
             else:
                 await asyncio.sleep(self.work_s)
