--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -8,6 +8,7 @@
 import json
 import os
 import re
+import resource
 import shutil
 import signal
 import subprocess
@@ -48,6 +49,15 @@
     return body
 
 
+def need_descriptors(count):
+    """Lets this process, and those that it starts, open so many descriptors, as the settings of a VM say."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft != resource.RLIM_INFINITY and soft < count:
+        if hard != resource.RLIM_INFINITY and hard < count:
+            raise CannotRun("too few descriptors: %d" % hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
+
+
 class Store:
     """The platform's store: objects by kind and name, lists, watches and conditional writes."""
 
