Forward every rising number of a stream, and doubt only what may be resumed after

A stream that such an engine broke off was never resumed, and an event that was too large for the steps so far ended a stream as a fault at its end.

Cause: one verdict answered two questions, whether an event may be forwarded and whether the stream may be resumed after it. `passes_over` took a held number for missing events if the next step divided the distance; with steps of one every distance is a multiple. `skips_one` and `may_end_with` judged rising numbers in the same way, and `is_certain` asked for a known step.

Ruled out: that the rule guards against an event which an engine left out.

Change: a rising number is never a fault. Where the stream may be resumed, one that is neither the next number nor in the distance of the last two, nor in the usual one, is held until the next event or the end; a number that a wrong byte has made too large shows by its successor, so it is not forwarded. Where nobody resumes the stream nothing is held, also not the first event. A stream that is broken off goes on after its last number, however uneven; it is cut only where a later number that does not rise leaves open which of the two is wrong. The table of wrong bytes is in docs/design/stream-numbers.md. Two engines no longer need to agree on a number: a sound one is forwarded by its successor.

--- a/src/gateway/event_numbers.rs
+++ b/src/gateway/event_numbers.rs
@@ -1,10 +1,10 @@
 //! Judges the numbers of a stream's events: which events may be forwarded, and whether the stream
 //! may be resumed after the last one.
 //!
-//! Engines number events in an increasing order, mostly in equal steps, and not always by one. A
-//! number that the step asks for is taken at once. Another rising number is held until the next
-//! event, or the end of the stream, shows whether it was wrong, whether events are missing before
-//! it, or whether the engine counts in another way. The design is in docs/design/stream-numbers.md.
+//! An engine may number events in any increasing order, so a rising number is never a fault. One
+//! that a wrong byte has made too large shows by the next event, which does not rise above it.
+//! Where the stream may be resumed, a number that no step explains is therefore held until the next
+//! event or the end of the stream. The design is in docs/design/stream-numbers.md.
 
 /// The number that an event carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -24,28 +24,42 @@
     Forward,
     /// It is held until the next event or the end of the stream.
     Hold,
+    /// The one that is held is forwarded, and this one is held in its place.
+    Replace,
     /// Neither it nor the one that is held is forwarded, and nothing after it.
     Fault,
 }
 
+/// Who may resume a stream after a number that was forwarded.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Resumption {
+    /// Another engine, or the caller by a new request.
+    #[default]
+    Allowed,
+    /// Nobody, so that no number needs to be held.
+    Never,
+}
+
 /// The numbers of one stream, over all engines that it is resumed at.
 #[derive(Clone, Debug, Default)]
 pub struct EventNumbers {
+    resumption: Resumption,
     /// Number of the last event forwarded, or the one that the caller resumes after.
     last: Option<u64>,
-    /// Number before it; 0 before the first one of a stream.
-    before: u64,
+    /// Number before it; absent in front of a stream.
+    before: Option<u64>,
     /// Events with a number that were forwarded.
     forwarded: u64,
-    /// Distance of two numbers; absent while it is unknown.
+    /// Distance of two numbers that came twice in a row last; absent while none has.
     step: Option<u64>,
+    /// Whether distances of numbers have differed, but for that of the first one.
+    uneven: bool,
     /// Number of the event that is held.
     held: Option<EventNumber>,
     /// Whether events without a number were forwarded.
     unnumbered: bool,
-    /// The last number, and the one held after it that was judged a fault. If that comes again
-    /// after the same number, it is accepted.
-    disputed: Option<(Option<u64>, u64)>,
+    /// Whether the last number forwarded may be wrong.
+    doubted: bool,
 }
 
 impl EventNumbers {
@@ -57,41 +71,41 @@
         }
     }
 
+    /// Starts in front of a stream that nobody resumes.
+    pub fn unresumable() -> Self {
+        Self {
+            resumption: Resumption::Never,
+            ..Self::default()
+        }
+    }
+
     /// Number of the last event that the caller has.
     pub fn last(&self) -> Option<u64> {
         self.last
     }
 
-    /// Whether the stream may be resumed after the last number for certain.
+    /// Whether the stream may be resumed after the last number: no later event has shown that it may
+    /// be wrong, and each event has one.
     pub fn is_certain(&self) -> bool {
-        self.is_fresh() || self.step.is_some()
+        !self.unnumbered && !self.doubted
     }
 
     /// Judges the next event.
     pub fn on_event(&mut self, number: EventNumber) -> Verdict {
-        let verdict = match number {
+        match number {
             EventNumber::Number(number) => self.on_number(number),
             EventNumber::Absent => self.on_unnumbered(),
             EventNumber::Unreadable => Verdict::Fault,
-        };
-        if verdict == Verdict::Fault {
-            self.dispute();
         }
-        verdict
     }
 
-    /// Judges the event that is held where the engine ends the stream.
-    ///
-    /// # Errors
-    ///
-    /// The number of the held event, if it is judged a fault.
-    pub fn on_end(&mut self) -> Result<(), u64> {
-        match self.held {
-            Some(EventNumber::Number(number)) if !self.may_end_with(number) => {
-                self.dispute();
-                Err(number)
-            }
-            _ => Ok(()),
+    /// Takes the event that is held where the engine ends the stream: nothing follows that could
+    /// show its number to be wrong.
+    pub fn on_end(&mut self) {
+        match self.held.take() {
+            Some(EventNumber::Number(number)) => self.accept(number),
+            Some(_) => self.unnumbered = true,
+            None => {}
         }
     }
 
@@ -105,36 +119,26 @@
         self.forwarded == 0 && !self.unnumbered
     }
 
-    /// The number that is taken at once; `None` while the step is unknown.
-    fn expected(&self) -> Option<u64> {
-        if self.is_fresh() {
-            return self.last.unwrap_or(0).checked_add(1);
-        }
-        self.last?.checked_add(self.step?)
-    }
-
     fn on_number(&mut self, number: u64) -> Verdict {
-        match self.held {
-            Some(EventNumber::Number(held)) => return self.judge_pair(held, number),
-            Some(_) => return Verdict::Fault,
-            None if self.unnumbered => return Verdict::Fault,
-            None => {}
-        }
-        if self.last.is_some_and(|last| number <= last) {
-            self.doubt_first(number);
+        let held = match self.held {
+            Some(EventNumber::Number(held)) => Some(held),
+            None if !self.unnumbered => None,
+            Some(_) | None => return Verdict::Fault,
+        };
+        if held.or(self.last).is_some_and(|newest| number <= newest) {
+            self.doubt_last(number);
             return Verdict::Fault;
         }
-        let agreed = self.disputed == Some((self.last, number));
-        let irregular = !self.is_fresh() && self.step.is_none();
-        if agreed {
-            self.step = None;
+        if let Some(held) = held {
+            self.held = None;
+            self.accept(held);
         }
-        if agreed || irregular || self.expected() == Some(number) {
+        if self.resumption == Resumption::Never || self.is_usual(number) {
             self.accept(number);
             return Verdict::Forward;
         }
         self.held = Some(EventNumber::Number(number));
-        Verdict::Hold
+        held.map_or(Verdict::Hold, |_released| Verdict::Replace)
     }
 
     fn on_unnumbered(&mut self) -> Verdict {
@@ -150,68 +154,42 @@
         Verdict::Hold
     }
 
-    /// Judges the number that is held by the next one.
-    fn judge_pair(&mut self, held: u64, next: u64) -> Verdict {
-        let Some(step) = next.checked_sub(held).filter(|step| *step > 0) else {
-            return Verdict::Fault;
-        };
-        if self.skips_one(next) || self.passes_over(held, step) {
-            return Verdict::Fault;
-        }
-        self.held = None;
-        self.step = None;
-        self.accept(held);
-        self.accept(next);
-        Verdict::Forward
-    }
-
-    /// Whether a number is two steps after the last one, so that the one between them was wrong.
-    fn skips_one(&self, number: u64) -> bool {
-        let two = self.step.and_then(|step| step.checked_mul(2));
-        let after = two.and_then(|two| self.last?.checked_add(two));
-        after == Some(number)
+    /// Whether a rising number is taken at once: nothing fits between it and the last one, or it
+    /// follows in the usual distance.
+    fn is_usual(&self, number: u64) -> bool {
+        let distance = number - self.last.unwrap_or(0);
+        let repeated = Some(distance) == self.step || distance == self.distance();
+        distance == 1 || (!self.is_fresh() && repeated)
     }
 
-    /// Whether numbers are missing between the last one and `number`, which the engine goes on
-    /// from in this step.
-    fn passes_over(&self, number: u64, step: u64) -> bool {
-        let distance = self.last.map_or(0, |last| number - last);
-        distance > step && distance.is_multiple_of(step)
+    /// Distance of the last number from the one before it; that of the first one from 0 or from the
+    /// event that the caller resumes after.
+    fn distance(&self) -> u64 {
+        self.last.unwrap_or(0) - self.before.unwrap_or(0)
     }
 
-    /// Whether a stream may end with a number that is not the one expected: it is the only one, or
-    /// nothing fits between it and the last one.
-    fn may_end_with(&self, number: u64) -> bool {
-        if self.last.is_none() {
-            return true;
-        }
-        self.expected().is_some_and(|expected| number < expected)
-    }
-
-    /// Forgets the step if the second number repeats the first, which may have been wrong then.
-    fn doubt_first(&mut self, number: u64) {
-        if self.forwarded == 1 && self.last == Some(number) {
-            self.step = None;
-        }
+    /// Doubts the last number at one that does not rise above it, where either may be the wrong one.
+    /// After even steps the new one is taken for it.
+    fn doubt_last(&mut self, number: u64) {
+        let unproven = self.held.is_none() && self.forwarded > 0;
+        let even = !self.uneven && self.forwarded > 1;
+        let fits = match self.before {
+            Some(before) => number > before.saturating_add(1),
+            None => number > 0,
+        };
+        self.doubted |= unproven && !even && fits;
     }
 
-    /// Takes a number that is greater than the last one, and learns the step.
+    /// Takes a number that is greater than the last one.
     fn accept(&mut self, number: u64) {
-        let last = self.last.unwrap_or(0);
-        let distance = number - last;
-        if self.is_fresh() {
-            self.step = (distance == 1).then_some(1);
-        } else if self.step.is_none() && distance == last - self.before {
+        let distance = number - self.last.unwrap_or(0);
+        if self.forwarded > 0 && distance == self.distance() {
             self.step = Some(distance);
+        } else if self.forwarded > 1 {
+            self.uneven = true;
         }
-        self.before = last;
+        self.before = self.last;
         self.last = Some(number);
         self.forwarded += 1;
     }
-
-    fn dispute(&mut self) {
-        if let Some(EventNumber::Number(held)) = self.held.take() {
-            self.disputed = Some((self.last, held));
-        }
-    }
 }
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -1,8 +1,8 @@
 //! Splits a stream of server-sent events into complete events.
 //!
 //! An engine may fail in the middle of an event, or hand out a wrong number. Only complete events
-//! with sound numbers ([`super::event_numbers`]) are forwarded, so that another engine can resume
-//! the stream after the last one. Their bytes are forwarded unchanged.
+//! whose numbers are no fault ([`super::event_numbers`]) are forwarded, so that another engine can
+//! resume the stream after the last one. Their bytes are forwarded unchanged.
 
 use bytes::{Bytes, BytesMut};
 use thiserror::Error;
@@ -20,8 +20,7 @@
     /// An event, or the events held with it, exceed the largest size accepted.
     #[error("an event is too large")]
     TooLarge,
-    /// The event of this number does not follow the last one: its number is wrong, or events are
-    /// missing or repeated.
+    /// The number of an event does not rise above that of the event before it.
     #[error("event {0} is out of order")]
     OutOfOrder(u64),
     /// An event has no number, or one that cannot be read.
@@ -62,12 +61,20 @@
         }
     }
 
+    /// Starts in front of a stream that nobody resumes.
+    pub fn unresumable() -> Self {
+        Self {
+            numbers: EventNumbers::unresumable(),
+            ..Self::default()
+        }
+    }
+
     /// Number of the last event that the caller has; absent before the first one that has a number.
     pub fn last_id(&self) -> Option<u64> {
         self.numbers.last()
     }
 
-    /// Whether another engine may go on after that event: it is certain that it is the last one.
+    /// Whether another engine may go on after that event: nothing shows that its number may be wrong.
     pub fn is_certain(&self) -> bool {
         self.numbers.is_certain()
     }
@@ -96,10 +103,12 @@
                     self.numbers.on_event(number)
                 }
             };
+            let begin = end;
             end += length;
             scanned = end;
             match verdict {
                 Verdict::Forward => ready = end,
+                Verdict::Replace => ready = begin,
                 Verdict::Hold => {}
                 Verdict::Fault => {
                     completed.fault = Some(event.fault());
@@ -117,15 +126,11 @@
     }
 
     /// Ends the stream of this engine and returns the events that were held.
-    ///
-    /// # Errors
-    ///
-    /// [`EventError`]; the stream is not complete then.
-    pub fn finish(&mut self) -> Result<Bytes, EventError> {
-        self.numbers.on_end().map_err(EventError::OutOfOrder)?;
+    pub fn finish(&mut self) -> Bytes {
+        self.numbers.on_end();
         let held = std::mem::take(&mut self.held);
         self.scanned = 0;
-        Ok(self.buffer.split_to(held).freeze())
+        self.buffer.split_to(held).freeze()
     }
 
     /// Whether the bytes so far end with a complete event.
@@ -161,6 +166,7 @@
         let lines = bytes.split(|byte| *byte == b'\n');
         let mut ids = lines.clone().filter_map(|line| line.strip_prefix(b"id:"));
         match (ids.next(), ids.next()) {
+            (Some(_), None) if hides_event(lines.clone()) => Self::Data(EventNumber::Unreadable),
             (Some(id), None) => Self::Data(read_number(id)),
             (Some(_), Some(_)) => Self::Data(EventNumber::Unreadable),
             _ if lines.clone().any(|line| line.starts_with(b"data")) => {
@@ -178,6 +184,18 @@
     }
 }
 
+/// Whether the lines are those of two events, of which a wrong byte in place of the empty line between
+/// them has made one: a number follows data behind one more byte, and is itself followed by data.
+fn hides_event<'a, L>(lines: L) -> bool
+where
+    L: Iterator<Item = &'a [u8]>,
+{
+    let is_data = |line: &&[u8]| line.starts_with(b"data");
+    let mut after_data = lines.skip_while(|line| !is_data(line));
+    let is_hidden = |line: &[u8]| line.get(1..).is_some_and(|line| line.starts_with(b"id:"));
+    after_data.any(is_hidden) && after_data.any(|line| is_data(&line))
+}
+
 fn read_number(bytes: &[u8]) -> EventNumber {
     let text = bytes.trim_ascii();
     let digits = !text.is_empty() && text.iter().all(u8::is_ascii_digit);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -215,10 +215,14 @@
                     None if !self.progress.stalled(self.now()) => continue,
                     None => ResponseError::Silent,
                 },
-                BodyRead::End if self.ends_complete() => match self.finish() {
-                    Some(events) => return Ok(Some(events)),
-                    None => continue,
-                },
+                BodyRead::End if self.ends_complete() => {
+                    self.next = Next::End;
+                    let events = self.events.finish();
+                    if events.is_empty() {
+                        continue;
+                    }
+                    return Ok(Some(events));
+                }
                 BodyRead::End => self.response.early_end_error(),
                 BodyRead::Failed(error) => error.at_deadline(),
             };
@@ -300,20 +304,6 @@
         Err(ResponseAborted)
     }
 
-    /// Takes the end of the body; returns the events that it lets forward, if there are any.
-    fn finish(&mut self) -> Option<Bytes> {
-        match self.events.finish() {
-            Ok(events) => {
-                self.next = Next::End;
-                (!events.is_empty()).then_some(events)
-            }
-            Err(fault) => {
-                self.on_fault(fault);
-                None
-            }
-        }
-    }
-
     /// Leaves the engine once the events before the faulty one are forwarded.
     fn on_fault(&mut self, fault: EventError) {
         let gateway = &self.admitted.gateway;
--- a/src/gateway/stream/start.rs
+++ b/src/gateway/stream/start.rs
@@ -91,6 +91,12 @@
             RouteKind::Streaming { gap, .. } => gap,
             RouteKind::Idempotent | RouteKind::Mutating => give_up,
         };
+        let events = match admitted.route.kind {
+            RouteKind::Streaming {
+                resumable: true, ..
+            } => EventSplitter::resume_after(admitted.request.head.last_event),
+            _ => EventSplitter::unresumable(),
+        };
         let started = admitted.gateway.clock.now();
         Self {
             admitted: Arc::clone(admitted),
@@ -99,7 +105,7 @@
             attempts,
             first: BytesMut::new(),
             begun: false,
-            events: EventSplitter::resume_after(admitted.request.head.last_event),
+            events,
             room: EventRoom::default(),
             progress: StreamProgress::open(give_up, gap, started),
             run: EngineRun::open(started),
