Take an answer for one only with a status that ends a response

What callers saw: an upstream that answers with status 101, 600 or 999, echoes the request's id and gives its receipt, had that passed on as its answer, on idempotent, mutating, resumable and other streaming routes. With a statement that the request did not run, a head with status 600 became a 503. Status 000 itself, also behind an interim answer, and 001, 099, 0, 00, 20, 0200, 2000, -01, +20, a word or nothing did not: the parser of the HTTP library refuses them, and nothing else did.

Cause: no place said which status ends a response. What the library can parse was believed, from the statements in the head to the status.

Change: `final_status` says it once, 200 to 599 (RFC 9110, section 15; 101 answers a request for another protocol, which is never sent). The connections of the gateway to upstreams, also for reports and orders, and to the store ask it before anything of the head is read; so does the transport of the product's own program, which had the same fault, and its store client. Such an answer is lost: 502 that promises nothing, repeated only where a request may be, the connection closed, nothing in its head believed.

Looked at and not changed: an interim answer without end is bounded by the request's time (trouble.rs); a body behind 204 or 304 is not read, as no connection to an upstream is used twice. A head that the library cannot parse is still counted as an engine that broke off, until an answer of that engine to a later request disproves it.

--- a/src/gateway/client.rs
+++ b/src/gateway/client.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -18,6 +18,8 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::final_status::is_final;
+
 use super::read_meter::{MeteredBody, MeteredStream, ReadMeter};
 
 /// A connection with bytes unacknowledged for this long is closed.
@@ -40,10 +42,16 @@
     Refused,
 }
 
-/// The connection ended before a valid response head; the request may have arrived.
+/// Why there is no response; the request may have arrived.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
-#[error("the connection ended before a response")]
-pub struct NoResponse;
+pub enum NoResponse {
+    /// The connection ended before a valid head.
+    #[error("the connection ended before a response")]
+    Ended,
+    /// The head has a status that ends no response.
+    #[error("{0} is no final status")]
+    NotFinal(StatusCode),
+}
 
 /// An open connection, which closes when dropped.
 #[derive(Debug)]
@@ -89,18 +97,21 @@
         })
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request and waits for the head of the response, whose status is a final one.
     ///
     /// # Errors
     ///
-    /// [`NoResponse`].
+    /// [`NoResponse`]; the connection is of no further use then.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<MeteredBody>, NoResponse> {
         self.meter.restart();
         let response = self.sender.send_request(request).await;
-        let response = response.map_err(|_ended| NoResponse)?;
+        let response = response.map_err(|_ended| NoResponse::Ended)?;
+        if !is_final(response.status()) {
+            return Err(NoResponse::NotFinal(response.status()));
+        }
         Ok(response.map(|body| MeteredBody::new(body, Arc::clone(&self.meter))))
     }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -17,7 +17,7 @@
 use super::attempt_end::{AttemptEnd, AttemptWatch};
 use super::caller_limit::CallerSlot;
 use super::caller_limit::buffer::ChargedBuffer;
-use super::client::{ConnectError, Connection};
+use super::client::{ConnectError, Connection, NoResponse};
 use super::platform_api::{Dialect, EngineLoad, ResponseMeta, UpstreamSignals};
 use super::read_meter::MeteredBody;
 use super::request_time::ToldTime;
@@ -180,7 +180,8 @@
     };
     let response = match time.bound(connection.send(request.request)).await {
         Some(Ok(response)) => response,
-        Some(Err(_ended)) => return SendOutcome::Unknown(early_end_error(&told)),
+        Some(Err(NoResponse::Ended)) => return SendOutcome::Unknown(early_end_error(&told)),
+        Some(Err(NoResponse::NotFinal(_))) => return SendOutcome::Unknown(ResponseError::Invalid),
         None => return SendOutcome::Unknown(ResponseError::Deadline),
     };
     let (head, body) = response.into_parts();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod engine;
 pub mod error;
 pub mod exit_codes;
+pub mod final_status;
 pub mod gateway;
 pub mod ids;
 pub mod limit;
--- a/src/route/http.rs
+++ b/src/route/http.rs
@@ -31,6 +31,7 @@
 use super::response_body::{ResponseBody, ResponseTimeouts};
 use super::{SendError, Transport, UpstreamRequest, UpstreamResponse};
 use crate::clock::Clock;
+use crate::final_status::is_final;
 use crate::outcome::Reason;
 use crate::schema::settings::UpstreamSettings;
 use crate::store::{Instance, InstanceKind};
@@ -140,6 +141,10 @@
             }
         };
         let (parts, body) = response.into_parts();
+        if !is_final(parts.status) {
+            drop_pool(&self.pools, &to.address);
+            return Err(send_error(&mark, Reason::UpstreamFailed));
+        }
         if is_declined(parts.status, &parts.headers) {
             return Err(SendError::Declined);
         }
--- a/src/store/http.rs
+++ b/src/store/http.rs
@@ -18,6 +18,7 @@
 use volo_http::response::Response;
 
 use super::{InstanceList, InstanceSource, MAX_VALUE_BYTES, Object, ObjectStore, StoreError};
+use crate::final_status::is_final;
 use crate::ids::{ObjectKey, Version};
 use crate::metrics::Metrics;
 use crate::schema::platform::{ConflictResponse, PutResponse};
@@ -163,6 +164,9 @@
 
 async fn read_response(response: Response) -> Result<PlatformResponse, StoreError> {
     let status = response.status();
+    if !is_final(status) {
+        return Err(StoreError::Unknown);
+    }
     let header = response.headers().get(VERSION_HEADER);
     let version = header
         .and_then(|v| v.to_str().ok())
--- a/tests/route_transport.rs
+++ b/tests/route_transport.rs
@@ -140,6 +140,25 @@
     }
 }
 
+// Guards against: a response whose status is none that ends one, and that is taken for the upstream's own
+// or for a refusal (MIXED).
+#[tokio::test]
+async fn a_response_without_a_final_status_is_lost() {
+    for text in [
+        "HTTP/1.1 000 Odd\r\nContent-Length: 4\r\n\r\nhalf",
+        "HTTP/1.1 101 Switching Protocols\r\nContent-Length: 4\r\n\r\nhalf",
+        "HTTP/1.1 600 Odd\r\nContent-Length: 4\r\n\r\nhalf",
+        "HTTP/1.1 999 Odd\r\nContent-Length: 4\r\n\r\nhalf",
+    ] {
+        for new_connection in [true, false] {
+            let (result, requests, _) = send_twice(Action::Respond(text), new_connection).await;
+            let lost = Some(SendError::ResponseLost(Reason::UpstreamFailed));
+            assert_eq!(result.err(), lost, "{text}");
+            assert_eq!(requests, 1, "{text}");
+        }
+    }
+}
+
 /// Heads that stop: in the status line, a name, a value, before the empty line, after an interim one.
 const CUT_HEADS: [&str; 9] = [
     "HTTP/1.1 20",
