Suspect a new part of a waiting request beside sound ones that had begun

Cause, two steps. A response that had its head but no event was the only suspect of a crash, so a sound request that had just begun at the same engine hid the one that was still waited for: the part at fault was missing in such crashes, though its request was reported. Then the suspect with most crashes was taken, which is the part that all requests share, though it was in hundreds of whole answers.

Change: while all parts of responses without an event were sound before, parts of responses that had not begun are suspected with them if one of those never was; the crash waits for all reports until then, 2 s in place of 0.5 s. And a suspect that was sound is not taken while one that never was explains three quarters of its crashes. Where no new part is among them nothing changes, so a part that was sound once may still be found.

Tests: a_part_that_was_sound_is_not_blamed_... and a_waiting_part_... fail before the change; taking back either step, or the longer wait, turns one red.

--- a/src/gateway/quarantine/attribution.rs
+++ b/src/gateway/quarantine/attribution.rs
@@ -40,8 +40,14 @@
 /// after enough moments, also to any other part or request.
 const MANY_CRASHES: usize = 5;
 
+/// Share of the crashes of a suspect that was sound which one that never was explains, if it is the
+/// likelier cause, in quarters.
+const MIN_QUARTERS: usize = 3;
+
 /// Indices of the crashes that something is suspected of, oldest first.
 type Suspicion = Vec<usize>;
+/// What is suspected of crashes.
+type Suspicions = BTreeMap<Suspect, Suspicion>;
 
 /// The crashes to explain, and what is known to be sound.
 #[derive(Debug)]
@@ -68,9 +74,9 @@
     /// that were never sound and explain the same crashes.
     pub(super) fn verdict(&self) -> Option<Verdict> {
         let suspicions = self.suspicions();
-        let named = suspicions
-            .iter()
-            .filter(|(suspect, crashes)| self.is_cause(**suspect, crashes));
+        let named = suspicions.iter().filter(|(suspect, crashes)| {
+            self.is_cause(**suspect, crashes) && !self.has_newer(**suspect, crashes, &suspicions)
+        });
         let most = named.max_by_key(|(suspect, crashes)| (crashes.len(), self.is_new(**suspect)));
         let (suspect, crashes) = most?;
         let mut causes = self.alternatives(*suspect, crashes);
@@ -88,6 +94,20 @@
         self.sound.last(suspect).is_none()
     }
 
+    /// Whether a suspect was sound, and one of its kind that never was explains nearly as many of its
+    /// crashes. What all requests share is named in each crash, the cause only where its report came.
+    fn has_newer(&self, suspect: Suspect, crashes: &Suspicion, all: &Suspicions) -> bool {
+        let kind = std::mem::discriminant(&suspect);
+        let explains = |other: &Suspicion| {
+            let shared = other.iter().filter(|index| crashes.contains(index));
+            shared.count() * 4 >= crashes.len() * MIN_QUARTERS
+        };
+        let mut newer = all
+            .iter()
+            .filter(|(other, _)| std::mem::discriminant(*other) == kind && self.is_new(**other));
+        !self.is_new(suspect) && newer.any(|(_, other)| explains(other))
+    }
+
     /// Whether other engines crashed between the crashes of a request, so that it may only have met
     /// failing engines.
     fn is_doubtful(&self, suspect: Suspect, crashes: &Suspicion) -> bool {
@@ -98,11 +118,11 @@
         between.iter().any(|crash| !crash.names(suspect))
     }
 
-    fn suspicions(&self) -> BTreeMap<Suspect, Suspicion> {
-        let mut suspicions: BTreeMap<_, Suspicion> = BTreeMap::new();
+    fn suspicions(&self) -> Suspicions {
+        let mut suspicions = Suspicions::new();
         for (index, crash) in self.crashes.iter().enumerate() {
             let outage = self.outage(index);
-            for suspect in crash.suspects(self.now) {
+            for suspect in crash.suspects(self.sound, self.now) {
                 let new = self.is_new(suspect);
                 let others = outage.iter().filter(|other| !new || !other.names(suspect));
                 if others.count() <= MAX_OTHERS {
@@ -186,7 +206,7 @@
     fn alternatives(&self, suspect: Suspect, crashes: &Suspicion) -> Vec<Suspect> {
         let mut shared: BTreeMap<Suspect, usize> = BTreeMap::new();
         for index in crashes {
-            for other in self.crashes[*index].suspects(self.now) {
+            for other in self.crashes[*index].suspects(self.sound, self.now) {
                 *shared.entry(other).or_default() += 1;
             }
         }
--- a/src/gateway/quarantine/crashes.rs
+++ b/src/gateway/quarantine/crashes.rs
@@ -10,6 +10,7 @@
 
 use crate::ids::{PartHash, RequestDigest};
 
+use super::soundness::SoundInputs;
 use super::suspect::Suspect;
 use crate::gateway::upstream::UpstreamInstance;
 
@@ -93,27 +94,41 @@
     }
 
     /// What may be the cause. Empty while the reports of other VMs may be on their way.
-    pub(super) fn suspects(&self, now: Instant) -> impl Iterator<Item = Suspect> {
-        let parts = self.suspected_parts(now).into_iter().flatten();
+    pub(super) fn suspects(
+        &self,
+        sound: &SoundInputs,
+        now: Instant,
+    ) -> impl Iterator<Item = Suspect> {
+        let parts = self.suspected_parts(sound, now).into_iter().flatten();
+        // A part may be of several responses.
+        let parts: BTreeSet<_> = parts.collect();
         let age = now.saturating_duration_since(self.at);
         let requests = self.requests.keys().filter(move |_| age >= REPORT_TIME);
-        let parts = parts.copied().map(Suspect::Part);
+        let parts = parts.into_iter().copied().map(Suspect::Part);
         parts.chain(requests.copied().map(Suspect::Request))
     }
 
-    /// The parts that may be the cause: those of responses without an event, if there are any.
-    fn suspected_parts(&self, now: Instant) -> Option<&BTreeSet<PartHash>> {
+    /// The parts that may be the cause: those of responses without an event, if there are any. While
+    /// all of them were sound before, a part that never was is the likelier cause where a response had
+    /// not begun, and is suspected with them.
+    fn suspected_parts(&self, sound: &SoundInputs, now: Instant) -> Vec<&BTreeSet<PartHash>> {
         let age = now.saturating_duration_since(self.at);
-        if !self.unwritten.is_empty() {
-            return (age >= REPORT_TIME).then_some(&self.unwritten);
+        let has_new = |parts: &BTreeSet<PartHash>| {
+            let mut parts = parts.iter();
+            parts.any(|part| sound.last((*part).into()).is_none())
+        };
+        if age >= REPORT_TIME && has_new(&self.unwritten) {
+            return vec![&self.unwritten];
         }
         if age < LOST_REPORT_TIME {
-            return None;
+            return Vec::new();
         }
-        if self.unanswered.is_empty() {
-            return Some(&self.written);
+        match (self.unwritten.is_empty(), self.unanswered.is_empty()) {
+            (true, true) => vec![&self.written],
+            (true, false) => vec![&self.unanswered],
+            (false, _) if has_new(&self.unanswered) => vec![&self.unwritten, &self.unanswered],
+            (false, _) => vec![&self.unwritten],
         }
-        Some(&self.unanswered)
     }
 
     /// Whether a response on a part had begun.
--- a/tests/gateway_quarantine.rs
+++ b/tests/gateway_quarantine.rs
@@ -186,6 +186,44 @@
     assert!(held(&mut quarantine, BAD, now + SETTLED * 3));
 }
 
+// Guards against: a part that all requests share is held back in place of the cause, which one report
+// lacks (LOST).
+#[test]
+fn a_part_that_was_sound_is_not_blamed_where_a_new_one_nearly_explains_the_crashes() {
+    let now = start();
+    let mut quarantine = warm(now);
+    for n in 1..=7 {
+        let parts = [
+            SYSTEM,
+            if n == 1 { DOCUMENT } else { BAD },
+            PartHash(100 + n),
+        ];
+        let at = now + ms(1000 * n);
+        quarantine.on_crash(engine(n), &broken(&parts, Written::NoHead, at), at);
+    }
+    let later = now + ms(7000) + SETTLED;
+    assert!(held(&mut quarantine, BAD, later));
+    assert!(!held(&mut quarantine, SYSTEM, later));
+}
+
+// Guards against: a part that all requests share is held back, as sound responses that had just begun hide
+// the request that crashes engines before its response begins (LOST).
+#[test]
+fn a_waiting_part_that_is_new_is_suspected_beside_sound_ones_that_had_begun() {
+    let now = start();
+    let mut quarantine = warm(now);
+    quarantine.on_sound([DOCUMENT], now);
+    for n in 1..=7 {
+        let at = now + ms(1000 * n);
+        crash(&mut quarantine, n, &[SYSTEM, DOCUMENT], at);
+        let waiting = broken(&[SYSTEM, BAD], Written::NoHead, at);
+        quarantine.on_crash(engine(n), &waiting, at);
+    }
+    let later = now + ms(7000) + SETTLED;
+    assert!(held(&mut quarantine, BAD, later));
+    assert!(!held(&mut quarantine, SYSTEM, later) && !held(&mut quarantine, DOCUMENT, later));
+}
+
 #[test]
 fn an_outage_of_many_engines_is_blamed_on_no_part() {
     let now = start();
