Keep room among a crash's suspects for parts that were never sound

Cause: a crash, and what a VM reports of it, remembered the first 128 parts that came, those that were sound a moment before too. What came later was left out for good. The bound itself is right: callers choose the parts.

Change: `suspected_parts`, one type for crashes and reports in place of two, adds what was never sound first and lets it take the place of what was. For each request that is broken off, it is looked up once whether each of its parts and each remembered one was sound.

Test: a_new_part_behind_many_sound_ones_is_found, at the VM that saw the crashes and at one that was told. Red before this change: the suspects were full.

--- a/src/gateway/quarantine/crashes.rs
+++ b/src/gateway/quarantine/crashes.rs
@@ -12,6 +12,7 @@
 
 use super::soundness::SoundInputs;
 use super::suspect::Suspect;
+use super::suspected_parts::SuspectedParts;
 use crate::gateway::upstream::UpstreamInstance;
 
 /// Largest number of crashes that are remembered; the oldest are forgotten first.
@@ -20,9 +21,9 @@
 const REPORT_TIME: Duration = Duration::from_millis(500);
 /// The same, if one is lost.
 const LOST_REPORT_TIME: Duration = Duration::from_secs(2);
-/// Largest number of parts, and of requests, that are suspected of one crash. Callers could
-/// otherwise raise it at will.
-const MAX_SUSPECTS: usize = 128;
+/// Largest number of requests that are suspected of one crash. Callers could otherwise raise it at
+/// will.
+const MAX_REQUESTS: usize = 128;
 /// How long a crash is remembered that does not count.
 const EXPLAINED_LIFETIME: Duration = Duration::from_mins(10);
 /// How long a crash is remembered that counts; a request that comes again rarely crashes as many
@@ -56,12 +57,7 @@
 pub(super) struct Crash {
     /// Time of the first report.
     pub(super) at: Instant,
-    /// Parts of responses that had not begun.
-    unanswered: BTreeSet<PartHash>,
-    /// Parts of responses without an event.
-    unwritten: BTreeSet<PartHash>,
-    /// Parts of responses with events.
-    written: BTreeSet<PartHash>,
+    parts: SuspectedParts,
     /// Whole requests, and when a copy of each was last sent to the engine.
     requests: BTreeMap<RequestDigest, Instant>,
     /// Whether a suspect that is held back explains it; it is held against no other suspect.
@@ -74,9 +70,7 @@
     fn open(at: Instant) -> Self {
         Self {
             at,
-            unanswered: BTreeSet::new(),
-            unwritten: BTreeSet::new(),
-            written: BTreeSet::new(),
+            parts: SuspectedParts::default(),
             requests: BTreeMap::new(),
             explained: false,
             survived: false,
@@ -112,28 +106,26 @@
     /// all of them were sound before, a part that never was is the likelier cause where a response had
     /// not begun, and is suspected with them.
     fn suspected_parts(&self, sound: &SoundInputs, now: Instant) -> Vec<&BTreeSet<PartHash>> {
+        let parts = &self.parts;
         let age = now.saturating_duration_since(self.at);
-        let has_new = |parts: &BTreeSet<PartHash>| {
-            let mut parts = parts.iter();
-            parts.any(|part| sound.last((*part).into()).is_none())
-        };
-        if age >= REPORT_TIME && has_new(&self.unwritten) {
-            return vec![&self.unwritten];
+        let has_new = |parts| SuspectedParts::has_new(parts, sound);
+        if age >= REPORT_TIME && has_new(&parts.unwritten) {
+            return vec![&parts.unwritten];
         }
         if age < LOST_REPORT_TIME {
             return Vec::new();
         }
-        match (self.unwritten.is_empty(), self.unanswered.is_empty()) {
-            (true, true) => vec![&self.written],
-            (true, false) => vec![&self.unanswered],
-            (false, _) if has_new(&self.unanswered) => vec![&self.unwritten, &self.unanswered],
-            (false, _) => vec![&self.unwritten],
+        match (parts.unwritten.is_empty(), parts.unanswered.is_empty()) {
+            (true, true) => vec![&parts.written],
+            (true, false) => vec![&parts.unanswered],
+            (false, _) if has_new(&parts.unanswered) => vec![&parts.unwritten, &parts.unanswered],
+            (false, _) => vec![&parts.unwritten],
         }
     }
 
     /// Whether a response on a part had begun.
     pub(super) fn had_begun(&self, part: PartHash) -> bool {
-        self.unwritten.contains(&part) || self.written.contains(&part)
+        self.parts.unwritten.contains(&part) || self.parts.written.contains(&part)
     }
 
     /// When a copy of a request was last sent to the engine.
@@ -141,20 +133,8 @@
         self.requests.get(&request).copied()
     }
 
-    fn add_part(&mut self, part: PartHash, written: Written) {
-        let count = self.unanswered.len() + self.unwritten.len() + self.written.len();
-        if count >= MAX_SUSPECTS {
-            return;
-        }
-        match written {
-            Written::NoHead => self.unanswered.insert(part),
-            Written::Nothing => self.unwritten.insert(part),
-            Written::Events => self.written.insert(part),
-        };
-    }
-
     fn add_request(&mut self, request: RequestDigest, sent: Instant) {
-        if self.requests.len() >= MAX_SUSPECTS && !self.requests.contains_key(&request) {
+        if self.requests.len() >= MAX_REQUESTS && !self.requests.contains_key(&request) {
             return;
         }
         let last = self.requests.entry(request).or_insert(sent);
@@ -163,11 +143,7 @@
 
     fn clear(&mut self, suspect: Suspect) {
         match suspect {
-            Suspect::Part(part) => {
-                self.unanswered.remove(&part);
-                self.unwritten.remove(&part);
-                self.written.remove(&part);
-            }
+            Suspect::Part(part) => self.parts.remove(part),
             Suspect::Request(request) => {
                 self.requests.remove(&request);
             }
@@ -176,19 +152,14 @@
 
     fn explain(&mut self) {
         self.explained = true;
-        self.unanswered.clear();
-        self.unwritten.clear();
-        self.written.clear();
+        self.parts = SuspectedParts::default();
         self.requests.clear();
     }
 
     /// Whether something is among the suspects, or would be if no better one were left.
     pub(super) fn names(&self, suspect: Suspect) -> bool {
         match suspect {
-            Suspect::Part(part) => {
-                let sets = [&self.unanswered, &self.unwritten, &self.written];
-                sets.iter().any(|parts| parts.contains(&part))
-            }
+            Suspect::Part(part) => self.parts.contains(part),
             Suspect::Request(request) => self.requests.contains_key(&request),
         }
     }
@@ -207,13 +178,11 @@
         parts: &[PartHash],
         written: Written,
         at: Instant,
+        sound: &SoundInputs,
     ) {
         let crash = self.entry(engine, at);
-        if crash.explained {
-            return;
-        }
-        for part in parts {
-            crash.add_part(*part, written);
+        if !crash.explained {
+            crash.parts.add(parts, written, sound);
         }
     }
 
--- a/src/gateway/quarantine/mod.rs
+++ b/src/gateway/quarantine/mod.rs
@@ -27,6 +27,7 @@
 pub mod report;
 pub mod soundness;
 pub mod suspect;
+mod suspected_parts;
 
 use std::time::{Duration, Instant};
 
@@ -65,7 +66,8 @@
         if self.crashes.was_down(&engine, request.sent) {
             return Vec::new();
         }
-        self.announcements.add_crash(&engine, request, now);
+        self.announcements
+            .add_crash(&engine, request, &self.sound, now);
         self.add_crash(engine, request, now, now);
         self.attribute_crashes(now)
     }
@@ -153,7 +155,7 @@
         I: IntoIterator<Item = PartHash>,
     {
         let mut parts = parts.into_iter();
-        parts.any(|part| self.sound.last(part.into()).is_none())
+        parts.any(|part| !self.sound.knows(part))
     }
 
     /// Whether a request has ended so many engines that it is sent to no other one at once.
@@ -201,7 +203,8 @@
         }
         let mut parts = parts.to_vec();
         parts.retain(|part| self.is_suspect_at((*part).into(), at, now));
-        self.crashes.add_parts(engine, &parts, written, at);
+        self.crashes
+            .add_parts(engine, &parts, written, at, &self.sound);
     }
 
     fn add_crashed_request(
--- a/src/gateway/quarantine/report.rs
+++ b/src/gateway/quarantine/report.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use crate::ids::{PartHash, RequestDigest};
+use crate::ids::RequestDigest;
 use crate::schema::mesh::{
     BrokenSend, EngineCrash, HeldInput, QuarantineReport, SoundInput, SurvivingEngine,
 };
@@ -16,7 +16,9 @@
 use super::Quarantine;
 use super::crashes::Written;
 use super::holds::Hold;
+use super::soundness::SoundInputs;
 use super::suspect::{BrokenRequest, Suspect};
+use super::suspected_parts::SuspectedParts;
 use crate::gateway::upstream::UpstreamInstance;
 
 /// How long an observation is repeated: four usage reports of a VM among many.
@@ -25,17 +27,13 @@
 const MAX_CRASHES: usize = 32;
 /// Largest number of sound parts and requests in a report.
 const MAX_SOUND: usize = 64;
-/// Largest number of suspected parts that are reported of a crash.
-const MAX_PARTS: usize = 128;
 /// Largest number of suspected requests that are reported of a crash.
 const MAX_REQUESTS: usize = 32;
 
 #[derive(Clone, Debug)]
 struct OwnCrash {
     at: Instant,
-    unanswered: Vec<PartHash>,
-    unwritten: Vec<PartHash>,
-    written: Vec<PartHash>,
+    parts: SuspectedParts,
     /// Requests, and when a copy of each was last sent to the engine.
     requests: BTreeMap<RequestDigest, Instant>,
 }
@@ -44,9 +42,7 @@
     fn open(at: Instant) -> Self {
         Self {
             at,
-            unanswered: Vec::new(),
-            unwritten: Vec::new(),
-            written: Vec::new(),
+            parts: SuspectedParts::default(),
             requests: BTreeMap::new(),
         }
     }
@@ -58,19 +54,6 @@
         let last = self.requests.entry(request).or_insert(sent);
         *last = sent.max(*last);
     }
-
-    fn add_part(&mut self, part: PartHash, written: Written) {
-        let count = self.unanswered.len() + self.unwritten.len() + self.written.len();
-        let full = count >= MAX_PARTS;
-        let parts = match written {
-            Written::NoHead => &mut self.unanswered,
-            Written::Nothing => &mut self.unwritten,
-            Written::Events => &mut self.written,
-        };
-        if !full && !parts.contains(&part) {
-            parts.push(part);
-        }
-    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -95,6 +78,7 @@
         &mut self,
         engine: &UpstreamInstance,
         request: &BrokenRequest,
+        sound: &SoundInputs,
         now: Instant,
     ) {
         self.expire(now);
@@ -104,9 +88,7 @@
         let crash = self.crashes.entry(engine.clone());
         let crash = crash.or_insert_with(|| OwnCrash::open(now));
         crash.add_request(request.digest, request.sent);
-        for part in &request.parts {
-            crash.add_part(*part, request.written);
-        }
+        crash.parts.add(&request.parts, request.written, sound);
     }
 
     /// Adds an engine that seems not to have crashed. What it broke off stays reported, as it
@@ -146,9 +128,9 @@
             engine: engine.id.clone(),
             born: engine.started_ms,
             age_ms: age_ms(crash.at, now),
-            unanswered: crash.unanswered.clone(),
-            unwritten: crash.unwritten.clone(),
-            written: crash.written.clone(),
+            unanswered: crash.parts.unanswered.iter().copied().collect(),
+            unwritten: crash.parts.unwritten.iter().copied().collect(),
+            written: crash.parts.written.iter().copied().collect(),
             requests: sends(crash, now),
         });
         let survivors = self.announcements.survivors.keys();
--- a/src/gateway/quarantine/soundness.rs
+++ b/src/gateway/quarantine/soundness.rs
@@ -97,6 +97,11 @@
         self.own.last(suspect).max(self.told.last(suspect))
     }
 
+    /// Whether a proof is known of a part.
+    pub fn knows(&self, part: PartHash) -> bool {
+        self.last(part.into()).is_some()
+    }
+
     /// Time of this VM's last proof, if there is one.
     pub fn last_own(&self, suspect: Suspect) -> Option<Instant> {
         self.own.last(suspect)
--- a/tests/gateway_quarantine.rs
+++ b/tests/gateway_quarantine.rs
@@ -224,6 +224,27 @@
     assert!(!held(&mut quarantine, SYSTEM, later) && !held(&mut quarantine, DOCUMENT, later));
 }
 
+// Guards against: the cause of crashes is not found behind the many parts of a long prompt, and a part that
+// all requests share is held back in its place (LOST).
+#[test]
+fn a_new_part_behind_many_sound_ones_is_found() {
+    let now = start();
+    let (mut vm, mut other) = (warm(now), warm(now));
+    let long: Vec<_> = (100..400).map(PartHash).collect();
+    vm.on_sound(long.clone(), now);
+    other.on_sound(long.clone(), now);
+    for n in 1..=7 {
+        let at = now + ms(1000 * n);
+        let parts = [&[SYSTEM][..], &long, &[BAD]].concat();
+        vm.on_crash(engine(n), &broken(&parts, Written::NoHead, at), at);
+        tell(&mut vm, &mut other, at + ms(100));
+    }
+    let later = now + ms(7000) + SETTLED;
+    for vm in [&mut vm, &mut other] {
+        assert!(held(vm, BAD, later) && !held(vm, SYSTEM, later));
+    }
+}
+
 #[test]
 fn an_outage_of_many_engines_is_blamed_on_no_part() {
     let now = start();
