--- a/src/gateway/quarantine/attribution.rs
+++ b/src/gateway/quarantine/attribution.rs
@@ -98,9 +98,10 @@
     /// crashes. What all requests share is named in each crash, the cause only where its report came.
     fn has_newer(&self, suspect: Suspect, crashes: &Suspicion, all: &Suspicions) -> bool {
         let kind = std::mem::discriminant(&suspect);
+        let enough = |count: usize| count * 4 >= crashes.len() * MIN_QUARTERS;
         let explains = |other: &Suspicion| {
             let shared = other.iter().filter(|index| crashes.contains(index));
-            shared.count() * 4 >= crashes.len() * MIN_QUARTERS
+            enough(other.len()) && enough(shared.count())
         };
         let mut newer = all
             .iter()
--- a/src/gateway/quarantine/crashes.rs
+++ b/src/gateway/quarantine/crashes.rs
@@ -41,6 +41,8 @@
 /// Times in reports differ by the time that the reports took.
 const SEEN_SLACK: Duration = Duration::from_millis(50);
 
+static NO_PARTS: BTreeSet<PartHash> = BTreeSet::new();
+
 /// How far an engine had come with a response when it crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Written {
@@ -93,33 +95,32 @@
         sound: &SoundInputs,
         now: Instant,
     ) -> impl Iterator<Item = Suspect> {
-        let parts = self.suspected_parts(sound, now).into_iter().flatten();
-        // A part may be of several responses.
-        let parts: BTreeSet<_> = parts.collect();
+        let [first, more] = self.suspected_parts(sound, now);
+        let parts = first.iter().chain(more.difference(first));
         let age = now.saturating_duration_since(self.at);
         let requests = self.requests.keys().filter(move |_| age >= REPORT_TIME);
-        let parts = parts.into_iter().copied().map(Suspect::Part);
+        let parts = parts.copied().map(Suspect::Part);
         parts.chain(requests.copied().map(Suspect::Request))
     }
 
     /// The parts that may be the cause: those of responses without an event, if there are any. While
     /// all of them were sound before, a part that never was is the likelier cause where a response had
     /// not begun, and is suspected with them.
-    fn suspected_parts(&self, sound: &SoundInputs, now: Instant) -> Vec<&BTreeSet<PartHash>> {
+    fn suspected_parts(&self, sound: &SoundInputs, now: Instant) -> [&BTreeSet<PartHash>; 2] {
         let parts = &self.parts;
         let age = now.saturating_duration_since(self.at);
         let has_new = |parts| SuspectedParts::has_new(parts, sound);
         if age >= REPORT_TIME && has_new(&parts.unwritten) {
-            return vec![&parts.unwritten];
+            return [&parts.unwritten, &NO_PARTS];
         }
         if age < LOST_REPORT_TIME {
-            return Vec::new();
+            return [&NO_PARTS, &NO_PARTS];
         }
         match (parts.unwritten.is_empty(), parts.unanswered.is_empty()) {
-            (true, true) => vec![&parts.written],
-            (true, false) => vec![&parts.unanswered],
-            (false, _) if has_new(&parts.unanswered) => vec![&parts.unwritten, &parts.unanswered],
-            (false, _) => vec![&parts.unwritten],
+            (true, true) => [&parts.written, &NO_PARTS],
+            (true, false) => [&parts.unanswered, &NO_PARTS],
+            (false, _) if has_new(&parts.unanswered) => [&parts.unwritten, &parts.unanswered],
+            (false, _) => [&parts.unwritten, &NO_PARTS],
         }
     }
 
--- a/src/gateway/stream/resume.rs
+++ b/src/gateway/stream/resume.rs
@@ -128,8 +128,9 @@
     fn cut(&self, suspect: bool, missing: Option<NoPlace>) -> Result<(), ResponseAborted> {
         let gateway = &self.admitted.gateway;
         warn!(gateway.log, "stream_cut"; "request" => %self.admitted.request.head.id,
-            "why" => self.lost.map(|lost| format!("{lost}")), "event" => self.events.last_id(), "resumable" => self.resumable(),
-            "certain" => self.events.is_certain(), "suspect" => suspect,
+            "why" => self.lost.map(|lost| format!("{lost}")), "event" => self.events.last_id(),
+            "resumable" => self.resumable(), "certain" => self.events.is_certain(),
+            "suspect" => suspect,
             "sent" => self.attempts.sent, "missing" => missing.map(|missing| format!("{missing:?}")),
             "left_ms" => self.admitted.time_left().as_millis() as u64);
         Err(ResponseAborted)
