Explain in the doc comments how suspects of a crash are chosen

Read as a newcomer would: the head of `crashes` still said that waiting requests are suspected only where no begun response is left, a constant explained itself backwards, and two fields had no comment. No code changes.

--- a/src/gateway/event_numbers.rs
+++ b/src/gateway/event_numbers.rs
@@ -43,10 +43,11 @@
 /// The numbers of one stream, over all engines that it is resumed at.
 #[derive(Clone, Debug, Default)]
 pub struct EventNumbers {
+    /// Whether a number is ever held.
     resumption: Resumption,
     /// Number of the last event forwarded, or the one that the caller resumes after.
     last: Option<u64>,
-    /// Number before it; absent in front of a stream.
+    /// Number before it; absent up to the first event of a stream.
     before: Option<u64>,
     /// Events with a number that were forwarded.
     forwarded: u64,
--- a/src/gateway/quarantine/attribution.rs
+++ b/src/gateway/quarantine/attribution.rs
@@ -40,8 +40,8 @@
 /// after enough moments, also to any other part or request.
 const MANY_CRASHES: usize = 5;
 
-/// Share of the crashes of a suspect that was sound which one that never was explains, if it is the
-/// likelier cause, in quarters.
+/// A suspect that was sound is no cause while one that never was explains this share of its crashes, in
+/// quarters.
 const MIN_QUARTERS: usize = 3;
 
 /// Indices of the crashes that something is suspected of, oldest first.
--- a/src/gateway/quarantine/crashes.rs
+++ b/src/gateway/quarantine/crashes.rs
@@ -2,8 +2,9 @@
 //!
 //! Of the parts, the cause is mostly in a response without an event. Others are suspected only
 //! while no such response is left that could be it: first those whose response had not begun, as
-//! their requests may have been waiting. Of the requests, each that ran is suspected. An engine
-//! that broke off responses may also be alive; then it had not crashed.
+//! their requests may have been waiting. Where all parts of responses without an event were sound
+//! before, new ones of waiting requests are suspected beside them. Of the requests, each that ran is
+//! suspected. An engine that broke off responses may also be alive; then it had not crashed.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -41,6 +42,7 @@
 /// Times in reports differ by the time that the reports took.
 const SEEN_SLACK: Duration = Duration::from_millis(50);
 
+/// In place of parts that are not suspected.
 static NO_PARTS: BTreeSet<PartHash> = BTreeSet::new();
 
 /// How far an engine had come with a response when it crashed.
@@ -59,6 +61,7 @@
 pub(super) struct Crash {
     /// Time of the first report.
     pub(super) at: Instant,
+    /// Parts, by how far the responses on them had come.
     parts: SuspectedParts,
     /// Whole requests, and when a copy of each was last sent to the engine.
     requests: BTreeMap<RequestDigest, Instant>,
