--- a/tests/gateway_quarantine.rs
+++ b/tests/gateway_quarantine.rs
@@ -1,4 +1,5 @@
-//! Which parts of prompts are held back, on what evidence, and until when.
+//! Which parts of prompts are held back, on what evidence, and until when (`quarantine`, with its
+//! `attribution`, `crashes` and `suspected_parts`).
 
 use std::time::{Duration, Instant};
 
