Review case 12: followers of a reader that is cut off run requests with withdrawn keys too late

Rule: CONFIG (a request sent later than config_ms after the acknowledgement is run with a dropped key). Disruption: one machine, the reader of its zone, is partitioned from the store for 7 s (core_cut); keys are taken away meanwhile (revoke).

While their reader still answers datagrams, followers read for themselves only once what they know is 2.4 s old, and each such read counts as coverage again. Cause: src/gateway/fanout/coverage.rs, src/gateway/store_watch.rs.

--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -87,10 +87,23 @@
         self.objects, self.events, self.revision = {}, [], 10
         self.changed = asyncio.Event()
         self.port = None
+        self.cut_off = set()
 
     async def open(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
+        self.port = await self.door("all")
+
+    async def door(self, machine):
+        """An address for one machine, which nothing passes while the machine is in `cut_off`."""
+
+        async def serve(reader, writer):
+            await self.serve(machine, reader, writer)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        return server.sockets[0].getsockname()[1]
+
+    async def until_healed(self, machine):
+        while machine in self.cut_off:
+            await asyncio.sleep(0.01)
 
     def put(self, kind, name, spec):
         self.revision += 1
@@ -102,17 +115,19 @@
         self.changed = asyncio.Event()
         return stored
 
-    async def serve(self, reader, writer):
+    async def serve(self, machine, reader, writer):
         try:
             while True:
                 first, headers = await read_head(reader)
                 body = await read_body(reader, headers)
+                await self.until_healed(machine)
                 method, target, _ = first.split(" ")
                 await asyncio.sleep(0.004)
                 status, answer = await self.answer(method, target, body)
                 text = json.dumps(answer).encode()
                 head = f"HTTP/1.1 {status} -\r\nContent-Type: application/json\r\n"
                 head += f"Store-Era: 1\r\nContent-Length: {len(text)}\r\n\r\n"
+                await self.until_healed(machine)
                 writer.write(head.encode() + text)
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError):
@@ -186,17 +201,17 @@
     }
 
 
-def configure(store, routes, service, *keys):
+def configure(store, routes, service, *keys, version=7):
     services = [{"name": service, "health_path": "/healthz", "max_conns": 2000, "protocol": "h1"}]
     tenants = [{"name": f"t{n}", "api_keys": [key], "priority": 1} for n, key in enumerate(keys)]
-    spec = {"version": 7, "routes": routes, "services": services, "limits": LIMITS}
+    spec = {"version": version, "routes": routes, "services": services, "limits": LIMITS}
     store.put("config", "main", spec | {"tenants": tenants})
 
 
 class Machine:
     """A machine with one process of the deploy file, which the platform starts again when it ends."""
 
-    def __init__(self, name, store, folder, record):
+    def __init__(self, name, store_port, folder, record):
         self.name, self.record, self.process = name, record, None
         self.front, self.ready = free_port(), free_port()
         mesh, metrics = free_port(), free_port()
@@ -212,7 +227,7 @@
             "listen.ready": f"127.0.0.1:{self.ready}",
             "port_range.0": mesh,
             "port_range.1": metrics,
-            "provider.addr": f"127.0.0.1:{store.port}",
+            "provider.addr": f"127.0.0.1:{store_port}",
             "bounds.lease_ms": 3000,
             "bounds.revoke_ms": 5000,
             "bounds.drain_ms": 2000,
